--- /dev/null
+++ b/internal/caller/caller.go
@@ -0,0 +1,156 @@
+// Package caller is a client of entry hosts, for the commands and for tests.
+// It knows several addresses, as a balancer would, and resumes sessions by
+// itself. It does not repeat requests: that decision is the caller's.
+package caller
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/cenkalti/backoff/v5"
+
+	pb "github.com/pepperhatch/pepperhatch/gen/pepperhatch/v1"
+	"github.com/pepperhatch/pepperhatch/gen/pepperhatch/v1/pepperhatchv1connect"
+)
+
+// Client calls entry hosts in turn.
+type Client struct {
+	hosts []pepperhatchv1connect.CallerServiceClient
+	next  atomic.Uint64
+}
+
+// New returns a client of the entry hosts at the addresses.
+func New(web *http.Client, addrs ...string) *Client {
+	cl := &Client{}
+	for _, addr := range addrs {
+		cl.hosts = append(cl.hosts, pepperhatchv1connect.NewCallerServiceClient(web, "http://"+addr))
+	}
+	return cl
+}
+
+// Call sends one request to the next entry host.
+func (cl *Client) Call(ctx context.Context, req *pb.CallRequest) (*pb.CallResponse, error) {
+	return cl.CallVia(ctx, int(cl.next.Add(1)), req)
+}
+
+// CallVia sends one request to the n-th entry host, counted round.
+func (cl *Client) CallVia(ctx context.Context, n int, req *pb.CallRequest) (*pb.CallResponse, error) {
+	resp, err := cl.hosts[n%len(cl.hosts)].Call(ctx, connect.NewRequest(req))
+	if err != nil {
+		return nil, fmt.Errorf("call: %w", err)
+	}
+	return resp.Msg, nil
+}
+
+// FailureOf returns what an error of Call says of the request. An error
+// without a word of the entry host's, for instance a broken connection, is
+// unknown.
+func FailureOf(err error) *pb.Failure {
+	var cerr *connect.Error
+	if errors.As(err, &cerr) {
+		for _, detail := range cerr.Details() {
+			value, derr := detail.Value()
+			if fa, ok := value.(*pb.Failure); derr == nil && ok {
+				return fa
+			}
+		}
+	}
+	return &pb.Failure{Outcome: pb.Outcome_OUTCOME_UNKNOWN, Reason: "entry-host-lost"}
+}
+
+// The pauses between attempts to resume a session.
+const (
+	resumeFirst = 20 * time.Millisecond
+	resumeMost  = time.Second
+)
+
+// Watch opens a session and passes its events on in order, each once. It
+// resumes the session at other entry hosts whenever its stream ends, until
+// ctx does or fn returns an error.
+func (cl *Client) Watch(ctx context.Context, req *pb.WatchRequest, fn func(*pb.WatchResponse) error) error {
+	wa := &watch{cl: cl, token: req.GetResumeToken(), fn: fn}
+	bo := backoff.NewExponentialBackOff()
+	bo.InitialInterval, bo.MaxInterval = resumeFirst, resumeMost
+	for {
+		before := wa.seq
+		err := wa.stream(ctx, req)
+		var stopped *stopError
+		if errors.As(err, &stopped) {
+			return stopped.err
+		}
+		if ctx.Err() != nil {
+			return fmt.Errorf("watch: %w", ctx.Err())
+		}
+		if connect.CodeOf(err) == connect.CodeInvalidArgument {
+			return fmt.Errorf("watch: %w", err)
+		}
+		if wa.seq != before || wa.moved {
+			bo.Reset()
+		}
+		if !wa.moved {
+			sleep(ctx, bo.NextBackOff())
+		}
+	}
+}
+
+// watch is one session being watched.
+type watch struct {
+	cl    *Client
+	token string
+	seq   uint64
+	moved bool
+	fn    func(*pb.WatchResponse) error
+}
+
+// stopError carries the error by which fn ended the session.
+type stopError struct{ err error }
+
+func (err *stopError) Error() string { return "stopped: " + err.err.Error() }
+
+// ErrGap is returned if an event is missing.
+var ErrGap = errors.New("session left out an event")
+
+func (wa *watch) stream(ctx context.Context, req *pb.WatchRequest) error {
+	host := wa.cl.hosts[int(wa.cl.next.Add(1))%len(wa.cl.hosts)]
+	wa.moved = false
+	st, err := host.Watch(ctx, connect.NewRequest(&pb.WatchRequest{
+		Service: req.GetService(), Topic: req.GetTopic(), ResumeToken: wa.token,
+	}))
+	if err != nil {
+		return fmt.Errorf("open: %w", err)
+	}
+	defer func() { _ = st.Close() }()
+	for st.Receive() {
+		ev := st.Msg()
+		wa.token = ev.GetResumeToken()
+		if ev.GetMoved() {
+			wa.moved = true
+			return nil
+		}
+		if wa.seq != 0 && ev.GetSeq() != wa.seq+1 {
+			return &stopError{err: fmt.Errorf("%w: %d after %d", ErrGap, ev.GetSeq(), wa.seq)}
+		}
+		wa.seq = ev.GetSeq()
+		if err := wa.fn(ev); err != nil {
+			return &stopError{err: err}
+		}
+	}
+	if err := st.Err(); err != nil {
+		return fmt.Errorf("stream: %w", err)
+	}
+	return nil
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	ti := time.NewTimer(d)
+	defer ti.Stop()
+	select {
+	case <-ti.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/cell/owner.go
@@ -0,0 +1,405 @@
+package cell
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/pepperhatch/pepperhatch/internal/config"
+	"github.com/pepperhatch/pepperhatch/internal/place"
+	"github.com/pepperhatch/pepperhatch/internal/platform"
+	"github.com/pepperhatch/pepperhatch/internal/telemetry"
+	"github.com/pepperhatch/pepperhatch/internal/worker"
+)
+
+// Owner runs one cell while its host owns it. Set the fields, then call
+// [Owner.Run].
+type Owner struct {
+	// Cell names the cell, Self the host.
+	Cell string
+	Self string
+	// Epoch is that of the assignment that made the host the owner.
+	Epoch int64
+	// Owns reports whether the host owns the cell at this moment.
+	Owns func() bool
+	// Journal is the cell's.
+	Journal *Journal
+	// Workers talks to workers.
+	Workers worker.Client
+	// Hosts returns the platform's list of the cell's workers, as last read;
+	// ok is false if it was never read.
+	Hosts func() (hosts []platform.Host, ok bool)
+	// Config returns the configuration in force.
+	Config func() config.Doc
+	// Timing has the intervals; the zero value takes [DefaultTiming].
+	Timing Timing
+	// Metrics counts.
+	Metrics *telemetry.Metrics
+	// NoControl turns control of tails off, for comparison.
+	NoControl bool
+
+	mu        sync.Mutex
+	st        *State
+	contacts  map[string]*contact
+	shares    map[string]float64
+	model     place.Model
+	evictions budget
+	commands  []*command
+	inFlight  []*command
+	appending time.Time
+	appended  time.Time
+	dirty     bool
+	decided   time.Time
+	inherited time.Time
+	term      int64
+	wake      chan struct{}
+	failed    error
+	closed    bool
+}
+
+// Timing has the intervals of an owner.
+type Timing struct {
+	// Tick is the time between looks at what there is to do.
+	Tick time.Duration
+	// Batch is the least time between batches, which bounds the writes.
+	Batch time.Duration
+	// Exchange is the time between messages to a worker without orders.
+	Exchange time.Duration
+	// Silent is how long a worker may be silent before it gets nothing new.
+	Silent time.Duration
+	// Margin is added to leases, for clocks of different rates.
+	Margin time.Duration
+	// UsageLag is how old the usage in reports is.
+	UsageLag time.Duration
+}
+
+// DefaultTiming is for a thousand workers.
+var DefaultTiming = Timing{
+	Tick:     50 * time.Millisecond,
+	Batch:    100 * time.Millisecond,
+	Exchange: time.Second,
+	Silent:   3 * time.Second,
+	Margin:   500 * time.Millisecond,
+	UsageLag: 2 * time.Second,
+}
+
+// maxLease bounds the lease settings; a new owner waits for leases that the
+// former one may have given, whatever its settings were.
+const maxLease = time.Minute
+
+// decideEvery is how often decisions are looked for when nothing changed.
+const decideEvery = 500 * time.Millisecond
+
+// ErrNotOwner is returned by calls on a cell that this host does not run.
+var ErrNotOwner = errors.New("not the owner of the cell")
+
+// Run opens the journal and runs the cell until ctx ends or the host ceases
+// to own it.
+func (ow *Owner) Run(ctx context.Context) error {
+	if ow.Timing == (Timing{}) {
+		ow.Timing = DefaultTiming
+	}
+	st, err := ow.Journal.Open(ctx, ow.Self, ow.Epoch)
+	if err != nil {
+		return err
+	}
+	ow.mu.Lock()
+	ow.st = st
+	ow.contacts = map[string]*contact{}
+	ow.shares = map[string]float64{}
+	ow.wake = make(chan struct{}, 1)
+	ow.inherited = time.Now().Add(maxLease + ow.Timing.Margin)
+	ow.term = ow.Journal.Term()
+	ow.dirty = true
+	ow.mu.Unlock()
+	slog.Info("cell opened", "cell", ow.Cell, "epoch", ow.Epoch, "seq", st.Seq, "tasks", len(st.Tasks))
+	return ow.loop(ctx)
+}
+
+func (ow *Owner) loop(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer ow.refuseAll()
+	ti := time.NewTicker(ow.Timing.Tick)
+	defer ti.Stop()
+	for {
+		if !ow.Owns() {
+			return fmt.Errorf("cell %s: %w", ow.Cell, ErrNotOwner)
+		}
+		ow.mu.Lock()
+		err := ow.failed
+		if err == nil {
+			ow.step(ctx)
+		}
+		ow.mu.Unlock()
+		if err != nil {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ow.wake:
+		case <-ti.C:
+		}
+	}
+}
+
+// nudge has the loop look again at once.
+func (ow *Owner) nudge() {
+	select {
+	case ow.wake <- struct{}{}:
+	default:
+	}
+}
+
+// step sends what is due and, unless an append is under way, journals what
+// has happened and what is decided.
+func (ow *Owner) step(ctx context.Context) {
+	if ow.appending.IsZero() && time.Since(ow.appended) >= ow.Timing.Batch {
+		ow.journal(ctx)
+	}
+	ow.exchangeDue(ctx)
+}
+
+// journal starts the append of all that is to be noted now.
+func (ow *Owner) journal(ctx context.Context) {
+	records := ow.hostRecords()
+	records = append(records, ow.endRecords()...)
+	records = append(records, ow.commandRecords()...)
+	// Decided on the state before the records above. A start that they make
+	// void is left out when the batch is applied; room that they make is
+	// found the next time.
+	records = append(records, ow.decide()...)
+	if len(records) == 0 {
+		return
+	}
+	ow.appending = time.Now()
+	ow.appended = ow.appending
+	go ow.append(ctx, records)
+}
+
+// append writes a batch, applies it, and lets workers hear of it.
+func (ow *Owner) append(ctx context.Context, records []Record) {
+	ba, err := ow.Journal.Append(ctx, records)
+	ow.mu.Lock()
+	defer ow.mu.Unlock()
+	ow.appending = time.Time{}
+	if err != nil {
+		ow.failed = err
+		ow.answerCommands(err)
+		ow.nudge()
+		return
+	}
+	ow.Metrics.Add(telemetry.JournalRows, 1, "cell", ow.Cell)
+	ow.st.Apply(ba)
+	ow.dirty = true
+	ow.answerCommands(nil)
+	ow.hurry(records)
+	ow.snapshot(ctx)
+	ow.nudge()
+}
+
+// snapshot writes a snapshot, if one is due, beside the loop.
+func (ow *Owner) snapshot(ctx context.Context) {
+	if !ow.Journal.SnapshotDue() {
+		return
+	}
+	seq := ow.st.Seq
+	data, err := json.Marshal(ow.st)
+	if err != nil {
+		slog.Error("snapshot", "cell", ow.Cell, "err", err)
+		return
+	}
+	sctx, cancel := context.WithTimeout(ctx, 2*time.Second)
+	defer cancel()
+	// Within the append's turn, so that the journal has one user at a time.
+	if err := ow.Journal.Snapshot(sctx, seq, data); err != nil {
+		slog.Warn("snapshot", "cell", ow.Cell, "err", err)
+		return
+	}
+	ow.Journal.Snapshotted(seq)
+}
+
+// hurry has workers with new orders contacted at once.
+func (ow *Owner) hurry(records []Record) {
+	for _, rec := range records {
+		if rec.Kind != KindStart && rec.Kind != KindStop {
+			continue
+		}
+		ow.Metrics.Add(telemetry.TaskEvents, 1, "event", string(rec.Kind))
+		if ta := ow.st.Tasks[rec.Task]; ta != nil {
+			if co := ow.contacts[ta.Worker]; co != nil {
+				co.hurry = true
+			}
+		}
+	}
+}
+
+// hostRecords enters workers that are new on the list and removes those that
+// are gone and run nothing.
+func (ow *Owner) hostRecords() []Record {
+	hosts, ok := ow.Hosts()
+	if !ok {
+		return nil
+	}
+	var records []Record
+	listed := map[string]bool{}
+	for _, ho := range hosts {
+		listed[ho.ID] = true
+		wo := Worker{
+			ID: ho.ID, Rack: ho.Rack, Addr: ho.Addr,
+			Holds: worker.Resources{MilliCores: ho.MilliCores, MemMB: ho.MemMB, Accels: ho.Accels},
+		}
+		co := ow.contact(ho.ID)
+		co.leaving = ho.State == platform.HostLeaving
+		old := ow.st.Workers[ho.ID]
+		if old == nil || old.Addr != wo.Addr || old.Holds != wo.Holds || old.Rack != wo.Rack {
+			records = append(records, Record{Kind: KindWorker, Host: &wo})
+		}
+	}
+	for id := range ow.st.Workers {
+		co := ow.contact(id)
+		co.unlisted = !listed[id]
+		if co.unlisted && len(ow.st.held[id]) == 0 {
+			records = append(records, Record{Kind: KindGone, Worker: id})
+		}
+	}
+	return records
+}
+
+// endRecords notes attempts that have ended: on the worker's word, or because
+// their lease has surely lapsed.
+func (ow *Owner) endRecords() []Record {
+	var records []Record
+	now := time.Now()
+	for _, tasks := range ow.st.held {
+		for id, ta := range tasks {
+			if rec, ended := ow.ended(id, ta, now); ended {
+				records = append(records, rec)
+				ow.Metrics.Add(telemetry.TaskEvents, 1, "event", string(rec.End))
+			}
+		}
+	}
+	return records
+}
+
+func (ow *Owner) ended(id string, ta *Task, now time.Time) (Record, bool) {
+	rec := Record{Kind: KindEnd, Task: id, Attempt: ta.Attempt, End: worker.StateLapsed}
+	co := ow.contact(ta.Worker)
+	if co.incarnation != "" && co.incarnation != ta.Incarnation {
+		// Another process: the one that had the task is no more.
+		return rec, true
+	}
+	if tr, ok := co.tasks[id]; ok && tr.Attempt == ta.Attempt {
+		rec.CheckpointMS = tr.CheckpointMS
+		if tr.State != worker.StateRunning {
+			rec.End, rec.Result = tr.State, tr.Result
+			return rec, true
+		}
+	}
+	return rec, now.After(ow.lapse(co, ow.st.Jobs[ta.Job].Spec.Service))
+}
+
+// lapse returns when a worker's leases of a class have surely lapsed, if it
+// is not heard of again.
+func (ow *Owner) lapse(co *contact, service bool) time.Time {
+	end := co.leaseEnd[leaseIndex(service)]
+	if co.incarnation == "" {
+		end = ow.inherited
+	}
+	return end.Add(ow.Timing.Margin)
+}
+
+func leaseIndex(service bool) int {
+	if service {
+		return 1
+	}
+	return 0
+}
+
+// Summary counts what a cell has.
+type Summary struct {
+	// Cell, Owner and Epoch say whose it is.
+	Cell  string `json:"cell"`
+	Owner string `json:"owner"`
+	Epoch int64  `json:"epoch"`
+	// Seq is the last batch.
+	Seq int64 `json:"seq"`
+	// Workers and Tasks count by state.
+	Workers map[string]int `json:"workers"`
+	Tasks   map[string]int `json:"tasks"`
+	// Holds is what all workers have, Used what tasks are given.
+	Holds worker.Resources `json:"holds"`
+	Used  worker.Resources `json:"used"`
+}
+
+// Summary returns the cell's counts.
+func (ow *Owner) Summary() (Summary, error) {
+	ow.mu.Lock()
+	defer ow.mu.Unlock()
+	if !ow.serving() {
+		return Summary{}, ErrNotOwner
+	}
+	su := Summary{
+		Cell: ow.Cell, Owner: ow.Self, Epoch: ow.Epoch, Seq: ow.st.Seq,
+		Workers: map[string]int{}, Tasks: map[string]int{},
+	}
+	for id, wo := range ow.st.Workers {
+		su.Workers[ow.workerState(id, wo)]++
+		su.Holds = su.Holds.With(wo.Holds)
+	}
+	for _, ta := range ow.st.Tasks {
+		su.Tasks[string(ta.State)]++
+	}
+	for _, used := range ow.st.Used() {
+		su.Used = su.Used.With(used)
+	}
+	return su, nil
+}
+
+// serving reports whether calls on the cell can be answered here.
+func (ow *Owner) serving() bool {
+	return ow.st != nil && !ow.closed && ow.Owns()
+}
+
+// workerState names the state of a worker, for people.
+func (ow *Owner) workerState(id string, wo *Worker) string {
+	co := ow.contact(id)
+	switch {
+	case wo.Drained:
+		return "drained"
+	case co.leaving, co.unlisted:
+		return "leaving"
+	case time.Since(co.heard) > ow.Timing.Silent:
+		return "silent"
+	case len(wo.FailedJobs) >= asideAfter:
+		return "aside"
+	}
+	return "live"
+}
+
+// NamedTask is a task with its id.
+type NamedTask struct {
+	ID string `json:"id"`
+	Task
+}
+
+// Tasks returns the tasks of a job, or of all jobs.
+func (ow *Owner) Tasks(job string) ([]NamedTask, error) {
+	ow.mu.Lock()
+	defer ow.mu.Unlock()
+	if !ow.serving() {
+		return nil, ErrNotOwner
+	}
+	var tasks []NamedTask
+	for id, ta := range ow.st.Tasks {
+		if job == "" || ta.Job == job {
+			tasks = append(tasks, NamedTask{ID: id, Task: *ta})
+		}
+	}
+	return tasks, nil
+}
--- /dev/null
+++ b/internal/entry/callers.go
@@ -0,0 +1,179 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/google/uuid"
+
+	pb "github.com/pepperhatch/pepperhatch/gen/pepperhatch/v1"
+	"github.com/pepperhatch/pepperhatch/gen/pepperhatch/v1/pepperhatchv1connect"
+	"github.com/pepperhatch/pepperhatch/internal/config"
+	"github.com/pepperhatch/pepperhatch/internal/reason"
+	"github.com/pepperhatch/pepperhatch/internal/route"
+	"github.com/pepperhatch/pepperhatch/internal/runner"
+	"github.com/pepperhatch/pepperhatch/internal/session"
+)
+
+// Bounds on fields of a request.
+const (
+	maxID       = 128
+	maxName     = 100
+	maxDeadline = 10 * time.Minute
+	readyRetry  = time.Second
+)
+
+func (ho *Host) callerHandler() http.Handler {
+	mux := http.NewServeMux()
+	path, h := pepperhatchv1connect.NewCallerServiceHandler(&callerService{ho: ho}, connect.WithReadMaxBytes(int(ho.set.MaxBody)))
+	mux.Handle(path, h)
+	ho.handleHealth(mux)
+	return mux
+}
+
+// handleHealth serves what the balancer asks for, on the port that it
+// balances.
+func (ho *Host) handleHealth(mux *http.ServeMux) {
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte("ok\n"))
+	})
+	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if !ho.ready() {
+			http.Error(w, "not ready", http.StatusServiceUnavailable)
+			return
+		}
+		_, _ = w.Write([]byte("ready\n"))
+	})
+}
+
+// callerService serves callers.
+type callerService struct{ ho *Host }
+
+// Call serves one request.
+func (cs *callerService) Call(ctx context.Context, creq *connect.Request[pb.CallRequest]) (*connect.Response[pb.CallResponse], error) {
+	begun := time.Now()
+	msg := creq.Msg
+	id := msg.GetId()
+	if id == "" && !msg.GetRunOnce() {
+		id = uuid.NewString()
+	}
+	res := cs.ho.call(ctx, id, msg)
+	cs.ho.metrics.Ended(class(msg.GetClass()).String(), res.Reason, time.Since(begun))
+	if res.Outcome != route.Answered {
+		return nil, failure(id, res)
+	}
+	return connect.NewResponse(&pb.CallResponse{
+		Id: id, Body: res.Body, Runner: res.Runner, Attempts: uint32(res.Attempts),
+	}), nil
+}
+
+func class(cl pb.Class) runner.Class {
+	if cl == pb.Class_CLASS_BATCH {
+		return runner.Batch
+	}
+	return runner.LatencyCritical
+}
+
+// call checks a request and serves it.
+func (ho *Host) call(ctx context.Context, id string, msg *pb.CallRequest) route.Result {
+	doc, ok := ho.config.Current()
+	switch {
+	case !ok:
+		return route.NotRunResult(reason.NotReady, readyRetry)
+	case len(id) > maxID, msg.GetService() == "", len(msg.GetService()) > maxName, len(msg.GetMethod()) > maxName,
+		time.Duration(msg.GetDeadlineMs())*time.Millisecond > maxDeadline:
+		return route.NotRunResult(reason.Malformed, 0)
+	}
+	left := time.Duration(msg.GetDeadlineMs()) * time.Millisecond
+	cl := class(msg.GetClass())
+	if left == 0 {
+		left = doc.Duration(map[runner.Class]string{
+			runner.LatencyCritical: config.DeadlineLatency, runner.Batch: config.DeadlineBatch,
+		}[cl])
+	}
+	req := route.Request{Once: msg.GetRunOnce(), Request: runner.Request{
+		ID: id, Service: msg.GetService(), Method: msg.GetMethod(), Class: cl, Body: msg.GetBody(),
+		Deadline: time.Now().Add(left),
+	}}
+	if !req.Once {
+		return ho.router.Do(ctx, req)
+	}
+	return ho.guard.Do(ctx, id, func(ctx context.Context) route.Result { return ho.router.Do(ctx, req) })
+}
+
+// reasonCodes has the connect codes of reasons; others follow the outcome.
+var reasonCodes = map[reason.Reason]connect.Code{
+	reason.Malformed:    connect.CodeInvalidArgument,
+	reason.BodyTooLarge: connect.CodeInvalidArgument,
+	reason.IDMalformed:  connect.CodeInvalidArgument,
+	reason.SessionToken: connect.CodeInvalidArgument,
+	reason.TooLate:      connect.CodeResourceExhausted,
+	reason.QueueFull:    connect.CodeResourceExhausted,
+	reason.SessionLimit: connect.CodeResourceExhausted,
+	reason.Expired:      connect.CodeDeadlineExceeded,
+	reason.CallerGone:   connect.CodeCanceled,
+	reason.ClaimTaken:   connect.CodeAlreadyExists,
+}
+
+// failure makes the error of a request that was not answered.
+func failure(id string, res route.Result) error {
+	code, ok := reasonCodes[res.Reason]
+	switch {
+	case ok:
+	case res.Outcome == route.NotRun:
+		code = connect.CodeUnavailable
+	default:
+		code = connect.CodeUnknown
+	}
+	cerr := connect.NewError(code, errors.New(string(res.Outcome)+": "+string(res.Reason)))
+	outcome := pb.Outcome_OUTCOME_UNKNOWN
+	if res.Outcome == route.NotRun {
+		outcome = pb.Outcome_OUTCOME_NOT_RUN
+	}
+	detail, err := connect.NewErrorDetail(&pb.Failure{
+		Id: id, Outcome: outcome, Reason: string(res.Reason), RetryAfterMs: uint32(res.RetryAfter.Milliseconds()),
+	})
+	if err == nil {
+		cerr.AddDetail(detail)
+	}
+	if res.RetryAfter > 0 {
+		seconds := int((res.RetryAfter + time.Second - 1) / time.Second)
+		cerr.Meta().Set("Retry-After", strconv.Itoa(seconds))
+	}
+	return cerr
+}
+
+// Watch serves one session.
+func (cs *callerService) Watch(ctx context.Context, creq *connect.Request[pb.WatchRequest], out *connect.ServerStream[pb.WatchResponse]) error {
+	if !cs.ho.ready() {
+		why := reason.NotReady
+		if cs.ho.stopping.Load() {
+			why = reason.Stopping
+		}
+		return failure("", route.NotRunResult(why, readyRetry))
+	}
+	msg := creq.Msg
+	if msg.GetResumeToken() == "" && (msg.GetService() == "" || len(msg.GetService()) > maxName || len(msg.GetTopic()) > maxName) {
+		return failure("", route.NotRunResult(reason.Malformed, 0))
+	}
+	// The caller hears at once that the session is being opened.
+	if err := out.Send(nil); err != nil {
+		return err
+	}
+	req := session.Request{Service: msg.GetService(), Topic: msg.GetTopic(), Token: msg.GetResumeToken()}
+	err := cs.ho.relay.Serve(ctx, req, func(ev session.Event) error {
+		return out.Send(&pb.WatchResponse{
+			SessionId: ev.SessionID, Seq: ev.Seq, Body: ev.Body, ResumeToken: ev.Token, Moved: ev.Moved,
+		})
+	})
+	var refused *session.Error
+	if errors.As(err, &refused) {
+		cs.ho.metrics.Ended("session", refused.Reason, 0)
+		return failure("", route.NotRunResult(refused.Reason, refused.RetryAfter))
+	}
+	return err
+}
--- /dev/null
+++ b/internal/entry/cells.go
@@ -0,0 +1,149 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+
+	"github.com/pepperhatch/pepperhatch/internal/cell"
+	"github.com/pepperhatch/pepperhatch/internal/lease"
+	"github.com/pepperhatch/pepperhatch/internal/wire"
+)
+
+// cellMessage is a message to the owner of a cell. Passed is set once it was
+// passed on within the data centre.
+type cellMessage[T any] struct {
+	Cell    string `json:"cell"`
+	Passed  bool   `json:"passed,omitempty"`
+	Message T      `json:"message"`
+}
+
+// cellCall is one kind of message to the owner of a cell.
+type cellCall[Req, Resp any] struct {
+	// name is the end of its path.
+	name string
+	// serve answers it at the owner.
+	serve func(*cell.Owner, context.Context, Req) (Resp, error)
+}
+
+// The calls on a cell's owner.
+var (
+	callPlan = cellCall[cell.Command, []cell.Step]{"plan", func(ow *cell.Owner, _ context.Context, cmd cell.Command) ([]cell.Step, error) {
+		return ow.Plan(cmd)
+	}}
+	callConfirm = cellCall[cell.Confirmation, cell.Confirmed]{"confirm", (*cell.Owner).Confirm}
+	callSummary = cellCall[empty, cell.Summary]{"summary", func(ow *cell.Owner, _ context.Context, _ empty) (cell.Summary, error) {
+		return ow.Summary()
+	}}
+	callTasks = cellCall[string, []cell.NamedTask]{"tasks", func(ow *cell.Owner, _ context.Context, job string) ([]cell.NamedTask, error) {
+		return ow.Tasks(job)
+	}}
+)
+
+// cellErrors pairs errors with the codes that carry them between hosts.
+var cellErrors = []struct {
+	err  error
+	code string
+}{
+	{cell.ErrNotOwner, "not-owner"},
+	{cell.ErrImpossible, "impossible"},
+	{cell.ErrAway, "journal-away"},
+	{cell.ErrUnsettled, "unsettled"},
+}
+
+func (ho *Host) handleCell(mux *http.ServeMux) {
+	handleCall(ho, mux, callPlan)
+	handleCall(ho, mux, callConfirm)
+	handleCall(ho, mux, callSummary)
+	handleCall(ho, mux, callTasks)
+}
+
+func handleCall[Req, Resp any](ho *Host, mux *http.ServeMux, ca cellCall[Req, Resp]) {
+	mux.Handle("POST "+pathCell+ca.name, wire.Handle(func(ctx context.Context, msg cellMessage[Req]) (Resp, error) {
+		resp, err := serveCall(ctx, ho, ca, msg)
+		return resp, encodeCellError(err)
+	}))
+}
+
+// callCell sends a message to the owner of a cell, wherever it is.
+func callCell[Req, Resp any](ctx context.Context, ho *Host, ca cellCall[Req, Resp], name string, req Req) (Resp, error) {
+	msg := cellMessage[Req]{Cell: name, Message: req}
+	if name == ho.set.DC {
+		return serveCall(ctx, ho, ca, msg)
+	}
+	addr, err := ho.anyHostIn(name)
+	if err != nil {
+		var none Resp
+		return none, fmt.Errorf("cell %s: %w: %w", name, cell.ErrNotOwner, err)
+	}
+	return postCall(ctx, ho, ca, addr, msg)
+}
+
+func postCall[Req, Resp any](ctx context.Context, ho *Host, ca cellCall[Req, Resp], addr string, msg cellMessage[Req]) (Resp, error) {
+	resp, err := wire.Post[cellMessage[Req], Resp](ctx, ho.web, "http://"+addr+pathCell+ca.name, msg)
+	return resp, decodeCellError(err)
+}
+
+// serveCall answers at the owner, and passes the message on once elsewhere.
+func serveCall[Req, Resp any](ctx context.Context, ho *Host, ca cellCall[Req, Resp], msg cellMessage[Req]) (Resp, error) {
+	var none Resp
+	addr, own, err := ho.ownerOf(lease.Cell(ho.set.DC))
+	if own {
+		ow := ho.owner.Load()
+		if ow == nil {
+			return none, cell.ErrNotOwner
+		}
+		return ca.serve(ow, ctx, msg.Message)
+	}
+	if err != nil || msg.Passed {
+		return none, errors.Join(cell.ErrNotOwner, err)
+	}
+	msg.Passed = true
+	return postCall(ctx, ho, ca, addr, msg)
+}
+
+func encodeCellError(err error) error {
+	for _, ce := range cellErrors {
+		if errors.Is(err, ce.err) {
+			return &wire.Error{Status: http.StatusConflict, Code: ce.code, Message: err.Error()}
+		}
+	}
+	return err
+}
+
+func decodeCellError(err error) error {
+	code := wire.Code(err)
+	for _, ce := range cellErrors {
+		if ce.code == code {
+			return fmt.Errorf("%w: %w", ce.err, err)
+		}
+	}
+	return err
+}
+
+func (ho *Host) planCell(ctx context.Context, name string, cmd cell.Command) ([]cell.Step, error) {
+	return callCell(ctx, ho, callPlan, name, cmd)
+}
+
+func (ho *Host) confirmCell(ctx context.Context, name string, con cell.Confirmation) (cell.Confirmed, error) {
+	return callCell(ctx, ho, callConfirm, name, con)
+}
+
+// chooseCell returns the cell with the most free cores.
+func (ho *Host) chooseCell(ctx context.Context) (string, error) {
+	best, most := "", int64(-1)
+	for _, name := range ho.set.DCs {
+		su, err := callCell(ctx, ho, callSummary, name, empty{})
+		if err != nil {
+			continue
+		}
+		if free := su.Holds.MilliCores - su.Used.MilliCores; free > most {
+			best, most = name, free
+		}
+	}
+	if best == "" {
+		return "", fmt.Errorf("no cell answers: %w", cell.ErrNotOwner)
+	}
+	return best, nil
+}
--- /dev/null
+++ b/internal/entry/loops.go
@@ -0,0 +1,245 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/pepperhatch/pepperhatch/internal/cell"
+	"github.com/pepperhatch/pepperhatch/internal/claim"
+	"github.com/pepperhatch/pepperhatch/internal/config"
+	"github.com/pepperhatch/pepperhatch/internal/lease"
+	"github.com/pepperhatch/pepperhatch/internal/peer"
+	"github.com/pepperhatch/pepperhatch/internal/platform"
+	"github.com/pepperhatch/pepperhatch/internal/route"
+	"github.com/pepperhatch/pepperhatch/internal/spread"
+	"github.com/pepperhatch/pepperhatch/internal/telemetry"
+	"github.com/pepperhatch/pepperhatch/internal/upstream"
+)
+
+// Intervals of the loops.
+const (
+	listEvery   = time.Second
+	configEvery = time.Second
+	tellEvery   = 100 * time.Millisecond
+	retryEvery  = 500 * time.Millisecond
+	pollTime    = 2 * time.Second
+)
+
+// every calls fn at once and then at the interval, until ctx ends.
+func every(ctx context.Context, d time.Duration, fn func(context.Context)) {
+	for {
+		fn(ctx)
+		if !wait(ctx, d) {
+			return
+		}
+	}
+}
+
+// pollLists reads the platform's list of the data centre.
+func (ho *Host) pollLists(ctx context.Context) {
+	every(ctx, listEvery, func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, pollTime)
+		defer cancel()
+		reply, err := ho.hosts.ListFunc(ctx, platform.HostsRequest{DC: ho.set.DC})
+		if err != nil {
+			ho.metrics.Add(telemetry.TableErrors, 1, "step", "list-hosts")
+			return
+		}
+		workers := slices.DeleteFunc(slices.Clone(reply.Hosts), func(pl platform.Host) bool {
+			return pl.Kind != platform.KindWorker
+		})
+		ho.workerList.Store(&workers)
+		ho.registry.SetList(reply.Hosts)
+		ho.listed.Store(true)
+	})
+}
+
+// pollConfig looks at the configuration's row.
+func (ho *Host) pollConfig(ctx context.Context) {
+	every(ctx, configEvery, func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, pollTime)
+		defer cancel()
+		if err := ho.config.Poll(ctx); err != nil {
+			ho.metrics.Add(telemetry.TableErrors, 1, "step", "read-config")
+			return
+		}
+		ho.tableOK.Store(time.Now().UnixNano())
+	})
+}
+
+// heard takes a peer's greeting: a later configuration is fetched from it.
+func (ho *Host) heard(he peer.Hello) {
+	doc, ok := ho.config.Current()
+	if he.ConfigVersion < 0 || (ok && he.ConfigVersion <= doc.Version) {
+		return
+	}
+	go ho.fetchConfig(he.Addr)
+}
+
+// applyConfig puts a version of the configuration in force.
+func (ho *Host) applyConfig(doc config.Doc) {
+	ho.router.SetPolicy(route.Policy{QueueLimit: doc.Int(config.QueueLimit), BatchEvery: doc.Int(config.BatchEvery)})
+	ho.router.Budget.SetRatio(doc.Float(config.RetryRatio))
+	ho.registry.SetMaxAside(doc.Float(config.MaxAside))
+	ho.log.Info("configuration in force", "version", doc.Version)
+}
+
+// rebuild gives the router the runners whose primary this host is.
+func (ho *Host) rebuild() {
+	byService := map[string][]upstream.Runner{}
+	for _, ru := range ho.registry.Runners() {
+		byService[ru.Service] = append(byService[ru.Service], ru)
+	}
+	hosts := ho.primaries()
+	members := make(map[string][]route.Member, len(byService))
+	for service, runners := range byService {
+		members[service] = ho.own(runners, hosts)
+	}
+	ho.router.SetMembers(members)
+}
+
+// primaries returns the ids of the data centre's entry hosts among which
+// runners are divided. A host that stops leaves its runners to the others, if
+// there are others.
+func (ho *Host) primaries() []string {
+	var hosts []string
+	for _, he := range ho.mesh.Live() {
+		if he.DC == ho.set.DC && !he.Stopping {
+			hosts = append(hosts, he.ID)
+		}
+	}
+	if !ho.stopping.Load() || len(hosts) == 0 {
+		hosts = append(hosts, ho.id)
+	}
+	return hosts
+}
+
+func (ho *Host) own(runners []upstream.Runner, hosts []string) []route.Member {
+	var ids []string
+	for _, ru := range runners {
+		if ru.State != upstream.Leaving {
+			ids = append(ids, ru.ID)
+		}
+	}
+	primary := spread.Even(ids, hosts)
+	var members []route.Member
+	for _, ru := range runners {
+		usable := ru.State == upstream.Live || ru.State == upstream.Probing
+		if usable && primary[ru.ID] == ho.id {
+			members = append(members, route.Member{
+				ID: ru.ID, Addr: ru.Addr, Slots: ru.Slots, Slow: ru.Slow, Probing: ru.State == upstream.Probing,
+			})
+		}
+	}
+	return members
+}
+
+// tellPeers keeps the router's view of runners and peers up to date.
+func (ho *Host) tellPeers(ctx context.Context) {
+	every(ctx, tellEvery, func(context.Context) {
+		near, far := map[string]map[string]route.Load{}, map[string]map[string]route.Load{}
+		for _, he := range ho.mesh.Live() {
+			switch {
+			case he.Stopping:
+			case he.DC == ho.set.DC:
+				near[he.Addr] = he.Loads
+			default:
+				far[he.Addr] = he.Loads
+			}
+		}
+		ho.rebuild()
+		ho.router.SetPeers(near, far)
+	})
+}
+
+// keepLease is a member for as long as the host runs. After a takeover it is
+// a new member under a new id, since it cannot speak for its former self.
+func (ho *Host) keepLease(ctx context.Context) {
+	for n := 1; ctx.Err() == nil; n++ {
+		ke := ho.newKeeper(n)
+		if err := ke.Join(ctx); err != nil {
+			ho.log.Warn("join", "err", err)
+			wait(ctx, retryEvery)
+			continue
+		}
+		ho.keeper.Store(ke)
+		err := ke.Run(ctx)
+		if errors.Is(err, lease.ErrTakenOver) && ho.stopping.Load() {
+			return
+		}
+		ho.log.Warn("lease ended", "err", err)
+	}
+}
+
+func (ho *Host) newKeeper(n int) *lease.Keeper {
+	timing := lease.DefaultTiming
+	timing.TTL, timing.Promise, timing.Every = ho.set.LeaseTTL, ho.set.LeaseTTL, ho.set.LeaseEvery
+	timing.Margin = ho.set.LeaseTTL / 12
+	return &lease.Keeper{
+		ID: memberID(ho.id, n), Addr: ho.PeerAddr(), DC: ho.set.DC,
+		Resources: append(claim.Resources(), lease.Cell(ho.set.DC)),
+		Table:     ho.table, Timing: timing,
+		Peers:      lease.Peers{PromiseFunc: ho.askPromise, DenialFunc: ho.askDenial},
+		OnEvent:    ho.leaseEvent,
+		BeforeGive: ho.handOver,
+	}
+}
+
+// memberID names the n-th membership of a process.
+func memberID(id string, n int) string {
+	if n == 1 {
+		return id
+	}
+	return id + "." + string(rune('0'+n%10)) + time.Now().Format("150405")
+}
+
+func (ho *Host) leaseEvent(ev lease.Event) {
+	switch ev.Kind {
+	case "took-over":
+		ho.metrics.Add(telemetry.Takeovers, 1)
+	case "extended":
+		ho.metrics.Add(telemetry.Extensions, 1)
+	}
+	ho.log.Info("lease", "event", ev.Kind, "peer", ev.Peer)
+}
+
+// runCell runs the data centre's cell while this host owns it.
+func (ho *Host) runCell(ctx context.Context) {
+	every(ctx, cellEvery, func(ctx context.Context) {
+		ke := ho.keeper.Load()
+		resource := lease.Cell(ho.set.DC)
+		if ke == nil || !ke.Owns(resource) || ho.stopping.Load() {
+			return
+		}
+		ow := ho.newOwner(ke, resource)
+		ho.owner.Store(ow)
+		err := ow.Run(ctx)
+		ho.owner.Store(nil)
+		if ctx.Err() == nil {
+			ho.log.Warn("cell ended", "cell", ho.set.DC, "err", err)
+		}
+	})
+}
+
+const cellEvery = 200 * time.Millisecond
+
+func (ho *Host) newOwner(ke *lease.Keeper, resource string) *cell.Owner {
+	timing := cell.DefaultTiming
+	timing.Batch = ho.set.CellInterval
+	return &cell.Owner{
+		Cell: ho.set.DC, Self: ke.ID, Epoch: ke.Assignment().Epoch,
+		Owns:    func() bool { return ke.Owns(resource) && !ho.stopping.Load() },
+		Journal: &cell.Journal{Table: ho.table, Objects: ho.objects, Cell: ho.set.DC},
+		Workers: ho.workers, Timing: timing, Metrics: ho.metrics,
+		Hosts: func() ([]platform.Host, bool) {
+			list := ho.workerList.Load()
+			if list == nil {
+				return nil, false
+			}
+			return *list, true
+		},
+		Config: func() config.Doc { doc, _ := ho.config.Current(); return doc },
+	}
+}
--- /dev/null
+++ b/internal/entry/peers.go
@@ -0,0 +1,273 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pepperhatch/pepperhatch/internal/claim"
+	"github.com/pepperhatch/pepperhatch/internal/config"
+	"github.com/pepperhatch/pepperhatch/internal/lease"
+	"github.com/pepperhatch/pepperhatch/internal/peer"
+	"github.com/pepperhatch/pepperhatch/internal/reason"
+	"github.com/pepperhatch/pepperhatch/internal/route"
+	"github.com/pepperhatch/pepperhatch/internal/runner"
+	"github.com/pepperhatch/pepperhatch/internal/wire"
+)
+
+// Paths of the peer port.
+const (
+	pathHello    = "/peer/hello"
+	pathRun      = "/peer/run"
+	pathConfig   = "/peer/config"
+	pathPromise  = "/peer/lease/promise"
+	pathDenial   = "/peer/lease/denial"
+	pathTake     = "/peer/claim/take"
+	pathRelease  = "/peer/claim/release"
+	pathHandover = "/peer/claim/handover"
+	pathCell     = "/peer/cell/"
+)
+
+// memberMessage is a question to one member: a process under another id, at
+// the same address, must not answer for it.
+type memberMessage[T any] struct {
+	// To is the member's id.
+	To string `json:"to"`
+	// Message is the question.
+	Message T `json:"message"`
+}
+
+// claimMessage is a message on an id, to the owner of its shard. Passed is
+// set once it was passed on within the owner's data centre.
+type claimMessage[T any] struct {
+	Resource string `json:"resource"`
+	Passed   bool   `json:"passed,omitempty"`
+	Message  T      `json:"message"`
+}
+
+// runMessage is a request passed to a peer. The time left is told, not the
+// deadline, since clocks differ.
+type runMessage struct {
+	ID      string       `json:"id"`
+	Service string       `json:"service"`
+	Method  string       `json:"method"`
+	Class   runner.Class `json:"class"`
+	Body    []byte       `json:"body"`
+	LeftMS  int64        `json:"left_ms"`
+	Once    bool         `json:"once,omitempty"`
+}
+
+type empty struct{}
+
+func (ho *Host) peerHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("POST "+pathHello, wire.Handle(func(_ context.Context, he peer.Hello) (peer.Reply, error) {
+		return ho.mesh.Receive(he), nil
+	}))
+	mux.Handle("POST "+pathRun, wire.Handle(ho.serveRun))
+	mux.Handle("POST "+pathConfig, wire.Handle(ho.serveConfig))
+	mux.Handle("POST "+pathPromise, wire.Handle(func(_ context.Context, msg memberMessage[lease.PromiseRequest]) (lease.Answer, error) {
+		return answer(ho, msg, (*lease.Keeper).AnswerPromise), nil
+	}))
+	mux.Handle("POST "+pathDenial, wire.Handle(func(_ context.Context, msg memberMessage[lease.DenialRequest]) (lease.Answer, error) {
+		return answer(ho, msg, (*lease.Keeper).AnswerDenial), nil
+	}))
+	mux.Handle("POST "+pathTake, wire.Handle(ho.serveTake))
+	mux.Handle("POST "+pathRelease, wire.Handle(ho.serveRelease))
+	mux.Handle("POST "+pathHandover, wire.Handle(func(_ context.Context, hn claim.Handover) (empty, error) {
+		ho.ledger.Import(hn)
+		return empty{}, nil
+	}))
+	ho.handleCell(mux)
+	return mux
+}
+
+// answer has the present member answer, if it is the one asked.
+func answer[T any](ho *Host, msg memberMessage[T], fn func(*lease.Keeper, T) lease.Answer) lease.Answer {
+	ke := ho.keeper.Load()
+	if ke == nil || ke.ID != msg.To {
+		return lease.Answer{}
+	}
+	return fn(ke, msg.Message)
+}
+
+func (ho *Host) askPromise(ctx context.Context, id, addr string, req lease.PromiseRequest) (lease.Answer, error) {
+	msg := memberMessage[lease.PromiseRequest]{To: id, Message: req}
+	return wire.Post[memberMessage[lease.PromiseRequest], lease.Answer](ctx, ho.web, "http://"+addr+pathPromise, msg)
+}
+
+func (ho *Host) askDenial(ctx context.Context, id, addr string, req lease.DenialRequest) (lease.Answer, error) {
+	msg := memberMessage[lease.DenialRequest]{To: id, Message: req}
+	return wire.Post[memberMessage[lease.DenialRequest], lease.Answer](ctx, ho.web, "http://"+addr+pathDenial, msg)
+}
+
+// hello is what this host says of itself.
+func (ho *Host) hello() peer.Hello {
+	he := peer.Hello{
+		ID: ho.id, DC: ho.set.DC, Addr: ho.PeerAddr(), CallerAddr: ho.CallerAddr(),
+		ConfigVersion: -1, Stopping: ho.stopping.Load(), Loads: ho.router.Loads(),
+	}
+	if doc, ok := ho.config.Current(); ok {
+		he.ConfigVersion = doc.Version
+	}
+	if ke := ho.keeper.Load(); ke != nil && ke.Valid() {
+		for _, re := range ke.Assignment().OwnedBy(ke.ID) {
+			if lease.IsCell(re) {
+				he.Cells = append(he.Cells, ho.set.DC)
+				continue
+			}
+			he.Shards++
+		}
+	}
+	return he
+}
+
+func (ho *Host) serveConfig(context.Context, empty) (config.Doc, error) {
+	doc, ok := ho.config.Current()
+	if !ok {
+		return doc, &wire.Error{Status: http.StatusServiceUnavailable, Code: string(reason.NotReady), Message: "no configuration yet"}
+	}
+	return doc, nil
+}
+
+// fetchConfig takes the configuration from a peer that has a later one.
+func (ho *Host) fetchConfig(addr string) {
+	ctx, cancel := context.WithTimeout(context.Background(), pollTime)
+	defer cancel()
+	doc, err := wire.Post[empty, config.Doc](ctx, ho.web, "http://"+addr+pathConfig, empty{})
+	if err == nil {
+		ho.config.Adopt(doc)
+	}
+}
+
+// forward has a peer serve a request.
+func (ho *Host) forward(ctx context.Context, addr string, req route.Request) route.Result {
+	msg := runMessage{
+		ID: req.ID, Service: req.Service, Method: req.Method, Class: req.Class, Body: req.Body,
+		LeftMS: time.Until(req.Deadline).Milliseconds(), Once: req.Once,
+	}
+	res, err := wire.Post[runMessage, route.Result](ctx, ho.web, "http://"+addr+pathRun, msg)
+	if err == nil {
+		return res
+	}
+	var op *net.OpError
+	var stated *wire.Error
+	if errors.As(err, &stated) || (errors.As(err, &op) && op.Op == "dial") {
+		// The peer refused the message, or was not reached: not run.
+		return route.NotRunResult(reason.AllRefused, 0)
+	}
+	return route.Result{Outcome: route.Unknown, Reason: reason.PeerLost, Attempts: 1}
+}
+
+// serveRun serves a request that a peer passed on.
+func (ho *Host) serveRun(ctx context.Context, msg runMessage) (route.Result, error) {
+	req := route.Request{Local: true, Once: msg.Once, Request: runner.Request{
+		ID: msg.ID, Service: msg.Service, Method: msg.Method, Class: msg.Class, Body: msg.Body,
+		Deadline: time.Now().Add(time.Duration(msg.LeftMS) * time.Millisecond),
+	}}
+	return ho.router.Do(ctx, req), nil
+}
+
+// errNoOwner is returned while nobody is known to own a resource.
+var errNoOwner = errors.New("owner not known")
+
+// takeClaim asks the owner of an id's shard, in whichever data centre.
+func (ho *Host) takeClaim(ctx context.Context, dc, resource string, req claim.TakeRequest) (claim.Verdict, error) {
+	msg := claimMessage[claim.TakeRequest]{Resource: resource, Message: req}
+	if dc == ho.set.DC {
+		return ho.serveTake(ctx, msg)
+	}
+	addr, err := ho.anyHostIn(dc)
+	if err != nil {
+		return claim.Verdict{}, err
+	}
+	return wire.Post[claimMessage[claim.TakeRequest], claim.Verdict](ctx, ho.web, "http://"+addr+pathTake, msg)
+}
+
+// serveTake answers for an own shard, and passes others on once.
+func (ho *Host) serveTake(ctx context.Context, msg claimMessage[claim.TakeRequest]) (claim.Verdict, error) {
+	addr, own, err := ho.ownerOf(msg.Resource)
+	switch {
+	case own:
+		return ho.ledger.Take(msg.Message), nil
+	case err != nil:
+		return claim.Verdict{}, err
+	case msg.Passed:
+		return claim.Verdict{Reason: reason.ClaimAway}, nil
+	}
+	msg.Passed = true
+	return wire.Post[claimMessage[claim.TakeRequest], claim.Verdict](ctx, ho.web, "http://"+addr+pathTake, msg)
+}
+
+// releaseTime bounds the telling of a release. If it is lost, the id stays
+// taken, which is safe.
+const releaseTime = 2 * time.Second
+
+func (ho *Host) releaseClaim(dc, resource string, req claim.ReleaseRequest) {
+	msg := claimMessage[claim.ReleaseRequest]{Resource: resource, Message: req}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), releaseTime)
+		defer cancel()
+		if dc == ho.set.DC {
+			_, _ = ho.serveRelease(ctx, msg)
+			return
+		}
+		if addr, err := ho.anyHostIn(dc); err == nil {
+			_, _ = wire.Post[claimMessage[claim.ReleaseRequest], empty](ctx, ho.web, "http://"+addr+pathRelease, msg)
+		}
+	}()
+}
+
+func (ho *Host) serveRelease(ctx context.Context, msg claimMessage[claim.ReleaseRequest]) (empty, error) {
+	addr, own, err := ho.ownerOf(msg.Resource)
+	switch {
+	case own:
+		ho.ledger.Release(msg.Message)
+		return empty{}, nil
+	case err != nil || msg.Passed:
+		return empty{}, err
+	}
+	msg.Passed = true
+	return wire.Post[claimMessage[claim.ReleaseRequest], empty](ctx, ho.web, "http://"+addr+pathRelease, msg)
+}
+
+// handOver carries the memory of a shard to its next owner.
+func (ho *Host) handOver(ctx context.Context, gi lease.Gift) {
+	if lease.IsCell(gi.Resource) || gi.Addr == "" {
+		return
+	}
+	hn := ho.ledger.Export(gi.Resource, gi.Since, gi.Epoch)
+	if _, err := wire.Post[claim.Handover, empty](ctx, ho.web, "http://"+gi.Addr+pathHandover, hn); err != nil {
+		ho.log.Warn("hand over", "resource", gi.Resource, "peer", gi.To, "err", err)
+	}
+}
+
+// ownerOf returns the address of the owner of a resource in this data centre,
+// or that it is this host.
+func (ho *Host) ownerOf(resource string) (addr string, own bool, err error) {
+	ke := ho.keeper.Load()
+	if ke == nil {
+		return "", false, fmt.Errorf("%s: %w", resource, errNoOwner)
+	}
+	id, addr := ke.Owner(resource)
+	switch {
+	case id == ke.ID:
+		return "", true, nil
+	case addr == "":
+		return "", false, fmt.Errorf("%s: %w", resource, errNoOwner)
+	}
+	return addr, false, nil
+}
+
+// anyHostIn returns the peer address of a live host in a data centre.
+func (ho *Host) anyHostIn(dc string) (string, error) {
+	for _, he := range ho.mesh.Live() {
+		if he.DC == dc && !he.Stopping {
+			return he.Addr, nil
+		}
+	}
+	return "", fmt.Errorf("no live host in %s: %w", dc, errNoOwner)
+}
--- /dev/null
+++ b/internal/intent/intent.go
@@ -0,0 +1,240 @@
+// Package intent takes what operators want, works out a plan, and carries the
+// plan out once it is confirmed and if its basis still holds.
+//
+// A plan is a row of the table, so that any entry host can confirm it. What
+// it would do to a cell is worked out by the cell's owner, and again at the
+// confirmation: the plan is carried out only if both rest on the same lines.
+// The owner notes the plan's id in the cell's journal along with the changes,
+// and so does the configuration's version: confirming twice does it once.
+package intent
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+	"google.golang.org/protobuf/encoding/protojson"
+
+	pb "github.com/pepperhatch/pepperhatch/gen/pepperhatch/v1"
+	"github.com/pepperhatch/pepperhatch/internal/cell"
+	"github.com/pepperhatch/pepperhatch/internal/config"
+	"github.com/pepperhatch/pepperhatch/internal/platform"
+	"github.com/pepperhatch/pepperhatch/internal/worker"
+)
+
+// Plan is a plan as kept in the table.
+type Plan struct {
+	// ID names it; it is a UUIDv7, so that plans sort by age.
+	ID string `json:"id"`
+	// Intent is the operator's, in protojson.
+	Intent json.RawMessage `json:"intent"`
+	// Cell carries it out; empty for the configuration.
+	Cell string `json:"cell,omitempty"`
+	// Steps are the changes.
+	Steps []cell.Step `json:"steps"`
+	// ConfigVersion is the basis of a change of configuration.
+	ConfigVersion int64 `json:"config_version,omitempty"`
+	// Applied is the configuration version that it made.
+	Applied int64 `json:"applied,omitempty"`
+}
+
+// Basis returns a digest of what the plan rests on.
+func (pl Plan) Basis() string {
+	sum := sha256.Sum256(fmt.Append(nil, pl.ConfigVersion, strings.Join(cell.Basis(pl.Steps), "\n")))
+	return hex.EncodeToString(sum[:8])
+}
+
+// Result says what became of a plan.
+type Result struct {
+	// Applied is set if it was carried out, now or before.
+	Applied bool
+	// Changed lists what changed since, if it was not.
+	Changed []string
+	// Version is the configuration's, or the cell's last batch.
+	Version int64
+}
+
+// Desk takes intents. Set the fields before use.
+type Desk struct {
+	// Table is the platform's.
+	Table platform.Table
+	// Config holds the configuration.
+	Config *config.Store
+	// PlanCell has the owner of a cell work out a command.
+	PlanCell func(ctx context.Context, name string, cmd cell.Command) ([]cell.Step, error)
+	// ConfirmCell has the owner of a cell carry out a command.
+	ConfirmCell func(ctx context.Context, name string, con cell.Confirmation) (cell.Confirmed, error)
+	// ChooseCell returns the cell with the most room.
+	ChooseCell func(ctx context.Context) (string, error)
+}
+
+const (
+	planPrefix = "plan/"
+	// planKept is how long a plan can be confirmed.
+	planKept = 24 * time.Hour
+	// planSweep is how many old plans are deleted with a new one.
+	planSweep = 8
+)
+
+// ErrNoPlan is returned for a plan that is not known, or no longer.
+var ErrNoPlan = errors.New("no such plan")
+
+// ErrBadIntent is returned for an intent that cannot be read.
+var ErrBadIntent = errors.New("intent cannot be read")
+
+// Plan works out and keeps a plan.
+func (de *Desk) Plan(ctx context.Context, in *pb.Intent) (Plan, error) {
+	raw, err := protojson.Marshal(in)
+	if err != nil {
+		return Plan{}, fmt.Errorf("%w: %w", ErrBadIntent, err)
+	}
+	pl := Plan{ID: uuid.Must(uuid.NewV7()).String(), Intent: raw, Cell: in.GetCell()}
+	if se := in.GetSetConfig(); se != nil {
+		pl.Cell = ""
+		pl, err = de.planConfig(ctx, pl, se.GetValues())
+	} else {
+		pl, err = de.planCell(ctx, pl, in)
+	}
+	if err != nil {
+		return pl, err
+	}
+	return pl, de.keep(ctx, pl)
+}
+
+func (de *Desk) planConfig(ctx context.Context, pl Plan, changes map[string]string) (Plan, error) {
+	// Planned on the row, not on what is in force here: it may lag.
+	if err := de.Config.Poll(ctx); err != nil {
+		return pl, err
+	}
+	doc, _ := de.Config.Current()
+	if _, err := doc.With(changes); err != nil {
+		return pl, fmt.Errorf("%w: %w", cell.ErrImpossible, err)
+	}
+	pl.ConfigVersion = doc.Version
+	for name, value := range changes {
+		detail := fmt.Sprintf("from %q to %q", doc.Text(name), value)
+		pl.Steps = append(pl.Steps, cell.Step{Verb: "set", Object: name, Detail: detail, Basis: true})
+	}
+	return pl, nil
+}
+
+func (de *Desk) planCell(ctx context.Context, pl Plan, in *pb.Intent) (Plan, error) {
+	cmd, err := Command(in)
+	if err != nil {
+		return pl, err
+	}
+	if pl.Cell == "" {
+		if pl.Cell, err = de.ChooseCell(ctx); err != nil {
+			return pl, err
+		}
+	}
+	pl.Steps, err = de.PlanCell(ctx, pl.Cell, cmd)
+	return pl, err
+}
+
+// Command turns an intent on a cell into the cell's command.
+func Command(in *pb.Intent) (cell.Command, error) {
+	switch wh := in.GetWhat().(type) {
+	case *pb.Intent_AddJob:
+		sp := spec(wh.AddJob.GetSpec())
+		return cell.Command{Add: &sp}, nil
+	case *pb.Intent_CancelJob:
+		return cell.Command{Cancel: wh.CancelJob.GetName()}, nil
+	case *pb.Intent_ResizeJob:
+		return cell.Command{Resize: &cell.Resize{Name: wh.ResizeJob.GetName(), Tasks: int(wh.ResizeJob.GetTasks())}}, nil
+	case *pb.Intent_Drain:
+		dr := wh.Drain
+		return cell.Command{Drain: &cell.Drain{
+			Host: dr.GetHost(), Rack: dr.GetRack(), All: dr.GetDataCentre(), Undo: dr.GetUndo(),
+		}}, nil
+	}
+	return cell.Command{}, fmt.Errorf("%w: it wants nothing", ErrBadIntent)
+}
+
+func spec(sp *pb.JobSpec) cell.Spec {
+	return cell.Spec{
+		Name: sp.GetName(), Team: sp.GetTeam(), Kind: sp.GetKind(), Urgent: sp.GetUrgent(),
+		Service: sp.GetClass() == pb.Class_CLASS_LATENCY_CRITICAL,
+		Tasks:   int(sp.GetTasks()), RunMS: int64(sp.GetRunMs()),
+		Each: worker.Resources{
+			MilliCores: sp.GetEach().GetMilliCores(), MemMB: sp.GetEach().GetMemMb(), Accels: sp.GetEach().GetAccels(),
+		},
+	}
+}
+
+// keep writes the plan's row, and deletes a few of those too old to confirm.
+func (de *Desk) keep(ctx context.Context, pl Plan) error {
+	txn, err := platform.NewTxn().WithPut(planPrefix+pl.ID, 0, pl)
+	if err != nil {
+		return err
+	}
+	old, err := de.Table.ReadFunc(ctx, platform.ReadRequest{Prefix: planPrefix, Limit: planSweep})
+	if err != nil {
+		return fmt.Errorf("keep plan: %w", err)
+	}
+	for _, row := range old.Rows {
+		uid, err := uuid.Parse(strings.TrimPrefix(row.Key, planPrefix))
+		if err != nil {
+			continue
+		}
+		sec, nsec := uid.Time().UnixTime()
+		if time.Since(time.Unix(sec, nsec)) > planKept {
+			txn.Puts = append(txn.Puts, platform.Put{Key: row.Key, Delete: true})
+		}
+	}
+	if _, err := de.Table.Settle(ctx, txn); err != nil {
+		return fmt.Errorf("keep plan: %w", err)
+	}
+	return nil
+}
+
+// Confirm carries out a plan if its basis holds.
+func (de *Desk) Confirm(ctx context.Context, id string) (Result, error) {
+	var pl Plan
+	version, err := de.Table.Get(ctx, planPrefix+id, &pl)
+	if err != nil {
+		return Result{}, fmt.Errorf("confirm: %w", err)
+	}
+	if version == 0 {
+		return Result{}, fmt.Errorf("plan %s: %w", id, ErrNoPlan)
+	}
+	in := &pb.Intent{}
+	if err := protojson.Unmarshal(pl.Intent, in); err != nil {
+		return Result{}, fmt.Errorf("%w: %w", ErrBadIntent, err)
+	}
+	if pl.Cell == "" {
+		return de.confirmConfig(ctx, pl, version, in.GetSetConfig().GetValues())
+	}
+	cmd, err := Command(in)
+	if err != nil {
+		return Result{}, err
+	}
+	con, err := de.ConfirmCell(ctx, pl.Cell, cell.Confirmation{Plan: pl.ID, Command: cmd, Basis: cell.Basis(pl.Steps)})
+	return Result{Applied: con.Applied, Changed: con.Changed, Version: con.Seq}, err
+}
+
+// confirmConfig writes the configuration and the plan's row in one write, so
+// that the row says whether it was carried out.
+func (de *Desk) confirmConfig(ctx context.Context, pl Plan, version int64, changes map[string]string) (Result, error) {
+	if pl.Applied > 0 {
+		return Result{Applied: true, Version: pl.Applied}, nil
+	}
+	applied := pl
+	applied.Applied = pl.ConfigVersion + 1
+	doc, err := de.Config.Change(ctx, pl.ConfigVersion, changes, config.Also{Key: planPrefix + pl.ID, Version: version, Value: applied})
+	if !errors.Is(err, config.ErrConflict) {
+		return Result{Applied: err == nil, Version: doc.Version}, err
+	}
+	// Another confirmation of the same plan may have been first.
+	var now Plan
+	if _, rerr := de.Table.Get(ctx, planPrefix+pl.ID, &now); rerr == nil && now.Applied > 0 {
+		return Result{Applied: true, Version: now.Applied}, nil
+	}
+	return Result{Changed: []string{err.Error()}, Version: doc.Version}, nil
+}
--- /dev/null
+++ b/internal/lease/keeper.go
@@ -0,0 +1,478 @@
+package lease
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pepperhatch/pepperhatch/internal/platform"
+)
+
+// Keeper keeps one entry host's membership and tenure. Its methods are the
+// steps of the protocol; [Keeper.Run] takes them in turn.
+type Keeper struct {
+	// ID and Addr are the member's own.
+	ID   string
+	Addr string
+	// DC is the data centre.
+	DC string
+	// Resources are what there is to own in the data centre.
+	Resources []string
+	// Table is the platform's.
+	Table platform.Table
+	// Peers asks other members.
+	Peers Peers
+	// Timing has the lengths of time.
+	Timing Timing
+	// Now is the clock; nil is the runtime's. Tests give hosts clocks of
+	// different rates.
+	Now func() time.Time
+	// OnEvent is told of takeovers, extensions and losses; nil is not.
+	OnEvent func(Event)
+	// BeforeGive is called for a resource that the host owned and has ceased
+	// to act on, before the table says that another member owns it. Epoch is
+	// that of the assignment so far; the next one is the first in which the
+	// other may own it.
+	BeforeGive func(ctx context.Context, gi Gift)
+
+	mu       sync.Mutex
+	joined   bool
+	lost     bool
+	row      Member
+	rowVer   int64
+	end      time.Time
+	pending  *renewal
+	asg      Assignment
+	asgVer   int64
+	released map[string]bool
+	since    map[string]Beginning
+	addrs    map[string]string
+	seen     map[string]sighting
+	said     promises
+}
+
+// Beginning is when a host began to own a resource.
+type Beginning struct {
+	// At is by its wall clock.
+	At time.Time
+	// Epoch is that of the first assignment that said so.
+	Epoch int64
+}
+
+// Gift is a resource that changes hands by agreement.
+type Gift struct {
+	// Resource is what changes hands.
+	Resource string
+	// To and Addr are the next owner.
+	To   string
+	Addr string
+	// Epoch is that of the assignment before.
+	Epoch int64
+	// Since is when the giver began to own it.
+	Since Beginning
+}
+
+// Event is something that the keeper did.
+type Event struct {
+	// Kind is joined, extended, taken-over, took-over or left.
+	Kind string
+	// Peer is the other member, if there is one.
+	Peer string
+}
+
+// renewal is a renewal of which it is not known whether it took effect.
+type renewal struct {
+	txn   platform.Txn
+	row   Member
+	begun time.Time
+}
+
+// sighting is since when another member's row is seen unchanged.
+type sighting struct {
+	row     Member
+	version int64
+	at      time.Time
+}
+
+func (ke *Keeper) now() time.Time {
+	if ke.Now != nil {
+		return ke.Now()
+	}
+	return time.Now()
+}
+
+func (ke *Keeper) event(kind, peer string) {
+	if ke.OnEvent != nil {
+		ke.OnEvent(Event{Kind: kind, Peer: peer})
+	}
+}
+
+func (ke *Keeper) prefix() string          { return "lease/" + ke.DC + "/" }
+func (ke *Keeper) asgKey() string          { return ke.prefix() + "assignment" }
+func (ke *Keeper) rowKey(id string) string { return ke.prefix() + "member/" + id }
+
+// Owns reports whether the host owns the resource at this moment. Ask before
+// each effect, not once for several.
+func (ke *Keeper) Owns(resource string) bool {
+	ke.mu.Lock()
+	defer ke.mu.Unlock()
+	return ke.holds() && ke.asg.Owners[resource] == ke.ID && !ke.released[resource]
+}
+
+// Valid reports whether the host's tenure holds.
+func (ke *Keeper) Valid() bool {
+	ke.mu.Lock()
+	defer ke.mu.Unlock()
+	return ke.holds()
+}
+
+func (ke *Keeper) holds() bool {
+	return ke.joined && !ke.lost && ke.now().Before(ke.end)
+}
+
+// Since returns when the host began to own the resource.
+func (ke *Keeper) Since(resource string) Beginning {
+	ke.mu.Lock()
+	defer ke.mu.Unlock()
+	return ke.since[resource]
+}
+
+// Owner returns who owns the resource, with its address, as last read.
+func (ke *Keeper) Owner(resource string) (id, addr string) {
+	ke.mu.Lock()
+	defer ke.mu.Unlock()
+	id = ke.asg.Owners[resource]
+	return id, ke.addrs[id]
+}
+
+// Assignment returns the assignment as last read.
+func (ke *Keeper) Assignment() Assignment {
+	ke.mu.Lock()
+	defer ke.mu.Unlock()
+	return ke.asg
+}
+
+// Join enters the host as a member. An answer lost is settled by asking
+// again, and so Join may take as long as the table is away.
+func (ke *Keeper) Join(ctx context.Context) error {
+	begun := ke.now()
+	for {
+		if err := ke.read(ctx); err != nil {
+			return fmt.Errorf("join: %w", err)
+		}
+		ke.mu.Lock()
+		if si, there := ke.seen[ke.ID]; there {
+			// Written by an attempt whose answer was lost.
+			ke.joined, ke.row, ke.rowVer = true, si.row, si.version
+			ke.extendTo(begun.Add(ke.Timing.TTL))
+			ke.mu.Unlock()
+			return nil
+		}
+		begun = ke.now()
+		row := Member{ID: ke.ID, Addr: ke.Addr, Beat: 1, Known: without(ke.asg.Members, ke.ID)}
+		asg, asgVer := ke.asg.WithMember(ke.ID, ke.Resources), ke.asgVer
+		ke.mu.Unlock()
+		txn, err := twoRows(ke.asgKey(), asgVer, asg, ke.rowKey(ke.ID), 0, row)
+		if err != nil {
+			return fmt.Errorf("join: %w", err)
+		}
+		version, err := ke.Table.Settle(ctx, txn)
+		if errors.Is(err, platform.ErrConflict) {
+			continue
+		}
+		if err != nil {
+			return fmt.Errorf("join: %w", err)
+		}
+		ke.mu.Lock()
+		ke.joined = true
+		ke.row, ke.rowVer, ke.end = row, version, begun.Add(ke.Timing.TTL)
+		ke.adopt(asg, version)
+		ke.mu.Unlock()
+		ke.event("joined", "")
+		return nil
+	}
+}
+
+func twoRows(keyA string, verA int64, a any, keyB string, verB int64, b any) (platform.Txn, error) {
+	txn, err := platform.NewTxn().WithPut(keyA, verA, a)
+	if err != nil {
+		return txn, err
+	}
+	return txn.WithPut(keyB, verB, b)
+}
+
+func without(ids []string, id string) []string {
+	return slices.DeleteFunc(slices.Clone(ids), func(other string) bool { return other == id })
+}
+
+// read reads all rows of the data centre in one message.
+func (ke *Keeper) read(ctx context.Context) error {
+	rows, err := ke.Table.List(ctx, ke.prefix())
+	if err != nil {
+		return err
+	}
+	// Taken after the reply: a row seen now was renewed before now.
+	at := ke.now()
+	ke.mu.Lock()
+	defer ke.mu.Unlock()
+	seen := map[string]sighting{}
+	addrs := map[string]string{}
+	for _, row := range rows {
+		if row.Key == ke.asgKey() {
+			var asg Assignment
+			if err := json.Unmarshal(row.Value, &asg); err != nil {
+				return fmt.Errorf("decode row %s: %w", row.Key, err)
+			}
+			ke.adopt(asg, row.Version)
+			continue
+		}
+		var me Member
+		if err := json.Unmarshal(row.Value, &me); err != nil {
+			return fmt.Errorf("decode row %s: %w", row.Key, err)
+		}
+		addrs[me.ID] = me.Addr
+		seen[me.ID] = sighting{row: me, version: row.Version, at: at}
+		if old, ok := ke.seen[me.ID]; ok && old.version == row.Version {
+			seen[me.ID] = old
+		}
+	}
+	ke.seen, ke.addrs = seen, addrs
+	return nil
+}
+
+// adopt takes an assignment, unless a later one is known. Reads can come back
+// out of order.
+func (ke *Keeper) adopt(asg Assignment, version int64) {
+	if version < ke.asgVer {
+		return
+	}
+	since := map[string]Beginning{}
+	for _, re := range asg.OwnedBy(ke.ID) {
+		since[re] = Beginning{At: time.Now(), Epoch: asg.Epoch}
+		if at, ok := ke.since[re]; ok && !ke.released[re] {
+			since[re] = at
+		}
+	}
+	if version > ke.asgVer {
+		ke.released = nil
+	}
+	ke.asg, ke.asgVer, ke.since = asg, version, since
+}
+
+// Renew renews the host's row, by one message to the table. After an answer
+// lost, the next call sends the same renewal again: until it is settled, the
+// known set is that of both rows.
+func (ke *Keeper) Renew(ctx context.Context) error {
+	re, err := ke.nextRenewal()
+	if err != nil {
+		return err
+	}
+	version, err := ke.Table.Commit(ctx, re.txn)
+	if errors.Is(err, platform.ErrConflict) {
+		version, err = ke.ownWrite(ctx, re)
+	}
+	ke.mu.Lock()
+	defer ke.mu.Unlock()
+	if errors.Is(err, ErrTakenOver) {
+		ke.lost = true
+		return err
+	}
+	if err != nil {
+		return fmt.Errorf("renew: %w", err)
+	}
+	ke.pending = nil
+	ke.row, ke.rowVer = re.row, version
+	// From the first sending: the row may have changed as early as that.
+	ke.extendTo(re.begun.Add(ke.Timing.TTL))
+	return nil
+}
+
+func (ke *Keeper) nextRenewal() (*renewal, error) {
+	ke.mu.Lock()
+	defer ke.mu.Unlock()
+	if ke.lost {
+		return nil, ErrTakenOver
+	}
+	if ke.pending != nil {
+		return ke.pending, nil
+	}
+	row := ke.row
+	row.Beat++
+	row.Known = without(ke.asg.Members, ke.ID)
+	txn, err := platform.NewTxn().WithPut(ke.rowKey(ke.ID), ke.rowVer, row)
+	if err != nil {
+		return nil, err
+	}
+	ke.pending = &renewal{txn: txn, row: row, begun: ke.now()}
+	return ke.pending, nil
+}
+
+// ownWrite tells a conflict with the renewal itself, sent before, from a
+// takeover.
+func (ke *Keeper) ownWrite(ctx context.Context, re *renewal) (int64, error) {
+	reply, err := ke.Table.ReadFunc(ctx, platform.ReadRequest{Keys: []string{ke.rowKey(ke.ID)}})
+	if err != nil {
+		return 0, fmt.Errorf("read back: %w", err)
+	}
+	if len(reply.Rows) == 1 && reply.Rows[0].WriteID == re.txn.ID {
+		return reply.Rows[0].Version, nil
+	}
+	return 0, ErrTakenOver
+}
+
+func (ke *Keeper) extendTo(end time.Time) {
+	if end.After(ke.end) {
+		ke.end = end
+	}
+}
+
+// Extend asks every host of the known set for a promise, and extends the
+// tenure if there is one and all give it. It reports whether they did.
+func (ke *Keeper) Extend(ctx context.Context) bool {
+	ke.mu.Lock()
+	asked := ke.now()
+	known := slices.Clone(ke.row.Known)
+	if ke.pending != nil {
+		known = union(known, ke.pending.row.Known)
+	}
+	req := PromiseRequest{Holder: ke.ID, Beat: ke.row.Beat}
+	addrs := ke.addrs
+	usable := ke.joined && !ke.lost && len(known) > 0
+	ke.mu.Unlock()
+	if !usable || !ke.allPromise(ctx, known, addrs, req) {
+		return false
+	}
+	ke.mu.Lock()
+	ke.extendTo(asked.Add(ke.Timing.Promise - ke.Timing.Margin))
+	ke.mu.Unlock()
+	ke.event("extended", "")
+	return true
+}
+
+func (ke *Keeper) allPromise(ctx context.Context, known []string, addrs map[string]string, req PromiseRequest) bool {
+	answers := make(chan bool, len(known))
+	for _, id := range known {
+		go func() {
+			ans, err := ke.Peers.PromiseFunc(ctx, id, addrs[id], req)
+			answers <- err == nil && ans.OK
+		}()
+	}
+	all := true
+	for range known {
+		all = <-answers && all
+	}
+	return all
+}
+
+func union(a, b []string) []string {
+	both := slices.Concat(a, b)
+	slices.Sort(both)
+	return slices.Compact(both)
+}
+
+// AnswerPromise answers another member's [PromiseRequest].
+func (ke *Keeper) AnswerPromise(req PromiseRequest) Answer {
+	ke.mu.Lock()
+	defer ke.mu.Unlock()
+	return Answer{OK: ke.said.promise(req, ke.now(), ke.Timing.Promise)}
+}
+
+// AnswerDenial answers another member's [DenialRequest].
+func (ke *Keeper) AnswerDenial(req DenialRequest) Answer {
+	ke.mu.Lock()
+	defer ke.mu.Unlock()
+	return Answer{OK: ke.said.deny(req, ke.now())}
+}
+
+// Watch reads the rows of the data centre and takes over from members that
+// have been silent for too long. It returns the members taken over from.
+func (ke *Keeper) Watch(ctx context.Context) ([]string, error) {
+	if err := ke.read(ctx); err != nil {
+		return nil, fmt.Errorf("watch: %w", err)
+	}
+	var taken []string
+	for _, si := range ke.silent() {
+		if !ke.denied(ctx, si) {
+			continue
+		}
+		if err := ke.takeOver(ctx, si); err != nil {
+			return taken, err
+		}
+		taken = append(taken, si.row.ID)
+	}
+	return taken, nil
+}
+
+// silent returns the sightings old enough that a tenure from the table has
+// ended.
+func (ke *Keeper) silent() []sighting {
+	ke.mu.Lock()
+	defer ke.mu.Unlock()
+	var silent []sighting
+	if !ke.joined || ke.lost {
+		return nil
+	}
+	for id, si := range ke.seen {
+		if id != ke.ID && ke.now().Sub(si.at) > ke.Timing.TTL+ke.Timing.Margin {
+			silent = append(silent, si)
+		}
+	}
+	slices.SortFunc(silent, func(a, b sighting) int { return strings.Compare(a.row.ID, b.row.ID) })
+	return silent
+}
+
+// denied gets one denial from the known set of a silent member. An empty
+// known set needs none: such a member cannot extend its tenure.
+func (ke *Keeper) denied(ctx context.Context, si sighting) bool {
+	req := DenialRequest{Holder: si.row.ID, Beat: si.row.Beat}
+	if len(si.row.Known) == 0 {
+		return true
+	}
+	if slices.Contains(si.row.Known, ke.ID) {
+		return ke.AnswerDenial(req).OK
+	}
+	ke.mu.Lock()
+	addrs := ke.addrs
+	ke.mu.Unlock()
+	for _, id := range si.row.Known {
+		ans, err := ke.Peers.DenialFunc(ctx, id, addrs[id], req)
+		if err == nil && ans.OK {
+			return true
+		}
+	}
+	return false
+}
+
+// takeOver removes a member, on condition that its row and the assignment are
+// as they were seen. Losing the race is no error.
+func (ke *Keeper) takeOver(ctx context.Context, si sighting) error {
+	ke.mu.Lock()
+	asg, asgVer := ke.asg.WithoutMember(si.row.ID), ke.asgVer
+	ke.mu.Unlock()
+	version, err := ke.removeMember(ctx, si.row.ID, si.version, asg, asgVer)
+	if errors.Is(err, platform.ErrConflict) {
+		return nil
+	}
+	if err != nil {
+		return fmt.Errorf("take over from %s: %w", si.row.ID, err)
+	}
+	ke.mu.Lock()
+	ke.adopt(asg, version)
+	delete(ke.seen, si.row.ID)
+	ke.mu.Unlock()
+	ke.event("took-over", si.row.ID)
+	return nil
+}
+
+func (ke *Keeper) removeMember(ctx context.Context, id string, rowVer int64, asg Assignment, asgVer int64) (int64, error) {
+	txn, err := platform.NewTxn().WithPut(ke.asgKey(), asgVer, asg)
+	if err != nil {
+		return 0, err
+	}
+	return ke.Table.Settle(ctx, txn.WithDelete(ke.rowKey(id), rowVer))
+}
--- /dev/null
+++ b/internal/lease/run.go
@@ -0,0 +1,198 @@
+package lease
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/pepperhatch/pepperhatch/internal/platform"
+)
+
+// Run takes the steps of the protocol until ctx ends or the lease is taken
+// over, which it returns as [ErrTakenOver]. The host must have joined.
+func (ke *Keeper) Run(ctx context.Context) error {
+	ti := time.NewTicker(ke.Timing.Every)
+	defer ti.Stop()
+	for {
+		err := ke.step(ctx)
+		if errors.Is(err, ErrTakenOver) {
+			ke.event("taken-over", "")
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ti.C:
+		}
+	}
+}
+
+// step renews, or else extends, and looks at the others. The table gets half
+// of a step's time, so that promises are asked for well before the end.
+func (ke *Keeper) step(ctx context.Context) error {
+	rctx, cancel := context.WithTimeout(ctx, ke.Timing.Every/2)
+	defer cancel()
+	err := ke.Renew(rctx)
+	if errors.Is(err, ErrTakenOver) {
+		return err
+	}
+	if err != nil {
+		pctx, pcancel := context.WithTimeout(ctx, ke.Timing.Every/2)
+		defer pcancel()
+		ke.Extend(pctx)
+		return fmt.Errorf("step: %w", err)
+	}
+	wctx, wcancel := context.WithTimeout(ctx, ke.Timing.Every)
+	defer wcancel()
+	if _, err := ke.Watch(wctx); err != nil {
+		return err
+	}
+	return ke.shed(wctx)
+}
+
+// shed gives one resource to the member with the fewest, if this host has at
+// least two more.
+func (ke *Keeper) shed(ctx context.Context) error {
+	re, to := ke.surplus()
+	if re == "" {
+		return nil
+	}
+	return ke.Give(ctx, re, to)
+}
+
+// surplus returns a resource to give away and its new owner. A cell is left
+// where it is: moving it costs a recovery and evens out nothing.
+func (ke *Keeper) surplus() (resource, to string) {
+	ke.mu.Lock()
+	defer ke.mu.Unlock()
+	count := map[string]int{}
+	for re, owner := range ke.asg.Owners {
+		if !IsCell(re) {
+			count[owner]++
+		}
+	}
+	for _, id := range ke.asg.Members {
+		if to == "" || count[id] < count[to] {
+			to = id
+		}
+	}
+	if to == ke.ID || count[ke.ID] < count[to]+2 {
+		return "", ""
+	}
+	for _, re := range ke.asg.OwnedBy(ke.ID) {
+		if !IsCell(re) {
+			return re, to
+		}
+	}
+	return "", ""
+}
+
+// Give hands a resource to another member. The host stops owning it before
+// the table is asked; if the answer is lost it is settled by the next read.
+func (ke *Keeper) Give(ctx context.Context, resource, to string) error {
+	ke.mu.Lock()
+	if ke.released == nil {
+		ke.released = map[string]bool{}
+	}
+	gi := Gift{Resource: resource, To: to, Addr: ke.addrs[to], Epoch: ke.asg.Epoch, Since: ke.since[resource]}
+	ke.released[resource] = true
+	asg, asgVer := ke.asg.WithOwner(resource, to), ke.asgVer
+	ke.mu.Unlock()
+	if ke.BeforeGive != nil {
+		ke.BeforeGive(ctx, gi)
+	}
+	txn, err := platform.NewTxn().WithPut(ke.asgKey(), asgVer, asg)
+	if err != nil {
+		return err
+	}
+	version, err := ke.Table.Settle(ctx, txn)
+	if errors.Is(err, platform.ErrConflict) {
+		return ke.read(ctx)
+	}
+	if err != nil {
+		return fmt.Errorf("give %s to %s: %w", resource, to, err)
+	}
+	ke.mu.Lock()
+	defer ke.mu.Unlock()
+	ke.adopt(asg, version)
+	return nil
+}
+
+// Leave removes the host from the members and gives what it owns to the
+// others. Nothing is owned from the moment that Leave is called.
+func (ke *Keeper) Leave(ctx context.Context) error {
+	ke.mu.Lock()
+	ke.lost = true
+	joined := ke.joined
+	ke.mu.Unlock()
+	if !joined {
+		return nil
+	}
+	for {
+		if err := ke.read(ctx); err != nil {
+			return fmt.Errorf("leave: %w", err)
+		}
+		ke.mu.Lock()
+		si, there := ke.seen[ke.ID]
+		asg, asgVer := ke.asg.WithoutMember(ke.ID), ke.asgVer
+		gifts := ke.gifts(asg)
+		ke.mu.Unlock()
+		if !there {
+			return nil
+		}
+		for _, gi := range gifts {
+			ke.BeforeGive(ctx, gi)
+		}
+		_, err := ke.removeMember(ctx, ke.ID, si.version, asg, asgVer)
+		if err == nil {
+			ke.event("left", "")
+			return nil
+		}
+		if !errors.Is(err, platform.ErrConflict) {
+			return fmt.Errorf("leave: %w", err)
+		}
+	}
+}
+
+// gifts returns what changes hands between the assignment of now and the
+// next.
+func (ke *Keeper) gifts(next Assignment) []Gift {
+	if ke.BeforeGive == nil {
+		return nil
+	}
+	var gifts []Gift
+	for _, re := range ke.asg.OwnedBy(ke.ID) {
+		to := next.Owners[re]
+		if to != "" && ke.since[re] != (Beginning{}) {
+			gifts = append(gifts, Gift{Resource: re, To: to, Addr: ke.addrs[to], Epoch: ke.asg.Epoch, Since: ke.since[re]})
+		}
+	}
+	return gifts
+}
+
+// DeclareDead removes a member on an operator's word that its process is no
+// more, without a denial. A wrong word can make two owners.
+func (ke *Keeper) DeclareDead(ctx context.Context, id string) error {
+	if err := ke.read(ctx); err != nil {
+		return fmt.Errorf("declare %s dead: %w", id, err)
+	}
+	ke.mu.Lock()
+	si, there := ke.seen[id]
+	ke.mu.Unlock()
+	if !there {
+		return fmt.Errorf("declare %s dead: %w", id, platform.ErrNotFound)
+	}
+	return ke.takeOver(ctx, si)
+}
+
+// cellPrefix begins the names of cells among the resources.
+const cellPrefix = "cell/"
+
+// Cell returns the resource of a data centre's cell.
+func Cell(dc string) string { return cellPrefix + dc }
+
+// IsCell reports whether a resource is a cell.
+func IsCell(resource string) bool {
+	return len(resource) > len(cellPrefix) && resource[:len(cellPrefix)] == cellPrefix
+}
--- /dev/null
+++ b/internal/platform/platform.go
@@ -0,0 +1,278 @@
+// Package platform has the clients of what the platform keeps for the system:
+// a transactional table, an object store and a list of hosts.
+//
+// The table is small, slow and sometimes away, and its answer to a write can
+// be lost after the write took effect. Every write therefore carries an id
+// that is kept in the rows written, and [Table.Settle] sends the same write
+// again until the table says one thing or the other. The clients are structs
+// of functions, which tests replace one by one.
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/google/uuid"
+
+	"github.com/pepperhatch/pepperhatch/internal/wire"
+)
+
+// CodeConflict is the code of the table's refusal of a write whose conditions
+// do not hold.
+const CodeConflict = "conflict"
+
+// ErrConflict is returned for a write that certainly did not take effect
+// because a condition did not hold.
+var ErrConflict = errors.New("condition does not hold")
+
+// ErrNotFound is returned for an object or row that is not there.
+var ErrNotFound = errors.New("not found")
+
+// Row is one row of the table.
+type Row struct {
+	// Key names the row.
+	Key string `json:"key"`
+	// Value is the row's content.
+	Value json.RawMessage `json:"value"`
+	// Version is the table's count of writes when the row was written; it
+	// only grows, also over a deletion.
+	Version int64 `json:"version"`
+	// WriteID is the id of the write that left the row so.
+	WriteID string `json:"write_id"`
+}
+
+// Cond is a condition of a write: the row has exactly this version, zero
+// meaning that there is no such row.
+type Cond struct {
+	// Key names the row.
+	Key string `json:"key"`
+	// Version is the version it must have.
+	Version int64 `json:"version"`
+}
+
+// Put is one row of a write.
+type Put struct {
+	// Key names the row.
+	Key string `json:"key"`
+	// Value is its new content.
+	Value json.RawMessage `json:"value,omitempty"`
+	// Delete removes the row instead.
+	Delete bool `json:"delete,omitempty"`
+}
+
+// Txn is a write: all of it takes effect or nothing.
+type Txn struct {
+	// ID is kept in the rows written; [NewTxn] sets it.
+	ID string `json:"id"`
+	// Conds must all hold.
+	Conds []Cond `json:"conds,omitempty"`
+	// Puts are the rows written.
+	Puts []Put `json:"puts"`
+}
+
+// NewTxn returns an empty write with an id of its own.
+func NewTxn() Txn {
+	return Txn{ID: uuid.NewString()}
+}
+
+// WithPut returns the write with one more row, conditional on its version.
+func (txn Txn) WithPut(key string, version int64, value any) (Txn, error) {
+	data, err := json.Marshal(value)
+	if err != nil {
+		return txn, fmt.Errorf("encode row %s: %w", key, err)
+	}
+	txn.Conds = append(txn.Conds[:len(txn.Conds):len(txn.Conds)], Cond{Key: key, Version: version})
+	txn.Puts = append(txn.Puts[:len(txn.Puts):len(txn.Puts)], Put{Key: key, Value: data})
+	return txn, nil
+}
+
+// WithDelete returns the write with one row's deletion, conditional on its
+// version.
+func (txn Txn) WithDelete(key string, version int64) Txn {
+	txn.Conds = append(txn.Conds[:len(txn.Conds):len(txn.Conds)], Cond{Key: key, Version: version})
+	txn.Puts = append(txn.Puts[:len(txn.Puts):len(txn.Puts)], Put{Key: key, Delete: true})
+	return txn
+}
+
+// ReadRequest asks for rows, by key or by prefix.
+type ReadRequest struct {
+	// Keys are the rows wanted; those not there are left out of the reply.
+	Keys []string `json:"keys,omitempty"`
+	// Prefix asks for all rows whose key starts so, in order of key.
+	Prefix string `json:"prefix,omitempty"`
+	// After leaves out keys up to and including it.
+	After string `json:"after,omitempty"`
+	// Limit bounds the rows of a prefix; 0 takes the table's own bound.
+	Limit int `json:"limit,omitempty"`
+}
+
+// ReadReply has the rows read, all as of one moment.
+type ReadReply struct {
+	// Rows are in order of key.
+	Rows []Row `json:"rows"`
+}
+
+// CommitReply is the version that a write gave its rows.
+type CommitReply struct {
+	// Version is the rows' new version.
+	Version int64 `json:"version"`
+}
+
+// Table is a client of the table service.
+type Table struct {
+	// ReadFunc reads rows.
+	ReadFunc func(context.Context, ReadRequest) (ReadReply, error)
+	// CommitFunc writes rows. Its error is [ErrConflict] in the chain if the
+	// write certainly had no effect; after any other it may have had.
+	CommitFunc func(context.Context, Txn) (CommitReply, error)
+}
+
+// NewTable returns a client of the table service at base, for instance
+// http://127.0.0.1:7000.
+func NewTable(base string, cl *http.Client) Table {
+	return Table{
+		ReadFunc: func(ctx context.Context, req ReadRequest) (ReadReply, error) {
+			return wire.Post[ReadRequest, ReadReply](ctx, cl, base+"/table/read", req)
+		},
+		CommitFunc: func(ctx context.Context, txn Txn) (CommitReply, error) {
+			reply, err := wire.Post[Txn, CommitReply](ctx, cl, base+"/table/commit", txn)
+			if wire.Code(err) == CodeConflict {
+				err = fmt.Errorf("%w: %w", ErrConflict, err)
+			}
+			return reply, err
+		},
+	}
+}
+
+// Get reads one row into value. A row that is not there has version 0 and
+// leaves value alone.
+func (tbl Table) Get(ctx context.Context, key string, value any) (int64, error) {
+	reply, err := tbl.ReadFunc(ctx, ReadRequest{Keys: []string{key}})
+	if err != nil {
+		return 0, fmt.Errorf("read row %s: %w", key, err)
+	}
+	if len(reply.Rows) == 0 {
+		return 0, nil
+	}
+	if err := json.Unmarshal(reply.Rows[0].Value, value); err != nil {
+		return 0, fmt.Errorf("decode row %s: %w", key, err)
+	}
+	return reply.Rows[0].Version, nil
+}
+
+// List reads all rows with the prefix.
+func (tbl Table) List(ctx context.Context, prefix string) ([]Row, error) {
+	var rows []Row
+	after := ""
+	for {
+		reply, err := tbl.ReadFunc(ctx, ReadRequest{Prefix: prefix, After: after, Limit: listPage})
+		if err != nil {
+			return nil, fmt.Errorf("list rows %s: %w", prefix, err)
+		}
+		rows = append(rows, reply.Rows...)
+		if len(reply.Rows) < listPage {
+			return rows, nil
+		}
+		after = reply.Rows[len(reply.Rows)-1].Key
+	}
+}
+
+const listPage = 1000
+
+// Commit sends the write once.
+func (tbl Table) Commit(ctx context.Context, txn Txn) (int64, error) {
+	reply, err := tbl.CommitFunc(ctx, txn)
+	if err != nil {
+		return 0, fmt.Errorf("commit to table: %w", err)
+	}
+	return reply.Version, nil
+}
+
+// Settle sends the write, again where needed, until it is known whether it
+// took effect or ctx ends. The same write sent twice takes effect once: the
+// second finds its conditions broken by the first, and the rows then carry
+// the write's id. Every row of txn must be conditional (WithPut does that),
+// and the write must have one put that is not a deletion.
+func (tbl Table) Settle(ctx context.Context, txn Txn) (int64, error) {
+	attempt := func() (int64, error) {
+		actx, cancel := context.WithTimeout(ctx, settleAttempt)
+		defer cancel()
+		version, err := tbl.Commit(actx, txn)
+		if !errors.Is(err, ErrConflict) {
+			return version, err
+		}
+		return tbl.afterConflict(actx, txn, err)
+	}
+	return backoff.Retry(ctx, attempt,
+		backoff.WithBackOff(settleBackOff()), backoff.WithMaxElapsedTime(0))
+}
+
+// settleAttempt bounds one attempt, so that a frozen table does not use up
+// the caller's time in one.
+const settleAttempt = 2 * time.Second
+
+func settleBackOff() backoff.BackOff {
+	bo := backoff.NewExponentialBackOff()
+	bo.InitialInterval = 20 * time.Millisecond
+	bo.MaxInterval = time.Second
+	return bo
+}
+
+// afterConflict finds out whether the conflict is with the write itself,
+// sent before.
+func (tbl Table) afterConflict(ctx context.Context, txn Txn, conflict error) (int64, error) {
+	key := ""
+	for _, put := range txn.Puts {
+		if !put.Delete {
+			key = put.Key
+		}
+	}
+	reply, err := tbl.ReadFunc(ctx, ReadRequest{Keys: []string{key}})
+	if err != nil {
+		return 0, fmt.Errorf("read back %s: %w", key, err)
+	}
+	if len(reply.Rows) == 1 && reply.Rows[0].WriteID == txn.ID {
+		return reply.Rows[0].Version, nil
+	}
+	return 0, backoff.Permanent(conflict)
+}
+
+// Objects is a client of the object store.
+type Objects struct {
+	// GetFunc reads an object; its error is [ErrNotFound] if there is none.
+	GetFunc func(ctx context.Context, key string) ([]byte, error)
+	// PutFunc writes an object whole.
+	PutFunc func(ctx context.Context, key string, data []byte) error
+}
+
+// ObjectMessage names an object, with its content where it goes along.
+type ObjectMessage struct {
+	// Key names the object.
+	Key string `json:"key"`
+	// Data is its content.
+	Data []byte `json:"data,omitempty"`
+	// Found is set in a reply if the object is there.
+	Found bool `json:"found,omitempty"`
+}
+
+// NewObjects returns a client of the object store at base.
+func NewObjects(base string, cl *http.Client) Objects {
+	return Objects{
+		GetFunc: func(ctx context.Context, key string) ([]byte, error) {
+			reply, err := wire.Post[ObjectMessage, ObjectMessage](ctx, cl, base+"/objects/get", ObjectMessage{Key: key})
+			if err == nil && !reply.Found {
+				err = fmt.Errorf("object %s: %w", key, ErrNotFound)
+			}
+			return reply.Data, err
+		},
+		PutFunc: func(ctx context.Context, key string, data []byte) error {
+			_, err := wire.Post[ObjectMessage, ObjectMessage](ctx, cl, base+"/objects/put", ObjectMessage{Key: key, Data: data})
+			return err
+		},
+	}
+}
--- /dev/null
+++ b/internal/port/port.go
@@ -0,0 +1,128 @@
+// Package port runs the HTTP servers of an entry host, each within bounds: on
+// connections, requests in flight, the size of a request and the time to send
+// it. What is over a bound gets a clear refusal at once and costs nobody else
+// anything.
+package port
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"golang.org/x/net/netutil"
+
+	"github.com/pepperhatch/pepperhatch/internal/wire"
+)
+
+// Limits bound one port.
+type Limits struct {
+	// Conns bounds open connections, InFlight requests being served.
+	Conns    int
+	InFlight int
+	// Body bounds a request in bytes.
+	Body int64
+	// Read bounds the time to receive a request.
+	Read time.Duration
+}
+
+const (
+	readHeaderTime = 5 * time.Second
+	idleTime       = 2 * time.Minute
+	maxHeader      = 64 << 10
+	busyRetry      = time.Second
+)
+
+// Port is one listening server.
+type Port struct {
+	// Addr is the address listened on.
+	Addr string
+
+	srv *http.Server
+	ln  net.Listener
+}
+
+// Listen opens a port. An address with port 0 gets a free one.
+func Listen(addr string, lim Limits) (*Port, error) {
+	ln, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", addr)
+	if err != nil {
+		return nil, fmt.Errorf("listen on %s: %w", addr, err)
+	}
+	po := &Port{Addr: ln.Addr().String(), ln: netutil.LimitListener(ln, lim.Conns)}
+	protocols := &http.Protocols{}
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	po.srv = &http.Server{
+		ReadHeaderTimeout: readHeaderTime,
+		IdleTimeout:       idleTime,
+		MaxHeaderBytes:    maxHeader,
+		Protocols:         protocols,
+	}
+	return po, nil
+}
+
+// Serve serves until the port is stopped.
+func (po *Port) Serve(h http.Handler, lim Limits) error {
+	po.srv.Handler = bound(h, lim)
+	err := po.srv.Serve(po.ln)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return fmt.Errorf("serve %s: %w", po.Addr, err)
+}
+
+// Stop takes no new connections and waits for requests in flight, until ctx
+// ends.
+func (po *Port) Stop(ctx context.Context) error {
+	if err := po.srv.Shutdown(ctx); err != nil {
+		return errors.Join(fmt.Errorf("stop %s: %w", po.Addr, err), po.srv.Close())
+	}
+	return nil
+}
+
+// bound puts the limits before a handler.
+func bound(h http.Handler, lim Limits) http.Handler {
+	slots := make(chan struct{}, lim.InFlight)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case slots <- struct{}{}:
+		default:
+			wire.WriteError(w, &wire.Error{
+				Status: http.StatusServiceUnavailable, Code: wire.CodeBusy,
+				Message: "too many requests in flight", RetryAfter: busyRetry,
+			})
+			return
+		}
+		defer func() { <-slots }()
+		if r.ContentLength > lim.Body {
+			wire.WriteError(w, &wire.Error{
+				Status: http.StatusRequestEntityTooLarge, Code: wire.CodeTooLarge,
+				Message: fmt.Sprintf("body is over %d bytes", lim.Body),
+			})
+			return
+		}
+		rc := http.NewResponseController(w)
+		_ = rc.SetReadDeadline(time.Now().Add(lim.Read))
+		r.Body = &timedBody{ReadCloser: http.MaxBytesReader(w, r.Body, lim.Body), rc: rc}
+		h.ServeHTTP(w, r)
+	})
+}
+
+// timedBody lifts the read deadline once the body is read, since it would end
+// a long answer too.
+type timedBody struct {
+	io.ReadCloser
+
+	rc *http.ResponseController
+}
+
+func (tb *timedBody) Read(data []byte) (int, error) {
+	n, err := tb.ReadCloser.Read(data)
+	if errors.Is(err, io.EOF) {
+		_ = tb.rc.SetReadDeadline(time.Time{})
+	}
+	return n, err
+}
--- /dev/null
+++ b/internal/route/pool.go
@@ -0,0 +1,392 @@
+package route
+
+import (
+	"container/heap"
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/pepperhatch/pepperhatch/internal/reason"
+	"github.com/pepperhatch/pepperhatch/internal/runner"
+	"github.com/pepperhatch/pepperhatch/internal/upstream"
+)
+
+// Member is one runner of a pool.
+type Member struct {
+	// ID and Addr name the runner.
+	ID   string
+	Addr string
+	// Slots is how many requests it may have at a time.
+	Slots int
+	// Probing limits it to one request at a time.
+	Probing bool
+	// Slow keeps latency-critical requests away while others are free.
+	Slow bool
+}
+
+// Policy has a pool's numbers.
+type Policy struct {
+	// QueueLimit bounds the waiters.
+	QueueLimit int
+	// BatchEvery gives batch one turn in so many while it waits.
+	BatchEvery int
+}
+
+// Pool hands out the slots of a service's runners. It knows every request
+// that it let onto a runner, binds a waiter to a runner only when a slot is
+// free, and refuses at once what cannot be done in time.
+type Pool struct {
+	// Pick chooses among members with a free slot; nil takes the one with
+	// the fewest requests. It gets each one's requests in flight.
+	Pick func(free []Member, busy func(id string) int) Member
+
+	mu      sync.Mutex
+	policy  Policy
+	members map[string]*memberState
+	queue   classQueue
+	times   Times
+	// near and far have the free slots that peers in this data centre, and in
+	// others, are said to have.
+	near, far map[string]int
+}
+
+type memberState struct {
+	Member
+
+	busy int
+	gone bool
+}
+
+// Grant is one slot.
+type Grant struct {
+	// Runner is whose slot it is.
+	Runner Member
+
+	pool  *Pool
+	state *memberState
+	once  sync.Once
+}
+
+// NewPool returns an empty pool.
+func NewPool(pol Policy) *Pool {
+	return &Pool{policy: pol, members: map[string]*memberState{}}
+}
+
+// SetPolicy changes the numbers.
+func (po *Pool) SetPolicy(pol Policy) {
+	po.mu.Lock()
+	defer po.mu.Unlock()
+	po.policy = pol
+}
+
+// SetMembers replaces the runners. Requests in flight on a runner that is no
+// longer a member go on, and are counted if it comes back.
+func (po *Pool) SetMembers(members []Member) {
+	po.mu.Lock()
+	defer po.mu.Unlock()
+	listed := map[string]bool{}
+	for _, me := range members {
+		listed[me.ID] = true
+		if ms := po.members[me.ID]; ms != nil {
+			ms.Member, ms.gone = me, false
+			continue
+		}
+		po.members[me.ID] = &memberState{Member: me}
+	}
+	for id, ms := range po.members {
+		if listed[id] {
+			continue
+		}
+		ms.gone = true
+		if ms.busy == 0 {
+			delete(po.members, id)
+		}
+	}
+	po.dispatch()
+}
+
+// SetPeers tells how many free slots each peer is said to have; near are in
+// this data centre, far elsewhere. The pool keeps the maps.
+func (po *Pool) SetPeers(near, far map[string]int) {
+	po.mu.Lock()
+	defer po.mu.Unlock()
+	po.near, po.far = near, far
+	po.dispatch()
+}
+
+// Load is what a pool tells its peers.
+type Load struct {
+	// Free is the number of free slots, less the waiters.
+	Free int `json:"free"`
+	// Waiting is the number of waiters.
+	Waiting int `json:"waiting"`
+	// Slots is the number of slots.
+	Slots int `json:"slots"`
+}
+
+// Load returns the pool's load.
+func (po *Pool) Load() Load {
+	po.mu.Lock()
+	defer po.mu.Unlock()
+	lo := Load{Waiting: po.queue.len()}
+	for _, ms := range po.members {
+		if ms.gone {
+			continue
+		}
+		lo.Slots += ms.limit()
+		lo.Free += max(0, ms.limit()-ms.busy)
+	}
+	lo.Free = max(0, lo.Free-lo.Waiting)
+	return lo
+}
+
+// Busy returns the requests in flight on a runner.
+func (po *Pool) Busy(id string) int {
+	po.mu.Lock()
+	defer po.mu.Unlock()
+	if ms := po.members[id]; ms != nil {
+		return ms.busy
+	}
+	return 0
+}
+
+func (ms *memberState) limit() int {
+	if ms.Probing {
+		return 1
+	}
+	return ms.Slots
+}
+
+// Ask is a request for a slot.
+type Ask struct {
+	// Class, Method and Deadline are the request's.
+	Class    runner.Class
+	Method   string
+	Deadline time.Time
+	// Avoid are runners tried before; they are taken only if nothing else
+	// is left.
+	Avoid map[string]bool
+	// Local keeps the request from being passed to a peer.
+	Local bool
+}
+
+// Refusal says that no slot was to be had.
+type Refusal struct {
+	// Reason says why.
+	Reason reason.Reason
+	// RetryAfter says when to come back.
+	RetryAfter time.Duration
+}
+
+// Acquire takes a slot, waiting for one as long as the deadline allows. It
+// returns a grant, or the peer that is to serve the request, or a refusal.
+func (po *Pool) Acquire(ctx context.Context, ask Ask) (*Grant, string, Refusal) {
+	po.mu.Lock()
+	wa := &waiter{
+		class: ask.Class, deadline: ask.Deadline, needs: po.times.Needs(ask.Method),
+		avoid: ask.Avoid, local: ask.Local, got: make(chan turn, 1), index: -1,
+	}
+	if refuse := po.admit(wa); refuse != reason.None {
+		re := Refusal{Reason: refuse, RetryAfter: po.drainTime()}
+		po.mu.Unlock()
+		return nil, "", re
+	}
+	po.queue.push(wa)
+	po.dispatch()
+	po.mu.Unlock()
+	return po.await(ctx, wa)
+}
+
+func (po *Pool) await(ctx context.Context, wa *waiter) (*Grant, string, Refusal) {
+	ti := time.NewTimer(time.Until(wa.deadline.Add(-wa.needs)))
+	defer ti.Stop()
+	why := reason.Expired
+	select {
+	case tu := <-wa.got:
+		return po.answerTurn(tu)
+	case <-ctx.Done():
+		why = reason.CallerGone
+	case <-ti.C:
+	}
+	po.mu.Lock()
+	removed := po.queue.remove(wa)
+	re := Refusal{Reason: why, RetryAfter: po.drainTime()}
+	po.mu.Unlock()
+	if !removed {
+		// A turn came in the same moment; it is used, not lost.
+		return po.answerTurn(<-wa.got)
+	}
+	return nil, "", re
+}
+
+func (po *Pool) answerTurn(tu turn) (*Grant, string, Refusal) {
+	if tu.refuse == reason.None {
+		return tu.grant, tu.peer, Refusal{}
+	}
+	po.mu.Lock()
+	defer po.mu.Unlock()
+	return nil, "", Refusal{Reason: tu.refuse, RetryAfter: po.drainTime()}
+}
+
+// admit says whether a waiter may queue: there is a runner at all, room in
+// the queue, and a chance to be in time.
+func (po *Pool) admit(wa *waiter) reason.Reason {
+	slots := po.slots()
+	if slots == 0 && (wa.local || !po.peerHasSlot()) {
+		return reason.NoRunner
+	}
+	left := time.Until(wa.deadline)
+	if left < wa.needs {
+		return reason.TooLate
+	}
+	if po.queue.len() == 0 {
+		return reason.None
+	}
+	if po.policy.QueueLimit > 0 && po.queue.len() >= po.policy.QueueLimit {
+		return reason.QueueFull
+	}
+	ahead := po.queue.ahead(wa.class, wa.deadline)
+	wait := po.times.Mean() * time.Duration(ahead) / time.Duration(max(1, slots))
+	if wait+wa.needs > left {
+		return reason.TooLate
+	}
+	return reason.None
+}
+
+func (po *Pool) slots() int {
+	n := 0
+	for _, ms := range po.members {
+		if !ms.gone {
+			n += ms.limit()
+		}
+	}
+	return n
+}
+
+func (po *Pool) peerHasSlot() bool {
+	return mostFree(po.near) != "" || mostFree(po.far) != ""
+}
+
+// mostFree returns the peer with the most free slots, or "".
+func mostFree(peers map[string]int) string {
+	best, most := "", 0
+	for peer, free := range peers {
+		if free > most || (free == most && free > 0 && peer < best) {
+			best, most = peer, free
+		}
+	}
+	return best
+}
+
+// minRetryAfter keeps refused callers from coming back at once.
+const minRetryAfter = 50 * time.Millisecond
+
+// drainTime estimates when the queue of now is served.
+func (po *Pool) drainTime() time.Duration {
+	wait := po.times.Mean() * time.Duration(po.queue.len()+1) / time.Duration(max(1, po.slots()))
+	return max(minRetryAfter, wait)
+}
+
+// dispatch gives turns as long as there is a waiter and a free slot, here or
+// at a peer.
+func (po *Pool) dispatch() {
+	for {
+		class, ok := po.queue.next(po.policy.BatchEvery)
+		if !ok {
+			return
+		}
+		wa := po.queue.heaps[class][0]
+		if time.Until(wa.deadline) < wa.needs {
+			heap.Pop(&po.queue.heaps[class])
+			wa.got <- turn{refuse: reason.Expired}
+			continue
+		}
+		tu, ok := po.turnFor(wa)
+		if !ok {
+			return
+		}
+		heap.Pop(&po.queue.heaps[class])
+		po.queue.took(class)
+		wa.got <- tu
+	}
+}
+
+func (po *Pool) turnFor(wa *waiter) (turn, bool) {
+	if ms := po.free(wa); ms != nil {
+		ms.busy++
+		return turn{grant: &Grant{Runner: ms.Member, pool: po, state: ms}}, true
+	}
+	if wa.local {
+		return turn{}, false
+	}
+	for _, peers := range []map[string]int{po.near, po.far} {
+		if peer := mostFree(peers); peer != "" {
+			peers[peer]--
+			return turn{peer: peer}, true
+		}
+	}
+	return turn{}, false
+}
+
+// free returns the member to use, or nil if none has a free slot that suits.
+func (po *Pool) free(wa *waiter) *memberState {
+	var fit, slow, tried []Member
+	for _, ms := range po.members {
+		if ms.gone || ms.busy >= ms.limit() {
+			continue
+		}
+		switch {
+		case wa.avoid[ms.ID]:
+			tried = append(tried, ms.Member)
+		case ms.Slow && wa.class == runner.LatencyCritical:
+			slow = append(slow, ms.Member)
+		default:
+			fit = append(fit, ms.Member)
+		}
+	}
+	for _, group := range [][]Member{fit, slow, tried} {
+		if len(group) > 0 {
+			return po.members[po.pick(group).ID]
+		}
+	}
+	return nil
+}
+
+func (po *Pool) pick(group []Member) Member {
+	busy := func(id string) int { return po.members[id].busy }
+	if po.Pick != nil {
+		return po.Pick(group, busy)
+	}
+	best, ties := group[0], 1
+	for _, me := range group[1:] {
+		switch d := busy(me.ID) - busy(best.ID); {
+		case d < 0:
+			best, ties = me, 1
+		case d == 0:
+			ties++
+			if rand.IntN(ties) == 0 {
+				best = me
+			}
+		}
+	}
+	return best
+}
+
+// Release gives the slot back. Evidence and time are of the request that had
+// it; the time counts if it was answered.
+func (gr *Grant) Release(method string, ev upstream.Evidence, took time.Duration) {
+	gr.once.Do(func() {
+		po := gr.pool
+		po.mu.Lock()
+		defer po.mu.Unlock()
+		gr.state.busy--
+		if gr.state.gone && gr.state.busy == 0 && po.members[gr.Runner.ID] == gr.state {
+			delete(po.members, gr.Runner.ID)
+		}
+		if ev == upstream.Answered {
+			po.times.Add(method, took)
+		}
+		po.dispatch()
+	})
+}
--- /dev/null
+++ b/internal/route/route.go
@@ -0,0 +1,352 @@
+// Package route takes a request from its arrival to its final word: which
+// runner, when, how often, and what is known at the end.
+//
+// Each runner has one primary entry host in its data centre, which alone
+// sends it work and so knows its load exactly ([Subsets]). A request waits in
+// the [Pool] of its entry host and is bound to a runner only when a slot is
+// free; when a peer has free slots and this host has none, the peer serves
+// it. A request ends as answered, not run or unknown. Not run is said only if
+// every attempt certainly did not run; a request marked run-once is tried
+// again only after such an attempt.
+//
+// The package holds nothing back: what is given up is told at once, with when
+// to come back.
+package route
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/pepperhatch/pepperhatch/internal/reason"
+	"github.com/pepperhatch/pepperhatch/internal/runner"
+	"github.com/pepperhatch/pepperhatch/internal/telemetry"
+	"github.com/pepperhatch/pepperhatch/internal/upstream"
+)
+
+// Outcome says what is known of a request at its end.
+type Outcome string
+
+// The outcomes.
+const (
+	// Answered: the answer is whole and the request's own.
+	Answered Outcome = "answered"
+	// NotRun: no runner ran the request.
+	NotRun Outcome = "not-run"
+	// Unknown: a runner may have run it.
+	Unknown Outcome = "unknown"
+)
+
+// Request is one request to serve.
+type Request struct {
+	runner.Request
+
+	// Once marks a request that must run at most once.
+	Once bool
+	// Local keeps it from being passed to a peer.
+	Local bool
+}
+
+// Result is the final word on a request.
+type Result struct {
+	// Outcome says what is known.
+	Outcome Outcome `json:"outcome"`
+	// Reason says why it was not answered.
+	Reason reason.Reason `json:"reason,omitempty"`
+	// RetryAfter says when to come back; zero: do not.
+	RetryAfter time.Duration `json:"retry_after,omitempty"`
+	// Body is the answer.
+	Body []byte `json:"body,omitempty"`
+	// Runner answered.
+	Runner string `json:"runner,omitempty"`
+	// Attempts counts the runners that were sent the request.
+	Attempts int `json:"attempts"`
+}
+
+// NotRunResult is the result of a request refused before any attempt.
+func NotRunResult(why reason.Reason, retryAfter time.Duration) Result {
+	return Result{Outcome: NotRun, Reason: why, RetryAfter: retryAfter}
+}
+
+// maxAttempts bounds the runners tried for one request.
+const maxAttempts = 6
+
+// fullHold is how long a slot is left alone after its runner said that it
+// was full.
+const fullHold = 10 * time.Millisecond
+
+// Router serves requests. Set the fields before use; make no copies.
+type Router struct {
+	// Runners talks to runners.
+	Runners runner.Client
+	// Registry gets the evidence.
+	Registry *upstream.Registry
+	// Forward passes a request to a peer, to be served there.
+	Forward func(ctx context.Context, peer string, req Request) Result
+	// Metrics counts; nil does not.
+	Metrics *telemetry.Metrics
+	// Budget bounds retries.
+	Budget Budget
+	// NoHedge turns hedging off.
+	NoHedge bool
+	// NewPool makes a service's pool; nil takes [NewPool].
+	NewPool func(Policy) *Pool
+
+	mu     sync.Mutex
+	policy Policy
+	pools  map[string]*Pool
+}
+
+// Pool returns the pool of a service, or nil.
+func (ro *Router) Pool(service string) *Pool {
+	ro.mu.Lock()
+	defer ro.mu.Unlock()
+	return ro.pools[service]
+}
+
+// SetPolicy changes the numbers of all pools.
+func (ro *Router) SetPolicy(pol Policy) {
+	ro.mu.Lock()
+	defer ro.mu.Unlock()
+	ro.policy = pol
+	for _, po := range ro.pools {
+		po.SetPolicy(pol)
+	}
+}
+
+// SetMembers replaces the runners of all services. A service that is left
+// out keeps an empty pool, so that its name stays known.
+func (ro *Router) SetMembers(members map[string][]Member) {
+	ro.mu.Lock()
+	defer ro.mu.Unlock()
+	if ro.pools == nil {
+		ro.pools = map[string]*Pool{}
+	}
+	for service := range members {
+		if ro.pools[service] == nil {
+			ro.pools[service] = ro.newPool()
+		}
+	}
+	for service, po := range ro.pools {
+		po.SetMembers(members[service])
+	}
+}
+
+func (ro *Router) newPool() *Pool {
+	if ro.NewPool != nil {
+		return ro.NewPool(ro.policy)
+	}
+	return NewPool(ro.policy)
+}
+
+// SetPeers tells what each peer said of its load, per service; near are in
+// this data centre, far elsewhere.
+func (ro *Router) SetPeers(near, far map[string]map[string]Load) {
+	ro.mu.Lock()
+	defer ro.mu.Unlock()
+	for service, po := range ro.pools {
+		po.SetPeers(freeAt(near, service), freeAt(far, service))
+	}
+}
+
+func freeAt(peers map[string]map[string]Load, service string) map[string]int {
+	free := map[string]int{}
+	for peer, loads := range peers {
+		if lo := loads[service]; lo.Free > 0 {
+			free[peer] = lo.Free
+		}
+	}
+	return free
+}
+
+// Loads returns the load of every service.
+func (ro *Router) Loads() map[string]Load {
+	ro.mu.Lock()
+	defer ro.mu.Unlock()
+	loads := make(map[string]Load, len(ro.pools))
+	for service, po := range ro.pools {
+		loads[service] = po.Load()
+	}
+	return loads
+}
+
+// Do serves one request.
+func (ro *Router) Do(ctx context.Context, req Request) Result {
+	po := ro.Pool(req.Service)
+	if po == nil {
+		return NotRunResult(reason.NoRunner, minRetryAfter)
+	}
+	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
+	defer cancel()
+	ro.Budget.Earn()
+	tr := &trial{ro: ro, po: po, req: req, ask: Ask{
+		Class: req.Class, Method: req.Method, Deadline: req.Deadline, Local: req.Local,
+	}}
+	return tr.serve(ctx)
+}
+
+// trial is one request on its way.
+type trial struct {
+	ro  *Router
+	po  *Pool
+	req Request
+	ask Ask
+	// sent counts runners sent the request, passed counts peers asked.
+	sent   int
+	passed int
+	// maybe is set once an attempt may have run.
+	maybe bool
+}
+
+// attempt is what came of one attempt.
+type attempt struct {
+	Result
+
+	// retry is the reason to count if it is tried again; empty forbids it.
+	retry reason.Reason
+	// free attempts cost nothing of the budget: a refusal at once by a
+	// runner that is full or leaving.
+	free bool
+}
+
+func (tr *trial) serve(ctx context.Context) Result {
+	for {
+		gr, peer, refusal := tr.po.Acquire(ctx, tr.ask)
+		if refusal.Reason != reason.None {
+			return tr.end(NotRunResult(refusal.Reason, refusal.RetryAfter))
+		}
+		var at attempt
+		if peer != "" {
+			at = tr.pass(ctx, peer)
+		} else {
+			at = tr.run(ctx, gr)
+		}
+		if at.Outcome == Answered {
+			return tr.end(at.Result)
+		}
+		tr.maybe = tr.maybe || at.Outcome == Unknown
+		if final, stop := tr.stop(ctx, at); stop {
+			return final
+		}
+		tr.ro.Metrics.Retried(at.retry)
+	}
+}
+
+// stop says whether the request ends with this attempt.
+func (tr *trial) stop(ctx context.Context, at attempt) (Result, bool) {
+	switch {
+	case at.retry == reason.None, tr.req.Once && tr.maybe, ctx.Err() != nil:
+		return tr.end(at.Result), true
+	case tr.sent >= maxAttempts:
+		at.Reason = reason.AllRefused
+		return tr.end(at.Result), true
+	case !at.free && !tr.ro.Budget.Spend():
+		at.Reason = reason.RetryBudget
+		return tr.end(at.Result), true
+	}
+	return Result{}, false
+}
+
+// end makes the final word of the last result.
+func (tr *trial) end(res Result) Result {
+	res.Attempts = tr.sent
+	if res.Outcome == NotRun && tr.maybe {
+		res.Outcome = Unknown
+	}
+	if res.Outcome != Answered && res.RetryAfter == 0 {
+		res.RetryAfter = minRetryAfter
+	}
+	return res
+}
+
+// pass has a peer serve the request. A peer that refuses is asked no more
+// than twice, so that requests do not wander.
+func (tr *trial) pass(ctx context.Context, peer string) attempt {
+	tr.ro.Metrics.Add(telemetry.Spills, 1, "to", peer)
+	res := tr.ro.Forward(ctx, peer, tr.req)
+	tr.sent += res.Attempts
+	tr.passed++
+	if tr.passed >= 2 {
+		tr.ask.Local = true
+	}
+	at := attempt{Result: res, retry: reason.RetryPeer, free: res.Outcome == NotRun}
+	if res.Reason == reason.Expired || res.Reason == reason.TooLate {
+		at.retry = reason.None
+	}
+	return at
+}
+
+// run sends the request to the runner whose slot was granted.
+func (tr *trial) run(ctx context.Context, gr *Grant) attempt {
+	tr.sent++
+	tr.ro.Metrics.Add(telemetry.Attempts, 1)
+	if tr.ask.Avoid == nil {
+		tr.ask.Avoid = map[string]bool{}
+	}
+	tr.ask.Avoid[gr.Runner.ID] = true
+	begun := time.Now()
+	ans, err := tr.ro.Runners.RunFunc(ctx, gr.Runner.Addr, tr.req.Request)
+	took := time.Since(begun)
+	at, ev := judge(ctx, err)
+	tr.ro.report(gr.Runner.ID, ev, took)
+	if ans.Leaving && ev != upstream.SaidLeaving {
+		tr.ro.report(gr.Runner.ID, upstream.SaidLeaving, 0)
+	}
+	if ev == upstream.Full {
+		time.AfterFunc(fullHold, func() { gr.Release(tr.req.Method, ev, took) })
+	} else {
+		gr.Release(tr.req.Method, ev, took)
+	}
+	at.Body = ans.Body
+	at.Runner = gr.Runner.ID
+	return at
+}
+
+func (ro *Router) report(id string, ev upstream.Evidence, took time.Duration) {
+	if ro.Registry != nil {
+		ro.Registry.Report(id, ev, took)
+	}
+}
+
+// judge turns what the client returned into the outcome of the attempt and
+// the evidence on the runner.
+func judge(ctx context.Context, err error) (attempt, upstream.Evidence) {
+	if err == nil {
+		return attempt{Result: Result{Outcome: Answered}}, upstream.Answered
+	}
+	var notRun *runner.NotRunError
+	if errors.As(err, &notRun) {
+		return judgeNotRun(ctx, notRun)
+	}
+	lost := attempt{Result: Result{Outcome: Unknown, Reason: reason.AnswerLost}, retry: reason.RetryLost}
+	switch {
+	case errors.Is(err, runner.ErrForeignAnswer), errors.Is(err, runner.ErrNoStatus), errors.Is(err, runner.ErrNoEndMark):
+		lost.retry = reason.RetryForeign
+		return lost, upstream.Wrong
+	case ctx.Err() != nil:
+		return lost, upstream.GaveUp
+	}
+	return lost, upstream.Lost
+}
+
+func judgeNotRun(ctx context.Context, err *runner.NotRunError) (attempt, upstream.Evidence) {
+	at := attempt{Result: Result{Outcome: NotRun, Reason: reason.AllRefused}}
+	switch err.Reason {
+	case runner.ReasonFull:
+		at.retry, at.free = reason.RetryFull, true
+		return at, upstream.Full
+	case runner.ReasonLeaving:
+		at.retry, at.free = reason.RetryLeaving, true
+		return at, upstream.SaidLeaving
+	case "":
+		at.retry = reason.RetryConnect
+		if ctx.Err() != nil {
+			at.Reason = reason.Expired
+			return at, upstream.GaveUp
+		}
+		return at, upstream.Unreached
+	}
+	at.retry = reason.RetryRefused
+	return at, upstream.Refused
+}
--- /dev/null
+++ b/internal/runner/client.go
@@ -0,0 +1,312 @@
+package runner
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"sync/atomic"
+	"time"
+)
+
+// MaxAnswer bounds an answer in bytes.
+const MaxAnswer = 4 << 20
+
+// NotRunError says that the request certainly did not run.
+type NotRunError struct {
+	// Step and Peer say where the failure arose.
+	Step string
+	Peer string
+	// Reason is full, leaving or another word of the runner's if the runner
+	// refused, else empty: the runner was not reached.
+	Reason string
+	// Err is the cause, if there is one.
+	Err error
+}
+
+// Error implements error.
+func (err *NotRunError) Error() string {
+	if err.Reason != "" {
+		return fmt.Sprintf("%s at runner %s: refused before running: %s", err.Step, err.Peer, err.Reason)
+	}
+	return fmt.Sprintf("%s at runner %s: not run: %v", err.Step, err.Peer, err.Err)
+}
+
+// Unwrap returns the cause.
+func (err *NotRunError) Unwrap() error { return err.Err }
+
+// UnknownError says that the request may have run.
+type UnknownError struct {
+	// Step and Peer say where the failure arose.
+	Step string
+	Peer string
+	// Err is the cause.
+	Err error
+}
+
+// Error implements error.
+func (err *UnknownError) Error() string {
+	return fmt.Sprintf("%s at runner %s: may have run: %v", err.Step, err.Peer, err.Err)
+}
+
+// Unwrap returns the cause.
+func (err *UnknownError) Unwrap() error { return err.Err }
+
+// Causes of an [UnknownError] that lie in the reply.
+var (
+	ErrForeignAnswer = errors.New("answer is for another request")
+	ErrNoEndMark     = errors.New("answer has neither length nor end mark")
+	ErrNoStatus      = errors.New("answer says neither done nor refused")
+	ErrAnswerTooBig  = errors.New("answer is too large")
+)
+
+// Client talks to runners. Make one with [NewClient]; a test replaces the
+// functions.
+type Client struct {
+	// RunFunc sends one request to the runner at addr.
+	RunFunc func(ctx context.Context, addr string, req Request) (Answer, error)
+	// SessionFunc opens a session's stream at the runner at addr. The events
+	// end with an error; stop must be called once.
+	SessionFunc func(ctx context.Context, addr string, req SessionRequest) (next func() (SessionEvent, error), stop func(), err error)
+}
+
+// Limits bound what a client holds open.
+type Limits struct {
+	// ConnsPerRunner bounds connections for requests to one runner.
+	ConnsPerRunner int
+	// Dial bounds the time to connect.
+	Dial time.Duration
+}
+
+const (
+	defaultConns = 20
+	defaultDial  = 500 * time.Millisecond
+	idleConnTime = 30 * time.Second
+	sessionHead  = 2 * time.Second
+)
+
+// NewClient returns a client over net/http. Zero limits take defaults.
+func NewClient(lim Limits) Client {
+	if lim.ConnsPerRunner == 0 {
+		lim.ConnsPerRunner = defaultConns
+	}
+	if lim.Dial == 0 {
+		lim.Dial = defaultDial
+	}
+	runs := transport(lim)
+	sessions := transport(lim)
+	return Client{
+		RunFunc: func(ctx context.Context, addr string, req Request) (Answer, error) {
+			return run(ctx, runs, addr, req)
+		},
+		SessionFunc: func(ctx context.Context, addr string, req SessionRequest) (func() (SessionEvent, error), func(), error) {
+			return openSession(ctx, sessions, addr, req)
+		},
+	}
+}
+
+// transport returns a transport that follows no redirect (it is used by
+// RoundTrip alone), asks for no compression, and whose connections count the
+// bytes written.
+func transport(lim Limits) *http.Transport {
+	di := &net.Dialer{Timeout: lim.Dial}
+	return &http.Transport{
+		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			conn, err := di.DialContext(ctx, network, addr)
+			if err != nil {
+				return nil, err
+			}
+			return &countingConn{Conn: conn}, nil
+		},
+		MaxConnsPerHost:     lim.ConnsPerRunner,
+		MaxIdleConnsPerHost: lim.ConnsPerRunner,
+		IdleConnTimeout:     idleConnTime,
+		DisableCompression:  true,
+	}
+}
+
+// countingConn counts bytes written, to tell a request of which none left
+// from one of which some did.
+type countingConn struct {
+	net.Conn
+
+	written atomic.Int64
+}
+
+func (cc *countingConn) Write(data []byte) (int, error) {
+	// Counted before the write: a write that fails may have sent some.
+	cc.written.Add(int64(len(data)))
+	return cc.Conn.Write(data)
+}
+
+// wireState watches one exchange from the moment it has a connection.
+type wireState struct {
+	conn   atomic.Pointer[countingConn]
+	before atomic.Int64
+	conns  atomic.Int64
+}
+
+func (ws *wireState) trace() *httptrace.ClientTrace {
+	return &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		cc, _ := info.Conn.(*countingConn)
+		if cc != nil {
+			ws.before.Store(cc.written.Load())
+		}
+		ws.conn.Store(cc)
+		ws.conns.Add(1)
+	}}
+}
+
+// untouched reports whether no byte of the request left. net/http takes a
+// second connection only after the first took none of the request, so that
+// the last connection is the one that counts.
+func (ws *wireState) untouched() bool {
+	if ws.conns.Load() == 0 {
+		return true
+	}
+	cc := ws.conn.Load()
+	return cc != nil && cc.written.Load() == ws.before.Load()
+}
+
+// onceBody is a request body that net/http cannot rewind: without GetBody it
+// never sends a request again of which it has read any.
+type onceBody struct{ rd *bytes.Reader }
+
+func (ob onceBody) Read(data []byte) (int, error) { return ob.rd.Read(data) }
+func (ob onceBody) Close() error                  { return nil }
+
+func run(ctx context.Context, tr http.RoundTripper, addr string, req Request) (Answer, error) {
+	ws := &wireState{}
+	hreq, err := newRequest(httptrace.WithClientTrace(ctx, ws.trace()), addr, "/run", req.Body)
+	if err != nil {
+		return Answer{}, &NotRunError{Step: "build request", Peer: addr, Err: err}
+	}
+	setHeaders(hreq.Header, req)
+	hresp, err := tr.RoundTrip(hreq)
+	if err != nil && ws.untouched() {
+		return Answer{}, &NotRunError{Step: "connect", Peer: addr, Err: err}
+	}
+	if err != nil {
+		return Answer{}, &UnknownError{Step: "await answer", Peer: addr, Err: err}
+	}
+	defer func() { _ = hresp.Body.Close() }()
+	return readAnswer(hresp, addr, req.ID)
+}
+
+func newRequest(ctx context.Context, addr, path string, body []byte) (*http.Request, error) {
+	hreq, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+path, nil)
+	if err != nil {
+		return nil, fmt.Errorf("request: %w", err)
+	}
+	// POST without an Idempotency-Key header is not replayable in the eyes
+	// of net/http, and a body without GetBody cannot be sent again.
+	hreq.Body = onceBody{rd: bytes.NewReader(body)}
+	hreq.ContentLength = int64(len(body))
+	if len(body) == 0 {
+		hreq.Body = http.NoBody
+	}
+	return hreq, nil
+}
+
+func setHeaders(hd http.Header, req Request) {
+	hd.Set(HeaderID, req.ID)
+	hd.Set(HeaderService, req.Service)
+	hd.Set(HeaderMethod, req.Method)
+	hd.Set(HeaderClass, req.Class.String())
+	hd.Set(HeaderDeadline, strconv.FormatInt(time.Until(req.Deadline).Milliseconds(), 10))
+	hd.Set("Content-Type", "application/octet-stream")
+}
+
+// readAnswer takes the answer only whole, stated done, and for id. A refusal
+// counts only under the same conditions: a foreign one proves nothing.
+func readAnswer(hresp *http.Response, addr, id string) (Answer, error) {
+	unknown := func(err error) (Answer, error) {
+		return Answer{}, &UnknownError{Step: "read answer", Peer: addr, Err: err}
+	}
+	chunked := len(hresp.TransferEncoding) > 0 && hresp.TransferEncoding[0] == "chunked"
+	if hresp.ContentLength < 0 && !chunked {
+		return unknown(ErrNoEndMark)
+	}
+	if hresp.Header.Get(HeaderID) != id {
+		return unknown(ErrForeignAnswer)
+	}
+	body, err := readBody(hresp)
+	if err != nil {
+		return unknown(err)
+	}
+	leaving := hresp.Header.Get(HeaderLeaving) == "true"
+	switch hresp.Header.Get(HeaderStatus) {
+	case StatusDone:
+		return Answer{Body: body, Leaving: leaving}, nil
+	case StatusRefused:
+		return Answer{Leaving: leaving}, &NotRunError{Step: "run", Peer: addr, Reason: refusal(hresp.Header)}
+	}
+	return unknown(ErrNoStatus)
+}
+
+func refusal(hd http.Header) string {
+	if reason := hd.Get(HeaderReason); reason != "" {
+		return reason
+	}
+	return StatusRefused
+}
+
+func readBody(hresp *http.Response) ([]byte, error) {
+	if hresp.ContentLength > MaxAnswer {
+		return nil, ErrAnswerTooBig
+	}
+	if hresp.ContentLength >= 0 {
+		body := make([]byte, hresp.ContentLength)
+		_, err := io.ReadFull(hresp.Body, body)
+		return body, err
+	}
+	body, err := io.ReadAll(io.LimitReader(hresp.Body, MaxAnswer+1))
+	if err == nil && len(body) > MaxAnswer {
+		err = ErrAnswerTooBig
+	}
+	return body, err
+}
+
+func openSession(ctx context.Context, tr http.RoundTripper, addr string, req SessionRequest) (func() (SessionEvent, error), func(), error) {
+	body, err := json.Marshal(req)
+	if err != nil {
+		return nil, nil, fmt.Errorf("encode session: %w", err)
+	}
+	sctx, cancel := context.WithCancel(ctx)
+	hreq, err := newRequest(sctx, addr, "/session", body)
+	if err != nil {
+		cancel()
+		return nil, nil, err
+	}
+	// The head must come in time; the stream then has no end.
+	head := time.AfterFunc(sessionHead, cancel)
+	hresp, err := tr.RoundTrip(hreq)
+	head.Stop()
+	if err != nil {
+		cancel()
+		return nil, nil, fmt.Errorf("open session at runner %s: %w", addr, err)
+	}
+	stop := func() {
+		cancel()
+		_ = hresp.Body.Close()
+	}
+	if hresp.StatusCode != http.StatusOK {
+		stop()
+		return nil, nil, &NotRunError{Step: "open session", Peer: addr, Reason: refusal(hresp.Header)}
+	}
+	dec := json.NewDecoder(hresp.Body)
+	next := func() (SessionEvent, error) {
+		var ev SessionEvent
+		if err := dec.Decode(&ev); err != nil {
+			return ev, fmt.Errorf("read session at runner %s: %w", addr, err)
+		}
+		return ev, nil
+	}
+	return next, stop, nil
+}
--- /dev/null
+++ b/internal/session/session.go
@@ -0,0 +1,395 @@
+// Package session relays long-lived sessions from runners to callers, and
+// moves them without a gap or a double.
+//
+// Nothing of a session is kept by the system. Each event carries a token with
+// the session's number so far and the runner's own state after that event, so
+// that the caller holds all that is needed to go on, at any entry host and
+// with any runner of the service. A session moves when its runner leaves or is
+// lost (this package goes on with another runner, from the last event passed
+// on) and when its entry host stops (the caller is told to resume elsewhere).
+package session
+
+import (
+	"context"
+	"encoding/base64"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/google/uuid"
+
+	"github.com/pepperhatch/pepperhatch/internal/reason"
+	"github.com/pepperhatch/pepperhatch/internal/runner"
+	"github.com/pepperhatch/pepperhatch/internal/telemetry"
+	"github.com/pepperhatch/pepperhatch/internal/upstream"
+)
+
+// maxToken bounds a token in bytes.
+const maxToken = 64 << 10
+
+// position is where a session is; a token is one in writing.
+//
+// TODO: tokens are not signed, since entry hosts share no key yet. A caller
+// that forges one can only go on with a session whose state it makes up.
+type position struct {
+	ID      string `json:"id"`
+	Service string `json:"service"`
+	Topic   string `json:"topic"`
+	Runner  string `json:"runner,omitempty"`
+	Seq     uint64 `json:"seq"`
+	State   []byte `json:"state,omitempty"`
+}
+
+func (po position) token() string {
+	data, _ := json.Marshal(po)
+	return base64.RawURLEncoding.EncodeToString(data)
+}
+
+func parseToken(token string) (position, error) {
+	var po position
+	if len(token) > maxToken {
+		return po, errors.New("token too long")
+	}
+	data, err := base64.RawURLEncoding.DecodeString(token)
+	if err != nil {
+		return po, fmt.Errorf("token: %w", err)
+	}
+	if err := json.Unmarshal(data, &po); err != nil {
+		return po, fmt.Errorf("token: %w", err)
+	}
+	if po.ID == "" || po.Service == "" {
+		return po, errors.New("token names no session")
+	}
+	return po, nil
+}
+
+// with returns the position after an event.
+func (po position) with(ev runner.SessionEvent, runnerID string) position {
+	po.Seq, po.State, po.Runner = ev.Seq, ev.State, runnerID
+	return po
+}
+
+// Event is what a caller gets.
+type Event struct {
+	// SessionID names the session.
+	SessionID string
+	// Seq numbers events from 1.
+	Seq uint64
+	// Body is the event.
+	Body []byte
+	// Token resumes after it.
+	Token string
+	// Moved is set if the caller is to resume elsewhere; there is no event.
+	Moved bool
+}
+
+// Request opens a session, or resumes one.
+type Request struct {
+	// Service and Topic open one.
+	Service string
+	Topic   string
+	// Token resumes one.
+	Token string
+}
+
+// Error says why a session cannot be served here.
+type Error struct {
+	// Reason says why.
+	Reason reason.Reason
+	// RetryAfter says when to come back.
+	RetryAfter time.Duration
+}
+
+// Error implements error.
+func (err *Error) Error() string { return "session: " + string(err.Reason) }
+
+const sessionRetryIn = time.Second
+
+// errNoRunner is the error of finding no runner for a session.
+var errNoRunner = errors.New("no runner takes the session")
+
+// Relay relays sessions. Set the fields before use.
+type Relay struct {
+	// Runners talks to runners.
+	Runners runner.Client
+	// List returns all runners known.
+	List func() []upstream.Runner
+	// DC is preferred for new sessions.
+	DC string
+	// MaxSessions bounds the sessions at a time; PerRunner those of one
+	// runner, and with them its connections.
+	MaxSessions int
+	PerRunner   int
+	// Patience is how long a session waits for a runner.
+	Patience time.Duration
+	// Metrics counts.
+	Metrics *telemetry.Metrics
+
+	mu       sync.Mutex
+	count    int
+	load     map[string]int
+	stopping chan struct{}
+	stopped  bool
+}
+
+// Count returns the sessions served now.
+func (re *Relay) Count() int {
+	re.mu.Lock()
+	defer re.mu.Unlock()
+	return re.count
+}
+
+// Stop tells the callers of all sessions to resume elsewhere, and takes no
+// more.
+func (re *Relay) Stop() {
+	re.mu.Lock()
+	defer re.mu.Unlock()
+	if !re.stopped {
+		re.stopped = true
+		close(re.stopChan())
+	}
+}
+
+// stopChan returns the channel closed by Stop.
+func (re *Relay) stopChan() chan struct{} {
+	if re.stopping == nil {
+		re.stopping = make(chan struct{})
+	}
+	return re.stopping
+}
+
+// Serve relays one session until ctx ends, the host stops, or no runner takes
+// it. Send passes an event to the caller.
+func (re *Relay) Serve(ctx context.Context, req Request, send func(Event) error) error {
+	po := position{ID: uuid.NewString(), Service: req.Service, Topic: req.Topic}
+	if req.Token != "" {
+		var err error
+		po, err = parseToken(req.Token)
+		if err != nil {
+			return &Error{Reason: reason.SessionToken}
+		}
+	}
+	stopping, why := re.enter()
+	if why != reason.None {
+		return &Error{Reason: why, RetryAfter: sessionRetryIn}
+	}
+	defer re.leave()
+	se := &served{re: re, po: po, send: send, stopping: stopping}
+	return se.serve(ctx)
+}
+
+func (re *Relay) enter() (<-chan struct{}, reason.Reason) {
+	re.mu.Lock()
+	defer re.mu.Unlock()
+	if re.stopped {
+		return nil, reason.Stopping
+	}
+	if re.count >= re.MaxSessions {
+		return nil, reason.SessionLimit
+	}
+	re.count++
+	return re.stopChan(), reason.None
+}
+
+func (re *Relay) leave() {
+	re.mu.Lock()
+	defer re.mu.Unlock()
+	re.count--
+}
+
+// choose returns the runner to use and takes one of its places: the one that
+// has the session, if it may get work, or else the one with the fewest, own
+// data centre first.
+func (re *Relay) choose(po position, avoid string) (upstream.Runner, bool) {
+	re.mu.Lock()
+	defer re.mu.Unlock()
+	var best upstream.Runner
+	found := false
+	for _, ru := range re.List() {
+		if ru.Service != po.Service || ru.State != upstream.Live || re.load[ru.ID] >= re.PerRunner || ru.ID == avoid {
+			continue
+		}
+		if ru.ID == po.Runner {
+			best, found = ru, true
+			break
+		}
+		if !found || re.better(ru, best) {
+			best, found = ru, true
+		}
+	}
+	if !found {
+		return best, false
+	}
+	if re.load == nil {
+		re.load = map[string]int{}
+	}
+	re.load[best.ID]++
+	return best, true
+}
+
+func (re *Relay) better(a, b upstream.Runner) bool {
+	if (a.DC == re.DC) != (b.DC == re.DC) {
+		return a.DC == re.DC
+	}
+	return re.load[a.ID] < re.load[b.ID]
+}
+
+func (re *Relay) giveBack(id string) {
+	re.mu.Lock()
+	defer re.mu.Unlock()
+	re.load[id]--
+}
+
+// served is one session being served.
+type served struct {
+	re       *Relay
+	po       position
+	send     func(Event) error
+	stopping <-chan struct{}
+	// avoid is the runner that was just left; taken again only if it is the
+	// only one.
+	avoid string
+}
+
+// callerError wraps an error of passing an event on.
+type callerError struct{ err error }
+
+func (err *callerError) Error() string { return "pass event on: " + err.err.Error() }
+
+func (se *served) serve(ctx context.Context) error {
+	bo := backoff.NewExponentialBackOff()
+	bo.InitialInterval = 10 * time.Millisecond
+	bo.MaxInterval = 500 * time.Millisecond
+	lastGood := time.Now()
+	for {
+		before := se.po.Seq
+		err := se.stream(ctx)
+		var caller *callerError
+		switch {
+		case err == nil:
+			return nil
+		case ctx.Err() != nil, errors.As(err, &caller):
+			return fmt.Errorf("session %s: %w", se.po.ID, err)
+		case se.po.Seq != before:
+			lastGood = time.Now()
+			bo.Reset()
+		case time.Since(lastGood) > se.re.Patience:
+			return &Error{Reason: reason.SessionNoHost, RetryAfter: sessionRetryIn}
+		}
+		if !se.pause(ctx, bo.NextBackOff()) {
+			return se.sendMoved()
+		}
+	}
+}
+
+// pause waits before the next runner is tried; false if the host stops.
+func (se *served) pause(ctx context.Context, d time.Duration) bool {
+	ti := time.NewTimer(d)
+	defer ti.Stop()
+	select {
+	case <-ti.C:
+		return true
+	case <-ctx.Done():
+		return true
+	case <-se.stopping:
+		return false
+	}
+}
+
+func (se *served) sendMoved() error {
+	err := se.send(Event{SessionID: se.po.ID, Seq: se.po.Seq, Token: se.po.token(), Moved: true})
+	if err != nil {
+		return &callerError{err: err}
+	}
+	return nil
+}
+
+// stream passes on the events of one runner until it ends, and returns nil if
+// the host stops.
+func (se *served) stream(ctx context.Context) error {
+	ru, ok := se.re.choose(se.po, se.avoid)
+	if !ok && se.avoid != "" {
+		se.avoid = ""
+		ru, ok = se.re.choose(se.po, "")
+	}
+	if !ok {
+		return errNoRunner
+	}
+	defer se.re.giveBack(ru.ID)
+	if se.po.Runner != "" && se.po.Runner != ru.ID {
+		se.re.Metrics.Add(telemetry.SessionMoves, 1, "why", "runner")
+	}
+	se.avoid = ru.ID
+	next, stop, err := se.re.Runners.SessionFunc(ctx, ru.Addr, runner.SessionRequest{
+		SessionID: se.po.ID, Topic: se.po.Topic, Seq: se.po.Seq, State: se.po.State,
+	})
+	if err != nil {
+		return err
+	}
+	// Stopping ends the read; what was read before is passed on first.
+	ended := make(chan struct{})
+	defer close(ended)
+	go func() {
+		select {
+		case <-se.stopping:
+		case <-ended:
+		}
+		stop()
+	}()
+	// A runner that is silent for too long is taken for lost.
+	quiet := time.AfterFunc(maxQuiet, stop)
+	defer quiet.Stop()
+	err = se.pump(func() (runner.SessionEvent, error) {
+		quiet.Reset(maxQuiet)
+		return next()
+	}, ru.ID)
+	if se.isStopping() {
+		se.re.Metrics.Add(telemetry.SessionMoves, 1, "why", "stop")
+		return se.sendMoved()
+	}
+	return err
+}
+
+func (se *served) isStopping() bool {
+	select {
+	case <-se.stopping:
+		return true
+	default:
+		return false
+	}
+}
+
+// maxQuiet is how long a stream may be silent; runners send an empty event
+// at least every second.
+const maxQuiet = 4 * time.Second
+
+// Errors of a runner's stream.
+var (
+	errMoved = errors.New("runner is leaving")
+	errGap   = errors.New("runner left out an event")
+)
+
+// pump passes events on in order, each once.
+func (se *served) pump(next func() (runner.SessionEvent, error), runnerID string) error {
+	for {
+		ev, err := next()
+		switch {
+		case err != nil:
+			return err
+		case ev.Moved:
+			return errMoved
+		case ev.Seq <= se.po.Seq:
+			continue
+		case ev.Seq != se.po.Seq+1:
+			return errGap
+		}
+		se.po = se.po.with(ev, runnerID)
+		se.avoid = ""
+		if err := se.send(Event{SessionID: se.po.ID, Seq: ev.Seq, Body: ev.Body, Token: se.po.token()}); err != nil {
+			return &callerError{err: err}
+		}
+	}
+}
--- /dev/null
+++ b/internal/telemetry/telemetry.go
@@ -0,0 +1,129 @@
+// Package telemetry has the metrics of an entry host, over OpenTelemetry with
+// a Prometheus endpoint. All instruments stand in one table, which
+// docs/OPERATING.md repeats; a nil [Metrics] counts nothing, so that slices
+// can be tested without one.
+package telemetry
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.opentelemetry.io/otel/attribute"
+	otelprom "go.opentelemetry.io/otel/exporters/prometheus"
+	"go.opentelemetry.io/otel/metric"
+	sdkmetric "go.opentelemetry.io/otel/sdk/metric"
+
+	"github.com/pepperhatch/pepperhatch/internal/reason"
+)
+
+// Name is the name of an instrument.
+type Name string
+
+// The counters.
+const (
+	Answers      Name = "pepperhatch_answers"
+	Refusals     Name = "pepperhatch_refusals"
+	Retries      Name = "pepperhatch_retries"
+	Attempts     Name = "pepperhatch_attempts"
+	Spills       Name = "pepperhatch_spills"
+	SessionMoves Name = "pepperhatch_session_moves"
+	TableErrors  Name = "pepperhatch_table_errors"
+	Takeovers    Name = "pepperhatch_takeovers"
+	Extensions   Name = "pepperhatch_lease_extensions"
+	JournalRows  Name = "pepperhatch_journal_rows"
+	TaskEvents   Name = "pepperhatch_task_events"
+)
+
+// Duration is the histogram of request times.
+const Duration Name = "pepperhatch_request_seconds"
+
+// Entry documents one instrument.
+type Entry struct {
+	// Name is the instrument's name; the endpoint adds _total to counters.
+	Name Name
+	// Labels are its labels.
+	Labels string
+	// Means says what it counts.
+	Means string
+	// Do says what to do about it.
+	Do string
+}
+
+// Counters documents the counters.
+var Counters = []Entry{
+	{Answers, "class", "requests answered", "compare with refusals"},
+	{Refusals, "reason, class", "requests that ended unanswered", "see the table of refusal reasons"},
+	{Retries, "reason", "requests sent to another runner", "see the table of retry reasons"},
+	{Attempts, "", "requests sent to runners, first ones and retries", "over 1.2 per request: look at the retry reasons"},
+	{Spills, "to", "requests passed to a peer because no own slot was free", "steady growth: add runners to the data centre"},
+	{SessionMoves, "why", "sessions moved to another runner or entry host", "growth without a stop or drain: look at the runners"},
+	{TableErrors, "step", "failed uses of the platform's table or list", "growth: the platform is away or slow"},
+	{Takeovers, "", "leases taken over from an entry host that was silent", "find out why it was"},
+	{Extensions, "", "leases extended on the promises of all peers", "the table is away"},
+	{JournalRows, "cell", "batches written to a cell's journal", "over 10 a second: raise --cell-interval"},
+	{TaskEvents, "event", "tasks started, done, failed, evicted, throttled", "evictions: see place.eviction-budget"},
+}
+
+// Metrics counts. Make one with [New]; nil counts nothing.
+type Metrics struct {
+	counters map[Name]metric.Int64Counter
+	duration metric.Float64Histogram
+}
+
+// New returns metrics and the handler of their endpoint.
+func New() (*Metrics, http.Handler, error) {
+	reg := prometheus.NewRegistry()
+	exp, err := otelprom.New(otelprom.WithRegisterer(reg), otelprom.WithoutScopeInfo())
+	if err != nil {
+		return nil, nil, fmt.Errorf("metrics exporter: %w", err)
+	}
+	meter := sdkmetric.NewMeterProvider(sdkmetric.WithReader(exp)).Meter("pepperhatch")
+	me := &Metrics{counters: map[Name]metric.Int64Counter{}}
+	for _, en := range Counters {
+		me.counters[en.Name], err = meter.Int64Counter(string(en.Name), metric.WithDescription(en.Means))
+		if err != nil {
+			return nil, nil, fmt.Errorf("counter %s: %w", en.Name, err)
+		}
+	}
+	me.duration, err = meter.Float64Histogram(string(Duration),
+		metric.WithDescription("time from arrival to answer or refusal"),
+		metric.WithExplicitBucketBoundaries(.001, .002, .005, .01, .02, .05, .1, .2, .5, 1, 2, 5, 10))
+	if err != nil {
+		return nil, nil, fmt.Errorf("histogram %s: %w", Duration, err)
+	}
+	return me, promhttp.HandlerFor(reg, promhttp.HandlerOpts{}), nil
+}
+
+// Add adds n to a counter; labels are pairs of name and value.
+func (me *Metrics) Add(name Name, n int64, labels ...string) {
+	if me == nil {
+		return
+	}
+	kvs := make([]attribute.KeyValue, 0, len(labels)/2)
+	for i := 0; i+1 < len(labels); i += 2 {
+		kvs = append(kvs, attribute.String(labels[i], labels[i+1]))
+	}
+	me.counters[name].Add(context.Background(), n, metric.WithAttributes(kvs...))
+}
+
+// Ended counts one request that ended, with its time.
+func (me *Metrics) Ended(class string, why reason.Reason, took time.Duration) {
+	if me == nil {
+		return
+	}
+	if why == reason.None {
+		me.Add(Answers, 1, "class", class)
+	} else {
+		me.Add(Refusals, 1, "reason", string(why), "class", class)
+	}
+	me.duration.Record(context.Background(), took.Seconds(), metric.WithAttributes(attribute.String("class", class)))
+}
+
+// Retried counts one request sent to another runner.
+func (me *Metrics) Retried(why reason.Reason) {
+	me.Add(Retries, 1, "reason", string(why))
+}
--- /dev/null
+++ b/internal/upstream/upstream.go
@@ -0,0 +1,288 @@
+// Package upstream knows which runners may get work.
+//
+// Three sources speak of a runner: the platform's list, which lags and may be
+// away; the runner's own word, on its answers; and the evidence of requests
+// sent to it. The first to say "leaving" is believed. A runner whose requests
+// fail is set aside on evidence, for longer each time, and let back in one
+// request at a time; never are more than a part of a service's runners aside,
+// since then the fault is likely elsewhere. A list that cannot be read
+// changes nothing.
+package upstream
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/pepperhatch/pepperhatch/internal/platform"
+)
+
+// State says whether a runner may get work.
+type State string
+
+// The states.
+const (
+	// Live runners get work.
+	Live State = "live"
+	// Leaving runners get no new work.
+	Leaving State = "leaving"
+	// Aside runners get none for a while, on evidence.
+	Aside State = "aside"
+	// Probing runners get one request at a time.
+	Probing State = "probing"
+)
+
+// Evidence is what came of one request sent to a runner.
+type Evidence int
+
+// The kinds of evidence.
+const (
+	// Answered: a whole answer came.
+	Answered Evidence = iota
+	// Full: refused, because its slots were in use. It says nothing.
+	Full
+	// SaidLeaving: the runner takes no new work.
+	SaidLeaving
+	// Refused: refused for a reason of the runner's own.
+	Refused
+	// Unreached: no connection.
+	Unreached
+	// Lost: no whole answer.
+	Lost
+	// Wrong: an answer that was not one.
+	Wrong
+	// GaveUp: the deadline passed or the caller left; it says little.
+	GaveUp
+)
+
+// The policy's numbers.
+const (
+	badInARow     = 3
+	asideFirst    = time.Second
+	asideMost     = 30 * time.Second
+	probesToLive  = 3
+	leavingHold   = 30 * time.Second
+	slowFactor    = 3
+	slowSamples   = 20
+	latencyWeight = 0.1
+	gaveUpInARow  = 5
+)
+
+// Runner is a runner as it is known now.
+type Runner struct {
+	platform.Host
+
+	// State says whether it may get work.
+	State State
+	// Slow is set while its answers take several times as long as those of
+	// the service's other runners.
+	Slow bool
+}
+
+// record is what is kept of a runner.
+type record struct {
+	host      platform.Host
+	leftUntil time.Time
+	bad       int
+	gaveUp    int
+	asides    int
+	asideTill time.Time
+	probing   bool
+	probesOK  int
+	latency   float64
+	samples   int
+}
+
+// Registry keeps runners. The zero value is empty and ready.
+type Registry struct {
+	// Changed is called, unlocked, after a runner's state may have changed.
+	Changed func()
+
+	mu   sync.Mutex
+	recs map[string]*record
+	// maxAside is the part of a service's runners in a data centre that may
+	// be aside at a time.
+	maxAside float64
+}
+
+// defaultMaxAside holds until another is set.
+const defaultMaxAside = 0.5
+
+// SetMaxAside changes the part of a service's runners in a data centre that
+// may be aside at a time; zero means a half.
+func (re *Registry) SetMaxAside(part float64) {
+	re.mu.Lock()
+	defer re.mu.Unlock()
+	re.maxAside = part
+}
+
+// SetList takes the platform's list of runners.
+func (re *Registry) SetList(hosts []platform.Host) {
+	re.mu.Lock()
+	if re.recs == nil {
+		re.recs = map[string]*record{}
+	}
+	listed := map[string]bool{}
+	for _, ho := range hosts {
+		if ho.Kind != platform.KindRunner {
+			continue
+		}
+		listed[ho.ID] = true
+		rec := re.recs[ho.ID]
+		// A new address is a new process: what was known of the old is void.
+		if rec == nil || rec.host.Addr != ho.Addr {
+			rec = &record{}
+			re.recs[ho.ID] = rec
+		}
+		rec.host = ho
+	}
+	for id := range re.recs {
+		if !listed[id] {
+			delete(re.recs, id)
+		}
+	}
+	re.mu.Unlock()
+	re.changed()
+}
+
+func (re *Registry) changed() {
+	if re.Changed != nil {
+		re.Changed()
+	}
+}
+
+// Report takes the evidence of one request. Took is the time of an answer.
+func (re *Registry) Report(id string, ev Evidence, took time.Duration) {
+	re.mu.Lock()
+	rec := re.recs[id]
+	changed := false
+	if rec != nil {
+		before := rec.state(time.Now())
+		re.judge(rec, ev, took)
+		changed = rec.state(time.Now()) != before
+	}
+	re.mu.Unlock()
+	if changed {
+		re.changed()
+	}
+}
+
+func (re *Registry) judge(rec *record, ev Evidence, took time.Duration) {
+	now := time.Now()
+	switch ev {
+	case Answered:
+		rec.good(took)
+	case Full:
+	case SaidLeaving:
+		rec.leftUntil = now.Add(leavingHold)
+		rec.probing = true
+		rec.probesOK = 0
+	case GaveUp:
+		// A hanging runner shows only so; a slow caller shows the same once.
+		rec.gaveUp++
+		if rec.gaveUp >= gaveUpInARow || rec.probing {
+			re.setAside(rec, now)
+		}
+	case Refused, Unreached, Lost, Wrong:
+		rec.bad++
+		if rec.bad >= badInARow || rec.probing {
+			re.setAside(rec, now)
+		}
+	}
+}
+
+func (rec *record) good(took time.Duration) {
+	rec.bad = 0
+	rec.gaveUp = 0
+	rec.samples++
+	if rec.samples == 1 {
+		rec.latency = took.Seconds()
+	}
+	rec.latency += latencyWeight * (took.Seconds() - rec.latency)
+	if !rec.probing {
+		return
+	}
+	rec.probesOK++
+	if rec.probesOK >= probesToLive {
+		rec.probing = false
+		rec.asides = 0
+	}
+}
+
+// setAside takes a runner out for a while, unless too many are out already.
+func (re *Registry) setAside(rec *record, now time.Time) {
+	if !rec.probing && !re.mayAside(rec, now) {
+		return
+	}
+	pause := asideFirst << min(rec.asides, 10)
+	rec.asideTill = now.Add(min(pause, asideMost))
+	rec.asides++
+	rec.probing = true
+	rec.probesOK = 0
+	rec.bad = 0
+	rec.gaveUp = 0
+}
+
+func (re *Registry) mayAside(rec *record, now time.Time) bool {
+	all, out := 0, 0
+	for _, other := range re.recs {
+		if other.host.Service != rec.host.Service || other.host.DC != rec.host.DC {
+			continue
+		}
+		all++
+		if other.probing || other.state(now) == Leaving {
+			out++
+		}
+	}
+	limit := re.maxAside
+	if limit == 0 {
+		limit = defaultMaxAside
+	}
+	return float64(out+1) <= limit*float64(all)
+}
+
+// state returns the state at a moment. A runner that said it is leaving and
+// is still listed as live is tried again after a hold, as a probe.
+func (rec *record) state(now time.Time) State {
+	switch {
+	case rec.host.State == platform.HostLeaving, now.Before(rec.leftUntil):
+		return Leaving
+	case now.Before(rec.asideTill):
+		return Aside
+	case rec.probing:
+		return Probing
+	}
+	return Live
+}
+
+// Runners returns all runners in order of id.
+func (re *Registry) Runners() []Runner {
+	re.mu.Lock()
+	defer re.mu.Unlock()
+	now := time.Now()
+	usual := re.usualLatency()
+	runners := make([]Runner, 0, len(re.recs))
+	for _, rec := range re.recs {
+		slow := rec.samples >= slowSamples && rec.latency > slowFactor*usual[rec.host.Service]
+		runners = append(runners, Runner{Host: rec.host, State: rec.state(now), Slow: slow})
+	}
+	slices.SortFunc(runners, func(a, b Runner) int { return cmp.Compare(a.ID, b.ID) })
+	return runners
+}
+
+// usualLatency returns each service's median of its runners' latencies.
+func (re *Registry) usualLatency() map[string]float64 {
+	all := map[string][]float64{}
+	for _, rec := range re.recs {
+		if rec.samples >= slowSamples {
+			all[rec.host.Service] = append(all[rec.host.Service], rec.latency)
+		}
+	}
+	usual := map[string]float64{}
+	for service, lats := range all {
+		slices.Sort(lats)
+		usual[service] = lats[(len(lats)-1)/2]
+	}
+	return usual
+}
--- /dev/null
+++ b/internal/wire/wire.go
@@ -0,0 +1,168 @@
+// Package wire carries JSON messages over HTTP between processes of the
+// system, and between it and the platform, runners and workers.
+//
+// Each message is one POST with a bounded body. A handler is a plain function
+// from request to reply; errors travel as [Error], so that the caller sees the
+// same code that the handler returned. The package never sends a message
+// twice: whether that is safe is for the slice above to decide.
+package wire
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// MaxBody bounds a message in bytes, both ways.
+const MaxBody = 8 << 20
+
+// Error codes that the package itself uses.
+const (
+	CodeMalformed = "malformed"
+	CodeTooLarge  = "too-large"
+	CodeInternal  = "internal"
+	CodeBusy      = "busy"
+)
+
+// Error is a failure that the other side stated. Anything else that [Post]
+// returns is a failure of the exchange, after which it is not known whether
+// the message was handled.
+type Error struct {
+	// Status is the HTTP status.
+	Status int `json:"-"`
+	// Code is a stable word.
+	Code string `json:"code"`
+	// Message is for people.
+	Message string `json:"message"`
+	// RetryAfter says when to come back; zero says nothing.
+	RetryAfter time.Duration `json:"-"`
+}
+
+// Error implements error.
+func (err *Error) Error() string {
+	return fmt.Sprintf("%s (%d): %s", err.Code, err.Status, err.Message)
+}
+
+// Code returns the code of the [Error] in err's chain, or "".
+func Code(err error) string {
+	var werr *Error
+	if errors.As(err, &werr) {
+		return werr.Code
+	}
+	return ""
+}
+
+// Post sends req as JSON to url and decodes the reply.
+func Post[Req, Resp any](ctx context.Context, cl *http.Client, url string, req Req) (Resp, error) {
+	var resp Resp
+	body, err := json.Marshal(req)
+	if err != nil {
+		return resp, fmt.Errorf("encode for %s: %w", url, err)
+	}
+	hreq, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return resp, fmt.Errorf("request for %s: %w", url, err)
+	}
+	hreq.Header.Set("Content-Type", "application/json")
+	hresp, err := cl.Do(hreq)
+	if err != nil {
+		return resp, fmt.Errorf("post: %w", err)
+	}
+	defer func() { _ = hresp.Body.Close() }()
+	data, err := io.ReadAll(io.LimitReader(hresp.Body, MaxBody+1))
+	if err != nil {
+		return resp, fmt.Errorf("read reply of %s: %w", url, err)
+	}
+	if hresp.StatusCode != http.StatusOK {
+		return resp, fmt.Errorf("post %s: %w", url, decodeError(hresp, data))
+	}
+	if err := json.Unmarshal(data, &resp); err != nil {
+		return resp, fmt.Errorf("decode reply of %s: %w", url, err)
+	}
+	return resp, nil
+}
+
+func decodeError(hresp *http.Response, data []byte) *Error {
+	werr := &Error{Code: CodeInternal, Message: string(bytes.TrimSpace(data))}
+	_ = json.Unmarshal(data, werr)
+	werr.Status = hresp.StatusCode
+	if sec, err := strconv.Atoi(hresp.Header.Get("Retry-After")); err == nil {
+		werr.RetryAfter = time.Duration(sec) * time.Second
+	}
+	return werr
+}
+
+// Handle makes an HTTP handler of a function from request to reply. An error
+// with an [Error] in its chain is sent as that; any other as an internal one.
+func Handle[Req, Resp any](fn func(context.Context, Req) (Resp, error)) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		var req Req
+		if err := decode(w, r, &req); err != nil {
+			WriteError(w, err)
+			return
+		}
+		resp, err := fn(r.Context(), req)
+		if err != nil {
+			WriteError(w, err)
+			return
+		}
+		WriteReply(w, resp)
+	})
+}
+
+func decode(w http.ResponseWriter, r *http.Request, req any) error {
+	body := http.MaxBytesReader(w, r.Body, MaxBody)
+	data, err := io.ReadAll(body)
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return &Error{Status: http.StatusRequestEntityTooLarge, Code: CodeTooLarge, Message: err.Error()}
+	}
+	if err != nil {
+		return &Error{Status: http.StatusBadRequest, Code: CodeMalformed, Message: err.Error()}
+	}
+	if len(data) == 0 {
+		return nil
+	}
+	if err := json.Unmarshal(data, req); err != nil {
+		return &Error{Status: http.StatusBadRequest, Code: CodeMalformed, Message: err.Error()}
+	}
+	return nil
+}
+
+// WriteReply sends resp as JSON with its length.
+func WriteReply(w http.ResponseWriter, resp any) {
+	data, err := json.Marshal(resp)
+	if err != nil {
+		WriteError(w, err)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
+	_, _ = w.Write(data)
+}
+
+// WriteError sends err as an [Error].
+func WriteError(w http.ResponseWriter, err error) {
+	var werr *Error
+	if !errors.As(err, &werr) {
+		werr = &Error{Status: http.StatusInternalServerError, Code: CodeInternal, Message: err.Error()}
+	}
+	if werr.RetryAfter > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(ceilSeconds(werr.RetryAfter)))
+	}
+	data, _ := json.Marshal(werr)
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
+	w.WriteHeader(max(werr.Status, http.StatusBadRequest))
+	_, _ = w.Write(data)
+}
+
+func ceilSeconds(d time.Duration) int {
+	return int((d + time.Second - 1) / time.Second)
+}
