Test the path as processes, with an entry host and a runner killed

Cause: the thin path had no test.

A client whose connection is refused now says 'not run' and not 'unknown': nothing was sent.

--- /dev/null
+++ b/e2e/cluster_test.go
@@ -0,0 +1,235 @@
+package e2e
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	qt "github.com/frankban/quicktest"
+
+	pb "github.com/pepperhatch/pepperhatch/gen/pepperhatch/v1"
+	"github.com/pepperhatch/pepperhatch/gen/pepperhatch/v1/pepperhatchv1connect"
+	"github.com/pepperhatch/pepperhatch/internal/caller"
+)
+
+// patience bounds every wait of these tests; nothing is asserted on time.
+const patience = 60 * time.Second
+
+var dcs = []string{"burnaby-hall", "surrey-hall"}
+
+// binaries are the two programs, built once for all tests.
+var binaries string
+
+func TestMain(m *testing.M) {
+	os.Exit(func() int {
+		dir, err := os.MkdirTemp("", "pepperhatch")
+		if err != nil {
+			return 1
+		}
+		defer func() { _ = os.RemoveAll(dir) }()
+		binaries = dir
+		build := exec.Command("go", "build", "-o", dir, "../cmd/...")
+		build.Stderr = os.Stderr
+		if build.Run() != nil {
+			return 1
+		}
+		return m.Run()
+	}())
+}
+
+// process is one process of a cluster.
+type process struct {
+	*exec.Cmd
+
+	name string
+	// addrs are the caller, peer and admin address of an entry host.
+	addrs [3]string
+}
+
+// cluster is a set of processes on loopback.
+type cluster struct {
+	c        *qt.C
+	dir      string
+	platform [3]string
+	entries  []*process
+	runners  []*process
+	workers  []*process
+	web      *http.Client
+}
+
+// freeAddr returns a loopback address that was free a moment ago.
+func freeAddr(c *qt.C) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = ln.Close() }()
+	return ln.Addr().String()
+}
+
+// startCluster starts the platform, three entry hosts in two data centres,
+// and two runners and two workers in each.
+func startCluster(c *qt.C) *cluster {
+	cl := &cluster{c: c, dir: c.TempDir(), web: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 100}}}
+	for i := range cl.platform {
+		cl.platform[i] = freeAddr(c)
+	}
+	cl.start("standin", "platform", "platform", "--lag", "200ms",
+		"--table", cl.platform[0], "--objects", cl.platform[1], "--hosts", cl.platform[2])
+	cl.await("platform", func() bool {
+		conn, err := net.Dial("tcp", cl.platform[2])
+		if err == nil {
+			_ = conn.Close()
+		}
+		return err == nil
+	})
+	for _, dc := range dcs {
+		for i := 1; i <= 2; i++ {
+			name := fmt.Sprintf("%s-runner%d", dc, i)
+			cl.runners = append(cl.runners, cl.start("standin", name, "runner", "--addr", freeAddr(c), "--name", name,
+				"--data-centre", dc, "--service", "routedesk", "--mean", "5ms", "--log", cl.logOf(name), "--hosts", "http://"+cl.platform[2]))
+			name = fmt.Sprintf("%s-worker%d", dc, i)
+			cl.workers = append(cl.workers, cl.start("standin", name, "worker", "--addr", freeAddr(c), "--name", name,
+				"--data-centre", dc, "--rack", fmt.Sprintf("r%d", i), "--lag", "500ms", "--hosts", "http://"+cl.platform[2]))
+		}
+	}
+	for i, dc := range []string{dcs[0], dcs[0], dcs[1]} {
+		cl.entries = append(cl.entries, cl.startEntry(fmt.Sprintf("e%d", i+1), dc))
+	}
+	cl.await("all see each other", cl.complete)
+	return cl
+}
+
+func (cl *cluster) logOf(runner string) string { return filepath.Join(cl.dir, runner+".log") }
+
+func (cl *cluster) start(binary, name string, args ...string) *process {
+	cmd := exec.Command(filepath.Join(binaries, binary), args...)
+	out, err := os.Create(filepath.Join(cl.dir, name+".out"))
+	cl.c.Assert(err, qt.IsNil)
+	cmd.Stdout, cmd.Stderr = out, out
+	cl.c.Assert(cmd.Start(), qt.IsNil)
+	cl.c.Cleanup(func() {
+		_ = cmd.Process.Kill()
+		_ = cmd.Wait()
+		_ = out.Close()
+		if cl.c.Failed() {
+			data, _ := os.ReadFile(out.Name())
+			cl.c.Logf("%s:\n%s", name, lastBytes(data))
+		}
+	})
+	return &process{Cmd: cmd, name: name}
+}
+
+func lastBytes(data []byte) []byte {
+	return data[max(0, len(data)-2000):]
+}
+
+func (cl *cluster) startEntry(name, dc string) *process {
+	addrs := [3]string{freeAddr(cl.c), freeAddr(cl.c), freeAddr(cl.c)}
+	args := []string{
+		"serve", "--name", name, "--data-centre", dc,
+		"--data-centres", dcs[0], "--data-centres", dcs[1],
+		"--caller-addr", addrs[0], "--peer-addr", addrs[1], "--admin-addr", addrs[2],
+		"--table", "http://" + cl.platform[0], "--objects", "http://" + cl.platform[1], "--hosts", "http://" + cl.platform[2],
+		"--lease-ttl", "3s", "--lease-every", "500ms", "--stop-delay", "500ms",
+	}
+	for _, other := range cl.entries {
+		args = append(args, "--peer", other.addrs[1])
+	}
+	pr := cl.start("pepperhatch", name, args...)
+	pr.addrs = addrs
+	return pr
+}
+
+func (cl *cluster) kill(pr *process) {
+	cl.c.Check(pr.Process.Signal(syscall.SIGKILL), qt.IsNil)
+}
+
+// await waits until a condition holds.
+func (cl *cluster) await(what string, holds func() bool) {
+	cl.c.Helper()
+	for deadline := time.Now().Add(patience); !holds(); time.Sleep(50 * time.Millisecond) {
+		cl.c.Assert(time.Now().Before(deadline), qt.IsTrue, qt.Commentf("waiting for: %s", what))
+	}
+}
+
+func (cl *cluster) admin(i int) pepperhatchv1connect.OperatorServiceClient {
+	return pepperhatchv1connect.NewOperatorServiceClient(cl.web, "http://"+cl.entries[i].addrs[2])
+}
+
+func (cl *cluster) status(i int) *pb.StatusResponse {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	resp, err := cl.admin(i).Status(ctx, connect.NewRequest(&pb.StatusRequest{}))
+	if err != nil {
+		return &pb.StatusResponse{}
+	}
+	return resp.Msg
+}
+
+func (cl *cluster) complete() bool {
+	for i := range cl.entries {
+		msg := cl.status(i)
+		if len(msg.GetEntries()) < 3 || len(msg.GetRunners()) < 2 || len(msg.GetCells()) < 2 {
+			return false
+		}
+		for _, ce := range msg.GetCells() {
+			if ce.GetWorkers()["live"] < 2 {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// caller returns a client of the entry hosts given.
+func (cl *cluster) caller(entries ...*process) *caller.Client {
+	addrs := make([]string, 0, len(entries))
+	for _, pr := range entries {
+		addrs = append(addrs, pr.addrs[0])
+	}
+	return caller.New(cl.web, addrs...)
+}
+
+// cli runs the command line against an entry host and returns what it prints.
+func (cl *cluster) cli(i int, args ...string) string {
+	cl.c.Helper()
+	cmd := exec.Command(filepath.Join(binaries, "pepperhatch"), args...)
+	cmd.Env = append(os.Environ(), "PEPPERHATCH_ADMIN="+cl.entries[i].addrs[2], "PEPPERHATCH_ENTRY="+cl.entries[i].addrs[0])
+	out, err := cmd.CombinedOutput()
+	cl.c.Assert(err, qt.IsNil, qt.Commentf("%s: %s", strings.Join(args, " "), out))
+	return string(out)
+}
+
+// runs counts how often each request began to run, by the runners' logs,
+// those of killed ones included.
+func (cl *cluster) runs() map[string]int {
+	runs := map[string]int{}
+	for _, pr := range cl.runners {
+		file, err := os.Open(cl.logOf(pr.name))
+		cl.c.Assert(err, qt.IsNil)
+		for sc := bufio.NewScanner(file); sc.Scan(); {
+			runs[sc.Text()]++
+		}
+		_ = file.Close()
+	}
+	return runs
+}
+
+// fault tells a stand-in to misbehave.
+func (cl *cluster) fault(addr, mode string) {
+	resp, err := cl.web.Post("http://"+addr+"/fault", "application/json", strings.NewReader(`{"mode":"`+mode+`"}`))
+	cl.c.Assert(err, qt.IsNil)
+	defer func() { _ = resp.Body.Close() }()
+	_, _ = io.Copy(io.Discard, resp.Body)
+	cl.c.Assert(resp.StatusCode, qt.Equals, http.StatusOK)
+}
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -47,9 +48,8 @@
 	return resp.Msg, nil
 }
 
-// FailureOf returns what an error of Call says of the request. An error
-// without a word of the entry host's, for instance a broken connection, is
-// unknown.
+// FailureOf returns what an error of Call says of the request. Without a word
+// of the entry host's, the request is unknown, unless there was no connection.
 func FailureOf(err error) *pb.Failure {
 	var cerr *connect.Error
 	if errors.As(err, &cerr) {
@@ -60,6 +60,10 @@
 			}
 		}
 	}
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return &pb.Failure{Outcome: pb.Outcome_OUTCOME_NOT_RUN, Reason: "entry-host-unreached"}
+	}
 	return &pb.Failure{Outcome: pb.Outcome_OUTCOME_UNKNOWN, Reason: "entry-host-lost"}
 }
 
--- a/internal/standin/command.go
+++ b/internal/standin/command.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"os/signal"
 	"strconv"
 	"syscall"
@@ -128,17 +129,22 @@
 	Mean    time.Duration `long:"mean" default:"20ms" description:"mean service time"`
 	Sigma   float64       `long:"sigma" default:"0.5" description:"log-normal spread of the service time"`
 	Tick    time.Duration `long:"tick" default:"100ms" description:"time between a session's events"`
+	Log     string        `long:"log" description:"file that gets the id of each request as its run begins"`
 }
 
 // Execute implements flags.Commander.
 func (rc *runnerCommand) Execute([]string) error {
 	handlers := map[string]http.Handler{}
 	var hosts []platform.Host
-	err := rc.each(func(host platform.Host) {
+	logTo, err := rc.openLog()
+	if err != nil {
+		return err
+	}
+	err = rc.each(func(host platform.Host) {
 		host.Kind, host.Service, host.Slots = platform.KindRunner, rc.Service, rc.Slots
 		hosts = append(hosts, host)
 		handlers[host.Addr] = NewRunner(RunnerSettings{
-			ID: host.ID, Slots: rc.Slots, Mean: rc.Mean, Sigma: rc.Sigma, Tick: rc.Tick,
+			ID: host.ID, Slots: rc.Slots, Mean: rc.Mean, Sigma: rc.Sigma, Tick: rc.Tick, LogTo: logTo,
 		}).Handler()
 	})
 	if err != nil {
@@ -150,6 +156,19 @@
 	return serveAll(handlers)
 }
 
+// openLog opens the file of --log. Each line is one write, so that a kill
+// loses none that was written.
+func (rc *runnerCommand) openLog() (io.Writer, error) {
+	if rc.Log == "" {
+		return nil, nil
+	}
+	file, err := os.OpenFile(rc.Log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return nil, fmt.Errorf("--log: %w", err)
+	}
+	return file, nil
+}
+
 type workerCommand struct {
 	hostOptions
 
--- a/internal/standin/runner.go
+++ b/internal/standin/runner.go
@@ -48,6 +48,9 @@
 	Sigma float64
 	// Tick is the time between a session's events.
 	Tick time.Duration
+	// LogTo gets a line with the id of each request as its run begins, for
+	// trials in which the process is killed; nil gets none.
+	LogTo io.Writer
 }
 
 // Run is one entry of a runner's log.
@@ -153,6 +156,9 @@
 	}
 	ru.busy++
 	ru.log = append(ru.log, Run{ID: id, Runner: ru.set.ID, Start: time.Now().UnixNano()})
+	if ru.set.LogTo != nil {
+		_, _ = fmt.Fprintln(ru.set.LogTo, id)
+	}
 	return len(ru.log) - 1, ru.serviceTime(), ""
 }
 
