Hedge, and let latency-critical requests pass batch

At 120% of capacity latency-critical requests were refused 'queue-full' as often as batch (86% answered), because batch filled the common queue. With one runner hanging, 0.9 of 1,000 requests were lost at their deadline. One of the three hosts has 5 runners and not 6, and at 120% its own latency-critical work outran its slots while the others served batch (p99 430 ms against 58 ms of one shared queue).

Changed: a latency-critical arrival displaces the batch waiter whose deadline is last; an answer later than p99.9 of its method is asked for at a second runner, within the retry budget, never for marked requests; a host with many latency-critical waiters passes them to peers that serve batch.

Ruled out: offering the room of batch to every waiter; at 95% it refused 0.3 to 3.5% of batch that nothing required to wait (reverted to: only from an eighth of the slots waiting).

--- a/internal/reason/reason.go
+++ b/internal/reason/reason.go
@@ -45,6 +45,7 @@
 	RetryLost    Reason = "answer-lost"
 	RetryForeign Reason = "answer-foreign"
 	RetryPeer    Reason = "peer-refused"
+	RetryHedge   Reason = "hedged"
 )
 
 // Entry documents one reason.
@@ -92,5 +93,6 @@
 	{RetryRefused, "the runner refused for a reason of its own", "look at the runner"},
 	{RetryLost, "the runner had the request and no whole answer came", "look at the runner"},
 	{RetryForeign, "the answer was not the request's own, or not marked as an answer", "look at the runner"},
+	{RetryHedge, "the answer took longer than nearly all do, and a second runner was free", "look for a slow or hanging runner"},
 	{RetryPeer, "a peer that was said to have free slots had none", "none if rare"},
 }
--- /dev/null
+++ b/internal/route/model_test.go
@@ -0,0 +1,161 @@
+package route
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/pepperhatch/pepperhatch/internal/platform"
+	"github.com/pepperhatch/pepperhatch/internal/reason"
+	"github.com/pepperhatch/pepperhatch/internal/runner"
+	"github.com/pepperhatch/pepperhatch/internal/upstream"
+)
+
+// errRefused is the error of a runner that is gone.
+var errRefused = errors.New("connection refused")
+
+// fakeRunners are runners in one process, on the clock of a test's bubble.
+type fakeRunners struct {
+	mean  time.Duration
+	sigma float64
+	slots int
+
+	mu   sync.Mutex
+	busy map[string]int
+	slow map[string]float64
+	gone map[string]bool
+	hang map[string]bool
+	runs map[string]int
+}
+
+func newFakeRunners(mean time.Duration, sigma float64, slots int) *fakeRunners {
+	return &fakeRunners{
+		mean: mean, sigma: sigma, slots: slots, busy: map[string]int{}, slow: map[string]float64{},
+		gone: map[string]bool{}, hang: map[string]bool{}, runs: map[string]int{},
+	}
+}
+
+// connectTime is what a refusal takes.
+const connectTime = 200 * time.Microsecond
+
+func (fr *fakeRunners) client() runner.Client {
+	return runner.Client{RunFunc: fr.run}
+}
+
+func (fr *fakeRunners) run(ctx context.Context, addr string, req runner.Request) (runner.Answer, error) {
+	fr.mu.Lock()
+	gone, full, hang := fr.gone[addr], fr.busy[addr] >= fr.slots, fr.hang[addr]
+	if gone || full {
+		fr.mu.Unlock()
+		time.Sleep(connectTime)
+		if gone {
+			return runner.Answer{}, &runner.NotRunError{Step: "connect", Peer: addr, Err: errRefused}
+		}
+		return runner.Answer{}, &runner.NotRunError{Step: "run", Peer: addr, Reason: runner.ReasonFull}
+	}
+	fr.busy[addr]++
+	fr.runs[req.ID]++
+	took := fr.draw(addr)
+	fr.mu.Unlock()
+	defer func() {
+		fr.mu.Lock()
+		fr.busy[addr]--
+		fr.mu.Unlock()
+	}()
+	if hang {
+		<-ctx.Done()
+		return runner.Answer{}, &runner.UnknownError{Step: "await answer", Peer: addr, Err: ctx.Err()}
+	}
+	// A runner works to the end, also for a caller that left; its slot is
+	// free only then.
+	time.Sleep(took)
+	if ctx.Err() != nil {
+		return runner.Answer{}, &runner.UnknownError{Step: "await answer", Peer: addr, Err: ctx.Err()}
+	}
+	return runner.Answer{Body: []byte(req.ID)}, nil
+}
+
+// draw returns a log-normal service time.
+func (fr *fakeRunners) draw(addr string) time.Duration {
+	factor := max(1, fr.slow[addr])
+	if fr.sigma == 0 {
+		return time.Duration(float64(fr.mean) * factor)
+	}
+	return time.Duration(float64(fr.mean) * factor * math.Exp(fr.sigma*rand.NormFloat64()-fr.sigma*fr.sigma/2))
+}
+
+// member returns a pool's member for a runner.
+func member(id string, slots int) Member {
+	return Member{ID: id, Addr: id, Slots: slots}
+}
+
+func ids(prefix string, n int) []string {
+	all := make([]string, n)
+	for i := range all {
+		all[i] = fmt.Sprintf("%s%02d", prefix, i)
+	}
+	return all
+}
+
+// listed returns the platform's list for runners of one service.
+func listed(runners []string, slots int) []platform.Host {
+	hosts := make([]platform.Host, 0, len(runners))
+	for _, id := range runners {
+		hosts = append(hosts, platform.Host{
+			ID: id, Addr: id, Kind: platform.KindRunner, State: platform.HostLive, DC: "dc", Service: "s", Slots: slots,
+		})
+	}
+	return hosts
+}
+
+// newRouter returns a router over runners, with a registry that sets them
+// aside on evidence.
+func newRouter(fr *fakeRunners, runners []string) *Router {
+	ro := &Router{Runners: fr.client()}
+	reg := &upstream.Registry{}
+	refresh := func() {
+		var members []Member
+		for _, ru := range reg.Runners() {
+			if ru.State == upstream.Live || ru.State == upstream.Probing {
+				members = append(members, Member{
+					ID: ru.ID, Addr: ru.Addr, Slots: ru.Slots, Slow: ru.Slow, Probing: ru.State == upstream.Probing,
+				})
+			}
+		}
+		ro.SetMembers(map[string][]Member{"s": members})
+	}
+	ro.Registry = reg
+	ro.SetPolicy(Policy{QueueLimit: 1024, BatchEvery: 8})
+	reg.SetList(listed(runners, fr.slots))
+	reg.Changed = refresh
+	refresh()
+	return ro
+}
+
+// request returns a request of the service with an id of its own.
+func request(n int, class runner.Class, left time.Duration) Request {
+	return Request{Request: runner.Request{
+		ID: fmt.Sprintf("id%d", n), Service: "s", Method: "m", Class: class, Deadline: time.Now().Add(left),
+	}}
+}
+
+// linkTime is the time of one way to a peer.
+const linkTime = 500 * time.Microsecond
+
+// forwardTo passes requests to routers by name.
+func forwardTo(routers map[string]*Router) func(context.Context, string, Request) Result {
+	return func(ctx context.Context, peer string, req Request) Result {
+		time.Sleep(linkTime)
+		req.Local = true
+		res := routers[peer].Do(ctx, req)
+		time.Sleep(linkTime)
+		if ctx.Err() != nil && res.Outcome == Answered {
+			return Result{Outcome: Unknown, Reason: reason.PeerLost, Attempts: res.Attempts}
+		}
+		return res
+	}
+}
--- a/internal/route/pool.go
+++ b/internal/route/pool.go
@@ -46,9 +46,9 @@
 	members map[string]*memberState
 	queue   classQueue
 	times   Times
-	// near and far have the free slots that peers in this data centre, and in
-	// others, are said to have.
-	near, far map[string]int
+	// near and far have what peers in this data centre, and in others, are
+	// said to have left.
+	near, far map[string]Load
 }
 
 type memberState struct {
@@ -106,9 +106,10 @@
 	po.dispatch()
 }
 
-// SetPeers tells how many free slots each peer is said to have; near are in
-// this data centre, far elsewhere. The pool keeps the maps.
-func (po *Pool) SetPeers(near, far map[string]int) {
+// SetPeers tells what each peer is said to have left; near are in this data
+// centre, far elsewhere. The pool keeps the maps, and takes from them what it
+// passes on.
+func (po *Pool) SetPeers(near, far map[string]Load) {
 	po.mu.Lock()
 	defer po.mu.Unlock()
 	po.near, po.far = near, far
@@ -119,6 +120,9 @@
 type Load struct {
 	// Free is the number of free slots, less the waiters.
 	Free int `json:"free"`
+	// Yield is how many latency-critical requests it can take all the same,
+	// until it says so again: slots that would go to batch next.
+	Yield int `json:"yield,omitempty"`
 	// Waiting is the number of waiters.
 	Waiting int `json:"waiting"`
 	// Slots is the number of slots.
@@ -138,6 +142,42 @@
 		lo.Free += max(0, ms.limit()-ms.busy)
 	}
 	lo.Free = max(0, lo.Free-lo.Waiting)
+	if len(po.queue.heaps[runner.Batch]) > 0 {
+		lo.Yield = max(0, lo.Slots/yieldPart-yieldWeight*len(po.queue.heaps[runner.LatencyCritical]))
+	}
+	return lo
+}
+
+// yieldPart is the part of the slots that is offered to latency-critical
+// requests of peers while only batch waits here. The slots of a service do not
+// divide evenly among hosts, so that one host can have more latency-critical
+// work than slots while the others serve batch. Each own latency-critical
+// waiter lowers the offer; a few are always there while batch fills all slots.
+const (
+	yieldPart   = 2
+	yieldWeight = 2
+	// yieldFrom is the part of the own slots that must wait in
+	// latency-critical requests before the offer is taken. Fewer have their
+	// turn soon, at the cost of batch here and not at a peer.
+	yieldFrom = 8
+)
+
+// left returns how many requests the peer can take, with or without those for
+// which batch has to wait there.
+func (lo Load) left(yield bool) int {
+	if yield {
+		return lo.Free + lo.Yield
+	}
+	return lo.Free
+}
+
+// less returns the load after one more request was passed to the peer.
+func (lo Load) less() Load {
+	if lo.Free > 0 {
+		lo.Free--
+	} else {
+		lo.Yield--
+	}
 	return lo
 }
 
@@ -198,6 +238,30 @@
 	return po.await(ctx, wa)
 }
 
+// TryAcquire takes a slot of an own runner not tried before, if one is free
+// and nobody waits.
+func (po *Pool) TryAcquire(ask Ask) *Grant {
+	po.mu.Lock()
+	defer po.mu.Unlock()
+	if po.queue.len() > 0 {
+		return nil
+	}
+	ms := po.free(&waiter{class: ask.Class, avoid: ask.Avoid})
+	if ms == nil || ask.Avoid[ms.ID] {
+		return nil
+	}
+	ms.busy++
+	return &Grant{Runner: ms.Member, pool: po, state: ms}
+}
+
+// hedgeAfter returns the time after which an answer is later than nearly all;
+// 0 if that is not known.
+func (po *Pool) hedgeAfter(method string) time.Duration {
+	po.mu.Lock()
+	defer po.mu.Unlock()
+	return po.times.Needs(method)
+}
+
 func (po *Pool) await(ctx context.Context, wa *waiter) (*Grant, string, Refusal) {
 	ti := time.NewTimer(time.Until(wa.deadline.Add(-wa.needs)))
 	defer ti.Stop()
@@ -243,7 +307,7 @@
 	if po.queue.len() == 0 {
 		return reason.None
 	}
-	if po.policy.QueueLimit > 0 && po.queue.len() >= po.policy.QueueLimit {
+	if po.policy.QueueLimit > 0 && po.queue.len() >= po.policy.QueueLimit && !po.displace(wa.class) {
 		return reason.QueueFull
 	}
 	ahead := po.queue.ahead(wa.class, wa.deadline)
@@ -254,6 +318,24 @@
 	return reason.None
 }
 
+// displace makes room in a full queue for a latency-critical waiter: the batch
+// waiter whose deadline is last is refused in its place.
+func (po *Pool) displace(class runner.Class) bool {
+	batch := po.queue.heaps[runner.Batch]
+	if class == runner.Batch || len(batch) == 0 {
+		return false
+	}
+	last := batch[0]
+	for _, wa := range batch[1:] {
+		if wa.deadline.After(last.deadline) {
+			last = wa
+		}
+	}
+	po.queue.remove(last)
+	last.got <- turn{refuse: reason.QueueFull}
+	return true
+}
+
 func (po *Pool) slots() int {
 	n := 0
 	for _, ms := range po.members {
@@ -265,15 +347,16 @@
 }
 
 func (po *Pool) peerHasSlot() bool {
-	return mostFree(po.near) != "" || mostFree(po.far) != ""
+	return mostLeft(po.near, true) != "" || mostLeft(po.far, true) != ""
 }
 
-// mostFree returns the peer with the most free slots, or "".
-func mostFree(peers map[string]int) string {
+// mostLeft returns the peer that can take the most requests, or "".
+func mostLeft(peers map[string]Load, yield bool) string {
 	best, most := "", 0
-	for peer, free := range peers {
-		if free > most || (free == most && free > 0 && peer < best) {
-			best, most = peer, free
+	for peer, lo := range peers {
+		left := lo.left(yield)
+		if left > most || (left == most && left > 0 && peer < best) {
+			best, most = peer, left
 		}
 	}
 	return best
@@ -320,9 +403,10 @@
 	if wa.local {
 		return turn{}, false
 	}
-	for _, peers := range []map[string]int{po.near, po.far} {
-		if peer := mostFree(peers); peer != "" {
-			peers[peer]--
+	yield := wa.class == runner.LatencyCritical && len(po.queue.heaps[wa.class]) > po.slots()/yieldFrom
+	for _, peers := range []map[string]Load{po.near, po.far} {
+		if peer := mostLeft(peers, yield); peer != "" {
+			peers[peer] = peers[peer].less()
 			return turn{peer: peer}, true
 		}
 	}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -146,18 +146,19 @@
 	ro.mu.Lock()
 	defer ro.mu.Unlock()
 	for service, po := range ro.pools {
-		po.SetPeers(freeAt(near, service), freeAt(far, service))
+		po.SetPeers(loadsOf(near, service), loadsOf(far, service))
 	}
 }
 
-func freeAt(peers map[string]map[string]Load, service string) map[string]int {
-	free := map[string]int{}
-	for peer, loads := range peers {
-		if lo := loads[service]; lo.Free > 0 {
-			free[peer] = lo.Free
+// loadsOf returns the load of one service at each peer that has any left.
+func loadsOf(peers map[string]map[string]Load, service string) map[string]Load {
+	loads := map[string]Load{}
+	for peer, all := range peers {
+		if lo := all[service]; lo.left(true) > 0 {
+			loads[peer] = lo
 		}
 	}
-	return free
+	return loads
 }
 
 // Loads returns the load of every service.
@@ -178,20 +179,27 @@
 		return NotRunResult(reason.NoRunner, minRetryAfter)
 	}
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
-	defer cancel()
 	ro.Budget.Earn()
-	tr := &trial{ro: ro, po: po, req: req, ask: Ask{
+	tr := &trial{ro: ro, po: po, req: req, cancel: cancel, ask: Ask{
 		Class: req.Class, Method: req.Method, Deadline: req.Deadline, Local: req.Local,
 	}}
-	return tr.serve(ctx)
+	res := tr.serve(ctx)
+	if !tr.outlived {
+		cancel()
+	}
+	return res
 }
 
 // trial is one request on its way.
 type trial struct {
-	ro  *Router
-	po  *Pool
-	req Request
-	ask Ask
+	ro     *Router
+	po     *Pool
+	req    Request
+	ask    Ask
+	cancel context.CancelFunc
+	// outlived is set if a slower attempt goes on after the request's end,
+	// so that its slot is counted for as long as it is in use.
+	outlived bool
 	// sent counts runners sent the request, passed counts peers asked.
 	sent   int
 	passed int
@@ -277,14 +285,72 @@
 	return at
 }
 
-// run sends the request to the runner whose slot was granted.
+// run sends the request to the runner whose slot was granted. If the answer
+// takes longer than nearly all do, a request that may run twice is sent to a
+// second runner, if one is free and the budget for retries allows, and the
+// first answer counts.
 func (tr *trial) run(ctx context.Context, gr *Grant) attempt {
+	after := tr.po.hedgeAfter(tr.req.Method)
+	if tr.ro.NoHedge || tr.req.Once || after == 0 {
+		tr.sending(gr)
+		return tr.send(ctx, gr)
+	}
+	results := make(chan attempt, 2)
+	launch := func(gr *Grant) {
+		tr.sending(gr)
+		go func() { results <- tr.send(ctx, gr) }()
+	}
+	launch(gr)
+	ti := time.NewTimer(after)
+	defer ti.Stop()
+	select {
+	case at := <-results:
+		return at
+	case <-ti.C:
+	}
+	second := tr.po.TryAcquire(tr.ask)
+	if second == nil {
+		return <-results
+	}
+	if !tr.ro.Budget.Spend() {
+		second.Release(tr.req.Method, upstream.Full, 0)
+		return <-results
+	}
+	tr.ro.Metrics.Retried(reason.RetryHedge)
+	launch(second)
+	return tr.better(<-results, results)
+}
+
+// better returns the first attempt if it was answered, or else waits for the
+// second. An attempt that may have run outweighs one that did not.
+func (tr *trial) better(first attempt, rest <-chan attempt) attempt {
+	if first.Outcome == Answered {
+		tr.outlived = true
+		go func() {
+			<-rest
+			tr.cancel()
+		}()
+		return first
+	}
+	second := <-rest
+	if second.Outcome == NotRun && first.Outcome == Unknown {
+		return first
+	}
+	return second
+}
+
+// sending notes that a runner is sent the request.
+func (tr *trial) sending(gr *Grant) {
 	tr.sent++
 	tr.ro.Metrics.Add(telemetry.Attempts, 1)
 	if tr.ask.Avoid == nil {
 		tr.ask.Avoid = map[string]bool{}
 	}
 	tr.ask.Avoid[gr.Runner.ID] = true
+}
+
+// send makes one attempt, and gives the slot back when it has ended.
+func (tr *trial) send(ctx context.Context, gr *Grant) attempt {
 	begun := time.Now()
 	ans, err := tr.ro.Runners.RunFunc(ctx, gr.Runner.Addr, tr.req.Request)
 	took := time.Since(begun)
--- /dev/null
+++ b/internal/route/route_test.go
@@ -0,0 +1,231 @@
+package route
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/pepperhatch/pepperhatch/internal/reason"
+	"github.com/pepperhatch/pepperhatch/internal/runner"
+)
+
+// inBubble runs a test on a clock that moves only when all wait.
+func inBubble(t *testing.T, fn func(c *qt.C)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) { fn(qt.New(t)) })
+}
+
+// scripted returns a client whose n-th attempt ends as the script says.
+func scripted(script ...error) (runner.Client, *int) {
+	sent := 0
+	return runner.Client{RunFunc: func(_ context.Context, _ string, req runner.Request) (runner.Answer, error) {
+		err := script[min(sent, len(script)-1)]
+		sent++
+		return runner.Answer{Body: []byte(req.ID)}, err
+	}}, &sent
+}
+
+var (
+	errNotRun  = &runner.NotRunError{Step: "run", Peer: "r", Reason: "refuse"}
+	errUnknown = &runner.UnknownError{Step: "await answer", Peer: "r", Err: errRefused}
+	errFull    = &runner.NotRunError{Step: "run", Peer: "r", Reason: runner.ReasonFull}
+)
+
+func routerOf(cl runner.Client, members ...Member) *Router {
+	ro := &Router{Runners: cl}
+	ro.SetPolicy(Policy{QueueLimit: 100, BatchEvery: 8})
+	ro.SetMembers(map[string][]Member{"s": members})
+	return ro
+}
+
+func TestOutcomes(t *testing.T) {
+	for _, te := range []struct {
+		name    string
+		once    bool
+		script  []error
+		outcome Outcome
+		why     reason.Reason
+		sent    int
+	}{
+		{"answered", false, []error{nil}, Answered, reason.None, 1},
+		{"tried again after not run", false, []error{errNotRun, nil}, Answered, reason.None, 2},
+		{"tried again after unknown", false, []error{errUnknown, nil}, Answered, reason.None, 2},
+		{"marked: tried again after not run", true, []error{errNotRun, nil}, Answered, reason.None, 2},
+		{"marked: never after unknown", true, []error{errUnknown, nil}, Unknown, reason.AnswerLost, 1},
+		{"marked: unknown after not run", true, []error{errNotRun, errUnknown, nil}, Unknown, reason.AnswerLost, 2},
+		{"unknown is not forgotten", false, []error{errUnknown, errNotRun}, Unknown, reason.AllRefused, maxAttempts},
+		{"all refuse", false, []error{errNotRun}, NotRun, reason.AllRefused, maxAttempts},
+	} {
+		t.Run(te.name, func(t *testing.T) {
+			inBubble(t, func(c *qt.C) {
+				cl, sent := scripted(te.script...)
+				ro := routerOf(cl, member("a", 8), member("b", 8))
+				req := request(1, runner.LatencyCritical, time.Second)
+				req.Once = te.once
+				begun := time.Now()
+				res := ro.Do(context.Background(), req)
+				c.Assert(res.Outcome, qt.Equals, te.outcome)
+				c.Assert(res.Reason, qt.Equals, te.why)
+				c.Assert(*sent, qt.Equals, te.sent)
+				c.Assert(res.Attempts, qt.Equals, te.sent)
+				// The final word comes at once, with when to come back.
+				c.Assert(time.Since(begun), qt.Equals, time.Duration(0))
+				c.Assert(res.Outcome == Answered || res.RetryAfter > 0, qt.IsTrue)
+				time.Sleep(time.Second)
+			})
+		})
+	}
+}
+
+// TestMarkedRunsOnce drives marked requests against any script of failures,
+// and checks that none is sent again once it may have run.
+func TestMarkedRunsOnce(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		script := rapid.SliceOfN(rapid.SampledFrom([]error{nil, errNotRun, errUnknown, errFull}), 1, 8).Draw(rt, "script")
+		script = append(script, nil)
+		synctest.Test(t, func(*testing.T) {
+			cl, sent := scripted(script...)
+			ro := routerOf(cl, member("a", 8), member("b", 8), member("c", 8))
+			req := request(1, runner.LatencyCritical, time.Minute)
+			req.Once = true
+			res := ro.Do(context.Background(), req)
+			maybe := 0
+			for _, err := range script[:*sent] {
+				if err == nil || err == error(errUnknown) {
+					maybe++
+				}
+			}
+			if maybe > 1 || (res.Outcome == NotRun && maybe > 0) {
+				rt.Errorf("%v: may have run %d times, said %s", script[:*sent], maybe, res.Outcome)
+			}
+			time.Sleep(time.Second)
+		})
+	})
+}
+
+func TestHalfTheRunnersGone(t *testing.T) {
+	inBubble(t, func(c *qt.C) {
+		fr := newFakeRunners(10*time.Millisecond, 0.5, 8)
+		ro := newRouter(fr, ids("r", 10))
+		for _, id := range ids("r", 5) {
+			fr.gone[id] = true
+		}
+		var wg sync.WaitGroup
+		var mu sync.Mutex
+		attempts, answered := 0, 0
+		const sent = 5000
+		for n := range sent {
+			wg.Go(func() {
+				res := ro.Do(context.Background(), request(n, runner.LatencyCritical, time.Second))
+				mu.Lock()
+				defer mu.Unlock()
+				attempts += res.Attempts
+				if res.Outcome == Answered {
+					answered++
+				}
+			})
+			time.Sleep(time.Millisecond)
+		}
+		wg.Wait()
+		time.Sleep(time.Minute)
+		c.Assert(float64(attempts) < 1.2*sent, qt.IsTrue, qt.Commentf("%d attempts", attempts))
+		c.Assert(answered > sent*99/100, qt.IsTrue, qt.Commentf("%d answered", answered))
+	})
+}
+
+// blocker is a client whose runs last until they are let go.
+func blocker() (runner.Client, chan struct{}) {
+	gate := make(chan struct{})
+	return runner.Client{RunFunc: func(context.Context, string, runner.Request) (runner.Answer, error) {
+		<-gate
+		return runner.Answer{}, nil
+	}}, gate
+}
+
+func TestQueue(t *testing.T) {
+	t.Run("earliest deadline first, and batch is not starved", func(t *testing.T) {
+		inBubble(t, func(c *qt.C) {
+			po := NewPool(Policy{QueueLimit: 100, BatchEvery: 4})
+			po.SetMembers([]Member{member("a", 1)})
+			gr, _, _ := po.Acquire(context.Background(), Ask{Deadline: time.Now().Add(time.Minute)})
+			var mu sync.Mutex
+			var order []string
+			for i := range 8 {
+				go take(po, &mu, &order, fmt.Sprintf("l%d", i), runner.LatencyCritical, time.Duration(20-i)*time.Second)
+			}
+			go take(po, &mu, &order, "b", runner.Batch, time.Hour)
+			synctest.Wait()
+			gr.Release("m", 0, 0)
+			synctest.Wait()
+			c.Assert(order, qt.DeepEquals, []string{"l7", "l6", "l5", "b", "l4", "l3", "l2", "l1", "l0"})
+		})
+	})
+	t.Run("a full queue refuses at once, and batch makes way", func(t *testing.T) {
+		inBubble(t, func(c *qt.C) {
+			cl, gate := blocker()
+			ro := routerOf(cl, member("a", 1))
+			ro.SetPolicy(Policy{QueueLimit: 1, BatchEvery: 8})
+			results := make(chan Result, 3)
+			do := func(n int, class runner.Class) {
+				go func() { results <- ro.Do(context.Background(), request(n, class, time.Minute)) }()
+				synctest.Wait()
+			}
+			do(1, runner.LatencyCritical)
+			do(2, runner.Batch)
+			do(3, runner.LatencyCritical)
+			res := <-results
+			c.Assert(res.Reason, qt.Equals, reason.QueueFull)
+			c.Assert(res.Outcome, qt.Equals, NotRun)
+			res = ro.Do(context.Background(), request(4, runner.LatencyCritical, time.Minute))
+			c.Assert(res.Reason, qt.Equals, reason.QueueFull)
+			close(gate)
+			c.Assert((<-results).Outcome, qt.Equals, Answered)
+			c.Assert((<-results).Outcome, qt.Equals, Answered)
+		})
+	})
+	t.Run("what cannot be in time is refused at once", func(t *testing.T) {
+		inBubble(t, func(c *qt.C) {
+			fr := newFakeRunners(100*time.Millisecond, 0, 1)
+			ro := newRouter(fr, ids("r", 1))
+			for n := range 2 * timesFew {
+				ro.Do(context.Background(), request(n, runner.LatencyCritical, time.Second))
+			}
+			begun := time.Now()
+			res := ro.Do(context.Background(), request(999, runner.LatencyCritical, 50*time.Millisecond))
+			c.Assert(res.Reason, qt.Equals, reason.TooLate)
+			c.Assert(time.Since(begun), qt.Equals, time.Duration(0))
+			time.Sleep(time.Minute)
+		})
+	})
+	t.Run("no runner", func(t *testing.T) {
+		inBubble(t, func(c *qt.C) {
+			cl, _ := scripted(nil)
+			res := routerOf(cl).Do(context.Background(), request(1, runner.LatencyCritical, time.Second))
+			c.Assert(res.Reason, qt.Equals, reason.NoRunner)
+			c.Assert(res.Outcome, qt.Equals, NotRun)
+		})
+	})
+}
+
+func take(po *Pool, mu *sync.Mutex, order *[]string, name string, class runner.Class, left time.Duration) {
+	gr, _, _ := po.Acquire(context.Background(), Ask{Class: class, Deadline: time.Now().Add(left)})
+	mu.Lock()
+	*order = append(*order, name)
+	mu.Unlock()
+	gr.Release("m", 0, 0)
+}
+
+func BenchmarkDo(b *testing.B) {
+	cl, _ := scripted(nil)
+	ro := routerOf(cl, member("a", 8), member("b", 8), member("c", 8))
+	b.ReportAllocs()
+	for n := range b.N {
+		ro.Do(context.Background(), request(n, runner.LatencyCritical, time.Second))
+	}
+}
--- /dev/null
+++ b/internal/runner/client_test.go
@@ -0,0 +1,189 @@
+package runner_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/pepperhatch/pepperhatch/internal/runner"
+	"github.com/pepperhatch/pepperhatch/internal/standin"
+)
+
+// rig is a stand-in runner with a client of its own.
+type rig struct {
+	ru   *standin.Runner
+	srv  *httptest.Server
+	cl   runner.Client
+	next int
+}
+
+func newRig(tb testing.TB) *rig {
+	tb.Helper()
+	ru := standin.NewRunner(standin.RunnerSettings{ID: "r1"})
+	srv := httptest.NewServer(ru.Handler())
+	tb.Cleanup(srv.Close)
+	return &rig{ru: ru, srv: srv, cl: runner.NewClient(runner.Limits{})}
+}
+
+func (ri *rig) addr() string { return strings.TrimPrefix(ri.srv.URL, "http://") }
+
+// run sends a request with an id of its own and returns the id.
+func (ri *rig) run(ctx context.Context, body []byte) (string, runner.Answer, error) {
+	ri.next++
+	id := fmt.Sprintf("id%d", ri.next)
+	ans, err := ri.cl.RunFunc(ctx, ri.addr(), runner.Request{ID: id, Service: "s", Body: body, Deadline: time.Now().Add(time.Minute)})
+	return id, ans, err
+}
+
+func (ri *rig) runs(id string) int {
+	n := 0
+	for _, run := range ri.ru.Log() {
+		if run.ID == id {
+			n++
+		}
+	}
+	return n
+}
+
+// assertNotRun checks that the error says not run.
+func assertNotRun(c *qt.C, err error, reason string) {
+	c.Helper()
+	var notRun *runner.NotRunError
+	c.Assert(errors.As(err, &notRun), qt.IsTrue, qt.Commentf("%v", err))
+	c.Assert(notRun.Reason, qt.Equals, reason)
+}
+
+// assertUnknown checks that the error says that the request may have run.
+func assertUnknown(c *qt.C, err error) {
+	c.Helper()
+	var unknown *runner.UnknownError
+	c.Assert(errors.As(err, &unknown), qt.IsTrue, qt.Commentf("%v", err))
+}
+
+func TestOutcomeOfEachFault(t *testing.T) {
+	c := qt.New(t)
+	ctx := context.Background()
+	for _, mode := range []standin.Mode{standin.ModeCloseUnread, standin.ModeCloseRead, standin.ModeCloseRun, standin.ModeCut, standin.ModeWrong, standin.ModeForeign} {
+		c.Run(string(mode), func(c *qt.C) {
+			ri := newRig(c)
+			// The second goes over a connection that is kept, where net/http
+			// is quickest to try again.
+			for range 2 {
+				ri.ru.Gate.Set(standin.Fault{})
+				_, _, err := ri.run(ctx, []byte("x"))
+				c.Assert(err, qt.IsNil)
+				ri.ru.Gate.Set(standin.Fault{Mode: mode})
+				id, _, err := ri.run(ctx, []byte("x"))
+				assertUnknown(c, err)
+				c.Assert(ri.runs(id) <= 1, qt.IsTrue)
+			}
+		})
+	}
+	c.Run("refused", func(c *qt.C) {
+		ri := newRig(c)
+		ri.ru.Gate.Set(standin.Fault{Mode: standin.ModeRefuse})
+		_, _, err := ri.run(ctx, nil)
+		assertNotRun(c, err, "refuse")
+	})
+	c.Run("leaving", func(c *qt.C) {
+		ri := newRig(c)
+		ri.ru.Order(standin.RunnerOrder{Leave: true})
+		_, _, err := ri.run(ctx, nil)
+		assertNotRun(c, err, runner.ReasonLeaving)
+	})
+	c.Run("nobody there", func(c *qt.C) {
+		ri := newRig(c)
+		ri.srv.Close()
+		_, _, err := ri.run(ctx, nil)
+		assertNotRun(c, err, "")
+	})
+}
+
+// TestOutcomesAreTrue sends requests under any sequence of faults and checks
+// every outcome against the runner's log.
+func TestOutcomesAreTrue(t *testing.T) {
+	modes := []standin.Mode{
+		standin.ModeOK, standin.ModeRefuse, standin.ModeWrong, standin.ModeForeign, standin.ModeCut,
+		standin.ModeCloseUnread, standin.ModeCloseRead, standin.ModeCloseRun, standin.ModeHang,
+	}
+	rapid.Check(t, func(rt *rapid.T) {
+		ri := newRig(t)
+		defer ri.srv.Close()
+		for range rapid.IntRange(1, 12).Draw(rt, "requests") {
+			mode := rapid.SampledFrom(modes).Draw(rt, "mode")
+			body := bytes.Repeat([]byte("b"), rapid.SampledFrom([]int{0, 1, 100, 100_000}).Draw(rt, "size"))
+			ri.ru.Gate.Set(standin.Fault{Mode: mode})
+			if rapid.Bool().Draw(rt, "close idle") {
+				ri.srv.CloseClientConnections()
+			}
+			ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+			id, ans, err := ri.run(ctx, body)
+			cancel()
+			checkOutcome(rt, ri, id, body, ans, err)
+		}
+	})
+}
+
+func checkOutcome(rt *rapid.T, ri *rig, id string, body []byte, ans runner.Answer, err error) {
+	runs := ri.runs(id)
+	var notRun *runner.NotRunError
+	switch {
+	case runs > 1:
+		rt.Fatalf("%s ran %d times", id, runs)
+	case err == nil && !bytes.Equal(ans.Body, standin.Answer(id, body)):
+		rt.Fatalf("%s got a wrong answer", id)
+	case errors.As(err, &notRun) && runs > 0:
+		rt.Fatalf("%s was said not to have run, and did: %v", id, err)
+	}
+}
+
+// TestNetHTTPWouldReplay shows the trap that the client avoids: a request
+// that net/http takes for replayable reaches a runner twice when the
+// connection is closed after reading, and ours does not.
+func TestNetHTTPWouldReplay(t *testing.T) {
+	c := qt.New(t)
+	var got atomic.Int64
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if got.Add(1)%2 == 1 {
+			w.Header().Set(runner.HeaderID, "id")
+			w.Header().Set(runner.HeaderStatus, runner.StatusDone)
+			return
+		}
+		panic(http.ErrAbortHandler)
+	}))
+	c.Cleanup(srv.Close)
+	c.Run("with an idempotency key", func(c *qt.C) {
+		got.Store(0)
+		tr := &http.Transport{}
+		c.Cleanup(tr.CloseIdleConnections)
+		for range 2 {
+			req, err := http.NewRequest(http.MethodPost, srv.URL, strings.NewReader("x"))
+			c.Assert(err, qt.IsNil)
+			req.Header.Set("Idempotency-Key", "k")
+			resp, err := tr.RoundTrip(req)
+			c.Assert(err, qt.IsNil)
+			c.Assert(resp.Body.Close(), qt.IsNil)
+		}
+		c.Assert(got.Load(), qt.Equals, int64(3))
+	})
+	c.Run("as our client sends it", func(c *qt.C) {
+		got.Store(0)
+		cl := runner.NewClient(runner.Limits{})
+		req := runner.Request{ID: "id", Body: []byte("x"), Deadline: time.Now().Add(time.Minute)}
+		_, err := cl.RunFunc(context.Background(), strings.TrimPrefix(srv.URL, "http://"), req)
+		c.Assert(err, qt.IsNil)
+		_, err = cl.RunFunc(context.Background(), strings.TrimPrefix(srv.URL, "http://"), req)
+		assertUnknown(c, err)
+		c.Assert(got.Load(), qt.Equals, int64(2))
+	})
+}
--- a/internal/standin/runner.go
+++ b/internal/standin/runner.go
@@ -184,14 +184,15 @@
 	if fault.Mode == ModeCloseUnread || fault.Mode == ModeDown {
 		panic(http.ErrAbortHandler)
 	}
-	if fault.Mode == ModeFreeze || fault.Mode == ModeHang {
-		<-r.Context().Done()
-		panic(http.ErrAbortHandler)
-	}
 	body, err := io.ReadAll(io.LimitReader(r.Body, wire.MaxBody))
 	if err != nil || fault.Mode == ModeCloseRead {
 		panic(http.ErrAbortHandler)
 	}
+	if fault.Mode == ModeFreeze || fault.Mode == ModeHang {
+		// The server sees that the client left only once the body is read.
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
 	id := r.Header.Get(runner.HeaderID)
 	switch fault.Mode {
 	case ModeRefuse:
