--- a/internal/cell/owner.go
+++ b/internal/cell/owner.go
@@ -39,6 +39,8 @@
 	Timing Timing
 	// Metrics counts.
 	Metrics *telemetry.Metrics
+	// Log gets events; nil gets none.
+	Log *slog.Logger
 	// NoControl turns control of tails off, for comparison.
 	NoControl bool
 
@@ -103,6 +105,9 @@
 	if ow.Timing == (Timing{}) {
 		ow.Timing = DefaultTiming
 	}
+	if ow.Log == nil {
+		ow.Log = slog.New(slog.DiscardHandler)
+	}
 	st, err := ow.Journal.Open(ctx, ow.Self, ow.Epoch)
 	if err != nil {
 		return err
@@ -116,7 +121,7 @@
 	ow.term = ow.Journal.Term()
 	ow.dirty = true
 	ow.mu.Unlock()
-	slog.Info("cell opened", "cell", ow.Cell, "epoch", ow.Epoch, "seq", st.Seq, "tasks", len(st.Tasks))
+	ow.Log.Info("cell opened", "cell", ow.Cell, "epoch", ow.Epoch, "seq", st.Seq, "tasks", len(st.Tasks))
 	return ow.loop(ctx)
 }
 
@@ -211,14 +216,14 @@
 	seq := ow.st.Seq
 	data, err := json.Marshal(ow.st)
 	if err != nil {
-		slog.Error("snapshot", "cell", ow.Cell, "err", err)
+		ow.Log.Error("snapshot", "cell", ow.Cell, "err", err)
 		return
 	}
 	sctx, cancel := context.WithTimeout(ctx, 2*time.Second)
 	defer cancel()
 	// Within the append's turn, so that the journal has one user at a time.
 	if err := ow.Journal.Snapshot(sctx, seq, data); err != nil {
-		slog.Warn("snapshot", "cell", ow.Cell, "err", err)
+		ow.Log.Warn("snapshot", "cell", ow.Cell, "err", err)
 		return
 	}
 	ow.Journal.Snapshotted(seq)
--- a/internal/entry/loops.go
+++ b/internal/entry/loops.go
@@ -232,7 +232,7 @@
 		Cell: ho.set.DC, Self: ke.ID, Epoch: ke.Since(resource).Epoch,
 		Owns:    func() bool { return ke.Owns(resource) && !ho.stopping.Load() },
 		Journal: &cell.Journal{Table: ho.table, Objects: ho.objects, Cell: ho.set.DC},
-		Workers: ho.workers, Timing: timing, Metrics: ho.metrics,
+		Workers: ho.workers, Timing: timing, Metrics: ho.metrics, Log: ho.log,
 		Hosts: func() ([]platform.Host, bool) {
 			list := ho.workerList.Load()
 			if list == nil {
