Measure placement; let services stand beside services

First fit fills workers with services one after the other; we spread services thinly, so that each worker had a service to disturb.

Changed: services, too, rather fill a worker up; replicas still spread over racks (0.5 each) and a little over workers.

Also: shrinking and growing a service while its worker is cut off, and cancelling a task whose start got lost, have tests; both are caught when the lines that see to it are taken out.

--- a/internal/cell/decide.go
+++ b/internal/cell/decide.go
@@ -157,7 +157,7 @@
 			continue
 		}
 		sp := ow.st.Jobs[ta.Job].Spec
-		ow.model.Learn(sp.Kind, tr.TailMS/target, neighbours)
+		ow.model.LearnTail(sp.Kind, tr.TailMS/target, neighbours)
 	}
 }
 
--- /dev/null
+++ b/internal/cell/twice_test.go
@@ -0,0 +1,80 @@
+package cell
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/pepperhatch/pepperhatch/internal/standin"
+)
+
+// TestNothingTwice drives a cell through cuts, late and lost messages,
+// restarts, owners that come, go and linger, a table that is away or loses
+// answers, drains and cancellations, and checks the workers' logs: no task
+// in two places, no worker overfull, every attempt from a checkpoint.
+func TestNothingTwice(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		var broken []string
+		var stopped any
+		synctest.Test(t, func(*testing.T) {
+			defer func() { stopped = recover() }()
+			la := newLab(4)
+			defer la.stop()
+			la.own(false)
+			time.Sleep(2 * time.Second)
+			rt.Repeat(la.actions())
+			broken = la.broken()
+		})
+		if stopped != nil {
+			panic(stopped)
+		}
+		if len(broken) > 0 {
+			rt.Fatal(broken)
+		}
+	})
+}
+
+func (la *lab) actions() map[string]func(*rapid.T) {
+	pick := func(rt *rapid.T) *slot {
+		return la.slots[fmt.Sprintf("w%d", rapid.IntRange(0, len(la.slots)-1).Draw(rt, "worker"))]
+	}
+	last := func() *labOwner { return la.owners[len(la.owners)-1] }
+	n := 0
+	command := func(cmd Command) {
+		n++
+		_, _ = last().do(fmt.Sprintf("p%d", n), cmd)
+	}
+	pass := func(rt *rapid.T) {
+		time.Sleep(time.Duration(rapid.IntRange(0, 15_000).Draw(rt, "ms")) * time.Millisecond)
+	}
+	return map[string]func(*rapid.T){
+		"time": pass, "time 2": pass, "time 3": pass,
+		"job": func(rt *rapid.T) {
+			run := time.Duration(rapid.IntRange(1, 40).Draw(rt, "seconds")) * time.Second
+			command(batchJob(fmt.Sprintf("j%d", n), rapid.IntRange(1, 8).Draw(rt, "tasks"), run))
+		},
+		"service": func(rt *rapid.T) { command(service(fmt.Sprintf("s%d", n), rapid.IntRange(1, 3).Draw(rt, "tasks"))) },
+		"cancel":  func(rt *rapid.T) { command(Command{Cancel: fmt.Sprintf("j%d", rapid.IntRange(0, n).Draw(rt, "job"))}) },
+		"resize": func(rt *rapid.T) {
+			job := fmt.Sprintf("s%d", rapid.IntRange(0, n).Draw(rt, "job"))
+			command(Command{Resize: &Resize{Name: job, Tasks: rapid.IntRange(1, 4).Draw(rt, "tasks")}})
+		},
+		"drain": func(rt *rapid.T) {
+			command(Command{Drain: &Drain{Rack: fmt.Sprintf("r%d", rapid.IntRange(0, 1).Draw(rt, "rack")), Undo: rapid.Bool().Draw(rt, "undo")}})
+		},
+		"cut":     func(rt *rapid.T) { sl := pick(rt); sl.cut = !sl.cut },
+		"deaf":    func(rt *rapid.T) { sl := pick(rt); sl.deaf = !sl.deaf },
+		"restart": func(rt *rapid.T) { la.restart(pick(rt)) },
+		"late": func(rt *rapid.T) {
+			pick(rt).late = time.Duration(rapid.SampledFrom([]int{0, 0, 500, 5000, 60_000}).Draw(rt, "late")) * time.Millisecond
+		},
+		"owner": func(rt *rapid.T) { la.own(rapid.Bool().Draw(rt, "former one lingers")) },
+		"table": func(rt *rapid.T) {
+			mode := rapid.SampledFrom([]standin.Mode{standin.ModeOK, standin.ModeOK, standin.ModeDown, standin.ModeLost}).Draw(rt, "mode")
+			la.table.Gate.Set(standin.Fault{Mode: mode})
+		},
+	}
+}
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -343,9 +343,13 @@
 	costSameRack = 0.5
 	// costAccel is for taking room beside unused accelerators.
 	costAccel = 0.2
-	// costTight is for leaving a full worker free, to keep room in one
-	// piece for batch; services rather spread.
+	// costTight is for leaving room beside the task: both kinds of work
+	// rather fill a worker up, so that services stand beside services, which
+	// disturb each other least, and room stays in one piece.
 	costTight = 0.1
+	// costSameWorker is for a service task on a worker that has one of its
+	// job: a failed worker would take both.
+	costSameWorker = 0.03
 )
 
 // cost of a task at a worker: the disturbance it brings to services there, or
@@ -355,6 +359,8 @@
 	co := 0.0
 	for _, other := range se.tasks {
 		switch {
+		case ta.Service && other.Job == ta.Job:
+			co += costSameWorker
 		case ta.Service && !other.Service:
 			co += pol.WeightTail * de.model.Disturbance(ta.Kind, other.Kind) * cores(other)
 		case !ta.Service && other.Service:
@@ -362,11 +368,9 @@
 		}
 	}
 	left := float64(se.free.MilliCores-ta.Each.MilliCores) / float64(max(1, se.Holds.MilliCores))
+	co += costTight * left
 	if ta.Service {
 		co += costSameRack * float64(de.racks[rackKey(ta.Job, se.Rack)])
-		co += costTight * (1 - left)
-	} else {
-		co += costTight * left
 	}
 	if ta.Each.Accels == 0 && se.free.Accels > 0 {
 		co += costAccel
