Test limits, settings, configuration, takeover of a cell, an outage's fresh host

Cause: these had no test. Configuration: three stores under polls, old news, outages, lost answers and restarts never go back, and no version is accepted twice. A killed owner's cell goes to another host with no overlap and no service task started again. A host started while the table is away takes the configuration from a peer.

The stand-in runner bounds its connections.

--- /dev/null
+++ b/e2e/cell_test.go
@@ -0,0 +1,141 @@
+package e2e
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	qt "github.com/frankban/quicktest"
+
+	"github.com/pepperhatch/pepperhatch/internal/load"
+	"github.com/pepperhatch/pepperhatch/internal/runner"
+	"github.com/pepperhatch/pepperhatch/internal/standin"
+)
+
+var compare = flag.Bool("compare", false, "measure what an entry host adds to a request")
+
+// spans returns the logs of all workers by task.
+func (cl *cluster) spans() map[string][]standin.TaskSpan {
+	spans := map[string][]standin.TaskSpan{}
+	for _, pr := range cl.workers {
+		resp, err := cl.web.Post("http://"+pr.Args[3]+"/log", "application/json", nil)
+		cl.c.Assert(err, qt.IsNil)
+		data, err := io.ReadAll(resp.Body)
+		cl.c.Assert(err, qt.IsNil)
+		_ = resp.Body.Close()
+		var log []standin.TaskSpan
+		cl.c.Assert(json.Unmarshal(data, &log), qt.IsNil)
+		for _, sp := range log {
+			spans[sp.Task] = append(spans[sp.Task], sp)
+		}
+	}
+	return spans
+}
+
+// ownerOf returns the entry host that owns a cell.
+func (cl *cluster) ownerOf(via int, dc string) *process {
+	for _, ce := range cl.status(via).GetCells() {
+		if ce.GetName() != dc {
+			continue
+		}
+		for _, pr := range cl.entries {
+			if strings.HasPrefix(ce.GetOwner(), pr.name+"-") {
+				return pr
+			}
+		}
+	}
+	return nil
+}
+
+// TestCellOwnerKilled kills the owner of a cell while a job runs. Another host
+// takes over, services run on, and no task runs twice at once.
+func TestCellOwnerKilled(t *testing.T) {
+	c := qt.New(t)
+	cl := startCluster(c)
+	cl.cli(2, "service", "add", "--cell", dcs[0], "--name", "routedesk", "--tasks", "4", "--cores", "2", "--yes")
+	cl.cli(2, "job", "add", "--cell", dcs[0], "--name", "depot", "--tasks", "30", "--cores", "4", "--run", "1500ms", "--yes")
+	owner := cl.ownerOf(2, dcs[0])
+	c.Assert(owner, qt.IsNotNil)
+	cl.await("some are done", func() bool { return strings.Contains(cl.cli(2, "job", "tasks", "--job", "depot"), ":ok") })
+	cl.kill(owner)
+	cl.await("another owner", func() bool {
+		next := cl.ownerOf(2, dcs[0])
+		return next != nil && next != owner
+	})
+	cl.await("all done", func() bool {
+		return strings.Count(cl.cli(2, "job", "tasks", "--job", "depot"), ":ok") == 30
+	})
+	spans := cl.spans()
+	c.Assert(standin.Overlaps(spans), qt.HasLen, 0)
+	for id, sps := range spans {
+		if strings.HasPrefix(id, "routedesk/") {
+			c.Assert(sps, qt.HasLen, 1, qt.Commentf("a service task was started again"))
+		}
+	}
+}
+
+// TestFreshHostDuringOutage starts an entry host while the table is away. It
+// takes the configuration from a peer, and is ready with no lower one.
+func TestFreshHostDuringOutage(t *testing.T) {
+	c := qt.New(t)
+	cl := startCluster(c)
+	cl.cli(0, "config", "set", "route.batch-every=4", "--yes")
+	for _, addr := range cl.platform {
+		cl.fault(addr, "down")
+	}
+	fresh := cl.startEntry("e4", dcs[1])
+	cl.await("ready", func() bool {
+		resp, err := cl.web.Get("http://" + fresh.addrs[0] + "/readyz")
+		if err != nil {
+			return false
+		}
+		_ = resp.Body.Close()
+		return resp.StatusCode == http.StatusOK
+	})
+	cl.entries = append(cl.entries, fresh)
+	c.Assert(cl.cli(3, "config", "get"), qt.Contains, "version 1")
+}
+
+// TestOverhead prints, with -compare, what an entry host adds to a request,
+// and how long a change of configuration takes to be in force.
+func TestOverhead(t *testing.T) {
+	if !*compare {
+		return
+	}
+	c := qt.New(t)
+	cl := startCluster(c)
+	direct := hdrhistogram.New(1, 60_000_000, 3)
+	client := runner.NewClient(runner.Limits{})
+	entry := cl.caller(cl.entries[0])
+	set := load.Settings{Rate: 200, For: 10 * time.Second, Service: "routedesk", Method: "leg-recalc", BodyBytes: 64}
+	for i := range 2000 {
+		begun := time.Now()
+		_, err := client.RunFunc(context.Background(), cl.runners[0].Args[3], runner.Request{
+			ID: fmt.Sprint(i), Service: "routedesk", Body: make([]byte, 64), Deadline: time.Now().Add(time.Second),
+		})
+		c.Assert(err, qt.IsNil)
+		_ = direct.RecordValue(time.Since(begun).Microseconds())
+	}
+	re := load.Run(context.Background(), entry, set)
+	c.Logf("direct, one at a time: p50 %.2f ms p99 %.2f ms", float64(direct.ValueAtQuantile(50))/1000, float64(direct.ValueAtQuantile(99))/1000)
+	c.Logf("through an entry host, 200 a second: %+v", re.Classes)
+	var took []time.Duration
+	for i := range 10 {
+		begun := time.Now()
+		cl.cli(0, "config", "set", fmt.Sprintf("route.batch-every=%d", i+2), "--yes")
+		cl.await("in force", func() bool {
+			return strings.Contains(cl.cli(2, "status"), fmt.Sprintf("configuration %d in force at 3 of 3", i+1))
+		})
+		took = append(took, time.Since(begun))
+	}
+	slices.Sort(took)
+	c.Logf("configuration in force at 3 of 3, from the command to seeing it: %v", took)
+}
--- a/internal/cell/decide.go
+++ b/internal/cell/decide.go
@@ -18,9 +18,6 @@
 // Throttles are not journalled: a new owner begins with none.
 func (ow *Owner) decide() []Record {
 	now := time.Now()
-	if !ow.dirty && now.Sub(ow.decided) < decideEvery {
-		return nil
-	}
 	ow.dirty, ow.decided = false, now
 	var records []Record
 	for _, dec := range place.Decide(ow.placeSnapshot(now)) {
--- a/internal/cell/lab_test.go
+++ b/internal/cell/lab_test.go
@@ -122,13 +122,15 @@
 		Journal: &Journal{Table: la.table.Client(), Objects: la.objects.Client(), Cell: "dc"},
 		Workers: worker.Client{ExchangeFunc: la.exchange},
 		Hosts:   la.list,
-		Config:  func() config.Doc { return la.doc },
+		Config:  la.config,
 	}
 	la.owners = append(la.owners, lo)
 	go func() { lo.ended <- lo.ow.Run(ctx) }()
 	return lo
 }
 
+func (la *lab) config() config.Doc { return la.doc }
+
 func (la *lab) list() ([]platform.Host, bool) {
 	var hosts []platform.Host
 	for _, id := range slices.Sorted(maps.Keys(la.slots)) {
--- a/internal/cell/owner.go
+++ b/internal/cell/owner.go
@@ -172,6 +172,12 @@
 
 // journal starts the append of all that is to be noted now.
 func (ow *Owner) journal(ctx context.Context) {
+	// Going through all workers and tasks costs milliseconds for a thousand
+	// workers; it is done when something has changed, and now and then for
+	// what only time brings.
+	if !ow.dirty && len(ow.commands) == 0 && time.Since(ow.decided) < decideEvery {
+		return
+	}
 	records := ow.hostRecords()
 	records = append(records, ow.endRecords()...)
 	records = append(records, ow.commandRecords()...)
--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,122 @@
+package config
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/pepperhatch/pepperhatch/internal/standin"
+)
+
+func TestWith(t *testing.T) {
+	c := qt.New(t)
+	doc, err := Doc{}.With(map[string]string{QueueLimit: "5", QuotaPrefix + "depot": "cores:2,mem:100"})
+	c.Assert(err, qt.IsNil)
+	c.Assert(doc.Version, qt.Equals, int64(1))
+	c.Assert(doc.Int(QueueLimit), qt.Equals, 5)
+	c.Assert(doc.Duration(TailTarget), qt.Equals, 100*time.Millisecond)
+	c.Assert(doc.Quotas()["depot"].MilliCores, qt.Equals, int64(2000))
+	c.Assert(doc.All()[BatchEvery], qt.Equals, "8")
+	back, err := doc.With(map[string]string{QueueLimit: ""})
+	c.Assert(err, qt.IsNil)
+	c.Assert(back.Int(QueueLimit), qt.Equals, 1024)
+	c.Assert(doc.Int(QueueLimit), qt.Equals, 5)
+	_, err = doc.With(map[string]string{"nothing": "1", RetryRatio: "2", TailTarget: "soon", QuotaPrefix + "x": "beds:2"})
+	for _, name := range []string{"nothing", RetryRatio, TailTarget, "quota.x"} {
+		c.Assert(err, qt.ErrorMatches, `(?s).*`+name+`.*`)
+	}
+}
+
+func TestDefaultsAreValid(t *testing.T) {
+	for _, ke := range Keys {
+		if ke.Default != "" {
+			qt.Check(t, ke.check(ke.Default), qt.IsNil, qt.Commentf("%s", ke.Name))
+		}
+	}
+}
+
+// TestNeverBack drives several hosts through changes, polls, news from peers
+// that may be old, outages, lost answers and restarts. No host goes back, and
+// a change that was accepted is never replaced by one that did not build on
+// it.
+func TestNeverBack(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		var stopped any
+		synctest.Test(t, func(*testing.T) {
+			defer func() { stopped = recover() }()
+			table := &standin.Table{}
+			stores := make([]*Store, 3)
+			last := make([]int64, 3)
+			accepted := map[int64]string{}
+			fresh := func(i int) {
+				stores[i], last[i] = &Store{Table: table.Client()}, -1
+			}
+			for i := range stores {
+				fresh(i)
+			}
+			pick := func(rt *rapid.T, name string) int { return rapid.IntRange(0, 2).Draw(rt, name) }
+			ctx := context.Background()
+			rt.Repeat(map[string]func(*rapid.T){
+				"poll": func(rt *rapid.T) { _ = stores[pick(rt, "host")].Poll(ctx) },
+				"news": func(rt *rapid.T) {
+					if doc, ok := stores[pick(rt, "from")].Current(); ok {
+						stores[pick(rt, "to")].Adopt(doc)
+					}
+				},
+				"change": func(rt *rapid.T) {
+					st := stores[pick(rt, "host")]
+					doc, _ := st.Current()
+					value := rapid.SampledFrom([]string{"1", "2", "3"}).Draw(rt, "value")
+					cctx, cancel := context.WithTimeout(ctx, time.Second)
+					defer cancel()
+					next, err := st.Change(cctx, doc.Version, map[string]string{QueueLimit: value}, Also{Key: "plan/" + rapid.StringMatching(`[a-z]{12}`).Draw(rt, "plan"), Value: 1})
+					if err == nil {
+						if was, ok := accepted[next.Version]; ok {
+							rt.Fatalf("version %d accepted twice: %s and %s", next.Version, was, value)
+						}
+						accepted[next.Version] = value
+					}
+				},
+				"restart": func(rt *rapid.T) { fresh(pick(rt, "host")) },
+				"fault": func(rt *rapid.T) {
+					mode := rapid.SampledFrom([]standin.Mode{standin.ModeOK, standin.ModeDown, standin.ModeLost}).Draw(rt, "mode")
+					table.Gate.Set(standin.Fault{Mode: mode, Count: rapid.IntRange(0, 3).Draw(rt, "count")})
+				},
+				"": func(rt *rapid.T) {
+					for i, st := range stores {
+						doc, ok := st.Current()
+						if !ok {
+							continue
+						}
+						if doc.Version < last[i] {
+							rt.Fatalf("host %d went back from %d to %d", i, last[i], doc.Version)
+						}
+						if want, ok := accepted[doc.Version]; ok && doc.Values[QueueLimit] != want {
+							rt.Fatalf("version %d has %q, accepted was %q", doc.Version, doc.Values[QueueLimit], want)
+						}
+						last[i] = doc.Version
+					}
+				},
+			})
+		})
+		if stopped != nil {
+			panic(stopped)
+		}
+	})
+}
+
+func TestRacingChanges(t *testing.T) {
+	c := qt.New(t)
+	table := &standin.Table{}
+	a, b := &Store{Table: table.Client()}, &Store{Table: table.Client()}
+	ctx := context.Background()
+	_, err := a.Change(ctx, 0, map[string]string{QueueLimit: "1"}, Also{Key: "plan/a", Value: 1})
+	c.Assert(err, qt.IsNil)
+	_, err = b.Change(ctx, 0, map[string]string{QueueLimit: "2"}, Also{Key: "plan/b", Value: 1})
+	c.Assert(errors.Is(err, ErrConflict), qt.IsTrue)
+}
--- /dev/null
+++ b/internal/platform/platform_test.go
@@ -0,0 +1,74 @@
+package platform_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/pepperhatch/pepperhatch/internal/platform"
+	"github.com/pepperhatch/pepperhatch/internal/standin"
+)
+
+func put(c *qt.C, key string, version int64) platform.Txn {
+	txn, err := platform.NewTxn().WithPut(key, version, "v")
+	c.Assert(err, qt.IsNil)
+	return txn
+}
+
+func TestSettle(t *testing.T) {
+	run := func(name string, fn func(c *qt.C, ta *standin.Table, ctx context.Context)) {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+				defer cancel()
+				fn(qt.New(t), &standin.Table{}, ctx)
+			})
+		})
+	}
+	run("answer lost after the write", func(c *qt.C, ta *standin.Table, ctx context.Context) {
+		ta.Gate.Set(standin.Fault{Mode: standin.ModeLost, Count: 3})
+		version, err := ta.Client().Settle(ctx, put(c, "k", 0))
+		c.Assert(err, qt.IsNil)
+		c.Assert(version, qt.Equals, int64(1))
+	})
+	run("conflict with another", func(c *qt.C, ta *standin.Table, ctx context.Context) {
+		_, err := ta.Client().Settle(ctx, put(c, "k", 0))
+		c.Assert(err, qt.IsNil)
+		_, err = ta.Client().Settle(ctx, put(c, "k", 0))
+		c.Assert(errors.Is(err, platform.ErrConflict), qt.IsTrue)
+	})
+	run("table away, then back", func(c *qt.C, ta *standin.Table, ctx context.Context) {
+		ta.Gate.Set(standin.Fault{Mode: standin.ModeDown})
+		go func() {
+			time.Sleep(10 * time.Second)
+			ta.Gate.Set(standin.Fault{})
+		}()
+		_, err := ta.Client().Settle(ctx, put(c, "k", 0))
+		c.Assert(err, qt.IsNil)
+	})
+	run("table frozen, then back", func(c *qt.C, ta *standin.Table, ctx context.Context) {
+		ta.Gate.Set(standin.Fault{Mode: standin.ModeFreeze})
+		go func() {
+			time.Sleep(10 * time.Second)
+			ta.Gate.Set(standin.Fault{})
+		}()
+		_, err := ta.Client().Settle(ctx, put(c, "k", 0))
+		c.Assert(err, qt.IsNil)
+	})
+	run("all or nothing", func(c *qt.C, ta *standin.Table, ctx context.Context) {
+		_, err := ta.Client().Settle(ctx, put(c, "a", 0))
+		c.Assert(err, qt.IsNil)
+		txn, err := put(c, "b", 0).WithPut("a", 0, "w")
+		c.Assert(err, qt.IsNil)
+		_, err = ta.Client().Settle(ctx, txn)
+		c.Assert(errors.Is(err, platform.ErrConflict), qt.IsTrue)
+		var value string
+		version, err := ta.Client().Get(ctx, "b", &value)
+		c.Assert(err, qt.IsNil)
+		c.Assert(version, qt.Equals, int64(0))
+	})
+}
--- /dev/null
+++ b/internal/port/port_test.go
@@ -0,0 +1,104 @@
+package port
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// open serves a handler on a port with limits and returns its URL.
+func open(c *qt.C, h http.HandlerFunc, lim Limits) string {
+	po, err := Listen("127.0.0.1:0", lim)
+	c.Assert(err, qt.IsNil)
+	go func() { _ = po.Serve(h, lim) }()
+	c.Cleanup(func() { _ = po.Stop(context.Background()) })
+	return "http://" + po.Addr
+}
+
+func status(c *qt.C, url string, body io.Reader) int {
+	resp, err := http.Post(url, "text/plain", body)
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = resp.Body.Close() }()
+	return resp.StatusCode
+}
+
+func TestLimits(t *testing.T) {
+	lim := Limits{Conns: 100, InFlight: 1, Body: 10, Read: 200 * time.Millisecond}
+	read := func(w http.ResponseWriter, r *http.Request) {
+		if _, err := io.ReadAll(r.Body); err != nil {
+			w.WriteHeader(http.StatusBadRequest)
+		}
+	}
+	t.Run("body", func(t *testing.T) {
+		c := qt.New(t)
+		url := open(c, read, lim)
+		c.Assert(status(c, url, strings.NewReader("0123456789")), qt.Equals, http.StatusOK)
+		c.Assert(status(c, url, strings.NewReader("0123456789x")), qt.Equals, http.StatusRequestEntityTooLarge)
+		// Without a length stated, the limit shows while reading.
+		c.Assert(status(c, url, io.MultiReader(bytes.NewReader(make([]byte, 20)))), qt.Equals, http.StatusBadRequest)
+	})
+	t.Run("in flight", func(t *testing.T) {
+		c := qt.New(t)
+		gate, entered := make(chan struct{}), make(chan struct{})
+		url := open(c, func(http.ResponseWriter, *http.Request) { close(entered); <-gate }, lim)
+		done := make(chan int)
+		go func() { done <- status(c, url, nil) }()
+		<-entered
+		c.Assert(status(c, url, nil), qt.Equals, http.StatusServiceUnavailable)
+		close(gate)
+		c.Assert(<-done, qt.Equals, http.StatusOK)
+	})
+	t.Run("a body that never comes costs nobody else anything", func(t *testing.T) {
+		c := qt.New(t)
+		ended := make(chan error, 2)
+		url := open(c, func(_ http.ResponseWriter, r *http.Request) {
+			_, err := io.ReadAll(r.Body)
+			ended <- err
+		}, lim)
+		conn, err := net.Dial("tcp", strings.TrimPrefix(url, "http://"))
+		c.Assert(err, qt.IsNil)
+		defer func() { _ = conn.Close() }()
+		_, err = conn.Write([]byte("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\nab"))
+		c.Assert(err, qt.IsNil)
+		c.Assert(<-ended, qt.IsNotNil)
+		c.Assert(status(c, url, nil), qt.Equals, http.StatusOK)
+	})
+	t.Run("garbage", func(t *testing.T) {
+		c := qt.New(t)
+		url := open(c, read, lim)
+		conn, err := net.Dial("tcp", strings.TrimPrefix(url, "http://"))
+		c.Assert(err, qt.IsNil)
+		defer func() { _ = conn.Close() }()
+		_, err = conn.Write([]byte("\x00\x01garbage\r\n\r\n"))
+		c.Assert(err, qt.IsNil)
+		reply, _ := io.ReadAll(conn)
+		c.Assert(string(reply), qt.Contains, "400 Bad Request")
+		c.Assert(status(c, url, nil), qt.Equals, http.StatusOK)
+	})
+}
+
+func TestStopWaitsForRequestsInFlight(t *testing.T) {
+	c := qt.New(t)
+	lim := Limits{Conns: 10, InFlight: 10, Body: 10, Read: time.Second}
+	po, err := Listen("127.0.0.1:0", lim)
+	c.Assert(err, qt.IsNil)
+	gate, entered := make(chan struct{}), make(chan struct{})
+	go func() {
+		_ = po.Serve(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { close(entered); <-gate }), lim)
+	}()
+	done := make(chan int)
+	go func() { done <- status(c, "http://"+po.Addr, nil) }()
+	<-entered
+	stopped := make(chan error)
+	go func() { stopped <- po.Stop(context.Background()) }()
+	close(gate)
+	c.Assert(<-done, qt.Equals, http.StatusOK)
+	c.Assert(<-stopped, qt.IsNil)
+}
--- a/internal/standin/command.go
+++ b/internal/standin/command.go
@@ -14,12 +14,16 @@
 	"time"
 
 	"github.com/jessevdk/go-flags"
+	"golang.org/x/net/netutil"
 
 	"github.com/pepperhatch/pepperhatch/internal/platform"
 	"github.com/pepperhatch/pepperhatch/internal/wire"
 	"github.com/pepperhatch/pepperhatch/internal/worker"
 )
 
+// maxConns bounds the connections of stand-ins that need no bound of their own.
+const maxConns = 1000
+
 // Main runs the command line of cmd/standin and returns its exit code.
 func Main(args []string, errw io.Writer) int {
 	pa := flags.NewNamedParser("standin", flags.HelpFlag|flags.PassDoubleDash)
@@ -43,14 +47,19 @@
 	return 0
 }
 
-// serveAll serves handlers at addresses until a signal to stop.
-func serveAll(handlers map[string]http.Handler) error {
+// serveAll serves handlers at addresses until a signal to stop, each with so
+// many connections at most.
+func serveAll(handlers map[string]http.Handler, conns int) error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
 	errs := make(chan error, len(handlers))
 	for addr, h := range handlers {
-		srv := &http.Server{Addr: addr, Handler: h, ReadHeaderTimeout: 10 * time.Second}
-		go func() { errs <- srv.ListenAndServe() }()
+		ln, err := (&net.ListenConfig{}).Listen(ctx, "tcp", addr)
+		if err != nil {
+			return fmt.Errorf("serve: %w", err)
+		}
+		srv := &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second}
+		go func() { errs <- srv.Serve(netutil.LimitListener(ln, conns)) }()
 	}
 	select {
 	case <-ctx.Done():
@@ -73,7 +82,7 @@
 		pc.Table:   (&Table{}).Handler(),
 		pc.Objects: (&Objects{}).Handler(),
 		pc.Hosts:   (&Hosts{Lag: pc.Lag}).Handler(),
-	})
+	}, maxConns)
 }
 
 // hostOptions are what runners and workers have in common.
@@ -129,6 +138,7 @@
 	Mean    time.Duration `long:"mean" default:"20ms" description:"mean service time"`
 	Sigma   float64       `long:"sigma" default:"0.5" description:"log-normal spread of the service time"`
 	Tick    time.Duration `long:"tick" default:"100ms" description:"time between a session's events"`
+	Conns   int           `long:"conns" default:"60" description:"connections at a time"`
 	Log     string        `long:"log" description:"file that gets the id of each request as its run begins"`
 }
 
@@ -153,7 +163,7 @@
 	if err := rc.enter(hosts); err != nil {
 		return err
 	}
-	return serveAll(handlers)
+	return serveAll(handlers, rc.Conns)
 }
 
 // openLog opens the file of --log. Each line is one write, so that a kill
@@ -196,5 +206,5 @@
 	if err := wc.enter(hosts); err != nil {
 		return err
 	}
-	return serveAll(handlers)
+	return serveAll(handlers, maxConns)
 }
