--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -315,8 +315,10 @@
 	le.mu.Lock()
 	defer le.mu.Unlock()
 	if sh := le.shards[ho.Resource]; sh != nil {
-		if sh.begun.Epoch > ho.Epoch {
-			// Late: the memory here is of that tenure already, or a later one.
+		owned := !sh.begun.At.IsZero()
+		if sh.begun.Epoch > ho.Epoch || (owned && sh.begun.Epoch == ho.Epoch) {
+			// Late: the memory here is of that tenure already, or a later one,
+			// or this host is the giver itself.
 			return
 		}
 		le.count -= len(sh.taken)
