--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -41,68 +41,86 @@
 	}
 }
 
+// model is three hosts over one table.
+type model struct {
+	table  standin.Table
+	stores [3]*Store
+	// last is the version that each host had, accepted the value of each
+	// version that was accepted.
+	last     [3]int64
+	accepted map[int64]string
+}
+
+func newModel() *model {
+	mo := &model{accepted: map[int64]string{}}
+	for i := range mo.stores {
+		mo.restart(i)
+	}
+	return mo
+}
+
+func (mo *model) restart(i int) {
+	mo.stores[i], mo.last[i] = &Store{Table: mo.table.Client()}, -1
+}
+
+func (mo *model) change(rt *rapid.T, st *Store) {
+	doc, _ := st.Current()
+	value := rapid.SampledFrom([]string{"1", "2", "3"}).Draw(rt, "value")
+	plan := "plan/" + rapid.StringMatching(`[a-z]{12}`).Draw(rt, "plan")
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	next, err := st.Change(ctx, doc.Version, map[string]string{QueueLimit: value}, Also{Key: plan, Value: 1})
+	if err != nil {
+		return
+	}
+	if was, ok := mo.accepted[next.Version]; ok {
+		rt.Fatalf("version %d accepted twice: %s and %s", next.Version, was, value)
+	}
+	mo.accepted[next.Version] = value
+}
+
+func (mo *model) check(rt *rapid.T) {
+	for i, st := range mo.stores {
+		doc, ok := st.Current()
+		if !ok {
+			continue
+		}
+		if doc.Version < mo.last[i] {
+			rt.Fatalf("host %d went back from %d to %d", i, mo.last[i], doc.Version)
+		}
+		if want, ok := mo.accepted[doc.Version]; ok && doc.Values[QueueLimit] != want {
+			rt.Fatalf("version %d has %q, accepted was %q", doc.Version, doc.Values[QueueLimit], want)
+		}
+		mo.last[i] = doc.Version
+	}
+}
+
+func (mo *model) actions() map[string]func(*rapid.T) {
+	pick := func(rt *rapid.T, name string) int { return rapid.IntRange(0, len(mo.stores)-1).Draw(rt, name) }
+	return map[string]func(*rapid.T){
+		"poll": func(rt *rapid.T) { _ = mo.stores[pick(rt, "host")].Poll(context.Background()) },
+		"news": func(rt *rapid.T) {
+			if doc, ok := mo.stores[pick(rt, "from")].Current(); ok {
+				mo.stores[pick(rt, "to")].Adopt(doc)
+			}
+		},
+		"change":  func(rt *rapid.T) { mo.change(rt, mo.stores[pick(rt, "host")]) },
+		"restart": func(rt *rapid.T) { mo.restart(pick(rt, "host")) },
+		"fault": func(rt *rapid.T) {
+			mode := rapid.SampledFrom([]standin.Mode{standin.ModeOK, standin.ModeDown, standin.ModeLost}).Draw(rt, "mode")
+			mo.table.Gate.Set(standin.Fault{Mode: mode, Count: rapid.IntRange(0, 3).Draw(rt, "count")})
+		},
+		"": mo.check,
+	}
+}
+
 // TestNeverBack drives several hosts through changes, polls, news from peers
 // that may be old, outages, lost answers and restarts. No host goes back, and
 // a change that was accepted is never replaced by one that did not build on
 // it.
 func TestNeverBack(t *testing.T) {
 	proptest.Check(t, proptest.Size{Checks: 300}, func(rt *rapid.T) {
-		proptest.InBubble(t, func() {
-			table := &standin.Table{}
-			stores := make([]*Store, 3)
-			last := make([]int64, 3)
-			accepted := map[int64]string{}
-			fresh := func(i int) {
-				stores[i], last[i] = &Store{Table: table.Client()}, -1
-			}
-			for i := range stores {
-				fresh(i)
-			}
-			pick := func(rt *rapid.T, name string) int { return rapid.IntRange(0, 2).Draw(rt, name) }
-			ctx := context.Background()
-			rt.Repeat(map[string]func(*rapid.T){
-				"poll": func(rt *rapid.T) { _ = stores[pick(rt, "host")].Poll(ctx) },
-				"news": func(rt *rapid.T) {
-					if doc, ok := stores[pick(rt, "from")].Current(); ok {
-						stores[pick(rt, "to")].Adopt(doc)
-					}
-				},
-				"change": func(rt *rapid.T) {
-					st := stores[pick(rt, "host")]
-					doc, _ := st.Current()
-					value := rapid.SampledFrom([]string{"1", "2", "3"}).Draw(rt, "value")
-					cctx, cancel := context.WithTimeout(ctx, time.Second)
-					defer cancel()
-					next, err := st.Change(cctx, doc.Version, map[string]string{QueueLimit: value}, Also{Key: "plan/" + rapid.StringMatching(`[a-z]{12}`).Draw(rt, "plan"), Value: 1})
-					if err == nil {
-						if was, ok := accepted[next.Version]; ok {
-							rt.Fatalf("version %d accepted twice: %s and %s", next.Version, was, value)
-						}
-						accepted[next.Version] = value
-					}
-				},
-				"restart": func(rt *rapid.T) { fresh(pick(rt, "host")) },
-				"fault": func(rt *rapid.T) {
-					mode := rapid.SampledFrom([]standin.Mode{standin.ModeOK, standin.ModeDown, standin.ModeLost}).Draw(rt, "mode")
-					table.Gate.Set(standin.Fault{Mode: mode, Count: rapid.IntRange(0, 3).Draw(rt, "count")})
-				},
-				"": func(rt *rapid.T) {
-					for i, st := range stores {
-						doc, ok := st.Current()
-						if !ok {
-							continue
-						}
-						if doc.Version < last[i] {
-							rt.Fatalf("host %d went back from %d to %d", i, last[i], doc.Version)
-						}
-						if want, ok := accepted[doc.Version]; ok && doc.Values[QueueLimit] != want {
-							rt.Fatalf("version %d has %q, accepted was %q", doc.Version, doc.Values[QueueLimit], want)
-						}
-						last[i] = doc.Version
-					}
-				},
-			})
-		})
+		proptest.InBubble(t, func() { rt.Repeat(newModel().actions()) })
 	})
 }
 
--- a/internal/place/trial_test.go
+++ b/internal/place/trial_test.go
@@ -54,8 +54,6 @@
 	runFor, done, kept float64
 	// uses is the part of its declared cores that it uses.
 	uses float64
-	tail float64
-	ends bool
 }
 
 // policy is a way to place and to control.
@@ -73,24 +71,14 @@
 	return func(sn Snapshot) []Decision {
 		de := newDecider(sn)
 		for _, se := range de.order {
-			if worst := de.worst(se); worst != nil && worst.TailMS > sn.Policy.TailTargetMS {
-				if batch := de.disturbers(se, worst); len(batch) > 0 {
-					de.add(Decision{Verb: Evict, Task: batch[0].ID, Worker: se.ID})
-				}
-			}
+			de.evictWhenOver(se)
 		}
 		for i := range sn.Tasks {
 			ta := &sn.Tasks[i]
 			if ta.Worker != "" || ta.Stopping {
 				continue
 			}
-			var best *seat
-			for _, se := range de.order {
-				if !se.Closed && ta.Each.Fits(se.free) && (best == nil || better(se, best)) {
-					best = se
-				}
-			}
-			if best != nil {
+			if best := de.byRule(ta, better); best != nil {
 				de.seatTask(best, ta)
 			}
 		}
@@ -98,6 +86,26 @@
 	}
 }
 
+func (de *decider) evictWhenOver(se *seat) {
+	worst := de.worst(se)
+	if worst == nil || worst.TailMS <= de.sn.Policy.TailTargetMS {
+		return
+	}
+	if batch := de.disturbers(se, worst); len(batch) > 0 {
+		de.add(Decision{Verb: Evict, Task: batch[0].ID, Worker: se.ID})
+	}
+}
+
+func (de *decider) byRule(ta *Task, better func(a, b *seat) bool) *seat {
+	var best *seat
+	for _, se := range de.order {
+		if !se.Closed && ta.Each.Fits(se.free) && (best == nil || better(se, best)) {
+			best = se
+		}
+	}
+	return best
+}
+
 func policies() []policy {
 	noControl := func(sn Snapshot) []Decision {
 		sn.Policy.NoControl = true
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -13,8 +13,9 @@
 	"github.com/pepperhatch/pepperhatch/internal/standin"
 )
 
-func put(c *qt.C, key string, version int64) platform.Txn {
-	txn, err := platform.NewTxn().WithPut(key, version, "v")
+// put returns a write of a row that must be new.
+func put(c *qt.C, key string) platform.Txn {
+	txn, err := platform.NewTxn().WithPut(key, 0, "v")
 	c.Assert(err, qt.IsNil)
 	return txn
 }
@@ -31,14 +32,14 @@
 	}
 	run("answer lost after the write", func(c *qt.C, ta *standin.Table, ctx context.Context) {
 		ta.Gate.Set(standin.Fault{Mode: standin.ModeLost, Count: 3})
-		version, err := ta.Client().Settle(ctx, put(c, "k", 0))
+		version, err := ta.Client().Settle(ctx, put(c, "k"))
 		c.Assert(err, qt.IsNil)
 		c.Assert(version, qt.Equals, int64(1))
 	})
 	run("conflict with another", func(c *qt.C, ta *standin.Table, ctx context.Context) {
-		_, err := ta.Client().Settle(ctx, put(c, "k", 0))
+		_, err := ta.Client().Settle(ctx, put(c, "k"))
 		c.Assert(err, qt.IsNil)
-		_, err = ta.Client().Settle(ctx, put(c, "k", 0))
+		_, err = ta.Client().Settle(ctx, put(c, "k"))
 		c.Assert(errors.Is(err, platform.ErrConflict), qt.IsTrue)
 	})
 	run("table away, then back", func(c *qt.C, ta *standin.Table, ctx context.Context) {
@@ -47,7 +48,7 @@
 			time.Sleep(10 * time.Second)
 			ta.Gate.Set(standin.Fault{})
 		}()
-		_, err := ta.Client().Settle(ctx, put(c, "k", 0))
+		_, err := ta.Client().Settle(ctx, put(c, "k"))
 		c.Assert(err, qt.IsNil)
 	})
 	run("table frozen, then back", func(c *qt.C, ta *standin.Table, ctx context.Context) {
@@ -56,13 +57,13 @@
 			time.Sleep(10 * time.Second)
 			ta.Gate.Set(standin.Fault{})
 		}()
-		_, err := ta.Client().Settle(ctx, put(c, "k", 0))
+		_, err := ta.Client().Settle(ctx, put(c, "k"))
 		c.Assert(err, qt.IsNil)
 	})
 	run("all or nothing", func(c *qt.C, ta *standin.Table, ctx context.Context) {
-		_, err := ta.Client().Settle(ctx, put(c, "a", 0))
+		_, err := ta.Client().Settle(ctx, put(c, "a"))
 		c.Assert(err, qt.IsNil)
-		txn, err := put(c, "b", 0).WithPut("a", 0, "w")
+		txn, err := put(c, "b").WithPut("a", 0, "w")
 		c.Assert(err, qt.IsNil)
 		_, err = ta.Client().Settle(ctx, txn)
 		c.Assert(errors.Is(err, platform.ErrConflict), qt.IsTrue)
--- a/internal/route/compare_test.go
+++ b/internal/route/compare_test.go
@@ -78,7 +78,7 @@
 	{name: "all, 3 slots each", hosts: 3, slots: 3},
 }
 
-// trial is one load on one way.
+// trialLoad is a load to put on a way.
 type trialLoad struct {
 	name string
 	// load is the part of capacity that arrives.
@@ -131,7 +131,7 @@
 	}
 }
 
-// world is a way under a load.
+// trialWorld is a way under a load.
 type trialWorld struct {
 	fr    *fakeRunners
 	hosts map[string]*Router
--- a/internal/session/session_test.go
+++ b/internal/session/session_test.go
@@ -53,8 +53,8 @@
 	fs.opened++
 	ctx, cancel := context.WithCancel(ctx)
 	seq := req.Seq
-	event := func() (runner.SessionEvent, error) {
-		return runner.SessionEvent{Seq: seq, Body: fmt.Appendf(nil, "%s/%d", req.Topic, seq), State: []byte(req.Topic)}, nil
+	event := func() runner.SessionEvent {
+		return runner.SessionEvent{Seq: seq, Body: fmt.Appendf(nil, "%s/%d", req.Topic, seq), State: []byte(req.Topic)}
 	}
 	next := func() (runner.SessionEvent, error) {
 		time.Sleep(10 * time.Millisecond)
@@ -63,10 +63,10 @@
 		}
 		switch fs.next() {
 		case actRepeat:
-			return event()
+			return event(), nil
 		case actSkip:
 			seq += 2
-			return event()
+			return event(), nil
 		case actAlive:
 			return runner.SessionEvent{}, nil
 		case actMoved:
@@ -78,7 +78,7 @@
 			return runner.SessionEvent{}, io.ErrUnexpectedEOF
 		}
 		seq++
-		return event()
+		return event(), nil
 	}
 	if len(fs.script) > 0 && fs.script[0] == actRefuse {
 		fs.next()
