Guard the faults of the test models against races

Cause: the race detector found the tests changing faults of their models while owners and keepers ran beside them; none of the races was in the code under test. Faults are behind a mutex now.

--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -57,7 +57,7 @@
 		time.Sleep(5 * time.Second)
 		// Cut off, it runs on under its leases; only when these have surely
 		// lapsed do its tasks start elsewhere, from their checkpoints.
-		la.slots["w0"].cut = true
+		la.set("w0", func(sl *slot) { sl.cut = true })
 		time.Sleep(2 * time.Minute)
 		assertStates(c, lo, map[string]int{"done": 4})
 	})
@@ -68,9 +68,9 @@
 		lo := begin(c, la, batchJob("j", 4, 30*time.Second))
 		time.Sleep(5 * time.Second)
 		// Messages reach it a minute late, when others have its tasks.
-		la.slots["w0"].late = time.Minute
+		la.set("w0", func(sl *slot) { sl.late = time.Minute })
 		time.Sleep(90 * time.Second)
-		la.slots["w0"].late = 0
+		la.set("w0", func(sl *slot) { sl.late = 0 })
 		time.Sleep(90 * time.Second)
 		assertStates(c, lo, map[string]int{"done": 4})
 	})
@@ -289,7 +289,7 @@
 		lo := begin(c, la, service("s", 4))
 		time.Sleep(3 * time.Second)
 		for _, id := range []string{"w0", "w1"} {
-			la.slots[id].cut = true
+			la.set(id, func(sl *slot) { sl.cut = true })
 		}
 		for i, n := range []int{1, 4} {
 			_, err := lo.do(fmt.Sprintf("resize%d", i), Command{Resize: &Resize{Name: "s", Tasks: n}})
@@ -297,7 +297,7 @@
 			time.Sleep(3 * time.Second)
 		}
 		for _, id := range []string{"w0", "w1"} {
-			la.slots[id].cut = false
+			la.set(id, func(sl *slot) { sl.cut = false })
 		}
 		time.Sleep(10 * time.Second)
 		assertStates(c, lo, map[string]int{"running": 4})
@@ -310,13 +310,13 @@
 	inBubble(t, 1, func(c *qt.C, la *lab) {
 		lo := la.own(false)
 		time.Sleep(3 * time.Second)
-		la.slots["w0"].cut = true
+		la.set("w0", func(sl *slot) { sl.cut = true })
 		for _, cmd := range []Command{batchJob("j", 1, time.Hour), {Cancel: "j"}} {
 			_, err := lo.do(fmt.Sprintf("%v", cmd.Add != nil), cmd)
 			c.Assert(err, qt.IsNil)
 			time.Sleep(500 * time.Millisecond)
 		}
-		la.slots["w0"].cut = false
+		la.set("w0", func(sl *slot) { sl.cut = false })
 		time.Sleep(5 * time.Second)
 		assertStates(c, lo, map[string]int{})
 	})
--- a/internal/cell/lab_test.go
+++ b/internal/cell/lab_test.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"maps"
 	"slices"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -42,11 +44,14 @@
 	doc     config.Doc
 	owners  []*labOwner
 	epoch   int64
+
+	// mu guards the faults of slots.
+	mu sync.Mutex
 }
 
 type labOwner struct {
 	ow     *Owner
-	owns   bool
+	owns   atomic.Bool
 	cancel context.CancelFunc
 	ended  chan error
 }
@@ -67,8 +72,17 @@
 	return la
 }
 
+// set changes the faults of a worker.
+func (la *lab) set(id string, fn func(*slot)) {
+	la.mu.Lock()
+	defer la.mu.Unlock()
+	fn(la.slots[id])
+}
+
 // restart starts a worker's process anew.
 func (la *lab) restart(sl *slot) {
+	la.mu.Lock()
+	defer la.mu.Unlock()
 	if sl.st != nil {
 		for _, sp := range sl.st.Log() {
 			if sp.End == 0 {
@@ -85,13 +99,15 @@
 // exchange carries a message to a worker, unless its faults forbid. The
 // worker may get it late, after the sender has given up.
 func (la *lab) exchange(ctx context.Context, addr string, ex worker.Exchange) (worker.Report, error) {
+	la.mu.Lock()
 	sl := la.slots[addr]
-	if sl.cut {
+	cut, deaf, late, st := sl.cut, sl.deaf, sl.late, sl.st
+	la.mu.Unlock()
+	if cut {
 		time.Sleep(time.Second)
 		return worker.Report{}, errUnreached
 	}
-	if sl.late > 0 {
-		late, st := sl.late, sl.st
+	if late > 0 {
 		go func() {
 			time.Sleep(late)
 			_, _ = st.Exchange(context.WithoutCancel(ctx), ex)
@@ -100,8 +116,8 @@
 		return worker.Report{}, errUnreached
 	}
 	time.Sleep(time.Millisecond)
-	re, err := sl.st.Exchange(ctx, ex)
-	if sl.deaf {
+	re, err := st.Exchange(ctx, ex)
+	if deaf {
 		return worker.Report{}, errUnreached
 	}
 	return re, err
@@ -111,14 +127,15 @@
 // on believing that it owns the cell.
 func (la *lab) own(believes bool) *labOwner {
 	if n := len(la.owners); n > 0 && !believes {
-		la.owners[n-1].owns = false
+		la.owners[n-1].owns.Store(false)
 	}
 	la.epoch++
 	ctx, cancel := context.WithCancel(context.Background())
-	lo := &labOwner{owns: true, cancel: cancel, ended: make(chan error, 1)}
+	lo := &labOwner{cancel: cancel, ended: make(chan error, 1)}
+	lo.owns.Store(true)
 	lo.ow = &Owner{
 		Cell: "dc", Self: fmt.Sprintf("o%d", la.epoch), Epoch: la.epoch,
-		Owns:    func() bool { return lo.owns },
+		Owns:    lo.owns.Load,
 		Journal: &Journal{Table: la.table.Client(), Objects: la.objects.Client(), Cell: "dc"},
 		Workers: worker.Client{ExchangeFunc: la.exchange},
 		Hosts:   la.list,
--- a/internal/cell/twice_test.go
+++ b/internal/cell/twice_test.go
@@ -33,8 +33,8 @@
 }
 
 func (la *lab) actions() map[string]func(*rapid.T) {
-	pick := func(rt *rapid.T) *slot {
-		return la.slots[fmt.Sprintf("w%d", rapid.IntRange(0, len(la.slots)-1).Draw(rt, "worker"))]
+	pick := func(rt *rapid.T) string {
+		return fmt.Sprintf("w%d", rapid.IntRange(0, len(la.slots)-1).Draw(rt, "worker"))
 	}
 	last := func() *labOwner { return la.owners[len(la.owners)-1] }
 	n := 0
@@ -60,11 +60,12 @@
 		"drain": func(rt *rapid.T) {
 			command(Command{Drain: &Drain{Rack: fmt.Sprintf("r%d", rapid.IntRange(0, 1).Draw(rt, "rack")), Undo: rapid.Bool().Draw(rt, "undo")}})
 		},
-		"cut":     func(rt *rapid.T) { sl := pick(rt); sl.cut = !sl.cut },
-		"deaf":    func(rt *rapid.T) { sl := pick(rt); sl.deaf = !sl.deaf },
-		"restart": func(rt *rapid.T) { la.restart(pick(rt)) },
+		"cut":     func(rt *rapid.T) { la.set(pick(rt), func(sl *slot) { sl.cut = !sl.cut }) },
+		"deaf":    func(rt *rapid.T) { la.set(pick(rt), func(sl *slot) { sl.deaf = !sl.deaf }) },
+		"restart": func(rt *rapid.T) { la.restart(la.slots[pick(rt)]) },
 		"late": func(rt *rapid.T) {
-			pick(rt).late = time.Duration(rapid.SampledFrom([]int{0, 0, 500, 5000, 60_000}).Draw(rt, "late")) * time.Millisecond
+			late := time.Duration(rapid.SampledFrom([]int{0, 0, 500, 5000, 60_000}).Draw(rt, "late")) * time.Millisecond
+			la.set(pick(rt), func(sl *slot) { sl.late = late })
 		},
 		"owner": func(rt *rapid.T) { la.own(rapid.Bool().Draw(rt, "former one lingers")) },
 		"table": func(rt *rapid.T) {
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -57,6 +58,8 @@
 	broken string
 	depth  int
 	events map[string]int
+	// mu guards the faults, where keepers run beside the test.
+	mu sync.Mutex
 }
 
 func newModel(rt *rapid.T) *model {
@@ -99,7 +102,7 @@
 		BackOffFunc: func() backoff.BackOff { return backoff.NewConstantBackOff(50 * time.Millisecond) },
 		ReadFunc: func(ctx context.Context, req platform.ReadRequest) (platform.ReadReply, error) {
 			mo.meanwhile()
-			if mh.away {
+			if mo.is(&mh.away) {
 				return platform.ReadReply{}, errCut
 			}
 			reply, err := cl.ReadFunc(ctx, req)
@@ -108,11 +111,11 @@
 		},
 		CommitFunc: func(ctx context.Context, txn platform.Txn) (platform.CommitReply, error) {
 			mo.meanwhile()
-			if mh.away {
+			if mo.is(&mh.away) {
 				return platform.CommitReply{}, errCut
 			}
 			reply, err := cl.CommitFunc(ctx, txn)
-			if mh.lossy {
+			if mo.is(&mh.lossy) {
 				return platform.CommitReply{}, errCut
 			}
 			mo.meanwhile()
@@ -121,6 +124,20 @@
 	}
 }
 
+// is reads a fault.
+func (mo *model) is(fault *bool) bool {
+	mo.mu.Lock()
+	defer mo.mu.Unlock()
+	return *fault
+}
+
+// set changes faults while keepers run beside the test.
+func (mo *model) set(fn func()) {
+	mo.mu.Lock()
+	defer mo.mu.Unlock()
+	fn()
+}
+
 // meanwhile lets time pass and another host act, now and then.
 func (mo *model) meanwhile() {
 	mo.check()
@@ -152,6 +169,8 @@
 
 // reach returns the host with the id, if a message from mh arrives there.
 func (mo *model) reach(mh *modelHost, id string) *modelHost {
+	mo.mu.Lock()
+	defer mo.mu.Unlock()
 	for i, other := range mo.hosts {
 		if other.ke.ID != id || other.dead || mh.cut[i] || mh.dead {
 			continue
@@ -343,9 +362,11 @@
 		defer cancel()
 		kes := mo.plain(3)
 		start(ctx, c, kes)
-		for _, mh := range mo.hosts {
-			mh.away = true
-		}
+		mo.set(func() {
+			for _, mh := range mo.hosts {
+				mh.away = true
+			}
+		})
 		for range 600 {
 			time.Sleep(100 * time.Millisecond)
 			c.Assert(owned(kes[0])+owned(kes[1])+owned(kes[2]), qt.Equals, len(modelResources))
@@ -361,8 +382,10 @@
 		defer cancel()
 		kes := mo.plain(3)
 		start(ctx, c, kes)
-		alone := mo.hosts[0]
-		alone.away, alone.cut[1], alone.cut[2] = true, true, true
+		mo.set(func() {
+			alone := mo.hosts[0]
+			alone.away, alone.cut[1], alone.cut[2] = true, true, true
+		})
 		time.Sleep(DefaultTiming.TTL + time.Second)
 		c.Assert(owned(kes[0]), qt.Equals, 0)
 		time.Sleep(2 * DefaultTiming.TTL)
@@ -402,9 +425,11 @@
 		// deny, and only an operator can say so.
 		ctx, cancel = context.WithCancel(context.Background())
 		defer cancel()
-		for i := range 3 {
-			mo.hosts[i].dead = true
-		}
+		mo.set(func() {
+			for i := range 3 {
+				mo.hosts[i].dead = true
+			}
+		})
 		start(ctx, c, kes[3:])
 		time.Sleep(time.Minute)
 		c.Assert(owned(kes[3]), qt.Equals, 0)
