Let an operator declare entry hosts dead, by plan and confirmation

Cause: when all entry hosts of a data centre die at once nobody of their known sets is left to deny, so nobody can take over, and the only way out was to delete rows of the table by hand.

'pepperhatch declare-dead ENTRY-HOST' plans on the member's last renewal; a confirmation after another renewal does nothing and says so.

--- a/e2e/cell_test.go
+++ b/e2e/cell_test.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os/exec"
+	"path/filepath"
 	"slices"
 	"strings"
 	"testing"
@@ -82,6 +84,38 @@
 	}
 }
 
+// TestAllEntryHostsOfADataCentreDie kills both entry hosts of a data centre.
+// A new one cannot take over from them, since nobody of their known sets is
+// left; after an operator's word it does.
+func TestAllEntryHostsOfADataCentreDie(t *testing.T) {
+	c := qt.New(t)
+	cl := startCluster(c)
+	// Both have recorded each other by now.
+	time.Sleep(2 * time.Second)
+	cl.kill(cl.entries[0])
+	cl.kill(cl.entries[1])
+	fresh := cl.startEntry("e4", dcs[0])
+	cl.entries = append(cl.entries, fresh)
+	cl.await("e4 is a member", func() bool { return len(cl.members(3)) == 3 })
+	c.Assert(cl.ownerOf(3, dcs[0]), qt.IsNil)
+	for _, id := range cl.members(3) {
+		if !strings.HasPrefix(id, "e4-") {
+			c.Assert(cl.cli(3, "declare-dead", id, "--yes"), qt.Contains, "carried out")
+		}
+	}
+	cl.await("e4 owns the cell", func() bool { return cl.ownerOf(3, dcs[0]) == fresh })
+}
+
+// members returns the members that an entry host names when asked for one
+// that is none.
+func (cl *cluster) members(via int) []string {
+	cmd := exec.Command(filepath.Join(binaries, "pepperhatch"), "declare-dead", "nobody", "--admin", cl.entries[via].addrs[2])
+	out, _ := cmd.CombinedOutput()
+	_, list, _ := strings.Cut(string(out), "there are [")
+	list, _, _ = strings.Cut(list, "]")
+	return strings.Fields(list)
+}
+
 // TestFreshHostDuringOutage starts an entry host while the table is away. It
 // takes the configuration from a peer, and is ready with no lower one.
 func TestFreshHostDuringOutage(t *testing.T) {
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -71,6 +71,8 @@
 			long: "Carries out a plan if what it rests on still holds; exit code 5 says that it does not. Confirming twice does it once.\nExample: pepperhatch confirm 0190e8a1-..."},
 		{name: "drain", short: "plan to empty a host, a rack or a data centre", command: &drainCommand{st: st},
 			long: "Example: pepperhatch drain --cell burnaby-hall --rack r1"},
+		{name: "declare-dead", short: "plan to take over from an entry host that is gone", command: &deadCommand{st: st},
+			long: "For an entry host whose process is certainly gone and that nobody is left to take over from; ask one of the same data centre. A wrong word can make two owners.\nExample: pepperhatch declare-dead e1-7b2d1303"},
 		{name: "job", short: "batch jobs", sub: jobEntries(st, false)},
 		{name: "service", short: "services", sub: jobEntries(st, true)},
 		{name: "config", short: "configuration", sub: []commandEntry{
--- a/internal/cli/operator.go
+++ b/internal/cli/operator.go
@@ -184,6 +184,21 @@
 	}}})
 }
 
+type deadCommand struct {
+	planOptions
+
+	Args struct {
+		Member string `positional-arg-name:"ENTRY-HOST"`
+	} `positional-args:"yes" required:"yes"`
+
+	st *streams
+}
+
+// Execute implements flags.Commander.
+func (dc *deadCommand) Execute([]string) error {
+	return dc.plan(dc.st, &pb.Intent{What: &pb.Intent_DeclareDead{DeclareDead: &pb.DeclareDead{Member: dc.Args.Member}}})
+}
+
 // specOptions are what jobs and services have in common.
 type specOptions struct {
 	planOptions
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -107,6 +107,7 @@
 	ho.desk = &intent.Desk{
 		Table: ho.table, Config: ho.config,
 		PlanCell: ho.planCell, ConfirmCell: ho.confirmCell, ChooseCell: ho.chooseCell,
+		Members: ho.members, DeclareDead: ho.declareDead,
 	}
 	ho.mesh = &peer.Mesh{Self: ho.hello, Seeds: ho.set.Peers, Send: peer.NewSend(ho.web), OnHello: ho.heard}
 }
--- a/internal/entry/loops.go
+++ b/internal/entry/loops.go
@@ -187,6 +187,27 @@
 	}
 }
 
+// members returns the members of this host's data centre.
+func (ho *Host) members(ctx context.Context) ([]lease.Member, error) {
+	ke := ho.keeper.Load()
+	if ke == nil {
+		return nil, errNotMember
+	}
+	return ke.Members(ctx)
+}
+
+// declareDead removes a member of this host's data centre.
+func (ho *Host) declareDead(ctx context.Context, id string, beat int64) error {
+	ke := ho.keeper.Load()
+	if ke == nil {
+		return errNotMember
+	}
+	return ke.DeclareDead(ctx, id, beat)
+}
+
+// errNotMember is returned before the host has joined.
+var errNotMember = errors.New("this host is not a member yet")
+
 // memberID names the n-th membership of a process.
 func memberID(id string, n int) string {
 	if n == 1 {
--- a/internal/intent/intent.go
+++ b/internal/intent/intent.go
@@ -24,6 +24,7 @@
 	pb "github.com/pepperhatch/pepperhatch/gen/pepperhatch/v1"
 	"github.com/pepperhatch/pepperhatch/internal/cell"
 	"github.com/pepperhatch/pepperhatch/internal/config"
+	"github.com/pepperhatch/pepperhatch/internal/lease"
 	"github.com/pepperhatch/pepperhatch/internal/platform"
 	"github.com/pepperhatch/pepperhatch/internal/worker"
 )
@@ -40,6 +41,8 @@
 	Steps []cell.Step `json:"steps"`
 	// ConfigVersion is the basis of a change of configuration.
 	ConfigVersion int64 `json:"config_version,omitempty"`
+	// Beat is the basis of a word that an entry host is dead.
+	Beat int64 `json:"beat,omitempty"`
 	// Applied is the configuration version that it made.
 	Applied int64 `json:"applied,omitempty"`
 }
@@ -72,6 +75,10 @@
 	ConfirmCell func(ctx context.Context, name string, con cell.Confirmation) (cell.Confirmed, error)
 	// ChooseCell returns the cell with the most room.
 	ChooseCell func(ctx context.Context) (string, error)
+	// Members returns the entry hosts that are members in this data centre.
+	Members func(ctx context.Context) ([]lease.Member, error)
+	// DeclareDead removes a member whose row is at the beat.
+	DeclareDead func(ctx context.Context, id string, beat int64) error
 }
 
 const (
@@ -95,10 +102,13 @@
 		return Plan{}, fmt.Errorf("%w: %w", ErrBadIntent, err)
 	}
 	pl := Plan{ID: uuid.Must(uuid.NewV7()).String(), Intent: raw, Cell: in.GetCell()}
-	if se := in.GetSetConfig(); se != nil {
+	switch {
+	case in.GetSetConfig() != nil:
 		pl.Cell = ""
-		pl, err = de.planConfig(ctx, pl, se.GetValues())
-	} else {
+		pl, err = de.planConfig(ctx, pl, in.GetSetConfig().GetValues())
+	case in.GetDeclareDead() != nil:
+		pl, err = de.planDead(ctx, pl, in.GetDeclareDead().GetMember())
+	default:
 		pl, err = de.planCell(ctx, pl, in)
 	}
 	if err != nil {
@@ -124,6 +134,35 @@
 	return pl, nil
 }
 
+// planDead rests on the member's last renewal: one that renews is not dead.
+func (de *Desk) planDead(ctx context.Context, pl Plan, id string) (Plan, error) {
+	members, err := de.Members(ctx)
+	if err != nil {
+		return pl, err
+	}
+	var ids []string
+	for _, me := range members {
+		ids = append(ids, me.ID)
+		if me.ID == id {
+			pl.Beat = me.Beat
+			detail := fmt.Sprintf("last renewal %d; make sure that its process at %s is no more", me.Beat, me.Addr)
+			pl.Steps = []cell.Step{{Verb: "remove", Object: id, Detail: detail, Basis: true}}
+		}
+	}
+	if len(pl.Steps) == 0 {
+		return pl, fmt.Errorf("no member %q, there are %v: %w", id, ids, cell.ErrImpossible)
+	}
+	return pl, nil
+}
+
+func (de *Desk) confirmDead(ctx context.Context, pl Plan, id string) (Result, error) {
+	err := de.DeclareDead(ctx, id, pl.Beat)
+	if errors.Is(err, lease.ErrAlive) {
+		return Result{Changed: []string{err.Error()}}, nil
+	}
+	return Result{Applied: err == nil}, err
+}
+
 func (de *Desk) planCell(ctx context.Context, pl Plan, in *pb.Intent) (Plan, error) {
 	cmd, err := Command(in)
 	if err != nil {
@@ -208,6 +247,9 @@
 	if err := protojson.Unmarshal(pl.Intent, in); err != nil {
 		return Result{}, fmt.Errorf("%w: %w", ErrBadIntent, err)
 	}
+	if dead := in.GetDeclareDead(); dead != nil {
+		return de.confirmDead(ctx, pl, dead.GetMember())
+	}
 	if pl.Cell == "" {
 		return de.confirmConfig(ctx, pl, version, in.GetSetConfig().GetValues())
 	}
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -433,9 +433,15 @@
 		start(ctx, c, kes[3:])
 		time.Sleep(time.Minute)
 		c.Assert(owned(kes[3]), qt.Equals, 0)
-		for _, id := range []string{"p0", "p1", "p2"} {
-			c.Assert(kes[3].DeclareDead(ctx, id), qt.IsNil)
+		members, err := kes[3].Members(ctx)
+		c.Assert(err, qt.IsNil)
+		c.Assert(members, qt.HasLen, 4)
+		for _, me := range members[:3] {
+			c.Assert(kes[3].DeclareDead(ctx, me.ID, me.Beat-1), qt.ErrorIs, ErrAlive)
+			c.Assert(kes[3].DeclareDead(ctx, me.ID, me.Beat), qt.IsNil)
+			c.Assert(kes[3].DeclareDead(ctx, me.ID, me.Beat), qt.IsNil)
 		}
+		c.Assert(kes[3].DeclareDead(ctx, members[3].ID, members[3].Beat), qt.ErrorIs, ErrAlive)
 		c.Assert(owned(kes[3]), qt.Equals, len(modelResources))
 		cancel()
 		time.Sleep(10 * time.Second)
--- a/internal/lease/run.go
+++ b/internal/lease/run.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/pepperhatch/pepperhatch/internal/platform"
@@ -175,19 +177,54 @@
 	return gifts
 }
 
+// Members returns the members of the data centre as the table has them now.
+func (ke *Keeper) Members(ctx context.Context) ([]Member, error) {
+	if err := ke.read(ctx); err != nil {
+		return nil, fmt.Errorf("members: %w", err)
+	}
+	ke.mu.Lock()
+	defer ke.mu.Unlock()
+	var members []Member
+	for _, si := range ke.seen {
+		members = append(members, si.row)
+	}
+	slices.SortFunc(members, func(a, b Member) int { return strings.Compare(a.ID, b.ID) })
+	return members, nil
+}
+
+// ErrAlive is returned for a member that has renewed since.
+var ErrAlive = errors.New("member has renewed since")
+
 // DeclareDead removes a member on an operator's word that its process is no
-// more, without a denial. A wrong word can make two owners.
-func (ke *Keeper) DeclareDead(ctx context.Context, id string) error {
+// more, without a denial, if its row is still at the beat. A wrong word can
+// make two owners. A member that is not there is no error: it was removed.
+func (ke *Keeper) DeclareDead(ctx context.Context, id string, beat int64) error {
 	if err := ke.read(ctx); err != nil {
 		return fmt.Errorf("declare %s dead: %w", id, err)
 	}
 	ke.mu.Lock()
 	si, there := ke.seen[id]
 	ke.mu.Unlock()
-	if !there {
-		return fmt.Errorf("declare %s dead: %w", id, platform.ErrNotFound)
+	switch {
+	case !there:
+		return nil
+	case si.row.Beat != beat || id == ke.ID:
+		return fmt.Errorf("declare %s dead: %w", id, ErrAlive)
+	}
+	if err := ke.takeOver(ctx, si); err != nil {
+		return err
+	}
+	// A race lost is no error of a takeover, but here it has to be told.
+	if err := ke.read(ctx); err != nil {
+		return fmt.Errorf("declare %s dead: %w", id, err)
+	}
+	ke.mu.Lock()
+	_, there = ke.seen[id]
+	ke.mu.Unlock()
+	if there {
+		return fmt.Errorf("declare %s dead: %w", id, ErrAlive)
 	}
-	return ke.takeOver(ctx, si)
+	return nil
 }
 
 // cellPrefix begins the names of cells among the resources.
