--- /dev/null
+++ b/internal/config/history_test.go
@@ -0,0 +1,138 @@
+package config
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/pepperhatch/pepperhatch/internal/proptest"
+	"github.com/pepperhatch/pepperhatch/internal/standin"
+)
+
+// changeInput is one operator's change, built on a version.
+type changeInput struct {
+	basis int64
+	value string
+}
+
+// changeOutput is what the operator was told.
+type changeOutput struct {
+	accepted bool
+	// unknown is set if no answer came; it may have been accepted.
+	unknown bool
+}
+
+// register is the configuration as one operator at a time would see it.
+type register struct {
+	version int64
+	value   string
+}
+
+// registerModel says which histories a configuration kept in one place, and
+// changed by one operator after the other, can have.
+var registerModel = porcupine.NondeterministicModel{
+	Init: func() []any { return []any{register{}} },
+	Step: func(state, input, output any) []any {
+		st, _ := state.(register)
+		in, _ := input.(changeInput)
+		out, _ := output.(changeOutput)
+		next := register{version: st.version + 1, value: in.value}
+		fits := st.version == in.basis
+		switch {
+		case out.unknown && fits:
+			return []any{st, next}
+		case out.unknown:
+			return []any{st}
+		case out.accepted && fits:
+			return []any{next}
+		case !out.accepted && !fits:
+			return []any{st}
+		}
+		return nil
+	},
+	Equal: func(a, b any) bool { return a == b },
+}
+
+// TestRacingOperatorsAreLinearizable has operators change the configuration at
+// the same time through different hosts, with the table slow, away or losing
+// answers, and checks the history of what they were told.
+func TestRacingOperatorsAreLinearizable(t *testing.T) {
+	proptest.Check(t, proptest.Size{Checks: 150}, func(rt *rapid.T) {
+		faults := rapid.SliceOfN(rapid.SampledFrom([]standin.Fault{
+			{}, {Mode: standin.ModeLost, Count: 1}, {Mode: standin.ModeDown, Count: 2},
+			{Mode: standin.ModeSlow, DelayMS: 300}, {Mode: standin.ModeLost, Count: 3},
+		}), 5, 20).Draw(rt, "faults")
+		pauses := rapid.SliceOfN(rapid.IntRange(0, 400), 24, 24).Draw(rt, "pauses")
+		var history []porcupine.Operation
+		proptest.InBubble(t, func() { history = race(faults, pauses) })
+		if res := porcupine.CheckOperations(registerModel.ToModel(), history); !res {
+			rt.Fatalf("no order of one after the other explains: %v", history)
+		}
+	})
+}
+
+// race runs four operators with six changes each.
+func race(faults []standin.Fault, pauses []int) []porcupine.Operation {
+	const operators, changes = 4, 6
+	table := &standin.Table{}
+	begun := time.Now()
+	var mu sync.Mutex
+	var history []porcupine.Operation
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		for _, fault := range faults {
+			table.Gate.Set(fault)
+			time.Sleep(200 * time.Millisecond)
+		}
+		table.Gate.Set(standin.Fault{})
+	})
+	for op := range operators {
+		wg.Go(func() {
+			st := &Store{Table: table.Client()}
+			for n := range changes {
+				time.Sleep(time.Duration(pauses[op*changes+n]) * time.Millisecond)
+				doc, _ := st.Current()
+				in := changeInput{basis: doc.Version, value: fmt.Sprint(1 + op*changes + n)}
+				call := time.Since(begun).Nanoseconds()
+				out := change(st, in)
+				back := time.Since(begun).Nanoseconds()
+				if out.unknown {
+					back = math.MaxInt64
+				}
+				mu.Lock()
+				history = append(history, porcupine.Operation{ClientId: op, Input: in, Output: out, Call: call, Return: back})
+				mu.Unlock()
+			}
+		})
+	}
+	wg.Wait()
+	return history
+}
+
+func change(st *Store, in changeInput) changeOutput {
+	ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
+	defer cancel()
+	plan := Also{Key: "plan/" + in.value, Value: in.value}
+	_, err := st.Change(ctx, in.basis, map[string]string{QueueLimit: in.value}, plan)
+	return changeOutput{accepted: err == nil, unknown: err != nil && !errors.Is(err, ErrConflict)}
+}
+
+// TestHistoryCheckerSeesFaults makes sure that the model tells a bad history.
+func TestHistoryCheckerSeesFaults(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		both := []porcupine.Operation{
+			{ClientId: 0, Input: changeInput{basis: 0, value: "1"}, Output: changeOutput{accepted: true}, Call: 0, Return: 10},
+			{ClientId: 1, Input: changeInput{basis: 0, value: "2"}, Output: changeOutput{accepted: true}, Call: 0, Return: 10},
+		}
+		qt.Assert(t, porcupine.CheckOperations(registerModel.ToModel(), both), qt.IsFalse)
+	})
+}
