--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -17,6 +17,8 @@
 
 	pb "github.com/pepperhatch/pepperhatch/gen/pepperhatch/v1"
 	"github.com/pepperhatch/pepperhatch/gen/pepperhatch/v1/pepperhatchv1connect"
+
+	"github.com/pepperhatch/pepperhatch/internal/clock"
 )
 
 // Client calls entry hosts in turn.
@@ -97,7 +99,7 @@
 			bo.Reset()
 		}
 		if !wa.moved {
-			sleep(ctx, bo.NextBackOff())
+			clock.Sleep(ctx, bo.NextBackOff())
 		}
 	}
 }
@@ -149,12 +151,3 @@
 	}
 	return nil
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	ti := time.NewTimer(d)
-	defer ti.Stop()
-	select {
-	case <-ti.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/cell/command.go
+++ b/internal/cell/command.go
@@ -7,8 +7,6 @@
 	"fmt"
 	"slices"
 	"time"
-
-	"github.com/pepperhatch/pepperhatch/internal/worker"
 )
 
 // Command is what an operator wants of a cell. One field is set.
@@ -419,12 +417,3 @@
 	ow.commands = nil
 	ow.closed = true
 }
-
-// Free returns what the cell's open workers have left, for choosing a cell.
-func (ow *Owner) Free() worker.Resources {
-	su, err := ow.Summary()
-	if err != nil {
-		return worker.Resources{}
-	}
-	return su.Holds.Without(su.Used)
-}
--- a/internal/dev/check.go
+++ b/internal/dev/check.go
@@ -11,6 +11,7 @@
 
 	pb "github.com/pepperhatch/pepperhatch/gen/pepperhatch/v1"
 	"github.com/pepperhatch/pepperhatch/internal/claim"
+	"github.com/pepperhatch/pepperhatch/internal/clock"
 	"github.com/pepperhatch/pepperhatch/internal/load"
 	"github.com/pepperhatch/pepperhatch/internal/standin"
 	"github.com/pepperhatch/pepperhatch/internal/worker"
@@ -57,7 +58,7 @@
 		if n == 2 {
 			wo.confirmed(ctx, &pb.Intent{Cell: dcs[0], What: &pb.Intent_Drain{Drain: &pb.Drain{Rack: "r1"}}})
 		}
-		if !pause(ctx, 2*time.Second) {
+		if !clock.Sleep(ctx, 2*time.Second) {
 			return
 		}
 	}
@@ -76,7 +77,7 @@
 
 // show prints the state every two seconds.
 func (wo *world) show(ctx context.Context) {
-	for pause(ctx, 2*time.Second) {
+	for clock.Sleep(ctx, 2*time.Second) {
 		resp, err := wo.admin().Status(ctx, connect.NewRequest(&pb.StatusRequest{}))
 		if err != nil {
 			continue
--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -20,6 +20,7 @@
 	pb "github.com/pepperhatch/pepperhatch/gen/pepperhatch/v1"
 	"github.com/pepperhatch/pepperhatch/gen/pepperhatch/v1/pepperhatchv1connect"
 	"github.com/pepperhatch/pepperhatch/internal/caller"
+	"github.com/pepperhatch/pepperhatch/internal/clock"
 	"github.com/pepperhatch/pepperhatch/internal/entry"
 	"github.com/pepperhatch/pepperhatch/internal/load"
 	"github.com/pepperhatch/pepperhatch/internal/platform"
@@ -209,7 +210,7 @@
 		if err == nil && wo.complete(resp.Msg) {
 			return nil
 		}
-		if !pause(ctx, 100*time.Millisecond) {
+		if !clock.Sleep(ctx, 100*time.Millisecond) {
 			return fmt.Errorf("not ready after %v: %w", readyTime, ctx.Err())
 		}
 	}
@@ -227,17 +228,6 @@
 	return true
 }
 
-func pause(ctx context.Context, d time.Duration) bool {
-	ti := time.NewTimer(d)
-	defer ti.Stop()
-	select {
-	case <-ti.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func (wo *world) printf(format string, args ...any) {
 	_, _ = fmt.Fprintf(wo.set.Out, format+"\n", args...)
 }
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -14,6 +14,7 @@
 
 	"github.com/pepperhatch/pepperhatch/internal/cell"
 	"github.com/pepperhatch/pepperhatch/internal/claim"
+	"github.com/pepperhatch/pepperhatch/internal/clock"
 	"github.com/pepperhatch/pepperhatch/internal/config"
 	"github.com/pepperhatch/pepperhatch/internal/intent"
 	"github.com/pepperhatch/pepperhatch/internal/lease"
@@ -205,7 +206,7 @@
 	ho.rebuild()
 	// The balancer goes on sending requests until it sees the host unready;
 	// they are served meanwhile.
-	wait(life, ho.set.StopDelay)
+	clock.Sleep(life, ho.set.StopDelay)
 	ctx, cancel := context.WithTimeout(life, ho.set.StopGrace)
 	defer cancel()
 	err := ho.callerPort.Stop(ctx)
@@ -215,18 +216,6 @@
 	return errors.Join(err, ho.adminPort.Stop(ctx), ho.peerPort.Stop(ctx))
 }
 
-// wait waits, or returns early if ctx ends. It reports whether it waited.
-func wait(ctx context.Context, d time.Duration) bool {
-	ti := time.NewTimer(d)
-	defer ti.Stop()
-	select {
-	case <-ti.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // ready reports whether the balancer may send requests.
 func (ho *Host) ready() bool {
 	_, ok := ho.config.Current()
--- a/internal/entry/loops.go
+++ b/internal/entry/loops.go
@@ -8,6 +8,7 @@
 
 	"github.com/pepperhatch/pepperhatch/internal/cell"
 	"github.com/pepperhatch/pepperhatch/internal/claim"
+	"github.com/pepperhatch/pepperhatch/internal/clock"
 	"github.com/pepperhatch/pepperhatch/internal/config"
 	"github.com/pepperhatch/pepperhatch/internal/lease"
 	"github.com/pepperhatch/pepperhatch/internal/peer"
@@ -31,7 +32,7 @@
 func every(ctx context.Context, d time.Duration, fn func(context.Context)) {
 	for {
 		fn(ctx)
-		if !wait(ctx, d) {
+		if !clock.Sleep(ctx, d) {
 			return
 		}
 	}
@@ -161,7 +162,7 @@
 		ke := ho.newKeeper(n)
 		if err := ke.Join(ctx); err != nil {
 			ho.log.Warn("join", "err", err)
-			wait(ctx, retryEvery)
+			clock.Sleep(ctx, retryEvery)
 			continue
 		}
 		ho.keeper.Store(ke)
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -20,6 +20,7 @@
 	pb "github.com/pepperhatch/pepperhatch/gen/pepperhatch/v1"
 	"github.com/pepperhatch/pepperhatch/internal/caller"
 	"github.com/pepperhatch/pepperhatch/internal/claim"
+	"github.com/pepperhatch/pepperhatch/internal/clock"
 	"github.com/pepperhatch/pepperhatch/internal/standin"
 )
 
@@ -106,7 +107,7 @@
 	begun := time.Now()
 	var wg sync.WaitGroup
 	for due := begun; due.Sub(begun) < set.For; {
-		if d := time.Until(due); d > 0 && !pause(ctx, d) {
+		if d := time.Until(due); d > 0 && !clock.Sleep(ctx, d) {
 			break
 		}
 		req, when := newRequest(set), due
@@ -118,17 +119,6 @@
 	return ga.final(sending)
 }
 
-func pause(ctx context.Context, d time.Duration) bool {
-	ti := time.NewTimer(d)
-	defer ti.Stop()
-	select {
-	case <-ti.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func newRequest(set Settings) *pb.CallRequest {
 	req := &pb.CallRequest{
 		Id: claim.NewID(""), Service: set.Service, Method: set.Method,
@@ -180,7 +170,7 @@
 }
 
 func (ga *gather) progress(ctx context.Context, w io.Writer) {
-	for begun := time.Now(); pause(ctx, time.Second); {
+	for begun := time.Now(); clock.Sleep(ctx, time.Second); {
 		ga.mu.Lock()
 		_, _ = fmt.Fprintf(w, "%4.0fs sent %d answered %d not run %d unknown %d\n", time.Since(begun).Seconds(),
 			ga.report.Sent, ga.report.Outcomes[Answered], ga.report.Outcomes[NotRun], ga.report.Outcomes[Unknown])
--- a/internal/standin/fault.go
+++ b/internal/standin/fault.go
@@ -14,6 +14,7 @@
 	"sync"
 	"time"
 
+	"github.com/pepperhatch/pepperhatch/internal/clock"
 	"github.com/pepperhatch/pepperhatch/internal/wire"
 )
 
@@ -86,7 +87,10 @@
 	case ModeDown:
 		return false, &wire.Error{Status: http.StatusServiceUnavailable, Code: "down", Message: "down by order"}
 	case ModeSlow:
-		return false, sleep(ctx, time.Duration(fault.DelayMS)*time.Millisecond)
+		if !clock.Sleep(ctx, time.Duration(fault.DelayMS)*time.Millisecond) {
+			return false, fmt.Errorf("slow: %w", ctx.Err())
+		}
+		return false, nil
 	case ModeFreeze:
 		select {
 		case <-changed:
@@ -131,14 +135,3 @@
 func (di *discard) Header() http.Header            { return di.header }
 func (di *discard) Write(data []byte) (int, error) { return len(data), nil }
 func (di *discard) WriteHeader(int)                {}
-
-func sleep(ctx context.Context, d time.Duration) error {
-	ti := time.NewTimer(d)
-	defer ti.Stop()
-	select {
-	case <-ti.C:
-		return nil
-	case <-ctx.Done():
-		return fmt.Errorf("sleep: %w", ctx.Err())
-	}
-}
