Do not believe a host list that lost most hosts at once

Cause: read as a newcomer, not by a test: an empty answer of the host list would have taken every runner out and evicted every task.

--- a/internal/cell/owner.go
+++ b/internal/cell/owner.go
@@ -96,6 +96,10 @@
 // decideEvery is how often decisions are looked for when nothing changed.
 const decideEvery = 500 * time.Millisecond
 
+// openTime bounds opening the journal, so that a host that waited long for the
+// table looks first whether it still owns the cell.
+const openTime = 10 * time.Second
+
 // ErrNotOwner is returned by calls on a cell that this host does not run.
 var ErrNotOwner = errors.New("not the owner of the cell")
 
@@ -108,7 +112,9 @@
 	if ow.Log == nil {
 		ow.Log = slog.New(slog.DiscardHandler)
 	}
-	st, err := ow.Journal.Open(ctx, ow.Self, ow.Epoch)
+	octx, cancel := context.WithTimeout(ctx, openTime)
+	st, err := ow.Journal.Open(octx, ow.Self, ow.Epoch)
+	cancel()
 	if err != nil {
 		return err
 	}
--- a/internal/entry/loops.go
+++ b/internal/entry/loops.go
@@ -40,6 +40,7 @@
 
 // pollLists reads the platform's list of the data centre.
 func (ho *Host) pollLists(ctx context.Context) {
+	filter := &platform.ListFilter{}
 	every(ctx, listEvery, func(ctx context.Context) {
 		ctx, cancel := context.WithTimeout(ctx, pollTime)
 		defer cancel()
@@ -48,11 +49,16 @@
 			ho.metrics.Add(telemetry.TableErrors, 1, "step", "list-hosts")
 			return
 		}
-		workers := slices.DeleteFunc(slices.Clone(reply.Hosts), func(pl platform.Host) bool {
+		hosts := filter.Accept(reply.Hosts)
+		if len(hosts) > len(reply.Hosts) {
+			ho.log.Warn("host list lost most hosts at once", "listed", len(reply.Hosts), "kept", len(hosts))
+			ho.metrics.Add(telemetry.TableErrors, 1, "step", "doubtful-list")
+		}
+		workers := slices.DeleteFunc(slices.Clone(hosts), func(pl platform.Host) bool {
 			return pl.Kind != platform.KindWorker
 		})
 		ho.workerList.Store(&workers)
-		ho.registry.SetList(reply.Hosts)
+		ho.registry.SetList(hosts)
 		ho.listed.Store(true)
 	})
 }
