Tell callers in their own form what is over a bound of the port

Cause: a request refused by the port itself (too many in flight, body too large) was answered with plain JSON, which a connect client cannot read: it took a request that certainly did not run for unknown, and no counter saw it. The caller's port now answers as connect errors with the Failure, and counts. A case of TestOperators fails before. Private fields of cell.Owner have comments.

--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -168,6 +168,12 @@
 			return strings.Count(cl.cli(2, "job", "tasks", "--job", "depot-plan"), ":ok") == 4
 		})
 	})
+	c.Run("an oversized request is refused", func(c *qt.C) {
+		req := &pb.CallRequest{Id: claim.NewID(""), Service: "routedesk", Body: make([]byte, 2<<20)}
+		_, err := cl.caller(cl.entries[0]).Call(context.Background(), req)
+		c.Assert(caller.FailureOf(err).GetOutcome(), qt.Equals, pb.Outcome_OUTCOME_NOT_RUN)
+		c.Assert(caller.FailureOf(err).GetReason(), qt.Equals, "body-too-large")
+	})
 	c.Run("a rack is drained", func(c *qt.C) {
 		cl.cli(0, "service", "add", "--cell", dcs[0], "--name", "routedesk", "--tasks", "4", "--cores", "2", "--yes")
 		cl.await("service runs", func() bool {
--- a/internal/cell/owner.go
+++ b/internal/cell/owner.go
@@ -44,23 +44,34 @@
 	// NoControl turns control of tails off, for comparison.
 	NoControl bool
 
-	mu        sync.Mutex
-	st        *State
-	contacts  map[string]*contact
-	shares    map[string]float64
+	mu sync.Mutex
+	// st is the state as journalled; closed is set when it is no longer ours
+	// to serve, failed once the journal cannot be appended to.
+	st     *State
+	closed bool
+	failed error
+	// contacts are the workers by id, shares the throttled tasks.
+	contacts map[string]*contact
+	shares   map[string]float64
+	// model and evictions are what was learnt and spent.
 	model     place.Model
 	evictions budget
-	commands  []*command
-	inFlight  []*command
+	// commands wait for a batch, inFlight for the append of theirs.
+	commands []*command
+	inFlight []*command
+	// appending is since when an append is under way, or zero; appended is
+	// when the last one began.
 	appending time.Time
 	appended  time.Time
-	dirty     bool
-	decided   time.Time
+	// dirty is set when something has changed since the last decision, at
+	// decided.
+	dirty   bool
+	decided time.Time
+	// inherited is when the leases that a former owner gave have lapsed.
 	inherited time.Time
-	term      int64
-	wake      chan struct{}
-	failed    error
-	closed    bool
+	// term is that of the journal's opening; wake has the loop look at once.
+	term int64
+	wake chan struct{}
 }
 
 // Timing has the intervals of an owner.
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -17,6 +17,7 @@
 	"github.com/pepperhatch/pepperhatch/internal/route"
 	"github.com/pepperhatch/pepperhatch/internal/runner"
 	"github.com/pepperhatch/pepperhatch/internal/session"
+	"github.com/pepperhatch/pepperhatch/internal/wire"
 )
 
 // Bounds on fields of a request.
@@ -35,6 +36,20 @@
 	return mux
 }
 
+// portReasons has the reasons of the port's refusals.
+var portReasons = map[string]reason.Reason{
+	wire.CodeBusy:     reason.Busy,
+	wire.CodeTooLarge: reason.BodyTooLarge,
+}
+
+// refuseCaller answers a request that is over a bound of the port. It was not
+// run.
+func (ho *Host) refuseCaller(w http.ResponseWriter, r *http.Request, err *wire.Error) {
+	res := route.NotRunResult(portReasons[err.Code], err.RetryAfter)
+	ho.metrics.Ended("unread", res.Reason, 0)
+	_ = connect.NewErrorWriter().Write(w, r, failure("", res))
+}
+
 // handleHealth serves what the balancer asks for, on the port that it
 // balances.
 func (ho *Host) handleHealth(mux *http.ServeMux) {
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -123,7 +123,10 @@
 }
 
 func (ho *Host) callerLimits() port.Limits {
-	return port.Limits{Conns: ho.set.MaxConns, InFlight: ho.set.MaxInFlight, Body: ho.set.MaxBody, Read: bodyTime}
+	return port.Limits{
+		Conns: ho.set.MaxConns, InFlight: ho.set.MaxInFlight, Body: ho.set.MaxBody, Read: bodyTime,
+		Refuse: ho.refuseCaller,
+	}
 }
 
 func (ho *Host) peerLimits() port.Limits {
--- a/internal/port/port.go
+++ b/internal/port/port.go
@@ -28,6 +28,9 @@
 	Body int64
 	// Read bounds the time to receive a request.
 	Read time.Duration
+	// Refuse answers a request that is over a bound, in the form that the
+	// port's callers understand; nil answers as package wire does.
+	Refuse func(w http.ResponseWriter, r *http.Request, err *wire.Error)
 }
 
 const (
@@ -102,11 +105,15 @@
 // bound puts the limits before a handler.
 func bound(h http.Handler, lim Limits) http.Handler {
 	slots := make(chan struct{}, lim.InFlight)
+	refuse := lim.Refuse
+	if refuse == nil {
+		refuse = func(w http.ResponseWriter, _ *http.Request, err *wire.Error) { wire.WriteError(w, err) }
+	}
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		select {
 		case slots <- struct{}{}:
 		default:
-			wire.WriteError(w, &wire.Error{
+			refuse(w, r, &wire.Error{
 				Status: http.StatusServiceUnavailable, Code: wire.CodeBusy,
 				Message: "too many requests in flight", RetryAfter: busyRetry,
 			})
@@ -114,7 +121,7 @@
 		}
 		defer func() { <-slots }()
 		if r.ContentLength > lim.Body {
-			wire.WriteError(w, &wire.Error{
+			refuse(w, r, &wire.Error{
 				Status: http.StatusRequestEntityTooLarge, Code: wire.CodeTooLarge,
 				Message: fmt.Sprintf("body is over %d bytes", lim.Body),
 			})
