Have stand-ins wait for the host list

Cause: the README's commands run as a script in a fresh clone: runners and workers started together with the platform's stand-in found no host list, some of them entered themselves and ended, and the tour's tasks waited for ever. They now try for ten seconds.

--- a/internal/standin/command.go
+++ b/internal/standin/command.go
@@ -13,6 +13,7 @@
 	"syscall"
 	"time"
 
+	"github.com/cenkalti/backoff/v5"
 	"github.com/jessevdk/go-flags"
 	"golang.org/x/net/netutil"
 
@@ -118,13 +119,15 @@
 	return nil
 }
 
-// enter puts hosts on the list.
+// enter puts hosts on the list, which may still be starting.
 func (ho hostOptions) enter(hosts []platform.Host) error {
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
 	var errs []error
 	for _, host := range hosts {
-		_, err := wire.Post[platform.Host, platform.Host](ctx, http.DefaultClient, ho.Hosts+"/hosts/put", host)
+		_, err := backoff.Retry(ctx, func() (platform.Host, error) {
+			return wire.Post[platform.Host, platform.Host](ctx, http.DefaultClient, ho.Hosts+"/hosts/put", host)
+		})
 		errs = append(errs, err)
 	}
 	return errors.Join(errs...)
