--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -321,3 +321,33 @@
 		assertStates(c, lo, map[string]int{})
 	})
 }
+
+// TestObjectStoreAway has snapshots fall due while the object store hangs. The
+// cell goes on at its pace, its journal grows, and a new owner recovers from
+// it; once the store is back a snapshot shortens the journal.
+func TestObjectStoreAway(t *testing.T) {
+	inBubble(t, 2, func(c *qt.C, la *lab) {
+		lo := begin(c, la, service("s", 4))
+		la.objects.Gate.Set(standin.Fault{Mode: standin.ModeFreeze})
+		resize := func(plan string, n int) {
+			begun := time.Now()
+			_, err := lo.do(plan, Command{Resize: &Resize{Name: "s", Tasks: n}})
+			c.Assert(err, qt.IsNil)
+			c.Assert(time.Since(begun) < time.Second, qt.IsTrue, qt.Commentf("%s took %v", plan, time.Since(begun)))
+		}
+		for i := range snapshotEvery + 20 {
+			resize(fmt.Sprintf("p%d", i), 3+i%2)
+		}
+		rows := la.table.Counts().Rows
+		c.Assert(rows > snapshotEvery, qt.IsTrue, qt.Commentf("%d rows", rows))
+		lo = la.own(false)
+		time.Sleep(5 * time.Second)
+		assertStates(c, lo, map[string]int{"running": 4})
+		la.objects.Gate.Set(standin.Fault{})
+		time.Sleep(snapshotRetry)
+		for i := range 60 {
+			resize(fmt.Sprintf("q%d", i), 3+i%2)
+		}
+		c.Assert(la.table.Counts().Rows < rows/2, qt.IsTrue, qt.Commentf("%d rows", la.table.Counts().Rows))
+	})
+}
--- a/internal/cell/journal.go
+++ b/internal/cell/journal.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"strings"
+	"time"
 
 	"github.com/pepperhatch/pepperhatch/internal/platform"
 )
@@ -47,6 +48,8 @@
 	snapshotEvery = 500
 	// deleteMost bounds the rows deleted along with one append.
 	deleteMost = 20
+	// snapshotRetry is the time between attempts to write a snapshot.
+	snapshotRetry = 10 * time.Second
 )
 
 func (jo *Journal) key(parts ...string) string {
--- a/internal/cell/owner.go
+++ b/internal/cell/owner.go
@@ -67,6 +67,9 @@
 	// decided.
 	dirty   bool
 	decided time.Time
+	// snapTried is when a snapshot was last begun, snapSeq the last written.
+	snapTried time.Time
+	snapSeq   int64
 	// inherited is when the leases that a former owner gave have lapsed.
 	inherited time.Time
 	// term is that of the journal's opening; wake has the loop look at once.
@@ -207,6 +210,7 @@
 	}
 	ow.appending = time.Now()
 	ow.appended = ow.appending
+	ow.Journal.Snapshotted(ow.snapSeq)
 	go ow.append(ctx, records)
 }
 
@@ -231,25 +235,30 @@
 	ow.nudge()
 }
 
-// snapshot writes a snapshot, if one is due, beside the loop.
+// snapshot begins to write a snapshot, if one is due. The object store may
+// hang, so that nothing waits for it; the next append makes it known.
 func (ow *Owner) snapshot(ctx context.Context) {
-	if !ow.Journal.SnapshotDue() {
+	if !ow.Journal.SnapshotDue() || time.Since(ow.snapTried) < snapshotRetry {
 		return
 	}
+	ow.snapTried = time.Now()
 	seq := ow.st.Seq
 	data, err := json.Marshal(ow.st)
 	if err != nil {
 		ow.Log.Error("snapshot", "cell", ow.Cell, "err", err)
 		return
 	}
-	sctx, cancel := context.WithTimeout(ctx, 2*time.Second)
-	defer cancel()
-	// Within the append's turn, so that the journal has one user at a time.
-	if err := ow.Journal.Snapshot(sctx, seq, data); err != nil {
-		ow.Log.Warn("snapshot", "cell", ow.Cell, "err", err)
-		return
-	}
-	ow.Journal.Snapshotted(seq)
+	go func() {
+		sctx, cancel := context.WithTimeout(ctx, snapshotRetry)
+		defer cancel()
+		if err := ow.Journal.Snapshot(sctx, seq, data); err != nil {
+			ow.Log.Warn("snapshot", "cell", ow.Cell, "err", err)
+			return
+		}
+		ow.mu.Lock()
+		defer ow.mu.Unlock()
+		ow.snapSeq = max(ow.snapSeq, seq)
+	}()
 }
 
 // hurry has workers with new orders contacted at once.
