Give no tenure for a join not heard of; let the batch weight weigh

Cause: a newcomer's read of the whole, and not a test. - A host whose first attempt to join was written and never heard of found its row at the next attempt, and counted a tenure from the start of that attempt. The row could have been watched since long before, and be taken over while the host believed in its tenure. Now only a renewal begins it (TestJoinedAgain fails before). The walks of rapid join each host once and could not see it. - place.weight-batch was read and used by nothing.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -66,7 +66,7 @@
 	{TailTarget, "100ms", "p99 that service tasks are to keep", span},
 	{WeightTail, "1", "cost of a service over its target, against the other weights", positive},
 	{WeightEvictions, "1", "cost of one eviction, against the other weights", positive},
-	{WeightBatch, "1", "worth of batch work done, against the other weights", positive},
+	{WeightBatch, "1", "cost of a minute of batch work lost, against the other weights", positive},
 	{EvictionBudget, "6", "evictions a minute that a cell may make of its own accord", wholeFrom(0)},
 	{LeaseService, "30s", "lease of service tasks at their workers", span},
 	{LeaseBatch, "10s", "lease of batch tasks at their workers", span},
--- a/internal/entry/loops.go
+++ b/internal/entry/loops.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"time"
 
@@ -166,10 +167,13 @@
 func (ho *Host) keepLease(ctx context.Context) {
 	for n := 1; ctx.Err() == nil; n++ {
 		ke := ho.newKeeper(n)
-		if err := ke.Join(ctx); err != nil {
+		// The same member tries again: an attempt that was not heard of may
+		// have entered it.
+		for err := ke.Join(ctx); err != nil; err = ke.Join(ctx) {
 			ho.log.Warn("join", "err", err)
-			clock.Sleep(ctx, retryEvery)
-			continue
+			if !clock.Sleep(ctx, retryEvery) {
+				return
+			}
 		}
 		ho.keeper.Store(ke)
 		err := ke.Run(ctx)
@@ -220,7 +224,7 @@
 	if n == 1 {
 		return id
 	}
-	return id + "." + string(rune('0'+n%10)) + time.Now().Format("150405")
+	return fmt.Sprintf("%s.%d", id, n)
 }
 
 func (ho *Host) leaseEvent(ev lease.Event) {
--- a/internal/lease/keeper.go
+++ b/internal/lease/keeper.go
@@ -160,20 +160,19 @@
 // Join enters the host as a member. An answer lost is settled by asking
 // again, and so Join may take as long as the table is away.
 func (ke *Keeper) Join(ctx context.Context) error {
-	begun := ke.now()
 	for {
 		if err := ke.read(ctx); err != nil {
 			return fmt.Errorf("join: %w", err)
 		}
 		ke.mu.Lock()
 		if si, there := ke.seen[ke.ID]; there {
-			// Written by an attempt whose answer was lost.
+			// Written by an attempt that was not heard of, nobody knows how
+			// long ago: the next renewal begins the tenure.
 			ke.joined, ke.row, ke.rowVer = true, si.row, si.version
-			ke.extendTo(begun.Add(ke.Timing.TTL))
 			ke.mu.Unlock()
 			return nil
 		}
-		begun = ke.now()
+		begun := ke.now()
 		row := Member{ID: ke.ID, Addr: ke.Addr, Beat: 1, Known: without(ke.asg.Members, ke.ID)}
 		asg, asgVer := ke.asg.WithMember(ke.ID, ke.Resources), ke.asgVer
 		ke.mu.Unlock()
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -395,6 +395,32 @@
 	})
 }
 
+// TestJoinedAgain has a host join whose first attempt was written and never
+// heard of. Its row may have been watched since, so that joining again gives no
+// tenure: only a renewal does.
+func TestJoinedAgain(t *testing.T) {
+	inBubble(t, func(c *qt.C, mo *model) {
+		kes := mo.plain(2)
+		c.Assert(kes[0].Join(context.Background()), qt.IsNil)
+		cl := kes[1].Table
+		kes[1].Table.CommitFunc = func(ctx context.Context, txn platform.Txn) (platform.CommitReply, error) {
+			_, err := cl.CommitFunc(ctx, txn)
+			c.Check(err, qt.IsNil)
+			<-ctx.Done()
+			return platform.CommitReply{}, errCut
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		c.Assert(kes[1].Join(ctx), qt.IsNotNil)
+		kes[1].Table = cl
+		time.Sleep(DefaultTiming.TTL)
+		c.Assert(kes[1].Join(context.Background()), qt.IsNil)
+		c.Assert(kes[1].Valid(), qt.IsFalse)
+		c.Assert(kes[1].Renew(context.Background()), qt.IsNil)
+		c.Assert(kes[1].Valid(), qt.IsTrue)
+	})
+}
+
 // TestNoPromiseMakesUpForAnEmptyKnownSet is a counterexample that the model
 // found. The first host recorded an empty known set; the renewal with its
 // first peer got lost on its way, and it did not know whether it had arrived.
--- a/internal/place/control.go
+++ b/internal/place/control.go
@@ -94,7 +94,7 @@
 func (de *decider) worthEvicting(ta, service *Task) bool {
 	pol := de.sn.Policy
 	excess := service.TailMS/pol.TailTargetMS - 1
-	return pol.WeightTail*excess > pol.WeightEvictions*evictionCost(ta)*evictionScale
+	return pol.WeightTail*excess > de.evictionCost(ta)*evictionScale
 }
 
 // evictionScale is the excess over the target, as a part of it, that one
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -420,7 +420,7 @@
 			batch = append(batch, other)
 		}
 	}
-	slices.SortStableFunc(batch, func(a, b *Task) int { return cmp.Compare(evictionCost(a), evictionCost(b)) })
+	slices.SortStableFunc(batch, func(a, b *Task) int { return cmp.Compare(de.evictionCost(a), de.evictionCost(b)) })
 	var victims []*Task
 	co := 0.0
 	for _, other := range batch {
@@ -429,14 +429,16 @@
 		}
 		free = free.With(other.Each)
 		victims = append(victims, other)
-		co += evictionCost(other)
+		co += de.evictionCost(other)
 	}
 	return victims, co, ta.Each.Fits(free)
 }
 
-// evictionCost grows with the work lost and with evictions before.
-func evictionCost(ta *Task) float64 {
-	return 1 + float64(ta.Evictions) + float64(ta.LostMS)/60_000
+// evictionCost grows with evictions before, which weigh as evictions, and with
+// the work lost, which weighs as batch work: a minute of it is worth one.
+func (de *decider) evictionCost(ta *Task) float64 {
+	pol := de.sn.Policy
+	return pol.WeightEvictions*float64(1+ta.Evictions) + pol.WeightBatch*float64(ta.LostMS)/60_000
 }
 
 // describe is for messages.
