Pace fillers by what they were seen to do to services beside them

What: package interfere learns the rise a pair of images causes from differences of consecutive figures; placement keeps bad pairs apart, endless tasks of one image together; control slows the guilty and speeds them up within the room.

--- a/internal/sched/entry.go
+++ b/internal/sched/entry.go
@@ -66,9 +66,15 @@
 	percent int
 	moved   time.Time
 	usage   int64
-	// pace is the share of its speed that it was told, in per cent, and
-	// paceSent what the worker confirmed.
+	// lastTail is the usage at the measurement before, overSince since when
+	// a service is over its target.
+	lastTail  int64
+	overSince time.Time
+	// pace is the share of its speed that it was told, in per cent, or
+	// unknownPace.
 	pace int
+	// spell is the time since its share last changed.
+	spell *spell
 }
 
 // touch notes that a job has changed: it is to be written, and its waiting
--- a/internal/sched/host.go
+++ b/internal/sched/host.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"errors"
-	"slices"
+		"slices"
 	"time"
 
 	"github.com/pepperhatch/pepperhatch/internal/clock"
@@ -70,13 +70,17 @@
 	asides     int
 	failures   int
 	failedJobs map[string]bool
+	// fill follows the fillers.
+	fill fillers
 }
 
 // Times of looks.
 const (
 	// lookWait is how long a worker with work may wait for an end before it
-	// answers; without work it waits idleWait.
-	lookWait = time.Second
+	// answers; without work it waits idleWait, and beside services with
+	// targets, whose figures are of half a second, serveWait.
+	lookWait  = time.Second
+	serveWait = 600 * time.Millisecond
 	idleWait = 2 * time.Second
 	// lookGrace is how much longer an answer may take before the connection
 	// counts as dead.
@@ -191,6 +195,7 @@
 		return
 	}
 	delete(ho.attempts, at)
+	ho.setSpell(at, time.Now(), false)
 	ho.reserved = ho.reserved.Without(at.en.jo.Spec.Steps[at.ref.Step].Reserved())
 }
 
@@ -280,6 +285,8 @@
 	lo := worker.Look{Fence: ho.ow.Tenure.Epoch, Seen: ho.acked, LeaseUntilMS: ho.leaseNow(time.Now())}
 	switch {
 	case ho.clockAt.IsZero() || ho.undurable > 0 || !ho.failing.IsZero():
+	case ho.mixed():
+		lo.Wait = serveWait
 	case len(ho.attempts) > 0:
 		lo.Wait = lookWait
 	default:
@@ -288,6 +295,16 @@
 	return lo
 }
 
+// mixed reports whether fillers run beside services with targets.
+func (ho *host) mixed() bool {
+	filled, served := false, false
+	for at := range ho.attempts {
+		filled = filled || at.step().Filler
+		served = served || at.serves()
+	}
+	return filled && served
+}
+
 // looked takes in what a look saw.
 func (ho *host) looked(sent, got time.Time, si worker.Sight, err error) {
 	if ho.dead {
@@ -312,6 +329,7 @@
 			ho.ow.Log.Info("worker settled", "worker", ho.incarnation, "running", len(si.Running), "ended", len(si.Ended))
 		}
 	}
+	ho.measure(got)
 	ho.ow.due = true
 	ho.acknowledge()
 }
@@ -398,9 +416,7 @@
 			ho.stray(ra)
 			continue
 		}
-		if at.launched.IsZero() {
-			at.launched = got
-		}
+		ho.started(at, got)
 		if ra.Percent != at.percent || at.moved.IsZero() {
 			at.percent, at.moved = ra.Percent, got
 		}
@@ -420,6 +436,15 @@
 	go ho.ow.sendHalt(ho, ra.Attempt)
 }
 
+// started notes that an attempt is known to be at the worker.
+func (ho *host) started(at *attempt, now time.Time) {
+	if !at.launched.IsZero() {
+		return
+	}
+	at.launched = now
+	ho.setSpell(at, now, true)
+}
+
 // find returns the attempt that the worker names, if it runs here.
 func (ho *host) find(wa worker.Attempt) *attempt {
 	id, ref, ok := job.ParseTaskID(wa.Task)
--- a/internal/sched/launch.go
+++ b/internal/sched/launch.go
@@ -67,11 +67,11 @@
 		return
 	}
 	if err == nil || errors.Is(err, worker.ErrOldAttempt) {
-		at.launched = got
-		ow.Log.Info("attempt launched", "task", la(at), "attempt", at.number, "worker", at.ho.incarnation, "took", got.Sub(sent))
+		at.ho.started(at, got)
+		ow.Log.Info("attempt launched", "task", taskID(at), "attempt", at.number, "worker", at.ho.incarnation, "took", got.Sub(sent))
 		return
 	}
-	ow.Log.Info("launch not done", "task", la(at), "attempt", at.number, "worker", at.ho.incarnation, "err", err)
+	ow.Log.Info("launch not done", "task", taskID(at), "attempt", at.number, "worker", at.ho.incarnation, "err", err)
 	if !at.ho.notLaunched(err) {
 		at.settling = true
 		go ow.settle(at.ho, at.name(), func(there bool) { ow.settledLaunch(at, there) })
@@ -80,7 +80,7 @@
 	ow.end(at.en, at.ref, at.number, job.EndNever, "", "refused by the worker")
 }
 
-func la(at *attempt) string { return at.en.jo.TaskID(at.ref) }
+func taskID(at *attempt) string { return at.en.jo.TaskID(at.ref) }
 
 // notLaunched draws the conclusions of a refusal and reports whether the
 // attempt certainly will not run.
@@ -131,7 +131,7 @@
 	}
 	at.settling = false
 	if there {
-		at.launched = time.Now()
+		at.ho.started(at, time.Now())
 		return
 	}
 	ow.end(at.en, at.ref, at.number, job.EndNever, "", "its launch had no answer and it was kept from starting")
@@ -192,7 +192,7 @@
 		return
 	}
 	at.halted = time.Now()
-	ow.Log.Info("stopping attempt", "task", la(at), "attempt", at.number, "worker", at.ho.incarnation, "why", why)
+	ow.Log.Info("stopping attempt", "task", taskID(at), "attempt", at.number, "worker", at.ho.incarnation, "why", why)
 	go ow.sendHalt(at.ho, at.name())
 }
 
--- a/internal/sched/owner.go
+++ b/internal/sched/owner.go
@@ -22,6 +22,7 @@
 	"log/slog"
 	"time"
 
+	"github.com/pepperhatch/pepperhatch/internal/interfere"
 	"github.com/pepperhatch/pepperhatch/internal/job"
 	"github.com/pepperhatch/pepperhatch/internal/store"
 	"github.com/pepperhatch/pepperhatch/internal/telemetry"
@@ -77,6 +78,8 @@
 	// takeover, by incarnation.
 	orphans map[string]int
 	opened  time.Time
+	// model is what was learnt of fillers and services.
+	model interfere.Model
 }
 
 // Times of the loop.
--- /dev/null
+++ b/internal/sched/pace.go
@@ -0,0 +1,325 @@
+package sched
+
+import (
+	"cmp"
+	"context"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/pepperhatch/pepperhatch/internal/interfere"
+	"github.com/pepperhatch/pepperhatch/internal/job"
+	"github.com/pepperhatch/pepperhatch/internal/worker"
+)
+
+// The numbers of control of fillers.
+const (
+	// usageWindow is the time that a worker's figures are of.
+	usageWindow = 500 * time.Millisecond
+	// paceLag is how long an order needs to show in the figures.
+	paceLag = usageWindow + 100*time.Millisecond
+	// tight is the part of its target over which a service is relieved, calm
+	// that under which fillers are sped up again.
+	tight = 0.8
+	calm  = 0.7
+	// learnGapMost bounds the time between two measurements that are learnt
+	// from: the load of a service swings within some 20 s.
+	learnGapMost = 1300 * time.Millisecond
+	// saturated is a tail in milliseconds over which figures tell only that it
+	// is bad.
+	saturated = 1500
+	// stubborn is how long a service may stay over its target before every
+	// filler beside it is held.
+	stubborn = 2000 * time.Millisecond
+	// paceTimeout bounds one order.
+	paceTimeout = 400 * time.Millisecond
+)
+
+// spell is a time during which a filler used a share of a worker.
+type spell struct {
+	image string
+	share float64
+	from  time.Time
+	// until is zero while it goes on.
+	until time.Time
+}
+
+// fillers follows what fills a worker, and how services beside it do.
+type fillers struct {
+	spells []*spell
+	// measured is when the services were last measured, with the shares then.
+	measured time.Time
+	shares   interfere.Shares
+	// paced is when an order to set a pace was last sent.
+	paced time.Time
+}
+
+// shareOf is the share of the worker's processors that a filler takes.
+func (at *attempt) shareOf() float64 {
+	return share(at.en.jo.Spec.Steps[at.ref.Step].Each.MilliCores, at.ho.Holds.MilliCores)
+}
+
+func (at *attempt) step() job.Step { return at.en.jo.Spec.Steps[at.ref.Step] }
+
+// serves reports whether the attempt has a target to keep.
+func (at *attempt) serves() bool {
+	st := at.step()
+	return st.Endless && st.TargetMS > 0 && at.usage > 0
+}
+
+// setSpell notes that from now on a filler uses the share that its pace gives.
+func (ho *host) setSpell(at *attempt, now time.Time, on bool) {
+	if !at.step().Filler {
+		return
+	}
+	if at.spell != nil && at.spell.until.IsZero() {
+		at.spell.until = now
+	}
+	if !on {
+		return
+	}
+	at.spell = &spell{image: at.step().Image, share: at.shareOf() * float64(at.speed()) / fullPace, from: now}
+	ho.fill.spells = append(ho.fill.spells, at.spell)
+}
+
+// speed is the pace in per cent that the attempt is taken to work at.
+func (at *attempt) speed() int {
+	if at.pace < 0 {
+		return fullPace
+	}
+	return at.pace
+}
+
+// over returns the mean shares of fillers between two moments.
+func (fi *fillers) over(from, until time.Time) interfere.Shares {
+	sh := interfere.Shares{}
+	for _, sp := range fi.spells {
+		begin, end := sp.from, sp.until
+		if begin.Before(from) {
+			begin = from
+		}
+		if end.IsZero() || end.After(until) {
+			end = until
+		}
+		if part := end.Sub(begin); part > 0 {
+			sh[sp.image] += sp.share * part.Seconds() / until.Sub(from).Seconds()
+		}
+	}
+	return sh
+}
+
+// now returns the shares of fillers at this moment.
+func (fi *fillers) now() interfere.Shares {
+	sh := interfere.Shares{}
+	for _, sp := range fi.spells {
+		if sp.until.IsZero() {
+			sh[sp.image] += sp.share
+		}
+	}
+	return sh
+}
+
+// forget drops spells that ended too long ago to be in any figure.
+func (fi *fillers) forget(before time.Time) {
+	fi.spells = slices.DeleteFunc(fi.spells, func(sp *spell) bool { return !sp.until.IsZero() && sp.until.Before(before) })
+}
+
+// measure learns from the figures of a look and sets the pace of fillers.
+func (ho *host) measure(got time.Time) {
+	fi := &ho.fill
+	sh := fi.over(got.Add(-usageWindow), got)
+	gap := got.Sub(fi.measured)
+	if gap < usageWindow/2 {
+		return
+	}
+	for at := range ho.attempts {
+		if !at.serves() {
+			at.lastTail = 0
+			continue
+		}
+		if at.lastTail > 0 && gap < learnGapMost && at.lastTail < saturated && at.usage < saturated {
+			ho.ow.model.Learn(at.step().Image, float64(at.lastTail), float64(at.usage), fi.shares, sh)
+		}
+		at.lastTail = at.usage
+	}
+	fi.measured, fi.shares = got, sh
+	fi.forget(got.Add(-2 * usageWindow))
+	ho.control(got)
+}
+
+// excess is by how much the logarithm of a service's tail is expected over the
+// wanted part of its target, with the fillers as they are now.
+func (ho *host) excess(at *attempt, part float64) float64 {
+	mo := &ho.ow.model
+	image := at.step().Image
+	news := mo.Load(image, ho.fill.now()) - mo.Load(image, ho.fill.shares)
+	return math.Log(float64(at.usage)/(part*float64(at.step().TargetMS))) + news
+}
+
+// control slows fillers while a service is over its target, and speeds them up
+// again while all have room.
+func (ho *host) control(now time.Time) {
+	if now.Sub(ho.fill.paced) < paceLag {
+		return
+	}
+	ho.timeOver(now)
+	fills := ho.movable()
+	if len(fills) == 0 {
+		return
+	}
+	over := false
+	for at := range ho.attempts {
+		if !at.serves() {
+			continue
+		}
+		excess := ho.excess(at, tight)
+		over = over || excess > 0
+		switch {
+		case !at.overSince.IsZero() && now.Sub(at.overSince) > stubborn:
+			ho.holdAll(fills, now)
+		case excess > 0:
+			ho.slow(fills, at, excess, now)
+		}
+	}
+	if !over {
+		ho.speedUp(fills, now)
+	}
+}
+
+// timeOver notes since when each service is over its target.
+func (ho *host) timeOver(now time.Time) {
+	for at := range ho.attempts {
+		switch {
+		case !at.serves() || at.usage <= at.step().TargetMS:
+			at.overSince = time.Time{}
+		case at.overSince.IsZero():
+			at.overSince = now
+		}
+	}
+}
+
+// movable returns the fillers whose pace can be set.
+func (ho *host) movable() []*attempt {
+	var fills []*attempt
+	for at := range ho.attempts {
+		if at.step().Filler && !at.launched.IsZero() {
+			fills = append(fills, at)
+		}
+	}
+	return fills
+}
+
+// harm is by how much a filler at full speed raises a service's tail.
+func (ho *host) harm(filler, service *attempt) float64 {
+	return ho.ow.model.Rise(interfere.Pair{Service: service.step().Image, Filler: filler.step().Image}) * filler.shareOf()
+}
+
+// slow slows the fillers that disturb a service most, until the excess of its
+// tail should be gone.
+func (ho *host) slow(fills []*attempt, service *attempt, excess float64, now time.Time) {
+	slices.SortFunc(fills, func(a, b *attempt) int {
+		return cmp.Or(cmp.Compare(ho.harm(b, service), ho.harm(a, service)), compareStrings(taskID(a), taskID(b)))
+	})
+	for _, at := range fills {
+		harm := ho.harm(at, service)
+		if excess <= 0 || harm < guiltless {
+			return
+		}
+		less := min(float64(at.speed())/fullPace, excess/harm)
+		excess -= less * harm
+		ho.pace(at, at.speed()-int(math.Ceil(less*fullPace)), now, "service over its target")
+	}
+}
+
+// holdAll holds every filler, as slowing some did not help.
+func (ho *host) holdAll(fills []*attempt, now time.Time) {
+	for _, at := range fills {
+		ho.pace(at, 0, now, "service over its target for long")
+	}
+}
+
+// guiltless is a rise of the logarithm of a tail that does not matter.
+const guiltless = 0.05
+
+// speedUp speeds fillers up that were slowed, the least harmful first, as far
+// as every service stays calm.
+func (ho *host) speedUp(fills []*attempt, now time.Time) {
+	room := map[*attempt]float64{}
+	for at := range ho.attempts {
+		if at.serves() {
+			room[at] = -ho.excess(at, calm)
+		}
+	}
+	worst := func(at *attempt) float64 {
+		most := 0.0
+		for service := range room {
+			most = max(most, ho.harm(at, service))
+		}
+		return most
+	}
+	slices.SortFunc(fills, func(a, b *attempt) int {
+		return cmp.Or(cmp.Compare(worst(a), worst(b)), compareStrings(taskID(a), taskID(b)))
+	})
+	for _, at := range fills {
+		more := float64(fullPace-at.speed()) / fullPace
+		for service, left := range room {
+			if harm := ho.harm(at, service); harm > 0 {
+				more = min(more, max(left, 0)/harm)
+			}
+		}
+		if int(more*fullPace) < leastSpeedUp && at.speed()+int(more*fullPace) < fullPace {
+			continue
+		}
+		for service := range room {
+			room[service] -= more * ho.harm(at, service)
+		}
+		ho.pace(at, at.speed()+int(more*fullPace), now, "services have room")
+	}
+}
+
+// leastSpeedUp is the least change of pace in per cent that is worth an order.
+const leastSpeedUp = 10
+
+// pace orders a pace, if it differs from the last.
+func (ho *host) pace(at *attempt, percent int, now time.Time, why string) {
+	percent = max(percent, 0)
+	if at.pace == percent {
+		return
+	}
+	ho.ow.Log.Info("pacing attempt", "task", taskID(at), "attempt", at.number, "worker", ho.incarnation, "percent", percent, "was", at.pace, "why", why)
+	at.pace = percent
+	ho.fill.paced = now
+	ho.setSpell(at, now, true)
+	go ho.ow.sendPace(at, worker.Pace{Attempt: at.name(), Percent: percent, Fence: ho.ow.Tenure.Epoch})
+}
+
+func (ow *Owner) sendPace(at *attempt, pa worker.Pace) {
+	ctx, cancel := context.WithTimeout(ow.ctx, paceTimeout)
+	defer cancel()
+	if _, err := ow.Agent.PaceFunc(ctx, at.ho.Addr, pa); err != nil {
+		ow.Log.Info("pace not set", "task", pa.Task, "attempt", pa.Number, "worker", at.ho.incarnation, "err", err)
+		ow.post(func() { at.pace = unknownPace })
+	}
+}
+
+// disturbs rates by how much a filler would push services on a worker over
+// their targets, and how much it would disturb them at all.
+func (ca *candidate) disturbs(st job.Step) float64 {
+	ho := ca.ho
+	sum := 0.0
+	for at := range ho.attempts {
+		if !at.serves() {
+			continue
+		}
+		rise := ho.ow.model.Rise(interfere.Pair{Service: at.step().Image, Filler: st.Image}) * share(st.Each.MilliCores, ho.Holds.MilliCores)
+		sum += disturbWeight*rise + overWeight*max(ho.excess(at, tight)+rise, 0)
+	}
+	return sum
+}
+
+// Weights of disturbance in the rating of a worker, against the share of its
+// processors that is idle.
+const (
+	disturbWeight = 0.3
+	overWeight    = 2
+)
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -147,7 +147,10 @@
 func (ca *candidate) score(en *entry, st job.Step) float64 {
 	score := share(ca.free.MilliCores, ca.ho.Holds.MilliCores) + 0.1*share(ca.free.MemMB, ca.ho.Holds.MemMB)
 	if st.Filler {
-		score = share(ca.idle, ca.ho.Holds.MilliCores)
+		score = share(ca.idle, ca.ho.Holds.MilliCores) - ca.disturbs(st)
+	}
+	if st.Endless && st.Image != "" {
+		score += groupWeight * ca.kinship(st.Image)
 	}
 	if st.Rack != "" && st.Rack != ca.ho.Rack {
 		score -= farPenalty
@@ -158,6 +161,30 @@
 	return score - float64(ca.ho.failures)*doubtPenalty
 }
 
+// kinship is the share of endless tasks on the worker that run the image, less
+// that of others: a filler disturbs some images badly and others hardly, so it
+// finds a good place more easily if a worker has few.
+func (ca *candidate) kinship(image string) float64 {
+	same, all := 0, 0
+	for at := range ca.ho.attempts {
+		st := at.step()
+		if !st.Endless {
+			continue
+		}
+		all++
+		if st.Image == image {
+			same++
+		}
+	}
+	if all == 0 {
+		return 0
+	}
+	return float64(2*same-all) / float64(all)
+}
+
+// groupWeight is the weight of kinship against the share of free room.
+const groupWeight = 0.5
+
 // Penalties of workers that failed.
 const (
 	// failedPenalty keeps a job's tasks off a worker that failed one of them.
@@ -184,7 +211,7 @@
 	st := en.jo.Spec.Steps[ref.Step]
 	ca.free = ca.free.Without(st.Reserved())
 	ca.use(st)
-	pl.ow.Log.Info("attempt placed", "task", la(at), "attempt", number, "worker", ca.ho.incarnation, "free_millicores", ca.free.MilliCores)
+	pl.ow.Log.Info("attempt placed", "task", taskID(at), "attempt", number, "worker", ca.ho.incarnation, "free_millicores", ca.free.MilliCores)
 	en.effects = append(en.effects, func() { pl.ow.launch(at) })
 	pl.ow.touch(en)
 	pl.ow.due = false
