Give fillers good places, and move those that are held

What: fillers start only where they find idle processors and services keep their targets, or after 1.5 s anywhere; held ones are stopped at a checkpoint and go on where they are welcome; ten idle connections a worker instead of three.

--- a/internal/jobhost/host.go
+++ b/internal/jobhost/host.go
@@ -32,7 +32,7 @@
 	// storeConns, workerConns and peerConns are idle connections kept to each
 	// address.
 	storeConns  = 6
-	workerConns = 3
+	workerConns = 10
 	peerConns   = 8
 	// stopReserve is kept of the time to stop for closing connections.
 	stopReserve = 1500 * time.Millisecond
--- a/internal/sched/entry.go
+++ b/internal/sched/entry.go
@@ -29,6 +29,8 @@
 	waiters []func(Verdict)
 	// waiting counts tasks that may start now.
 	waiting int
+	// waitingSince is since when it has had such tasks without one starting.
+	waitingSince time.Time
 	// attempts has what is known of the attempts that run, or may.
 	attempts map[job.TaskRef]*attempt
 	// orphans are attempts ordered by former owners on workers not yet seen.
@@ -73,6 +75,8 @@
 	// pace is the share of its speed that it was told, in per cent, or
 	// unknownPace.
 	pace int
+	// heldSince is since when a filler's pace is so low that it hardly works.
+	heldSince time.Time
 	// spell is the time since its share last changed.
 	spell *spell
 }
@@ -91,12 +95,16 @@
 // recount counts the tasks that may start now and keeps the list of jobs that
 // have any.
 func (ow *Owner) recount(en *entry) {
+	before := en.waiting
 	en.waiting = 0
 	if !en.removing {
 		for i := range en.jo.Spec.Steps {
 			en.waiting += en.waitingOf(i)
 		}
 	}
+	if before == 0 && en.waiting > 0 {
+		en.waitingSince = time.Now()
+	}
 	at, found := slices.BinarySearchFunc(ow.active, en, compareEntries)
 	switch {
 	case en.waiting > 0 && !found:
--- a/internal/sched/owner.go
+++ b/internal/sched/owner.go
@@ -164,6 +164,7 @@
 	for _, ho := range ow.hosts {
 		ho.tick(now)
 	}
+	ow.moveHeld(now)
 	ow.tickOrphans(now)
 	ow.forgetEnded(now)
 	ow.due = true
--- a/internal/sched/pace.go
+++ b/internal/sched/pace.go
@@ -20,8 +20,8 @@
 	paceLag = usageWindow + 100*time.Millisecond
 	// tight is the part of its target over which a service is relieved, calm
 	// that under which fillers are sped up again.
-	tight = 0.8
-	calm  = 0.7
+	tight = 0.85
+	calm  = 0.75
 	// learnGapMost bounds the time between two measurements that are learnt
 	// from: the load of a service swings within some 20 s.
 	learnGapMost = 1300 * time.Millisecond
@@ -288,6 +288,12 @@
 	}
 	ho.ow.Log.Info("pacing attempt", "task", taskID(at), "attempt", at.number, "worker", ho.incarnation, "percent", percent, "was", at.pace, "why", why)
 	at.pace = percent
+	switch {
+	case percent > heldPace:
+		at.heldSince = time.Time{}
+	case at.heldSince.IsZero():
+		at.heldSince = now
+	}
 	ho.fill.paced = now
 	ho.setSpell(at, now, true)
 	go ho.ow.sendPace(at, worker.Pace{Attempt: at.name(), Percent: percent, Fence: ho.ow.Tenure.Epoch})
@@ -302,19 +308,23 @@
 	}
 }
 
-// disturbs rates by how much a filler would push services on a worker over
-// their targets, and how much it would disturb them at all.
-func (ca *candidate) disturbs(st job.Step) float64 {
+// disturbs rates how much a filler would disturb the services on a worker, and
+// by how much the logarithm of a tail would be over the wanted part of its
+// target through it.
+func (ca *candidate) disturbs(st job.Step) (sum, over float64) {
 	ho := ca.ho
-	sum := 0.0
+	part := share(st.Each.MilliCores, ho.Holds.MilliCores)
 	for at := range ho.attempts {
 		if !at.serves() {
 			continue
 		}
-		rise := ho.ow.model.Rise(interfere.Pair{Service: at.step().Image, Filler: st.Image}) * share(st.Each.MilliCores, ho.Holds.MilliCores)
-		sum += disturbWeight*rise + overWeight*max(ho.excess(at, tight)+rise, 0)
+		rise := ho.ow.model.Rise(interfere.Pair{Service: at.step().Image, Filler: st.Image}) * part
+		sum += rise
+		if rise > guiltless {
+			over = max(over, ho.excess(at, tight)+rise)
+		}
 	}
-	return sum
+	return sum, over
 }
 
 // Weights of disturbance in the rating of a worker, against the share of its
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -15,7 +15,7 @@
 	farPenalty = 0.5
 	// servingLoad is the share of their processor time that endless tasks are
 	// taken to use, as their load is not reported.
-	servingLoad = 0.6
+	servingLoad = 0.5
 )
 
 func compareStrings(a, b string) int { return strings.Compare(a, b) }
@@ -26,15 +26,21 @@
 	if len(ow.active) == 0 || ow.storeDown() {
 		return
 	}
+	pl := ow.newPlacer()
+	for _, en := range append([]*entry(nil), ow.active...) {
+		pl.placeJob(en)
+	}
+}
+
+// newPlacer begins a round of placement.
+func (ow *Owner) newPlacer() *placer {
 	pl := &placer{ow: ow, now: time.Now()}
 	for _, ho := range ow.sortedHosts() {
 		if ho.usable(pl.now) {
 			pl.hosts = append(pl.hosts, newCandidate(ho))
 		}
 	}
-	for _, en := range append([]*entry(nil), ow.active...) {
-		pl.placeJob(en)
-	}
+	return pl
 }
 
 // candidate is a worker in one round of placement.
@@ -119,9 +125,37 @@
 	if st.Label != "" && !ho.hasLabel(st.Label) {
 		return false
 	}
+	if st.Filler && !ca.welcome(en, st) {
+		return false
+	}
 	return st.PerWorker == 0 || en.countAt(ref.Step, ho) < st.PerWorker
 }
 
+// welcome reports whether a filler suits a worker. One that has waited for long
+// goes anywhere, to be paced there.
+func (ca *candidate) welcome(en *entry, st job.Step) bool {
+	return time.Since(en.waitingSince) > fillerPatience || ca.suits(st)
+}
+
+// suits reports whether a filler finds idle processors on the worker and
+// leaves the services there under their targets.
+func (ca *candidate) suits(st job.Step) bool {
+	if ca.idle < int64(leastIdle*float64(st.Each.MilliCores)) {
+		return false
+	}
+	_, over := ca.disturbs(st)
+	return over <= 0
+}
+
+// Patience of fillers.
+const (
+	// fillerPatience is how long a job's fillers wait for a good place: a job
+	// must not run nothing for 3 s while there is room.
+	fillerPatience = 1500 * time.Millisecond
+	// leastIdle is the part of its processor time that a filler must find idle.
+	leastIdle = 0.5
+)
+
 func (ho *host) hasLabel(label string) bool {
 	for _, la := range ho.Labels {
 		if la == label {
@@ -147,7 +181,8 @@
 func (ca *candidate) score(en *entry, st job.Step) float64 {
 	score := share(ca.free.MilliCores, ca.ho.Holds.MilliCores) + 0.1*share(ca.free.MemMB, ca.ho.Holds.MemMB)
 	if st.Filler {
-		score = share(ca.idle, ca.ho.Holds.MilliCores) - ca.disturbs(st)
+		sum, over := ca.disturbs(st)
+		score = share(ca.idle, ca.ho.Holds.MilliCores) - disturbWeight*sum - overWeight*over
 	}
 	if st.Endless && st.Image != "" {
 		score += groupWeight * ca.kinship(st.Image)
