Ease fillers in, and slow only those that matter

What: a filler is paced at once to what the services beside it bear; fillers are slowed only if that can remove most of the excess; what is known of a pair is learnt fast at first and slowly later.

--- a/internal/interfere/interfere.go
+++ b/internal/interfere/interfere.go
@@ -16,8 +16,12 @@
 	// prior is assumed of a pair never seen together: a filler on a tenth of
 	// the processors raises the tail by a third.
 	prior = 3
-	// rate is the part of a prediction's error that is corrected at once.
-	rate = 0.4
+	// rateFirst is the part of a prediction's error that is corrected at the
+	// first measurement of a pair; it falls to half of that within halving
+	// more, and never under rateLast, as programs change.
+	rateFirst = 0.7
+	halving   = 8
+	rateLast  = 0.1
 	// floor is added to the squared difference of shares, so that small
 	// differences, which noise drowns, teach little: a fifteenth of the
 	// processors, squared.
@@ -35,14 +39,25 @@
 
 // Model holds what was learnt.
 type Model struct {
-	pairs map[Pair]float64
+	pairs map[Pair]*learnt
+}
+
+// learnt is what is known of a pair: the rise, from so many measurements.
+type learnt struct {
+	rise  float64
+	times int
+}
+
+// rate is the part of the next error that is corrected.
+func (le *learnt) rate() float64 {
+	return max(rateFirst/(1+float64(le.times)/halving), rateLast)
 }
 
 // Rise returns by how much the logarithm of a service's tail rises if a filler
 // takes all processors of its worker.
 func (mo *Model) Rise(pa Pair) float64 {
-	if rise, ok := mo.pairs[pa]; ok {
-		return rise
+	if le := mo.pairs[pa]; le != nil {
+		return le.rise
 	}
 	return prior
 }
@@ -75,11 +90,17 @@
 		miss -= mo.Rise(Pair{Service: service, Filler: filler}) * diff
 	}
 	if mo.pairs == nil {
-		mo.pairs = map[Pair]float64{}
+		mo.pairs = map[Pair]*learnt{}
 	}
 	for filler, diff := range diffs {
 		pa := Pair{Service: service, Filler: filler}
-		mo.pairs[pa] = min(max(mo.Rise(pa)+rate*miss*diff/(norm+floor), 0), most)
+		le := mo.pairs[pa]
+		if le == nil {
+			le = &learnt{rise: prior}
+			mo.pairs[pa] = le
+		}
+		le.rise = min(max(le.rise+le.rate()*miss*diff/(norm+floor), 0), most)
+		le.times++
 	}
 }
 
--- a/internal/sched/host.go
+++ b/internal/sched/host.go
@@ -443,6 +443,7 @@
 	}
 	at.launched = now
 	ho.setSpell(at, now, true)
+	ho.easeIn(at, now)
 }
 
 // find returns the attempt that the worker names, if it runs here.
--- a/internal/sched/pace.go
+++ b/internal/sched/pace.go
@@ -220,6 +220,13 @@
 	slices.SortFunc(fills, func(a, b *attempt) int {
 		return cmp.Or(cmp.Compare(ho.harm(b, service), ho.harm(a, service)), compareStrings(taskID(a), taskID(b)))
 	})
+	removable := 0.0
+	for _, at := range fills {
+		removable += ho.harm(at, service) * float64(at.speed()) / fullPace
+	}
+	if removable < worthSlowing*excess {
+		return
+	}
 	for _, at := range fills {
 		harm := ho.harm(at, service)
 		if excess <= 0 || harm < guiltless {
@@ -238,6 +245,10 @@
 	}
 }
 
+// worthSlowing is the part of an excess that slowing fillers must be able to
+// remove; else the service's own load is the cause.
+const worthSlowing = 0.6
+
 // guiltless is a rise of the logarithm of a tail that does not matter.
 const guiltless = 0.05
 
@@ -277,6 +288,28 @@
 	}
 }
 
+// easeIn slows a filler that just started to what the services beside it bear,
+// as its effect shows in their figures only half a second later.
+func (ho *host) easeIn(at *attempt, now time.Time) {
+	if !at.step().Filler {
+		return
+	}
+	least := float64(fullPace)
+	for service := range ho.attempts {
+		if !service.serves() {
+			continue
+		}
+		// The excess has the filler at full speed.
+		harm, excess := ho.harm(at, service), ho.excess(service, tight)
+		if harm > guiltless && excess > 0 {
+			least = min(least, fullPace*max(1-excess/harm, 0))
+		}
+	}
+	if least < fullPace {
+		ho.pace(at, int(least), now, "started beside services with little room")
+	}
+}
+
 // leastSpeedUp is the least change of pace in per cent that is worth an order.
 const leastSpeedUp = 10
 
