Pack services tightly, and have fillers wait longer

Cause: leg-recalc waited for room (one in ten over 0.8 s) and traffic-watch up to 12 s: free processors were spread thin over all workers.

What: what reserves room goes where least is left; fillers wait up to 6 s where most is reserved.

--- a/internal/sched/host.go
+++ b/internal/sched/host.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"errors"
-		"slices"
+	"slices"
 	"time"
 
 	"github.com/pepperhatch/pepperhatch/internal/clock"
@@ -81,7 +81,7 @@
 	// targets, whose figures are of half a second, serveWait.
 	lookWait  = time.Second
 	serveWait = 600 * time.Millisecond
-	idleWait = 2 * time.Second
+	idleWait  = 2 * time.Second
 	// lookGrace is how much longer an answer may take before the connection
 	// counts as dead.
 	lookGrace = 600 * time.Millisecond
--- a/internal/sched/owner.go
+++ b/internal/sched/owner.go
@@ -78,6 +78,8 @@
 	// takeover, by incarnation.
 	orphans map[string]int
 	opened  time.Time
+	// used is the share of all processors that is reserved.
+	used float64
 	// model is what was learnt of fillers and services.
 	model interfere.Model
 }
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -35,11 +35,16 @@
 // newPlacer begins a round of placement.
 func (ow *Owner) newPlacer() *placer {
 	pl := &placer{ow: ow, now: time.Now()}
+	var reserved, holds int64
 	for _, ho := range ow.sortedHosts() {
-		if ho.usable(pl.now) {
-			pl.hosts = append(pl.hosts, newCandidate(ho))
+		if !ho.usable(pl.now) {
+			continue
 		}
+		pl.hosts = append(pl.hosts, newCandidate(ho))
+		reserved += ho.reserved.MilliCores
+		holds += ho.Holds.MilliCores
 	}
+	ow.used = share(reserved, holds)
 	return pl
 }
 
@@ -50,24 +55,19 @@
 	// idle is the processor time that nothing is likely to use, in thousandths
 	// of a core.
 	idle int64
-	// fillers counts tasks that live on what is idle.
-	fillers int
 }
 
 func newCandidate(ho *host) *candidate {
 	ca := &candidate{ho: ho, free: ho.Holds.Without(ho.reserved), idle: ho.Holds.MilliCores}
 	for at := range ho.attempts {
-		ca.use(at.en.jo.Spec.Steps[at.ref.Step])
+		ca.use(at.step(), at.speed())
 	}
 	return ca
 }
 
 // use takes what a task of the step is likely to use off what is idle.
-func (ca *candidate) use(st job.Step) {
-	if st.Filler {
-		ca.fillers++
-	}
-	used := st.Each.MilliCores
+func (ca *candidate) use(st job.Step, speed int) {
+	used := st.Each.MilliCores * int64(speed) / fullPace
 	if st.Endless {
 		used = int64(float64(used) * servingLoad)
 	}
@@ -134,7 +134,17 @@
 // welcome reports whether a filler suits a worker. One that has waited for long
 // goes anywhere, to be paced there.
 func (ca *candidate) welcome(en *entry, st job.Step) bool {
-	return time.Since(en.waitingSince) > fillerPatience || ca.suits(st)
+	return time.Since(en.waitingSince) > ca.ho.ow.patience() || ca.suits(st)
+}
+
+// patience is how long a job's fillers wait for a good place. While little is
+// used a job must not run nothing for 3 s; else a bad place costs the services
+// there more than waiting costs the job.
+func (ow *Owner) patience() time.Duration {
+	if ow.used < busyShare {
+		return patienceIdle
+	}
+	return patienceBusy
 }
 
 // suits reports whether a filler finds idle processors on the worker and
@@ -149,9 +159,11 @@
 
 // Patience of fillers.
 const (
-	// fillerPatience is how long a job's fillers wait for a good place: a job
-	// must not run nothing for 3 s while there is room.
-	fillerPatience = 1500 * time.Millisecond
+	// busyShare is the share of all processors reserved from which on waiting
+	// is the lesser evil; the users' bound is a half.
+	busyShare    = 0.6
+	patienceIdle = 1500 * time.Millisecond
+	patienceBusy = 6 * time.Second
 	// leastIdle is the part of its processor time that a filler must find idle.
 	leastIdle = 0.5
 )
@@ -177,9 +189,11 @@
 }
 
 // score rates a worker for a task; the highest wins. Fillers go where most
-// processor time is idle, all others where most is unreserved.
+// processor time is idle. All others go where least is left unreserved, so that
+// large tasks find room elsewhere, and workers without services are left to
+// fillers that would disturb any.
 func (ca *candidate) score(en *entry, st job.Step) float64 {
-	score := share(ca.free.MilliCores, ca.ho.Holds.MilliCores) + 0.1*share(ca.free.MemMB, ca.ho.Holds.MemMB)
+	score := -float64(ca.free.MilliCores) / coresScale
 	if st.Filler {
 		sum, over := ca.disturbs(st)
 		score = share(ca.idle, ca.ho.Holds.MilliCores) - disturbWeight*sum - overWeight*over
@@ -222,6 +236,9 @@
 
 // Penalties of workers that failed.
 const (
+	// coresScale is the unreserved processor time, in thousandths of a core, that
+	// weighs as much as one point of the other ratings: a worker's size.
+	coresScale = 32_000
 	// failedPenalty keeps a job's tasks off a worker that failed one of them.
 	failedPenalty = 4
 	// doubtPenalty is for each attempt that failed there since one was done.
@@ -245,7 +262,7 @@
 	ca.ho.put(at)
 	st := en.jo.Spec.Steps[ref.Step]
 	ca.free = ca.free.Without(st.Reserved())
-	ca.use(st)
+	ca.use(st, fullPace)
 	pl.ow.Log.Info("attempt placed", "task", taskID(at), "attempt", number, "worker", ca.ho.incarnation, "free_millicores", ca.free.MilliCores)
 	en.effects = append(en.effects, func() { pl.ow.launch(at) })
 	pl.ow.touch(en)
