Look a service up once in placement; a stand-in for workers by the task

What: services are kept by worker, steps are not copied, the order of workers is kept, looks that bring nothing start no round. The stand-in (leases on its own clock, fences, ends until acknowledged, late orders) is for benchmarks and tests.

--- a/internal/job/spec.go
+++ b/internal/job/spec.go
@@ -117,7 +117,8 @@
 	bad(len(sp.Steps) == 0 || len(sp.Steps) > MaxSteps, ErrInvalid, "%d steps, want 1 to %d", len(sp.Steps), MaxSteps)
 	bad(sp.Schedule != (Schedule{}), ErrUnsupported, "a job that repeats")
 	total := 0
-	for i, st := range sp.Steps {
+	for i := range sp.Steps {
+		st := &sp.Steps[i]
 		bad(st.Tasks < 1 || st.Tasks > MaxTasks, ErrInvalid, "step %d: %d tasks, want 1 to %d", i, st.Tasks, MaxTasks)
 		bad(!st.sized(), ErrInvalid, "step %d: sizes out of bounds", i)
 		bad(st.EstimateMS < 0 || st.PerWorker < 0 || st.TargetMS < 0 || st.MayMiss < 0, ErrInvalid, "step %d: negative number", i)
@@ -129,14 +130,17 @@
 	return errors.Join(errs...)
 }
 
-func (st Step) sized() bool {
+func (st *Step) sized() bool {
 	within := func(n, most int64) bool { return n >= 0 && n <= most }
 	return within(st.Each.MilliCores, MaxMilliCores) && within(st.Each.MemMB, MaxMemMB) && within(st.Each.Accels, MaxAccels)
 }
 
+// HasTarget reports whether the step's tasks serve requests within a target.
+func (st *Step) HasTarget() bool { return st.Endless && st.TargetMS > 0 }
+
 // Reserved is what a task of the step takes of a worker's room: a filler's
 // processor time is not reserved.
-func (st Step) Reserved() worker.Resources {
+func (st *Step) Reserved() worker.Resources {
 	re := st.Each
 	if st.Filler {
 		re.MilliCores = 0
--- a/internal/sched/host.go
+++ b/internal/sched/host.go
@@ -62,6 +62,8 @@
 	release chan struct{}
 	// attempts are those that run here, or may.
 	attempts map[*attempt]bool
+	// services are those of them that serve within a target.
+	services []*attempt
 	// reserved is what they take of its room.
 	reserved worker.Resources
 	// asideUntil is until when it gets nothing new; failures counts attempts
@@ -145,6 +147,7 @@
 		attempts: map[*attempt]bool{}, failedJobs: map[string]bool{},
 	}
 	ow.hosts[li.Incarnation] = ho
+	ow.sorted = nil
 	ow.byAddr[li.HostPort] = ho
 	ow.adopt(ho)
 	go ho.looks(ctx)
@@ -169,6 +172,7 @@
 	}
 	ho.stop()
 	delete(ow.hosts, ho.incarnation)
+	ow.sorted = nil
 	if ow.byAddr[ho.HostPort] == ho {
 		delete(ow.byAddr, ho.HostPort)
 	}
@@ -196,13 +200,17 @@
 	}
 	delete(ho.attempts, at)
 	ho.setSpell(at, time.Now(), false)
-	ho.reserved = ho.reserved.Without(at.en.jo.Spec.Steps[at.ref.Step].Reserved())
+	ho.services = slices.DeleteFunc(ho.services, func(other *attempt) bool { return other == at })
+	ho.reserved = ho.reserved.Without(at.step().Reserved())
 }
 
 // put enters an attempt.
 func (ho *host) put(at *attempt) {
 	ho.attempts[at] = true
-	ho.reserved = ho.reserved.With(at.en.jo.Spec.Steps[at.ref.Step].Reserved())
+	ho.reserved = ho.reserved.With(at.step().Reserved())
+	if at.step().HasTarget() {
+		ho.services = append(ho.services, at)
+	}
 	at.en.attempts[at.ref] = at
 }
 
@@ -330,7 +338,6 @@
 		}
 	}
 	ho.measure(got)
-	ho.ow.due = true
 	ho.acknowledge()
 }
 
@@ -560,10 +567,14 @@
 
 // sortedHosts returns the workers in an order that does not change.
 func (ow *Owner) sortedHosts() []*host {
+	if ow.sorted != nil {
+		return ow.sorted
+	}
 	list := make([]*host, 0, len(ow.hosts))
 	for _, ho := range ow.hosts {
 		list = append(list, ho)
 	}
 	slices.SortFunc(list, func(a, b *host) int { return compareStrings(a.incarnation, b.incarnation) })
+	ow.sorted = list
 	return list
 }
--- /dev/null
+++ b/internal/sched/lab_test.go
@@ -0,0 +1,178 @@
+package sched
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/pepperhatch/pepperhatch/internal/job"
+	"github.com/pepperhatch/pepperhatch/internal/standin"
+	"github.com/pepperhatch/pepperhatch/internal/store"
+	"github.com/pepperhatch/pepperhatch/internal/tenure"
+	"github.com/pepperhatch/pepperhatch/internal/worker"
+)
+
+// testService is the service of all workers of the lab.
+const testService = "routedesk"
+
+// lab is one cell with stand-ins for everything outside of it.
+type lab struct {
+	t     testing.TB
+	table standin.Table
+	fleet standin.Fleet
+	crew  []*standin.FleetWorker
+	epoch int64
+	// specs are the jobs handed in, by id.
+	mu    sync.Mutex
+	specs map[string]job.Spec
+	log   *slog.Logger
+}
+
+func newLab(t testing.TB, workers int) *lab {
+	la := &lab{t: t, specs: map[string]job.Spec{}, log: slog.New(slog.DiscardHandler)}
+	la.fleet.RoomFunc = func(at worker.Attempt) worker.Resources {
+		id, ref, _ := job.ParseTaskID(at.Task)
+		return la.spec(id).Steps[ref.Step].Reserved()
+	}
+	for i := range workers {
+		la.addWorker(i, 0)
+	}
+	return la
+}
+
+func (la *lab) spec(id string) job.Spec {
+	la.mu.Lock()
+	defer la.mu.Unlock()
+	return la.specs[id]
+}
+
+// addWorker adds the worker at place i, in its life so-and-so.
+func (la *lab) addWorker(i, life int) *standin.FleetWorker {
+	fw := &standin.FleetWorker{
+		Addr:  worker.Addr{HostPort: fmt.Sprintf("10.0.0.%d:80", i), Incarnation: fmt.Sprintf("i-%d-%d", i, life)},
+		Holds: worker.Resources{MilliCores: 32_000, MemMB: 128_000},
+	}
+	la.fleet.Add(fw)
+	la.crew = append(la.crew, fw)
+	return fw
+}
+
+func (la *lab) listed() []Listed {
+	var list []Listed
+	for _, fw := range la.crew {
+		list = append(list, Listed{Addr: fw.Addr, Service: testService, Rack: "r1", Labels: []string{"a", "r1"}, Holds: fw.Holds})
+	}
+	return list
+}
+
+// tenureRow claims the cell for the next owner.
+func (la *lab) claim() tenure.Tenure {
+	ctx := context.Background()
+	key := "cells/c0/owner"
+	var former tenure.OwnerRow
+	version, err := la.table.Client().Get(ctx, key, &former)
+	qt.Assert(la.t, err, qt.IsNil)
+	la.epoch++
+	txn, err := store.NewTxn().WithPut(key, version, tenure.OwnerRow{Owner: fmt.Sprint("host", la.epoch), Epoch: la.epoch})
+	qt.Assert(la.t, err, qt.IsNil)
+	version, err = la.table.Client().Commit(ctx, txn)
+	qt.Assert(la.t, err, qt.IsNil)
+	return tenure.Tenure{Epoch: la.epoch, Key: key, Version: version, Former: former, Confirmed: time.Now, Renounce: func(error) {}}
+}
+
+// own starts an owner, and returns what ends it.
+func (la *lab) own() (*Owner, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(context.Background())
+	te := la.claim()
+	te.Renounce = func(error) { cancel() }
+	ow := New(Owner{
+		Cell: "c0", Tenure: te, Table: la.table.Client(), Agent: la.fleet.Agent(), Log: la.log,
+		Limits: Limits{MaxLease: 6 * time.Second, StopTime: 900 * time.Millisecond, KeepEnded: 2 * time.Minute},
+	})
+	loaded := make(chan struct{})
+	done := make(chan error, 1)
+	go func() { done <- ow.Run(ctx, func() { close(loaded) }) }()
+	select {
+	case <-loaded:
+	case err := <-done:
+		la.t.Fatalf("owner ended: %v", err)
+	}
+	ow.SetWorkers(la.listed(), nil, true)
+	return ow, cancel
+}
+
+// batch is a job of steps of like tasks, each after the one before.
+func batch(steps, tasks int) job.Spec {
+	sp := job.Spec{Payload: "work"}
+	for i := range steps {
+		st := job.Step{Tasks: tasks, Each: worker.Resources{MilliCores: 2000, MemMB: 4000}, EstimateMS: 1000, Checkpoints: true}
+		if i > 0 {
+			st.After = []int{i - 1}
+		}
+		sp.Steps = append(sp.Steps, st)
+	}
+	return sp
+}
+
+func jobID(n int) string { return fmt.Sprintf("%016x", n) }
+
+// submit hands a job in and returns the verdict.
+func (la *lab) submit(ow *Owner, n int, sp job.Spec) Verdict {
+	la.mu.Lock()
+	la.specs[jobID(n)] = sp
+	la.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	ve, err := ow.Submit(ctx, jobID(n), job.Terms{Queue: "q", Service: testService, MaxFailures: 3}, sp)
+	if err != nil {
+		return Verdict{Outcome: Unknown}
+	}
+	return ve
+}
+
+func (la *lab) state(ow *Owner, n int) job.State {
+	state, _, err := ow.State(context.Background(), jobID(n))
+	qt.Assert(la.t, err, qt.IsNil)
+	return state
+}
+
+// assertNothingTwice checks that no task ran in two places at once, none again
+// after it was done, and each after the steps before it.
+func (la *lab) assertNothingTwice() {
+	byTask := map[string][]standin.FleetRun{}
+	doneAt := map[string]time.Time{}
+	for _, ru := range la.fleet.Runs() {
+		byTask[ru.Task] = append(byTask[ru.Task], ru)
+		if ru.How == "done" {
+			doneAt[ru.Task] = ru.Until
+		}
+	}
+	for task, runs := range byTask {
+		for i, ru := range runs {
+			if i > 0 && (runs[i-1].Until.IsZero() || runs[i-1].Until.After(ru.From)) {
+				la.t.Errorf("task %s: attempt %d at %s began while attempt %d ran at %s", task, ru.Number, ru.Worker, runs[i-1].Number, runs[i-1].Worker)
+			}
+			if at, ok := doneAt[task]; ok && ru.From.After(at) {
+				la.t.Errorf("task %s: attempt %d began after it was done", task, ru.Number)
+			}
+			la.assertInOrder(ru, doneAt)
+		}
+	}
+}
+
+func (la *lab) assertInOrder(ru standin.FleetRun, doneAt map[string]time.Time) {
+	id, ref, _ := job.ParseTaskID(ru.Task)
+	for _, before := range la.spec(id).Steps[ref.Step].After {
+		for i := range la.spec(id).Steps[before].Tasks {
+			name := fmt.Sprintf("%s.0.%d.%d", id, before, i)
+			if at, ok := doneAt[name]; !ok || at.After(ru.From) {
+				la.t.Errorf("task %s began before %s was done", ru.Task, name)
+			}
+		}
+	}
+}
--- a/internal/sched/owner.go
+++ b/internal/sched/owner.go
@@ -67,19 +67,19 @@
 	active  []*entry
 	seq     int64
 	hosts   map[string]*host
-	byAddr  map[string]*host
-	listed  bool
-	due     bool
-	dirty   []*entry
-	writes  int
+	// sorted has them in an order that does not change, or is nil.
+	sorted []*host
+	byAddr map[string]*host
+	listed bool
+	due    bool
+	dirty  []*entry
+	writes int
 	// failing is since when writes have not succeeded, or zero.
 	failing time.Time
 	// orphans has the attempts on workers that no list named since the
 	// takeover, by incarnation.
 	orphans map[string]int
 	opened  time.Time
-	// used is the share of all processors that is reserved.
-	used float64
 	// model is what was learnt of fillers and services.
 	model interfere.Model
 }
@@ -88,7 +88,7 @@
 const (
 	// tickEvery is the time between looks at what only time changes: lapsed
 	// leases, stalled attempts.
-	tickEvery = 200 * time.Millisecond
+	tickEvery = 100 * time.Millisecond
 	// eventsMost bounds the events that wait for the loop.
 	eventsMost = 1024
 	// clockDrift is how much slower a worker's clock may run, as the users
--- a/internal/sched/pace.go
+++ b/internal/sched/pace.go
@@ -59,12 +59,11 @@
 	return share(at.en.jo.Spec.Steps[at.ref.Step].Each.MilliCores, at.ho.Holds.MilliCores)
 }
 
-func (at *attempt) step() job.Step { return at.en.jo.Spec.Steps[at.ref.Step] }
+func (at *attempt) step() *job.Step { return &at.en.jo.Spec.Steps[at.ref.Step] }
 
 // serves reports whether the attempt has a target to keep.
 func (at *attempt) serves() bool {
-	st := at.step()
-	return st.Endless && st.TargetMS > 0 && at.usage > 0
+	return at.usage > 0 && at.step().HasTarget()
 }
 
 // setSpell notes that from now on a filler uses the share that its pace gives.
@@ -132,7 +131,7 @@
 	if gap < usageWindow/2 {
 		return
 	}
-	for at := range ho.attempts {
+	for _, at := range ho.services {
 		if !at.serves() {
 			at.lastTail = 0
 			continue
@@ -168,7 +167,7 @@
 		return
 	}
 	over := false
-	for at := range ho.attempts {
+	for _, at := range ho.services {
 		if !at.serves() {
 			continue
 		}
@@ -188,7 +187,7 @@
 
 // timeOver notes since when each service is over its target.
 func (ho *host) timeOver(now time.Time) {
-	for at := range ho.attempts {
+	for _, at := range ho.services {
 		switch {
 		case !at.serves() || at.usage <= at.step().TargetMS:
 			at.overSince = time.Time{}
@@ -256,7 +255,7 @@
 // as every service stays calm.
 func (ho *host) speedUp(fills []*attempt, now time.Time) {
 	room := map[*attempt]float64{}
-	for at := range ho.attempts {
+	for _, at := range ho.services {
 		if at.serves() {
 			room[at] = -ho.excess(at, calm)
 		}
@@ -295,7 +294,7 @@
 		return
 	}
 	least := float64(fullPace)
-	for service := range ho.attempts {
+	for _, service := range ho.services {
 		if !service.serves() {
 			continue
 		}
@@ -344,10 +343,10 @@
 // disturbs rates how much a filler would disturb the services on a worker, and
 // by how much the logarithm of a tail would be over the wanted part of its
 // target through it.
-func (ca *candidate) disturbs(st job.Step) (sum, over float64) {
+func (ca *candidate) disturbs(st *job.Step) (sum, over float64) {
 	ho := ca.ho
 	part := share(st.Each.MilliCores, ho.Holds.MilliCores)
-	for at := range ho.attempts {
+	for _, at := range ho.services {
 		if !at.serves() {
 			continue
 		}
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -44,7 +44,7 @@
 		reserved += ho.reserved.MilliCores
 		holds += ho.Holds.MilliCores
 	}
-	ow.used = share(reserved, holds)
+	pl.patience = patience(share(reserved, holds))
 	return pl
 }
 
@@ -66,7 +66,7 @@
 }
 
 // use takes what a task of the step is likely to use off what is idle.
-func (ca *candidate) use(st job.Step, speed int) {
+func (ca *candidate) use(st *job.Step, speed int) {
 	used := st.Each.MilliCores * int64(speed) / fullPace
 	if st.Endless {
 		used = int64(float64(used) * servingLoad)
@@ -79,6 +79,10 @@
 	ow    *Owner
 	now   time.Time
 	hosts []*candidate
+	// patience is how long fillers wait for a good place.
+	patience time.Duration
+	// noPlace are fillers for which there was none.
+	noPlace []shape
 }
 
 // placeJob starts the waiting tasks of a job that find room.
@@ -103,21 +107,52 @@
 
 // pick returns the best worker for a task, or nil.
 func (pl *placer) pick(en *entry, ref job.TaskRef) *candidate {
-	st := en.jo.Spec.Steps[ref.Step]
+	st := &en.jo.Spec.Steps[ref.Step]
+	if st.Filler && pl.hopeless(en, st) {
+		return nil
+	}
+	patient := pl.patient(en)
 	var best *candidate
 	var bestScore float64
 	for _, ca := range pl.hosts {
-		if !ca.fits(en, ref, st) {
+		if !ca.fits(en, ref, st) || (st.Filler && patient && !ca.suits(st)) {
 			continue
 		}
 		if score := ca.score(en, st); best == nil || score > bestScore {
 			best, bestScore = ca, score
 		}
 	}
+	if best == nil && st.Filler {
+		pl.noPlace = append(pl.noPlace, shape{st: st, service: en.jo.Terms.Service, patient: patient})
+	}
 	return best
 }
 
-func (ca *candidate) fits(en *entry, ref job.TaskRef, st job.Step) bool {
+// shape is a filler's step for which no place was found.
+type shape struct {
+	st      *job.Step
+	service string
+	patient bool
+}
+
+// patient reports whether the fillers of a job still wait for a good place.
+func (pl *placer) patient(en *entry) bool {
+	return pl.now.Sub(en.waitingSince) <= pl.patience
+}
+
+// hopeless reports whether no place was found in this round for a filler of
+// the same image that asked for no more.
+func (pl *placer) hopeless(en *entry, st *job.Step) bool {
+	for _, sh := range pl.noPlace {
+		if sh.st.Image == st.Image && sh.service == en.jo.Terms.Service && sh.patient == pl.patient(en) && sh.st.PerWorker == 0 &&
+			sh.st.Label == "" && sh.st.Each.Fits(st.Each) {
+			return true
+		}
+	}
+	return false
+}
+
+func (ca *candidate) fits(en *entry, ref job.TaskRef, st *job.Step) bool {
 	ho := ca.ho
 	if ho.Service != en.jo.Terms.Service || !st.Reserved().Fits(ca.free) {
 		return false
@@ -125,23 +160,15 @@
 	if st.Label != "" && !ho.hasLabel(st.Label) {
 		return false
 	}
-	if st.Filler && !ca.welcome(en, st) {
-		return false
-	}
 	return st.PerWorker == 0 || en.countAt(ref.Step, ho) < st.PerWorker
 }
 
-// welcome reports whether a filler suits a worker. One that has waited for long
-// goes anywhere, to be paced there.
-func (ca *candidate) welcome(en *entry, st job.Step) bool {
-	return time.Since(en.waitingSince) > ca.ho.ow.patience() || ca.suits(st)
-}
-
-// patience is how long a job's fillers wait for a good place. While little is
-// used a job must not run nothing for 3 s; else a bad place costs the services
-// there more than waiting costs the job.
-func (ow *Owner) patience() time.Duration {
-	if ow.used < busyShare {
+// patience is how long a job's fillers wait for a good place; then they go
+// anywhere, to be paced there. While little is used a job must not run nothing
+// for 3 s; else a bad place costs the services there more than waiting costs
+// the job.
+func patience(used float64) time.Duration {
+	if used < busyShare {
 		return patienceIdle
 	}
 	return patienceBusy
@@ -149,7 +176,7 @@
 
 // suits reports whether a filler finds idle processors on the worker and
 // leaves the services there under their targets.
-func (ca *candidate) suits(st job.Step) bool {
+func (ca *candidate) suits(st *job.Step) bool {
 	if ca.idle < int64(leastIdle*float64(st.Each.MilliCores)) {
 		return false
 	}
@@ -192,7 +219,7 @@
 // processor time is idle. All others go where least is left unreserved, so that
 // large tasks find room elsewhere, and workers without services are left to
 // fillers that would disturb any.
-func (ca *candidate) score(en *entry, st job.Step) float64 {
+func (ca *candidate) score(en *entry, st *job.Step) float64 {
 	score := -float64(ca.free.MilliCores) / coresScale
 	if st.Filler {
 		sum, over := ca.disturbs(st)
@@ -215,13 +242,9 @@
 // finds a good place more easily if a worker has few.
 func (ca *candidate) kinship(image string) float64 {
 	same, all := 0, 0
-	for at := range ca.ho.attempts {
-		st := at.step()
-		if !st.Endless {
-			continue
-		}
+	for _, at := range ca.ho.services {
 		all++
-		if st.Image == image {
+		if at.step().Image == image {
 			same++
 		}
 	}
@@ -260,7 +283,7 @@
 	}
 	at := &attempt{ref: ref, number: number, ho: ca.ho, en: en, pace: fullPace}
 	ca.ho.put(at)
-	st := en.jo.Spec.Steps[ref.Step]
+	st := &en.jo.Spec.Steps[ref.Step]
 	ca.free = ca.free.Without(st.Reserved())
 	ca.use(st, fullPace)
 	pl.ow.Log.Info("attempt placed", "task", taskID(at), "attempt", number, "worker", ca.ho.incarnation, "free_millicores", ca.free.MilliCores)
--- /dev/null
+++ b/internal/standin/fleet.go
@@ -0,0 +1,353 @@
+package standin
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/pepperhatch/pepperhatch/internal/worker"
+)
+
+// FleetRun is one run of a task at a worker of a [Fleet], for checks afterwards.
+type FleetRun struct {
+	worker.Attempt
+
+	// Worker is the incarnation.
+	Worker string
+	// Payload and Checkpoint are what it was started with.
+	Payload, Checkpoint string
+	// From and Until are when it ran; Until is zero while it does.
+	From, Until time.Time
+	// How is how it ended.
+	How string
+}
+
+// Fleet stands in for workers that are ordered task by task. The zero value
+// has none; tasks run for a second unless RunFunc says otherwise.
+type Fleet struct {
+	// RunFunc returns how long a task works and how it then ends; a negative
+	// time is endless.
+	RunFunc func(at worker.Attempt) (time.Duration, string)
+	// RoomFunc returns what a task takes of a worker's room.
+	RoomFunc func(at worker.Attempt) worker.Resources
+
+	mu      sync.Mutex
+	workers map[string]*FleetWorker
+	runs    []*FleetRun
+}
+
+// FleetWorker is one worker of a fleet.
+type FleetWorker struct {
+	// Addr is where it listens, by name.
+	Addr worker.Addr
+	// Holds is its room.
+	Holds worker.Resources
+	// Gate is its fault.
+	Gate Gate
+	// Late has orders answered not at all and carried out so much later.
+	Late time.Duration
+	// ClockRate is how fast its clock runs; 0 means right.
+	ClockRate float64
+
+	fl      *Fleet
+	born    time.Time
+	dead    bool
+	fence   int64
+	lease   int64
+	running map[string]*fleetTask
+	// last has the highest attempt of each task that ended or was kept from
+	// starting.
+	last  map[string]int
+	ended []worker.EndedAttempt
+	ends  int64
+	wake  chan struct{}
+}
+
+type fleetTask struct {
+	run    *FleetRun
+	takes  worker.Resources
+	timer  *time.Timer
+	target time.Duration
+}
+
+// Add adds a worker.
+func (fl *Fleet) Add(fw *FleetWorker) {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	if fl.workers == nil {
+		fl.workers = map[string]*FleetWorker{}
+	}
+	fw.fl, fw.born = fl, time.Now()
+	fw.running, fw.last, fw.wake = map[string]*fleetTask{}, map[string]int{}, make(chan struct{})
+	fl.workers[fw.Addr.HostPort] = fw
+}
+
+// Kill ends a worker's process, and all that runs there.
+func (fl *Fleet) Kill(fw *FleetWorker) {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	fw.dead = true
+	for name := range fw.running {
+		fw.end(name, "killed")
+	}
+}
+
+// Runs returns all runs so far.
+func (fl *Fleet) Runs() []FleetRun {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	runs := make([]FleetRun, len(fl.runs))
+	for i, ru := range fl.runs {
+		runs[i] = *ru
+	}
+	return runs
+}
+
+// Agent returns a client of the workers.
+func (fl *Fleet) Agent() worker.Agent {
+	return worker.Agent{
+		LaunchFunc: func(ctx context.Context, ad worker.Addr, la worker.Launch) (worker.Ack, error) {
+			return order(ctx, fl, ad, func(fw *FleetWorker) (worker.Ack, error) { return fw.launch(la) })
+		},
+		HaltFunc: func(ctx context.Context, ad worker.Addr, ha worker.Halt) (worker.Ack, error) {
+			return order(ctx, fl, ad, func(fw *FleetWorker) (worker.Ack, error) { return fw.halt(ha) })
+		},
+		PaceFunc: func(ctx context.Context, ad worker.Addr, pa worker.Pace) (worker.Ack, error) {
+			return order(ctx, fl, ad, func(fw *FleetWorker) (worker.Ack, error) { return fw.pace(pa) })
+		},
+		LookFunc: fl.look,
+	}
+}
+
+// reach returns the worker that an order is for.
+func (fl *Fleet) reach(ad worker.Addr) (*FleetWorker, error) {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	fw := fl.workers[ad.HostPort]
+	if fw == nil || fw.dead {
+		return nil, fmt.Errorf("dial %s: connection refused", ad.HostPort)
+	}
+	if fw.Addr.Incarnation != ad.Incarnation {
+		return nil, worker.ErrOtherLife
+	}
+	return fw, nil
+}
+
+// order carries out an order, or later, or loses its answer, as the worker's
+// faults will have it.
+func order(ctx context.Context, fl *Fleet, ad worker.Addr, fn func(*FleetWorker) (worker.Ack, error)) (worker.Ack, error) {
+	fw, err := fl.reach(ad)
+	if err != nil {
+		return worker.Ack{}, err
+	}
+	locked := func() (worker.Ack, error) {
+		fl.mu.Lock()
+		defer fl.mu.Unlock()
+		return fn(fw)
+	}
+	fl.mu.Lock()
+	late := fw.Late
+	fl.mu.Unlock()
+	if late > 0 {
+		time.AfterFunc(late, func() { _, _ = locked() })
+		<-ctx.Done()
+		return worker.Ack{}, ctx.Err()
+	}
+	return gated(ctx, &fw.Gate, locked)
+}
+
+// clock is the worker's clock in milliseconds.
+func (fw *FleetWorker) clock() int64 {
+	rate := fw.ClockRate
+	if rate == 0 {
+		rate = 1
+	}
+	return 1000 + int64(float64(time.Since(fw.born).Milliseconds())*rate)
+}
+
+// extend takes a lease, which ends no earlier than the one before.
+func (fw *FleetWorker) extend(until int64) {
+	if until <= fw.lease {
+		return
+	}
+	fw.lease = until
+	rate := fw.ClockRate
+	if rate == 0 {
+		rate = 1
+	}
+	time.AfterFunc(time.Duration(float64(until-fw.clock())/rate)*time.Millisecond+time.Millisecond, fw.lapse)
+}
+
+// lapse ends all runs if the lease is over.
+func (fw *FleetWorker) lapse() {
+	fw.fl.mu.Lock()
+	defer fw.fl.mu.Unlock()
+	if fw.dead || fw.clock() < fw.lease {
+		return
+	}
+	for name := range fw.running {
+		fw.end(name, "lapsed")
+	}
+}
+
+func (fw *FleetWorker) ack() worker.Ack { return worker.Ack{ClockMS: fw.clock()} }
+
+func (fw *FleetWorker) fenced(fence int64) bool {
+	fw.fence = max(fw.fence, fence)
+	return fence < fw.fence
+}
+
+func (fw *FleetWorker) launch(la worker.Launch) (worker.Ack, error) {
+	if fw.fenced(la.Fence) {
+		return fw.ack(), worker.ErrFenced
+	}
+	if ta := fw.running[la.Task]; ta != nil && ta.run.Number == la.Number {
+		return fw.ack(), nil
+	}
+	fw.extend(la.LeaseUntilMS)
+	switch {
+	case fw.running[la.Task] != nil || la.Number <= fw.last[la.Task]:
+		return fw.ack(), worker.ErrOldAttempt
+	case fw.lease <= fw.clock():
+		return fw.ack(), worker.ErrLateLease
+	}
+	takes := fw.fl.room(la.Attempt)
+	if !takes.Fits(fw.free()) {
+		return fw.ack(), worker.ErrNoRoom
+	}
+	fw.start(la, takes)
+	return fw.ack(), nil
+}
+
+func (fl *Fleet) room(at worker.Attempt) worker.Resources {
+	if fl.RoomFunc == nil {
+		return worker.Resources{}
+	}
+	return fl.RoomFunc(at)
+}
+
+func (fw *FleetWorker) free() worker.Resources {
+	free := fw.Holds
+	for _, ta := range fw.running {
+		free = free.Without(ta.takes)
+	}
+	return free
+}
+
+func (fw *FleetWorker) start(la worker.Launch, takes worker.Resources) {
+	work, how := time.Second, "done"
+	if fw.fl.RunFunc != nil {
+		work, how = fw.fl.RunFunc(la.Attempt)
+	}
+	ru := &FleetRun{Attempt: la.Attempt, Worker: fw.Addr.Incarnation, Payload: la.Payload, Checkpoint: la.Checkpoint, From: time.Now()}
+	fw.fl.runs = append(fw.fl.runs, ru)
+	ta := &fleetTask{run: ru, takes: takes, target: work}
+	fw.running[la.Task] = ta
+	if work < 0 {
+		return
+	}
+	ta.timer = time.AfterFunc(work, func() {
+		fw.fl.mu.Lock()
+		defer fw.fl.mu.Unlock()
+		if fw.running[la.Task] == ta {
+			fw.end(la.Task, how)
+		}
+	})
+}
+
+// end ends a run and lists its end.
+func (fw *FleetWorker) end(name, how string) {
+	ta := fw.running[name]
+	delete(fw.running, name)
+	if ta.timer != nil {
+		ta.timer.Stop()
+	}
+	ta.run.Until, ta.run.How = time.Now(), how
+	fw.last[name] = max(fw.last[name], ta.run.Number)
+	fw.ends++
+	fw.ended = append(fw.ended, worker.EndedAttempt{Attempt: ta.run.Attempt, EndNumber: fw.ends, How: how, Checkpoint: ta.checkpoint()})
+	close(fw.wake)
+	fw.wake = make(chan struct{})
+}
+
+// checkpoint names how far a run came, in whole seconds.
+func (ta *fleetTask) checkpoint() string {
+	return fmt.Sprintf("%s@%d", ta.run.Task, int(time.Since(ta.run.From).Seconds()))
+}
+
+func (ta *fleetTask) percent() int {
+	if ta.target <= 0 {
+		return 100
+	}
+	return int(min(100*time.Since(ta.run.From)/ta.target, 99))
+}
+
+func (fw *FleetWorker) halt(ha worker.Halt) (worker.Ack, error) {
+	if fw.fenced(ha.Fence) {
+		return fw.ack(), worker.ErrFenced
+	}
+	if ta := fw.running[ha.Task]; ta != nil && ta.run.Number == ha.Number {
+		fw.end(ha.Task, "stopped")
+	}
+	fw.last[ha.Task] = max(fw.last[ha.Task], ha.Number)
+	return fw.ack(), nil
+}
+
+func (fw *FleetWorker) pace(pa worker.Pace) (worker.Ack, error) {
+	if fw.fenced(pa.Fence) {
+		return fw.ack(), worker.ErrFenced
+	}
+	return fw.ack(), nil
+}
+
+// look answers what runs and what ended, at once or at the next end.
+func (fl *Fleet) look(ctx context.Context, ad worker.Addr, lo worker.Look) (worker.Sight, error) {
+	fw, err := fl.reach(ad)
+	if err != nil {
+		return worker.Sight{}, err
+	}
+	return gated(ctx, &fw.Gate, func() (worker.Sight, error) {
+		wake, err := fw.prepare(lo)
+		if err != nil {
+			return worker.Sight{}, err
+		}
+		if wake != nil && lo.Wait > 0 {
+			select {
+			case <-wake:
+			case <-time.After(lo.Wait):
+			case <-ctx.Done():
+				return worker.Sight{}, ctx.Err()
+			}
+		}
+		return fw.sight(), nil
+	})
+}
+
+// prepare takes in what a look says, and returns what to wait for if no end is
+// listed.
+func (fw *FleetWorker) prepare(lo worker.Look) (chan struct{}, error) {
+	fw.fl.mu.Lock()
+	defer fw.fl.mu.Unlock()
+	if fw.fenced(lo.Fence) {
+		return nil, worker.ErrFenced
+	}
+	fw.extend(lo.LeaseUntilMS)
+	for len(fw.ended) > 0 && fw.ended[0].EndNumber <= lo.Seen {
+		fw.ended = fw.ended[1:]
+	}
+	if len(fw.ended) > 0 {
+		return nil, nil
+	}
+	return fw.wake, nil
+}
+
+func (fw *FleetWorker) sight() worker.Sight {
+	fw.fl.mu.Lock()
+	defer fw.fl.mu.Unlock()
+	si := worker.Sight{ClockMS: fw.clock(), Ended: append([]worker.EndedAttempt(nil), fw.ended...)}
+	for _, ta := range fw.running {
+		si.Running = append(si.Running, worker.RunningAttempt{Attempt: ta.run.Attempt, Checkpoint: ta.checkpoint(), Percent: ta.percent()})
+	}
+	return si
+}
