Learn from the reciprocal of the tail

Cause: tails without fillers lie between a quarter and a twentieth of what is left of the capacity (analysis of steady looks): the tail is one over the room left, not exponential, and its logarithm made one pair look good or bad with the service's load.

--- a/internal/sched/pace.go
+++ b/internal/sched/pace.go
@@ -25,9 +25,6 @@
 	// learnGapMost bounds the time between two measurements that are learnt
 	// from: the load of a service swings within some 20 s.
 	learnGapMost = 1300 * time.Millisecond
-	// saturated is a tail in milliseconds over which figures tell only that it
-	// is bad.
-	saturated = 1500
 	// stubborn is how long a service may stay over its target before every
 	// filler beside it is held.
 	stubborn = 2000 * time.Millisecond
@@ -136,8 +133,11 @@
 			at.lastTail = 0
 			continue
 		}
-		if at.lastTail > 0 && gap < learnGapMost && at.lastTail < saturated && at.usage < saturated {
-			ho.ow.model.Learn(at.step().Image, float64(at.lastTail), float64(at.usage), fi.shares, sh)
+		if at.lastTail > 0 && gap < learnGapMost {
+			target := at.step().TargetMS
+			ho.ow.model.Learn(at.step().Image,
+				interfere.Measurement{TailMS: at.lastTail, TargetMS: target, Shares: fi.shares},
+				interfere.Measurement{TailMS: at.usage, TargetMS: target, Shares: sh})
 		}
 		at.lastTail = at.usage
 	}
@@ -146,13 +146,13 @@
 	ho.control(got)
 }
 
-// excess is by how much the logarithm of a service's tail is expected over the
-// wanted part of its target, with the fillers as they are now.
+// excess is by how much a service's strain is expected over that at the wanted
+// part of its target, with the fillers as they are now.
 func (ho *host) excess(at *attempt, part float64) float64 {
 	mo := &ho.ow.model
 	image := at.step().Image
 	news := mo.Load(image, ho.fill.now()) - mo.Load(image, ho.fill.shares)
-	return math.Log(float64(at.usage)/(part*float64(at.step().TargetMS))) + news
+	return interfere.Strain(at.usage, at.step().TargetMS) + 1/part + news
 }
 
 // control slows fillers while a service is over its target, and speeds them up
@@ -208,7 +208,7 @@
 	return fills
 }
 
-// harm is by how much a filler at full speed raises a service's tail.
+// harm is by how much a filler at full speed raises a service's strain.
 func (ho *host) harm(filler, service *attempt) float64 {
 	return ho.ow.model.Rise(interfere.Pair{Service: service.step().Image, Filler: filler.step().Image}) * filler.shareOf()
 }
@@ -248,8 +248,8 @@
 // remove; else the service's own load is the cause.
 const worthSlowing = 0.6
 
-// guiltless is a rise of the logarithm of a tail that does not matter.
-const guiltless = 0.05
+// guiltless is a rise of the strain that does not matter.
+const guiltless = 0.12
 
 // speedUp speeds fillers up that were slowed, the least harmful first, as far
 // as every service stays calm.
@@ -341,8 +341,7 @@
 }
 
 // disturbs rates how much a filler would disturb the services on a worker, and
-// by how much the logarithm of a tail would be over the wanted part of its
-// target through it.
+// by how much a strain would be over the wanted one through it.
 func (ca *candidate) disturbs(st *job.Step) (sum, over float64) {
 	ho := ca.ho
 	part := share(st.Each.MilliCores, ho.Holds.MilliCores)
@@ -362,6 +361,6 @@
 // Weights of disturbance in the rating of a worker, against the share of its
 // processors that is idle.
 const (
-	disturbWeight = 0.3
-	overWeight    = 2
+	disturbWeight = 0.1
+	overWeight    = 0.7
 )
