--- a/internal/sched/host.go
+++ b/internal/sched/host.go
@@ -211,6 +211,7 @@
 	if at.step().HasTarget() {
 		ho.services = append(ho.services, at)
 	}
+	ho.setSpell(at, time.Now(), true)
 	at.en.attempts[at.ref] = at
 }
 
@@ -449,7 +450,9 @@
 		return
 	}
 	at.launched = now
-	ho.setSpell(at, now, true)
+	if at.spell != nil {
+		at.spell.from = now
+	}
 	ho.easeIn(at, now)
 }
 
--- a/internal/sched/pace.go
+++ b/internal/sched/pace.go
@@ -44,6 +44,8 @@
 // fillers follows what fills a worker, and how services beside it do.
 type fillers struct {
 	spells []*spell
+	// current are the shares now, or nil if they are to be summed up anew.
+	current interfere.Shares
 	// measured is when the services were last measured, with the shares then.
 	measured time.Time
 	shares   interfere.Shares
@@ -70,10 +72,12 @@
 	}
 	if at.spell != nil && at.spell.until.IsZero() {
 		at.spell.until = now
+		ho.fill.current = nil
 	}
 	if !on {
 		return
 	}
+	ho.fill.current = nil
 	at.spell = &spell{image: at.step().Image, share: at.shareOf() * float64(at.speed()) / fullPace, from: now}
 	ho.fill.spells = append(ho.fill.spells, at.spell)
 }
@@ -104,15 +108,19 @@
 	return sh
 }
 
-// now returns the shares of fillers at this moment.
+// now returns the shares of fillers at this moment, those on their way to the
+// worker included.
 func (fi *fillers) now() interfere.Shares {
-	sh := interfere.Shares{}
+	if fi.current != nil {
+		return fi.current
+	}
+	fi.current = interfere.Shares{}
 	for _, sp := range fi.spells {
 		if sp.until.IsZero() {
-			sh[sp.image] += sp.share
+			fi.current[sp.image] += sp.share
 		}
 	}
-	return sh
+	return fi.current
 }
 
 // forget drops spells that ended too long ago to be in any figure.
