Do not let starts of fillers put control off; move fewer

What: easing in does not count as control; beside a service that stays over its target new fillers are held from the start; a held filler moves after 1.5 s and not when nearly done.

--- a/internal/sched/move.go
+++ b/internal/sched/move.go
@@ -11,13 +11,15 @@
 	// heldPace is the pace in per cent under which a filler counts as held.
 	heldPace = 35
 	// heldAfter is how long it is held before it is moved to a better place.
-	heldAfter = 800 * time.Millisecond
+	heldAfter = 1500 * time.Millisecond
 	// movesPerTick bounds the moves at one look, so that not all go to the
 	// same place.
 	movesPerTick = 4
 	// worthLosing is how far a filler without checkpoints may have come, in
 	// per cent, to be moved all the same.
 	worthLosing = 15
+	// nearlyDone is how far a filler has come, in per cent, that is not moved.
+	nearlyDone = 85
 )
 
 // moveHeld stops fillers that are held for the sake of services, if another
@@ -49,6 +51,9 @@
 	if at.heldSince.IsZero() || now.Sub(at.heldSince) < heldAfter || !at.halted.IsZero() {
 		return false
 	}
+	if at.percent >= nearlyDone {
+		return false
+	}
 	return at.step().Checkpoints || at.percent <= worthLosing
 }
 
--- a/internal/sched/pace.go
+++ b/internal/sched/pace.go
@@ -49,8 +49,9 @@
 	// measured is when the services were last measured, with the shares then.
 	measured time.Time
 	shares   interfere.Shares
-	// paced is when an order to set a pace was last sent.
-	paced time.Time
+	// paced is when control last set paces, orders counts the orders so far.
+	paced  time.Time
+	orders int
 }
 
 // shareOf is the share of the worker's processors that a filler takes.
@@ -174,6 +175,7 @@
 	if len(fills) == 0 {
 		return
 	}
+	before := ho.fill.orders
 	over := false
 	for _, at := range ho.services {
 		if !at.serves() {
@@ -182,7 +184,7 @@
 		excess := ho.excess(at, tight)
 		over = over || excess > 0
 		switch {
-		case !at.overSince.IsZero() && now.Sub(at.overSince) > stubborn:
+		case at.stubborn(now):
 			ho.holdAll(fills, now)
 		case excess > 0:
 			ho.slow(fills, at, excess, now)
@@ -191,6 +193,19 @@
 	if !over {
 		ho.speedUp(fills, now)
 	}
+	if ho.fill.orders > before {
+		ho.fill.paced = now
+	}
+}
+
+// stubborn reports whether the service has been over its target for long.
+func (at *attempt) stubborn(now time.Time) bool {
+	return !at.overSince.IsZero() && now.Sub(at.overSince) > stubborn
+}
+
+// stubborn reports whether any service has been over its target for long.
+func (ho *host) stubborn(now time.Time) bool {
+	return slices.ContainsFunc(ho.services, func(at *attempt) bool { return at.stubborn(now) })
 }
 
 // timeOver notes since when each service is over its target.
@@ -302,6 +317,9 @@
 		return
 	}
 	least := float64(fullPace)
+	if ho.stubborn(now) {
+		least = 0
+	}
 	for _, service := range ho.services {
 		if !service.serves() {
 			continue
@@ -328,13 +346,13 @@
 	}
 	ho.ow.Log.Info("pacing attempt", "task", taskID(at), "attempt", at.number, "worker", ho.incarnation, "percent", percent, "was", at.pace, "why", why)
 	at.pace = percent
+	ho.fill.orders++
 	switch {
 	case percent > heldPace:
 		at.heldSince = time.Time{}
 	case at.heldSince.IsZero():
 		at.heldSince = now
 	}
-	ho.fill.paced = now
 	ho.setSpell(at, now, true)
 	go ho.ow.sendPace(at, worker.Pace{Attempt: at.name(), Percent: percent, Fence: ho.ow.Tenure.Epoch})
 }
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -177,7 +177,7 @@
 // suits reports whether a filler finds idle processors on the worker and
 // leaves the services there under their targets.
 func (ca *candidate) suits(st *job.Step) bool {
-	if ca.idle < int64(leastIdle*float64(st.Each.MilliCores)) {
+	if ca.ho.stubborn(time.Now()) || ca.idle < int64(leastIdle*float64(st.Each.MilliCores)) {
 		return false
 	}
 	_, over := ca.disturbs(st)
