Let the leases of silent workers and of lost owners lapse

What: a silent worker's leases are extended for 1 s only; a new owner asks the former one's host, which ends its tenure or shows another process; the bound without an answer is 8 s, not 15.

Ruled out: counting a refused connection as death (cuts refuse too).

Tests that failed first: TestWorkerGoneForGood, TestWorkerNotSeenSinceTakeover.

--- a/internal/door/peer.go
+++ b/internal/door/peer.go
@@ -15,6 +15,7 @@
 	pathCancel  = "/cell/cancel"
 	pathState   = "/cell/state"
 	pathPending = "/cell/pending"
+	pathProcess = "/cell/process"
 )
 
 // codeNotOwner is the code of a host that does not own the cell.
@@ -37,9 +38,29 @@
 		n, err := ow.Pending(ctx, req.Queue)
 		return pendingReply{Pending: n}, err
 	}))
+	mux.Handle("POST "+pathProcess, wire.Handle(func(_ context.Context, req replacement) (processReply, error) {
+		do.Keeper.Replaced(req.Epoch)
+		return processReply{Process: do.Keeper.Process}, nil
+	}))
 	return mux
 }
 
+// replacement tells of a new owner's epoch.
+type replacement struct {
+	Epoch int64 `json:"epoch"`
+}
+
+// processReply names the host's process.
+type processReply struct {
+	Process string `json:"process"`
+}
+
+// Ask tells the entry host at addr of a new owner and returns its process.
+func (do *Door) Ask(ctx context.Context, addr string, epoch int64) (string, error) {
+	re, err := wire.Post[replacement, processReply](ctx, do.Peers, "http://"+addr+pathProcess, replacement{Epoch: epoch})
+	return re.Process, err
+}
+
 // handle serves one kind of request on the cell's owner.
 func handle[Req, Resp any](do *Door, fn func(context.Context, *sched.Owner, Req) (Resp, error)) http.Handler {
 	return wire.Handle(func(ctx context.Context, req Req) (Resp, error) {
--- a/internal/jobhost/host.go
+++ b/internal/jobhost/host.go
@@ -78,6 +78,7 @@
 		Cell: cellName, Table: ho.table, Keeper: ho.keeper, Peers: platform.NewHTTPClient(peerConns), PortRefused: platform.PortRefused,
 		Local: ho.owner.Load, ConfigFunc: ho.config.Load, Metrics: me, Log: log,
 	}
+	ho.keeper.AskFunc = ho.door.Ask
 	return ho, nil
 }
 
--- a/internal/sched/host.go
+++ b/internal/sched/host.go
@@ -95,6 +95,9 @@
 	// silentAfter is the time without a successful look after which a worker
 	// gets nothing new.
 	silentAfter = 2500 * time.Millisecond
+	// extendSilent is how long the leases of a worker that does not answer are
+	// extended: each order on its way may be obeyed, so they would never lapse.
+	extendSilent = time.Second
 	// maxEnds is the most ends that one answer lists.
 	maxEnds = 500
 )
@@ -291,7 +294,11 @@
 
 // nextLook is what to ask now.
 func (ho *host) nextLook() worker.Look {
-	lo := worker.Look{Fence: ho.ow.Tenure.Epoch, Seen: ho.acked, LeaseUntilMS: ho.leaseNow(time.Now())}
+	now := time.Now()
+	lo := worker.Look{Fence: ho.ow.Tenure.Epoch, Seen: ho.acked}
+	if ho.failing.IsZero() || now.Sub(ho.failing) < extendSilent {
+		lo.LeaseUntilMS = ho.leaseNow(now)
+	}
 	switch {
 	case ho.clockAt.IsZero() || ho.undurable > 0 || !ho.failing.IsZero():
 	case ho.mixed():
@@ -511,20 +518,22 @@
 // ended by the slowest clock.
 func (ho *host) lapsed(now time.Time) bool {
 	if !ho.settled {
-		return now.Sub(ho.ow.opened) > ho.ow.orphanWait()
+		return ho.ow.orphansOver(now)
 	}
 	earliest, _ := ho.clockNow(now)
 	return earliest > ho.leaseUntilMS+lapseMargin.Milliseconds()
 }
 
-// orphanWait is how long after a takeover attempts ordered by a former owner
-// may still run on a worker that cannot be reached.
-func (ow *Owner) orphanWait() time.Duration {
-	lease := time.Duration(float64(ow.Limits.MaxLease) * (1 + 2*clockDrift))
-	if ow.Tenure.Former.Owner == "" {
-		return lease + lapseMargin
+// orphansOver reports whether attempts ordered by a former owner have ended on
+// every worker that cannot be reached: their leases have lapsed since the last
+// moment at which that owner can have extended them.
+func (ow *Owner) orphansOver(now time.Time) bool {
+	last := ow.opened.Add(tenure.ExtendFor)
+	if ended := ow.Tenure.FormerEnded(); !ended.IsZero() && ended.Before(last) {
+		last = ended
 	}
-	return tenure.ExtendFor + lease + lapseMargin
+	lease := time.Duration(float64(ow.Limits.MaxLease) * (1 + 2*clockDrift))
+	return now.Sub(last) > lease+lapseMargin
 }
 
 // judge keeps how a worker does, and sets it aside if it fails the tasks of
--- a/internal/sched/lab_test.go
+++ b/internal/sched/lab_test.go
@@ -31,6 +31,17 @@
 	mu    sync.Mutex
 	specs map[string]job.Spec
 	log   *slog.Logger
+	// formerKnown has owners know that the one before has ceased to act.
+	formerKnown bool
+}
+
+func (la *lab) formerEnded(now time.Time) func() time.Time {
+	return func() time.Time {
+		if la.formerKnown {
+			return now
+		}
+		return time.Time{}
+	}
 }
 
 func newLab(t testing.TB, workers int) *lab {
@@ -82,7 +93,7 @@
 	qt.Assert(la.t, err, qt.IsNil)
 	version, err = la.table.Client().Commit(ctx, txn)
 	qt.Assert(la.t, err, qt.IsNil)
-	return tenure.Tenure{Epoch: la.epoch, Key: key, Version: version, Former: former, Confirmed: time.Now, Renounce: func(error) {}}
+	return tenure.Tenure{Epoch: la.epoch, Key: key, Version: version, Former: former, FormerEnded: la.formerEnded(time.Now()), Confirmed: time.Now, Renounce: func(error) {}}
 }
 
 // own starts an owner, and returns what ends it.
--- a/internal/sched/load.go
+++ b/internal/sched/load.go
@@ -109,7 +109,7 @@
 // tickOrphans ends attempts on workers that were never seen, once their
 // leases have lapsed.
 func (ow *Owner) tickOrphans(now time.Time) {
-	if len(ow.orphans) == 0 || now.Sub(ow.opened) < ow.orphanWait() {
+	if len(ow.orphans) == 0 || !ow.orphansOver(now) {
 		return
 	}
 	for _, en := range ow.entries {
--- /dev/null
+++ b/internal/sched/workers_test.go
@@ -0,0 +1,245 @@
+package sched
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/pepperhatch/pepperhatch/internal/job"
+	"github.com/pepperhatch/pepperhatch/internal/standin"
+	"github.com/pepperhatch/pepperhatch/internal/tenure"
+	"github.com/pepperhatch/pepperhatch/internal/worker"
+)
+
+// endless makes every task run until it is stopped.
+func endless(worker.Attempt) (time.Duration, string) { return -1, "" }
+
+// lasting is a job of endless tasks.
+func lasting(tasks int) job.Spec {
+	sp := batch(1, tasks)
+	sp.Steps[0].Endless = true
+	return sp
+}
+
+// running counts the runs that go on, by worker.
+func (la *lab) running() map[string]int {
+	counts := map[string]int{}
+	for _, ru := range la.fleet.Runs() {
+		if ru.Until.IsZero() {
+			counts[ru.Worker]++
+		}
+	}
+	return counts
+}
+
+func (la *lab) assertRunning(n int) {
+	total := 0
+	for _, count := range la.running() {
+		total += count
+	}
+	qt.Assert(la.t, total, qt.Equals, n)
+	la.assertNothingTwice()
+}
+
+func TestWorkerGoneForGood(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		la := newLab(t, 3)
+		la.fleet.RunFunc = endless
+		ow, end := la.own()
+		defer end()
+		time.Sleep(time.Second)
+		qt.Assert(t, la.submit(ow, 1, lasting(6)).Outcome, qt.Equals, Accepted)
+		time.Sleep(time.Second)
+		la.assertRunning(6)
+		busiest := la.crew[0]
+		for _, fw := range la.crew {
+			if la.running()[fw.Addr.Incarnation] > la.running()[busiest.Addr.Incarnation] {
+				busiest = fw
+			}
+		}
+		la.fleet.Kill(busiest)
+		// The leases, the margin for clocks, and a second to notice and start.
+		time.Sleep(6*time.Second + 2*time.Second)
+		la.assertRunning(6)
+	})
+}
+
+func TestWorkerSilentForAWhile(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		la := newLab(t, 2)
+		la.fleet.RunFunc = endless
+		ow, end := la.own()
+		defer end()
+		time.Sleep(time.Second)
+		la.submit(ow, 1, lasting(4))
+		time.Sleep(time.Second)
+		for _, fw := range la.crew {
+			fw.Gate.Set(standin.Fault{Mode: standin.ModeFreeze})
+		}
+		time.Sleep(3 * time.Second)
+		for _, fw := range la.crew {
+			fw.Gate.Set(standin.Fault{})
+		}
+		time.Sleep(3 * time.Second)
+		qt.Assert(t, len(la.fleet.Runs()), qt.Equals, 4)
+		la.assertRunning(4)
+	})
+}
+
+func TestWorkerThatLosesAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		la := newLab(t, 2)
+		ow, end := la.own()
+		defer end()
+		time.Sleep(time.Second)
+		for _, fw := range la.crew {
+			fw.Gate.Set(standin.Fault{Mode: standin.ModeLost})
+		}
+		la.submit(ow, 1, batch(2, 4))
+		time.Sleep(2 * time.Second)
+		for _, fw := range la.crew {
+			fw.Gate.Set(standin.Fault{})
+		}
+		time.Sleep(10 * time.Second)
+		qt.Assert(t, la.state(ow, 1), qt.Equals, job.Succeeded)
+		la.assertNothingTwice()
+	})
+}
+
+func TestOrdersCarriedOutLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		la := newLab(t, 4)
+		ow, end := la.own()
+		defer end()
+		time.Sleep(time.Second)
+		la.crew[0].Late = 3 * time.Second
+		la.submit(ow, 1, batch(2, 16))
+		time.Sleep(8 * time.Second)
+		la.crew[0].Late = 0
+		time.Sleep(12 * time.Second)
+		qt.Assert(t, la.state(ow, 1), qt.Equals, job.Succeeded)
+		la.assertNothingTwice()
+	})
+}
+
+func TestOwnerReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		la := newLab(t, 3)
+		la.fleet.RunFunc = func(worker.Attempt) (time.Duration, string) { return 4 * time.Second, "done" }
+		ow, end := la.own()
+		time.Sleep(time.Second)
+		la.submit(ow, 1, batch(2, 6))
+		time.Sleep(2 * time.Second)
+		end()
+		next, end := la.own()
+		defer end()
+		time.Sleep(8 * time.Second)
+		qt.Assert(t, la.state(next, 1), qt.Equals, job.Succeeded)
+		qt.Assert(t, len(la.fleet.Runs()), qt.Equals, 12)
+		la.assertNothingTwice()
+	})
+}
+
+func TestFormerOwnerCanWriteNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		la := newLab(t, 2)
+		old, endOld := la.own()
+		defer endOld()
+		time.Sleep(time.Second)
+		_, end := la.own()
+		defer end()
+		ve := la.submit(old, 1, batch(1, 2))
+		qt.Assert(t, ve.Outcome, qt.Not(qt.Equals), Accepted)
+		time.Sleep(5 * time.Second)
+		qt.Assert(t, len(la.fleet.Runs()), qt.Equals, 0)
+	})
+}
+
+func TestStoreAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		la := newLab(t, 2)
+		la.fleet.RunFunc = func(worker.Attempt) (time.Duration, string) { return 2 * time.Second, "done" }
+		ow, end := la.own()
+		defer end()
+		time.Sleep(time.Second)
+		la.submit(ow, 1, batch(1, 4))
+		time.Sleep(time.Second)
+		la.table.Gate.Set(standin.Fault{Mode: standin.ModeDown})
+		la.submit(ow, 2, batch(1, 4))
+		time.Sleep(time.Second)
+		start := time.Now()
+		ve := la.submit(ow, 3, batch(1, 4))
+		qt.Assert(t, ve.Outcome, qt.Equals, Refused)
+		qt.Assert(t, ve.RetryAfter > 0, qt.IsTrue)
+		qt.Assert(t, time.Since(start) < 100*time.Millisecond, qt.IsTrue)
+		time.Sleep(8 * time.Second)
+		la.table.Gate.Set(standin.Fault{})
+		time.Sleep(5 * time.Second)
+		qt.Assert(t, la.state(ow, 1), qt.Equals, job.Succeeded)
+		qt.Assert(t, la.state(ow, 3), qt.Equals, job.State(""))
+		qt.Assert(t, la.submit(ow, 3, batch(1, 4)).Outcome, qt.Equals, Accepted)
+		la.assertNothingTwice()
+	})
+}
+
+func TestAnswersOfTheStoreLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		la := newLab(t, 2)
+		ow, end := la.own()
+		defer end()
+		time.Sleep(time.Second)
+		la.table.Gate.Set(standin.Fault{Mode: standin.ModeLost, Count: 3})
+		la.submit(ow, 1, batch(3, 4))
+		time.Sleep(10 * time.Second)
+		qt.Assert(t, la.state(ow, 1), qt.Equals, job.Succeeded)
+		qt.Assert(t, len(la.fleet.Runs()), qt.Equals, 12)
+		la.assertNothingTwice()
+	})
+}
+
+func TestFailuresAreLimited(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		la := newLab(t, 4)
+		la.fleet.RunFunc = func(worker.Attempt) (time.Duration, string) { return 100 * time.Millisecond, "failed" }
+		ow, end := la.own()
+		defer end()
+		time.Sleep(time.Second)
+		la.submit(ow, 1, batch(1, 1))
+		time.Sleep(20 * time.Second)
+		qt.Assert(t, la.state(ow, 1), qt.Equals, job.Failed)
+		qt.Assert(t, len(la.fleet.Runs()), qt.Equals, 3)
+	})
+}
+
+// TestWorkerNotSeenSinceTakeover has a worker vanish together with its owner.
+// What it ran starts again once its leases have lapsed, counted from when the
+// former owner ceased to act if that is known.
+func TestWorkerNotSeenSinceTakeover(t *testing.T) {
+	for _, known := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			la := newLab(t, 3)
+			la.formerKnown = known
+			la.fleet.RunFunc = endless
+			ow, end := la.own()
+			time.Sleep(time.Second)
+			la.submit(ow, 1, lasting(6))
+			time.Sleep(time.Second)
+			for _, fw := range la.crew {
+				la.fleet.Kill(fw)
+			}
+			end()
+			la.crew = nil
+			la.addWorker(7, 0)
+			_, end = la.own()
+			defer end()
+			time.Sleep(7 * time.Second)
+			if !known {
+				la.assertRunning(0)
+				time.Sleep(tenure.ExtendFor)
+			}
+			la.assertRunning(6)
+		})
+	}
+}
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -44,7 +44,9 @@
 	// ExtendFor is how long after its last confirmed heartbeat an owner goes
 	// on extending the leases of what runs. A new owner that can reach neither
 	// a worker nor its former owner waits so long, and then for the lease.
-	ExtendFor = 15 * time.Second
+	ExtendFor = 8 * time.Second
+	// askEvery is the time between questions to a former owner's host.
+	askEvery = 500 * time.Millisecond
 )
 
 // Table names of the rows.
@@ -79,6 +81,10 @@
 	Version int64
 	// Former is who had the cell before.
 	Former OwnerRow
+	// FormerEnded returns when the former owner had certainly ceased to act, or
+	// zero if that is not known: its host answered that the process is gone, or
+	// that it was told of its replacement.
+	FormerEnded func() time.Time
 	// Confirmed returns when the store last confirmed the tenure.
 	Confirmed func() time.Time
 	// Renounce ends the tenure when something showed that it is over.
@@ -100,6 +106,9 @@
 	Table store.Table
 	// Serve runs the cell while the host owns it, until ctx ends.
 	Serve func(ctx context.Context, te Tenure) error
+	// AskFunc tells the host at addr that the cell has a new owner, and returns
+	// its process.
+	AskFunc func(ctx context.Context, addr string, epoch int64) (process string, err error)
 	// Log gets events.
 	Log *slog.Logger
 
@@ -145,6 +154,16 @@
 	}
 }
 
+// Replaced ends the host's tenure if it is of an earlier epoch.
+func (ke *Keeper) Replaced(epoch int64) {
+	ke.mu.Lock()
+	defer ke.mu.Unlock()
+	if ke.end != nil && ke.row.Epoch < epoch {
+		ke.Log.Warn("told of a new owner", "cell", ke.Cell, "epoch", epoch)
+		ke.end(ErrOver)
+	}
+}
+
 var errStopping = errors.New("planned stop")
 
 // Run takes part until ctx ends.
@@ -282,7 +301,7 @@
 }
 
 // serve runs the cell and writes heartbeats until the tenure ends.
-func (ke *Keeper) serve(ctx context.Context, row OwnerRow, version int64, former OwnerRow, sent time.Time) {
+func (ke *Keeper) serve(ctx context.Context, row OwnerRow, version int64, formerRow OwnerRow, sent time.Time) {
 	sctx, end := context.WithCancelCause(ctx)
 	defer end(nil)
 	ke.mu.Lock()
@@ -295,8 +314,10 @@
 	ke.mu.Unlock()
 	hb := &heart{ke: ke, epoch: row.Epoch, version: version, confirmed: sent}
 	go hb.run(sctx, end)
+	fo := &former{ke: ke, row: formerRow, epoch: row.Epoch}
+	go fo.ask(sctx)
 	ke.Log.Info("owning the cell", "cell", ke.Cell, "epoch", row.Epoch, "version", version)
-	err := ke.Serve(sctx, Tenure{Epoch: row.Epoch, Key: ke.ownerKey(), Version: version, Former: former, Confirmed: hb.last, Renounce: end})
+	err := ke.Serve(sctx, Tenure{Epoch: row.Epoch, Key: ke.ownerKey(), Version: version, Former: formerRow, FormerEnded: fo.when, Confirmed: hb.last, Renounce: end})
 	cause := context.Cause(sctx)
 	end(err)
 	ke.mu.Lock()
@@ -314,58 +335,3 @@
 		ke.Log.Warn("cell not released", "cell", ke.Cell, "epoch", row.Epoch, "err", err)
 	}
 }
-
-// heart writes the heartbeats of one tenure.
-type heart struct {
-	ke      *Keeper
-	epoch   int64
-	version int64
-
-	mu        sync.Mutex
-	confirmed time.Time
-}
-
-// last returns when the store last confirmed the tenure.
-func (he *heart) last() time.Time {
-	he.mu.Lock()
-	defer he.mu.Unlock()
-	return he.confirmed
-}
-
-func (he *heart) run(ctx context.Context, end context.CancelCauseFunc) {
-	var beatVersion int64
-	for n := int64(1); ; n++ {
-		sent := time.Now()
-		cctx, cancel := context.WithTimeout(ctx, callTimeout)
-		reply, err := he.ke.Table.CommitFunc(cctx, he.beat(n))
-		cancel()
-		switch {
-		case err == nil:
-			beatVersion = reply.Version
-			he.mu.Lock()
-			he.confirmed = sent
-			he.mu.Unlock()
-		case errors.Is(err, store.ErrConflict):
-			end(ErrOver)
-			return
-		default:
-			he.ke.Log.Warn("heartbeat not written", "cell", he.ke.Cell, "epoch", he.epoch, "version", beatVersion, "err", err)
-		}
-		if !clock.Sleep(ctx, BeatEvery) {
-			return
-		}
-	}
-}
-
-// beat returns the write of a heartbeat, conditional on the owner's row alone:
-// done late, it does no harm.
-func (he *heart) beat(n int64) store.Txn {
-	txn := store.NewTxn()
-	value, err := json.Marshal(beatRow{Epoch: he.epoch, N: n})
-	if err != nil {
-		he.ke.Log.Error("heartbeat cannot be encoded", "err", err)
-	}
-	txn.Conds = []store.Cond{{Key: he.ke.ownerKey(), Version: he.version}}
-	txn.Puts = []store.Put{{Key: he.ke.beatKey(), Value: value}}
-	return txn
-}
