Do not call a job refused that its owner may have written

Callers now wait 0.6 s for a write that failed once before they hear that its outcome is unknown; before, the first lost answer was enough.

--- a/internal/door/door.go
+++ b/internal/door/door.go
@@ -85,7 +85,8 @@
 	var zero Resp
 	if ow := do.Local(); ow != nil {
 		resp, err := local(ctx, ow)
-		if err == nil || !errors.Is(err, sched.ErrOver) {
+		// What the tenure's end left unsettled is for the store to tell.
+		if !errors.Is(err, sched.ErrOver) {
 			return resp, err
 		}
 	}
--- a/internal/door/peer.go
+++ b/internal/door/peer.go
@@ -18,8 +18,13 @@
 	pathProcess = "/cell/process"
 )
 
-// codeNotOwner is the code of a host that does not own the cell.
-const codeNotOwner = "not-owner"
+// Codes of refusals among entry hosts.
+const (
+	// codeNotOwner: the host does not own the cell, and did nothing.
+	codeNotOwner = "not-owner"
+	// codeUnsettled: its tenure ended with the request on its way.
+	codeUnsettled = "unsettled"
+)
 
 // Handler serves other entry hosts.
 func (do *Door) Handler() http.Handler {
@@ -70,9 +75,11 @@
 			return zero, &wire.Error{Status: http.StatusMisdirectedRequest, Code: codeNotOwner, Message: "this host does not own cell " + do.Cell}
 		}
 		resp, err := fn(ctx, ow, req)
-		if errors.Is(err, sched.ErrOver) {
-			// The tenure ended meanwhile: what was handed in may be written.
-			err = &wire.Error{Status: http.StatusServiceUnavailable, Code: "tenure-over", Message: err.Error()}
+		switch {
+		case errors.Is(err, sched.ErrOver):
+			err = &wire.Error{Status: http.StatusMisdirectedRequest, Code: codeNotOwner, Message: err.Error()}
+		case errors.Is(err, sched.ErrUnsettled):
+			err = &wire.Error{Status: http.StatusServiceUnavailable, Code: codeUnsettled, Message: err.Error()}
 		}
 		return resp, err
 	})
--- a/internal/sched/api.go
+++ b/internal/sched/api.go
@@ -46,8 +46,14 @@
 	RetryAfter time.Duration `json:"retry_after,omitempty"`
 }
 
-// ErrOver is returned by an owner whose tenure is over.
-var ErrOver = errors.New("tenure is over")
+// Errors of an owner whose tenure is over.
+var (
+	// ErrOver: it did not take the request.
+	ErrOver = errors.New("tenure is over")
+	// ErrUnsettled: its tenure ended with the request on its way, which may
+	// have taken effect.
+	ErrUnsettled = errors.New("tenure ended with the request on its way")
+)
 
 // Limits on what is taken on.
 const (
@@ -71,7 +77,7 @@
 	case <-ctx.Done():
 		return zero, ctx.Err()
 	case <-ow.ended:
-		return zero, ErrOver
+		return zero, ErrUnsettled
 	}
 }
 
--- a/internal/sched/commit.go
+++ b/internal/sched/commit.go
@@ -31,6 +31,9 @@
 	writeTimeout = 1500 * time.Millisecond
 	// downAfter is how long writes may fail before new work is refused.
 	downAfter = 300 * time.Millisecond
+	// unknownAfter is how long a caller waits for a write that failed before it
+	// is told that the outcome is not known.
+	unknownAfter = 600 * time.Millisecond
 	// rewriteFirst and rewriteMost are the pauses before a write is sent again.
 	rewriteFirst = 30 * time.Millisecond
 	rewriteMost  = 400 * time.Millisecond
@@ -217,6 +220,9 @@
 		ow.Log.Warn("store does not take writes", "cell", ow.Cell, "err", err)
 	}
 	ow.Metrics.Add(telemetry.CellWrites, 1, "outcome", "failed")
+	if time.Since(wr.sent) < unknownAfter {
+		return
+	}
 	for _, pa := range wr.parts {
 		if pa.first && len(pa.en.waiters) > 0 {
 			ow.Log.Warn("job not known to be accepted", "job", pa.en.jo.ID, "tries", n, "err", err)
--- a/internal/standin/fault.go
+++ b/internal/standin/fault.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/pepperhatch/pepperhatch/internal/clock"
+	"github.com/pepperhatch/pepperhatch/internal/store"
 	"github.com/pepperhatch/pepperhatch/internal/wire"
 )
 
@@ -85,7 +86,7 @@
 	fault, changed := ga.take()
 	switch fault.Mode {
 	case ModeDown:
-		return false, &wire.Error{Status: http.StatusServiceUnavailable, Code: "down", Message: "down by order"}
+		return false, &wire.Error{Status: http.StatusServiceUnavailable, Code: store.CodeDown, Message: "down by order"}
 	case ModeSlow:
 		if !clock.Sleep(ctx, time.Duration(fault.DelayMS)*time.Millisecond) {
 			return false, fmt.Errorf("slow: %w", ctx.Err())
--- a/internal/standin/table.go
+++ b/internal/standin/table.go
@@ -48,8 +48,11 @@
 		},
 		CommitFunc: func(ctx context.Context, txn store.Txn) (store.CommitReply, error) {
 			reply, err := gated(ctx, &ta.Gate, func() (store.CommitReply, error) { return ta.commit(ctx, txn) })
-			if wire.Code(err) == store.CodeConflict {
+			switch wire.Code(err) {
+			case store.CodeConflict:
 				err = &store.ConflictError{Rows: ta.rowsOf(txn)}
+			case store.CodeDown:
+				err = store.ErrBusy
 			}
 			return reply, err
 		},
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -30,6 +30,9 @@
 // ago.
 const CodeHistoryGone = "history-gone"
 
+// CodeDown is the code of a table that carries nothing out.
+const CodeDown = "down"
+
 // ErrConflict is returned for a write that certainly did not take effect
 // because a condition did not hold.
 var ErrConflict = errors.New("condition does not hold")
@@ -213,10 +216,7 @@
 		},
 		CommitFunc: func(ctx context.Context, txn Txn) (CommitReply, error) {
 			reply, err := wire.Post[Txn, CommitReply](ctx, cl, base+"/table/commit", txn)
-			if wire.Code(err) == CodeConflict {
-				err = fmt.Errorf("%w: %w", ErrConflict, err)
-			}
-			return reply, err
+			return reply, known(err)
 		},
 		FeedFunc: func(ctx context.Context, req FeedRequest) (FeedReply, error) {
 			reply, err := wire.Post[FeedRequest, FeedReply](ctx, cl, base+"/table/feed", req)
@@ -228,6 +228,17 @@
 	}
 }
 
+// known puts the package's error into the chain of one that the table stated.
+func known(err error) error {
+	switch wire.Code(err) {
+	case CodeConflict:
+		return fmt.Errorf("%w: %w", ErrConflict, err)
+	case CodeDown:
+		return fmt.Errorf("%w: %w", ErrBusy, err)
+	}
+	return err
+}
+
 // Get reads one row into value. A row that is not there has version 0 and
 // leaves value alone.
 func (tbl Table) Get(ctx context.Context, key string, value any) (int64, error) {
