Let fillers wait for a good place while most is reserved

Cause: after 6 s of waiting fillers went anywhere, to be paced to nothing beside services that they had disturbed for their first 0.2 s.

--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -195,7 +195,7 @@
 	// is the lesser evil; the users' bound is a half.
 	busyShare    = 0.6
 	patienceIdle = 1500 * time.Millisecond
-	patienceBusy = 6 * time.Second
+	patienceBusy = time.Minute
 	// leastIdle is the part of its processor time that a filler must find idle.
 	leastIdle = 0.5
 )
