--- a/internal/sched/pace.go
+++ b/internal/sched/pace.go
@@ -21,6 +21,9 @@
 	// tight is the part of its target over which a service is relieved, calm
 	// that under which fillers are sped up again.
 	tight = 0.85
+	// roomy is the part that is to remain free beside a filler when it is
+	// placed: the service's own load rises before its figures show it.
+	roomy = 0.7
 	calm  = 0.75
 	// learnGapMost bounds the time between two measurements that are learnt
 	// from: the load of a service swings within some 20 s.
@@ -271,6 +274,9 @@
 // remove; else the service's own load is the cause.
 const worthSlowing = 0.6
 
+// harmless is a rise of the strain that many fillers together may cause.
+const harmless = 0.02
+
 // guiltless is a rise of the strain that does not matter.
 const guiltless = 0.12
 
@@ -373,7 +379,7 @@
 	for _, se := range ca.services() {
 		rise := ca.ho.ow.model.Rise(interfere.Pair{Service: se.image, Filler: st.Image}) * part
 		sum += rise * float64(se.count)
-		if rise > guiltless {
+		if rise > harmless {
 			over = max(over, se.excess+rise)
 		}
 	}
@@ -397,7 +403,7 @@
 	ca.summed, ca.sums = true, ca.sums[:0]
 	for _, at := range ca.ho.services {
 		if at.serves() {
-			ca.sum(at.step().Image, ca.ho.excess(at, tight))
+			ca.sum(at.step().Image, ca.ho.excess(at, roomy))
 		}
 	}
 	return ca.sums
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -65,14 +65,14 @@
 func newCandidate(ho *host, now time.Time) *candidate {
 	ca := &candidate{ho: ho, free: ho.Holds.Without(ho.reserved), idle: ho.Holds.MilliCores, stubborn: ho.stubborn(now)}
 	for at := range ho.attempts {
-		ca.use(at.step(), at.speed())
+		ca.use(at.step())
 	}
 	return ca
 }
 
 // use takes what a task of the step is likely to use off what is idle.
-func (ca *candidate) use(st *job.Step, speed int) {
-	used := st.Each.MilliCores * int64(speed) / fullPace
+func (ca *candidate) use(st *job.Step) {
+	used := st.Each.MilliCores
 	if st.Endless {
 		used = int64(float64(used) * servingLoad)
 	}
@@ -291,7 +291,7 @@
 	ca.summed = false
 	st := &en.jo.Spec.Steps[ref.Step]
 	ca.free = ca.free.Without(st.Reserved())
-	ca.use(st, fullPace)
+	ca.use(st)
 	pl.ow.Log.Info("attempt placed", "task", taskID(at), "attempt", number, "worker", ca.ho.incarnation, "free_millicores", ca.free.MilliCores)
 	en.effects = append(en.effects, func() { pl.ow.launch(at) })
 	pl.ow.touch(en)
