--- /dev/null
+++ b/internal/sched/random_test.go
@@ -0,0 +1,235 @@
+package sched
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/pepperhatch/pepperhatch/internal/job"
+	"github.com/pepperhatch/pepperhatch/internal/proptest"
+	"github.com/pepperhatch/pepperhatch/internal/standin"
+	"github.com/pepperhatch/pepperhatch/internal/worker"
+)
+
+// drama is a lab to which random things happen.
+type drama struct {
+	*lab
+
+	rt *rapid.T
+	ow *Owner
+	// end ends the owner.
+	end context.CancelFunc
+	// accepted and cancelled are jobs for which that was said, refused those
+	// that were refused and not accepted since.
+	// Jobs in maybe were cancelled with an unknown outcome.
+	accepted, cancelled, refused, maybe map[int]bool
+	// shown are states told of jobs.
+	shown map[int]job.State
+	jobs  int
+	// lives counts the lives of workers that came after others.
+	lives int
+}
+
+func newDrama(t *testing.T, rt *rapid.T) *drama {
+	dr := &drama{lab: newLab(t, 4), rt: rt, accepted: map[int]bool{}, cancelled: map[int]bool{}, refused: map[int]bool{}, maybe: map[int]bool{}, shown: map[int]job.State{}}
+	dr.fleet.RunFunc = func(at worker.Attempt) (time.Duration, string) {
+		id, _, _ := job.ParseTaskID(at.Task)
+		switch {
+		case dr.spec(id).Steps[0].Endless:
+			return -1, ""
+		case at.Number == 1 && at.Task[15]%4 == 0:
+			return 300 * time.Millisecond, "failed"
+		}
+		return 700 * time.Millisecond, "done"
+	}
+	dr.ow, dr.end = dr.own()
+	time.Sleep(time.Second)
+	return dr
+}
+
+// act does one random thing.
+func (dr *drama) act() {
+	switch rapid.SampledFrom([]string{
+		"submit", "submit", "submit", "again", "cancel", "kill", "freeze", "lose", "late", "heal",
+		"store down", "store lost", "store slow", "store heal", "replace", "look",
+	}).Draw(dr.rt, "act") {
+	case "submit":
+		dr.jobs++
+		dr.handIn(dr.jobs)
+	case "again":
+		if dr.jobs > 0 {
+			dr.handIn(rapid.IntRange(1, dr.jobs).Draw(dr.rt, "job"))
+		}
+	case "cancel":
+		dr.cancelOne()
+	case "kill":
+		dr.killOne()
+	case "freeze":
+		dr.one().Gate.Set(standin.Fault{Mode: standin.ModeFreeze})
+	case "lose":
+		dr.one().Gate.Set(standin.Fault{Mode: standin.ModeLost})
+	case "late":
+		dr.setLate(dr.one(), 3*time.Second)
+	case "heal":
+		dr.heal()
+	case "store down":
+		dr.table.Gate.Set(standin.Fault{Mode: standin.ModeDown})
+	case "store lost":
+		dr.table.Gate.Set(standin.Fault{Mode: standin.ModeLost, Count: 3})
+	case "store slow":
+		dr.table.Gate.Set(standin.Fault{Mode: standin.ModeSlow, DelayMS: 400})
+	case "store heal":
+		dr.table.Gate.Set(standin.Fault{})
+	case "replace":
+		dr.replace()
+	case "look":
+		dr.lookAtStates()
+	}
+}
+
+func (dr *drama) one() *standin.FleetWorker {
+	return dr.crew[rapid.IntRange(0, len(dr.crew)-1).Draw(dr.rt, "worker")]
+}
+
+func (dr *drama) setLate(fw *standin.FleetWorker, d time.Duration) { dr.fleet.SetLate(fw, d) }
+
+func (dr *drama) heal() {
+	for _, fw := range dr.crew {
+		fw.Gate.Set(standin.Fault{})
+		dr.setLate(fw, 0)
+	}
+}
+
+func (dr *drama) handIn(n int) {
+	sp := batch(1+n%3, 1+n%5)
+	if n%7 == 0 {
+		sp = lasting(2)
+	}
+	switch dr.submit(dr.ow, n, sp).Outcome {
+	case Accepted:
+		dr.accepted[n] = true
+		delete(dr.refused, n)
+	case Refused:
+		if !dr.accepted[n] {
+			dr.refused[n] = true
+		}
+	default:
+		// An unknown outcome makes an earlier refusal void.
+		delete(dr.refused, n)
+	}
+}
+
+func (dr *drama) cancelOne() {
+	if dr.jobs == 0 {
+		return
+	}
+	n := rapid.IntRange(1, dr.jobs).Draw(dr.rt, "job")
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	ve, err := dr.ow.Cancel(ctx, jobID(n))
+	switch {
+	case err == nil && ve.Outcome == Accepted:
+		dr.cancelled[n] = true
+	case err != nil || ve.Outcome == Unknown:
+		dr.maybe[n] = true
+	}
+}
+
+// killOne ends a worker's process; another life comes at its address.
+func (dr *drama) killOne() {
+	i := rapid.IntRange(0, len(dr.crew)-1).Draw(dr.rt, "worker")
+	fw := dr.crew[i]
+	dr.fleet.Kill(fw)
+	dr.lives++
+	next := &standin.FleetWorker{Addr: worker.Addr{HostPort: fw.Addr.HostPort, Incarnation: fmt.Sprint("life-", dr.lives)}, Holds: fw.Holds}
+	dr.fleet.Add(next)
+	dr.crew[i] = next
+	dr.ow.SetWorkers(dr.listed(), nil, true)
+}
+
+// replace ends the owner, and begins another once the store lets it.
+func (dr *drama) replace() {
+	dr.table.Gate.Set(standin.Fault{})
+	dr.end()
+	dr.ow, dr.end = dr.own()
+}
+
+// lookAtStates checks that no state goes back.
+func (dr *drama) lookAtStates() {
+	for n := range dr.accepted {
+		state, known, err := dr.ow.State(context.Background(), jobID(n))
+		qt.Assert(dr.t, err, qt.IsNil)
+		if !known {
+			dr.rt.Fatalf("job %d was accepted and is not known", n)
+		}
+		if was := dr.shown[n]; was.Final() && state != was {
+			dr.rt.Fatalf("job %d was %s and is %s", n, was, state)
+		}
+		dr.shown[n] = state
+	}
+}
+
+// finish heals everything and checks what must hold in the end.
+func (dr *drama) finish() {
+	dr.table.Gate.Set(standin.Fault{})
+	dr.heal()
+	time.Sleep(45 * time.Second)
+	dr.lookAtStates()
+	for n := range dr.accepted {
+		state := dr.shown[n]
+		endless := dr.spec(jobID(n)).Steps[0].Endless
+		switch {
+		case dr.cancelled[n] && !state.Final():
+			dr.rt.Errorf("job %d was cancelled and is %s", n, state)
+		case dr.maybe[n] && state == job.Cancelled:
+		case !dr.cancelled[n] && !endless && state != job.Succeeded:
+			dr.rt.Errorf("job %d is %s", n, state)
+		}
+	}
+	dr.checkRuns()
+	for _, problem := range dr.problems() {
+		dr.rt.Error(problem)
+	}
+}
+
+// checkRuns checks that nothing ran that was refused, and nothing still runs of
+// a job that is over.
+func (dr *drama) checkRuns() {
+	for _, ru := range dr.fleet.Runs() {
+		id, _, _ := job.ParseTaskID(ru.Task)
+		var n int
+		_, err := fmt.Sscanf(id, "%x", &n)
+		qt.Assert(dr.t, err, qt.IsNil)
+		if dr.refused[n] {
+			dr.rt.Errorf("job %d was refused and task %s ran", n, ru.Task)
+		}
+		if ru.Until.IsZero() && dr.shown[n].Final() {
+			dr.rt.Errorf("task %s still runs, its job is %s", ru.Task, dr.shown[n])
+		}
+	}
+}
+
+// TestAnythingMayHappen plays random scripts of faults and checks that no task
+// runs twice at once, none after it was done, none before its turn, none of a
+// refused or cancelled job; that no accepted job is lost and no state goes
+// back.
+func TestAnythingMayHappen(t *testing.T) {
+	proptest.Check(t, proptest.Size{Checks: randomScripts}, func(rt *rapid.T) {
+		proptest.InBubble(t, func() {
+			dr := newDrama(t, rt)
+			defer func() { dr.end() }()
+			for range rapid.IntRange(5, 40).Draw(rt, "acts") {
+				dr.act()
+				time.Sleep(time.Duration(rapid.SampledFrom([]int{1, 30, 300, 1500}).Draw(rt, "pause")) * time.Millisecond)
+			}
+			dr.finish()
+		})
+	})
+}
+
+// randomScripts is the number of scripts; PEPPERHATCH_SEED plays others.
+const randomScripts = 200
--- /dev/null
+++ b/internal/tenure/tenure_test.go
@@ -0,0 +1,248 @@
+package tenure
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/pepperhatch/pepperhatch/internal/standin"
+	"github.com/pepperhatch/pepperhatch/internal/store"
+)
+
+// race is a cell with several hosts that may own it.
+type race struct {
+	t     *testing.T
+	table standin.Table
+
+	mu    sync.Mutex
+	hosts []*rival
+	// epochs are the tenures begun, in order.
+	epochs []int64
+}
+
+// rival is one host.
+type rival struct {
+	ra     *race
+	keeper *Keeper
+	end    context.CancelFunc
+	// gate is the host's own way to the store.
+	gate standin.Gate
+
+	mu     sync.Mutex
+	serves bool
+	ended  error
+}
+
+func (ra *race) add(name string) *rival {
+	ri := &rival{ra: ra}
+	table := ra.table.Client()
+	ri.keeper = &Keeper{
+		Cell: "c0", Self: name, Process: fmt.Sprintf("%s-%d", name, len(ra.hosts)), Addr: name, Table: ri.through(table),
+		Serve: ri.serve, AskFunc: ra.ask, Log: slog.New(slog.DiscardHandler),
+	}
+	ra.hosts = append(ra.hosts, ri)
+	ctx, end := context.WithCancel(context.Background())
+	ri.end = end
+	go ri.keeper.Run(ctx)
+	return ri
+}
+
+// through puts the host's gate before the table.
+func (ri *rival) through(tbl store.Table) store.Table {
+	return store.Table{
+		ReadFunc: func(ctx context.Context, req store.ReadRequest) (store.ReadReply, error) {
+			if _, err := ri.gate.Before(ctx); err != nil {
+				return store.ReadReply{}, err
+			}
+			return tbl.ReadFunc(ctx, req)
+		},
+		CommitFunc: func(ctx context.Context, txn store.Txn) (store.CommitReply, error) {
+			if _, err := ri.gate.Before(ctx); err != nil {
+				return store.CommitReply{}, err
+			}
+			return tbl.CommitFunc(ctx, txn)
+		},
+		FeedFunc: func(ctx context.Context, req store.FeedRequest) (store.FeedReply, error) {
+			if _, err := ri.gate.Before(ctx); err != nil {
+				return store.FeedReply{}, err
+			}
+			return tbl.FeedFunc(ctx, req)
+		},
+	}
+}
+
+func (ra *race) ask(_ context.Context, addr string, epoch int64) (string, error) {
+	ra.mu.Lock()
+	defer ra.mu.Unlock()
+	for _, ri := range ra.hosts {
+		if ri.keeper.Addr == addr && ri.end != nil {
+			ri.keeper.Replaced(epoch)
+			return ri.keeper.Process, nil
+		}
+	}
+	return "", errors.New("nobody there")
+}
+
+func (ri *rival) serve(ctx context.Context, te Tenure) error {
+	ri.ra.mu.Lock()
+	ri.ra.epochs = append(ri.ra.epochs, te.Epoch)
+	ri.ra.mu.Unlock()
+	ri.set(true)
+	<-ctx.Done()
+	ri.set(false)
+	ri.mu.Lock()
+	ri.ended = context.Cause(ctx)
+	ri.mu.Unlock()
+	return nil
+}
+
+func (ri *rival) set(serves bool) {
+	ri.mu.Lock()
+	defer ri.mu.Unlock()
+	ri.serves = serves
+}
+
+func (ri *rival) serving() bool {
+	ri.mu.Lock()
+	defer ri.mu.Unlock()
+	return ri.serves
+}
+
+// owner returns the only host that serves the cell.
+func (ra *race) owner() *rival {
+	var owner *rival
+	for _, ri := range ra.hosts {
+		if ri.serving() {
+			qt.Assert(ra.t, owner, qt.IsNil)
+			owner = ri
+		}
+	}
+	qt.Assert(ra.t, owner, qt.IsNotNil)
+	return owner
+}
+
+func (ra *race) stop() {
+	for _, ri := range ra.hosts {
+		ri.end()
+	}
+	synctest.Wait()
+	time.Sleep(5 * time.Second)
+}
+
+// raceOf runs a test with so many hosts.
+func raceOf(t *testing.T, hosts int, test func(ra *race)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ra := &race{t: t}
+		for i := range hosts {
+			ra.add(fmt.Sprint("e", i))
+		}
+		time.Sleep(time.Second)
+		test(ra)
+		ra.stop()
+	})
+}
+
+func TestOneOfSeveralOwns(t *testing.T) {
+	raceOf(t, 5, func(ra *race) {
+		first := ra.owner()
+		time.Sleep(20 * time.Second)
+		qt.Assert(t, ra.owner(), qt.Equals, first)
+		qt.Assert(t, ra.epochs, qt.DeepEquals, []int64{1})
+	})
+}
+
+func TestOwnerKilled(t *testing.T) {
+	for _, refused := range []bool{true, false} {
+		raceOf(t, 3, func(ra *race) {
+			first := ra.owner()
+			first.gate.Set(standin.Fault{Mode: standin.ModeFreeze})
+			if refused {
+				for _, ri := range ra.hosts {
+					ri.keeper.PortRefused(first.keeper.Process)
+				}
+			}
+			within := SilentAfter + BeatEvery + 500*time.Millisecond
+			if refused {
+				within = RefusedAfter + BeatEvery + 500*time.Millisecond
+			}
+			time.Sleep(within)
+			qt.Assert(t, len(ra.epochs), qt.Equals, 2)
+		})
+	}
+}
+
+func TestOwnerReleases(t *testing.T) {
+	raceOf(t, 3, func(ra *race) {
+		first := ra.owner()
+		first.keeper.Release()
+		time.Sleep(400 * time.Millisecond)
+		qt.Assert(t, ra.owner(), qt.Not(qt.Equals), first)
+	})
+}
+
+func TestOwnerCutFromTheStore(t *testing.T) {
+	raceOf(t, 3, func(ra *race) {
+		first := ra.owner()
+		first.gate.Set(standin.Fault{Mode: standin.ModeDown})
+		time.Sleep(SilentAfter + 2*time.Second)
+		next := ra.owner()
+		qt.Assert(t, next, qt.Not(qt.Equals), first)
+		qt.Assert(t, errors.Is(first.ended, ErrOver), qt.IsTrue)
+		first.gate.Set(standin.Fault{})
+		time.Sleep(5 * time.Second)
+		qt.Assert(t, ra.owner(), qt.Equals, next)
+	})
+}
+
+func TestStoreAwayForAll(t *testing.T) {
+	raceOf(t, 3, func(ra *race) {
+		first := ra.owner()
+		ra.table.Gate.Set(standin.Fault{Mode: standin.ModeDown})
+		time.Sleep(20 * time.Second)
+		qt.Assert(t, first.serving(), qt.IsTrue)
+		ra.table.Gate.Set(standin.Fault{})
+		time.Sleep(5 * time.Second)
+		qt.Assert(t, ra.owner(), qt.Equals, first)
+	})
+}
+
+func TestStoreSlow(t *testing.T) {
+	raceOf(t, 3, func(ra *race) {
+		first := ra.owner()
+		ra.table.Gate.Set(standin.Fault{Mode: standin.ModeSlow, DelayMS: 700})
+		time.Sleep(20 * time.Second)
+		qt.Assert(t, ra.owner(), qt.Equals, first)
+	})
+}
+
+func TestAnotherProcessOfTheSameHost(t *testing.T) {
+	raceOf(t, 1, func(ra *race) {
+		first := ra.owner()
+		first.end()
+		first.gate.Set(standin.Fault{Mode: standin.ModeFreeze})
+		time.Sleep(100 * time.Millisecond)
+		ra.add("e0")
+		time.Sleep(500 * time.Millisecond)
+		qt.Assert(t, ra.owner(), qt.Not(qt.Equals), first)
+		qt.Assert(t, ra.epochs, qt.DeepEquals, []int64{1, 2})
+	})
+}
+
+func TestHistoryForgotten(t *testing.T) {
+	raceOf(t, 3, func(ra *race) {
+		first := ra.owner()
+		ra.table.ForgetHistory()
+		time.Sleep(5 * time.Second)
+		first.keeper.Release()
+		time.Sleep(time.Second)
+		qt.Assert(t, ra.owner(), qt.Not(qt.Equals), first)
+	})
+}
