--- a/internal/door/door_test.go
+++ b/internal/door/door_test.go
@@ -33,6 +33,7 @@
 }
 
 func newHall(t *testing.T) *hall {
+	t.Helper()
 	ha := &hall{t: t}
 	log := slog.New(slog.DiscardHandler)
 	ha.door = &Door{
--- /dev/null
+++ b/internal/job/job_test.go
@@ -0,0 +1,129 @@
+package job
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/pepperhatch/pepperhatch/internal/proptest"
+	"github.com/pepperhatch/pepperhatch/internal/worker"
+)
+
+const testID = "0123456789abcdef"
+
+func chain(steps, tasks int) Spec {
+	var sp Spec
+	for i := range steps {
+		st := Step{Tasks: tasks, Each: worker.Resources{MilliCores: 100}}
+		if i > 0 {
+			st.After = []int{i - 1}
+		}
+		sp.Steps = append(sp.Steps, st)
+	}
+	return sp
+}
+
+// reread returns the job as it comes back from its rows.
+func reread(t *testing.T, jo *Job) *Job {
+	t.Helper()
+	spec, err := json.Marshal(jo.SpecRow())
+	qt.Assert(t, err, qt.IsNil)
+	progress, err := json.Marshal(jo.NextRow(1))
+	qt.Assert(t, err, qt.IsNil)
+	again, err := Restore(jo.ID, spec, progress)
+	qt.Assert(t, err, qt.IsNil)
+	return again
+}
+
+func TestLifeOfAJob(t *testing.T) {
+	jo := New(testID, Terms{MaxFailures: 2}, chain(2, 1))
+	first, second := TaskRef{0, 0}, TaskRef{1, 0}
+	qt.Assert(t, jo.State(), qt.Equals, Queued)
+	qt.Assert(t, jo.Start(second, "w"), qt.Equals, 0)
+	qt.Assert(t, jo.Start(first, "w"), qt.Equals, 1)
+	qt.Assert(t, jo.Start(first, "w"), qt.Equals, 0)
+	qt.Assert(t, jo.State(), qt.Equals, Running)
+	qt.Assert(t, jo.End(first, 1, EndFailed, "c1"), qt.IsTrue)
+	qt.Assert(t, jo.Task(first).Checkpoint, qt.Equals, "c1")
+	qt.Assert(t, jo.Start(first, "w"), qt.Equals, 2)
+	qt.Assert(t, jo.End(first, 1, EndDone, ""), qt.IsFalse)
+	qt.Assert(t, jo.End(first, 2, EndDone, ""), qt.IsTrue)
+	qt.Assert(t, jo.Start(second, "w"), qt.Equals, 1)
+	qt.Assert(t, jo.End(second, 1, EndDone, ""), qt.IsTrue)
+	qt.Assert(t, jo.State(), qt.Equals, Succeeded)
+	qt.Assert(t, reread(t, jo).State(), qt.Equals, Succeeded)
+}
+
+func TestJobThatFailsTooOften(t *testing.T) {
+	jo := New(testID, Terms{MaxFailures: 2}, chain(1, 2))
+	ref := TaskRef{0, 0}
+	for attempt := 1; attempt <= 2; attempt++ {
+		qt.Assert(t, jo.Start(ref, "w"), qt.Equals, attempt)
+		qt.Assert(t, jo.End(ref, attempt, EndFailed, ""), qt.IsTrue)
+	}
+	qt.Assert(t, jo.State(), qt.Equals, Failed)
+	qt.Assert(t, jo.Start(TaskRef{0, 1}, "w"), qt.Equals, 0)
+	qt.Assert(t, reread(t, jo).State(), qt.Equals, Failed)
+}
+
+func TestEndlessTasksStartAgain(t *testing.T) {
+	sp := chain(1, 1)
+	sp.Steps[0].Endless = true
+	jo := New(testID, Terms{MaxFailures: 1}, sp)
+	ref := TaskRef{0, 0}
+	for attempt, end := range []End{EndFailed, EndDone, EndLapsed, EndStopped, EndNever} {
+		qt.Assert(t, jo.Start(ref, "w"), qt.Equals, attempt+1)
+		qt.Assert(t, jo.End(ref, attempt+1, end, ""), qt.IsTrue)
+		qt.Assert(t, jo.State(), qt.Equals, Running)
+	}
+}
+
+func TestTaskIDs(t *testing.T) {
+	jo := New(testID, Terms{}, chain(2, 3))
+	id, ref, ok := ParseTaskID(jo.TaskID(TaskRef{1, 2}))
+	qt.Assert(t, ok, qt.IsTrue)
+	qt.Assert(t, id, qt.Equals, testID)
+	qt.Assert(t, ref, qt.Equals, TaskRef{1, 2})
+	for _, bad := range []string{"", "x", testID, testID + ".0.1", testID + ".1.0.0", testID + ".0.a.0", "xyz.0.0.0"} {
+		_, _, ok := ParseTaskID(bad)
+		qt.Check(t, ok, qt.IsFalse, qt.Commentf("%q", bad))
+	}
+}
+
+func TestRowsThatCannotBeRead(t *testing.T) {
+	for _, tc := range [][2]string{{"", "{}"}, {"{}", ""}, {`{"spec":{"steps":[{"tasks":1,"each":{}}]}}`, `{"tasks":[[],[]]}`}} {
+		_, err := Restore(testID, []byte(tc[0]), []byte(tc[1]))
+		qt.Check(t, err, qt.IsNotNil)
+	}
+}
+
+// TestRandomLives plays random starts and ends, and reads the job anew at
+// random moments.
+func TestRandomLives(t *testing.T) {
+	proptest.Check(t, proptest.Size{Checks: 200}, func(rt *rapid.T) {
+		sp := chain(rapid.IntRange(1, 4).Draw(rt, "steps"), rapid.IntRange(1, 3).Draw(rt, "tasks"))
+		jo := New(testID, Terms{MaxFailures: 2}, sp)
+		var last State
+		for range rapid.IntRange(1, 80).Draw(rt, "acts") {
+			ref := TaskRef{rapid.IntRange(0, len(sp.Steps)-1).Draw(rt, "step"), rapid.IntRange(0, sp.Steps[0].Tasks-1).Draw(rt, "index")}
+			before := *jo.Task(ref)
+			if number := jo.Start(ref, "w"); number > 0 && (before.State != Waiting || number != before.Attempt+1) {
+				rt.Fatalf("attempt %d of a task in state %v", number, before)
+			}
+			end := rapid.SampledFrom([]End{EndDone, EndFailed, EndStopped, EndLapsed, EndNever}).Draw(rt, "end")
+			if rapid.Bool().Draw(rt, "ends") {
+				jo.End(ref, jo.Task(ref).Attempt, end, fmt.Sprint(ref))
+			}
+			if rapid.Bool().Draw(rt, "reread") && !jo.State().Final() {
+				jo = reread(t, jo)
+			}
+			if last.Final() && jo.State() != last {
+				rt.Fatalf("state %s after %s", jo.State(), last)
+			}
+			last = jo.State()
+		}
+	})
+}
--- a/internal/jobhost/path_test.go
+++ b/internal/jobhost/path_test.go
@@ -31,25 +31,26 @@
 	url   string
 }
 
-func newTown(t testing.TB, workers int) *town {
-	to := &town{t: t}
+func newTown(tb testing.TB, workers int) *town {
+	tb.Helper()
+	to := &town{t: tb}
 	st := httptest.NewServer(platformtest.Store(&to.table))
-	t.Cleanup(func() { st.CloseClientConnections(); st.Close() })
+	tb.Cleanup(func() { st.CloseClientConnections(); st.Close() })
 	end, err := platformtest.Fleet(&to.fleet, &to.table, workers, "routedesk")
-	t.Cleanup(end)
-	qt.Assert(t, err, qt.IsNil)
+	tb.Cleanup(end)
+	qt.Assert(tb, err, qt.IsNil)
 	se := Settings{
 		Name: "e1", DataCentre: "z", IP: "127.0.0.1", Ports: []int{1, 2}, StoreAddr: st.Listener.Addr().String(),
 		CallerAddr: "127.0.0.1:1", ReadyAddr: "127.0.0.1:2", MaxLeaseMS: 6000, StopMS: 900, GraceS: 6, KeepEndedS: 120, HarmMS: 4000,
 	}
 	to.host, err = New(se, slog.New(slog.DiscardHandler))
-	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(tb, err, qt.IsNil)
 	ctx, cancel := context.WithCancel(context.Background())
-	t.Cleanup(cancel)
+	tb.Cleanup(cancel)
 	go to.host.watchConfig(ctx)
 	go to.host.keeper.Run(ctx)
 	callers := httptest.NewServer(platform.Front{Door: to.host.door})
-	t.Cleanup(func() { callers.CloseClientConnections(); callers.Close() })
+	tb.Cleanup(func() { callers.CloseClientConnections(); callers.Close() })
 	to.url = callers.URL
 	return to
 }
--- /dev/null
+++ b/internal/logs/logs_test.go
@@ -0,0 +1,85 @@
+package logs
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// sink collects what is written.
+type sink struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+func (si *sink) Write(data []byte) (int, error) {
+	si.mu.Lock()
+	defer si.mu.Unlock()
+	return si.text.Write(data)
+}
+
+func (si *sink) String() string {
+	si.mu.Lock()
+	defer si.mu.Unlock()
+	return si.text.String()
+}
+
+func write(wr *Writer, lines int) {
+	for i := range lines {
+		_, _ = fmt.Fprintf(wr, "line %d\n", i)
+	}
+}
+
+func TestLinesComeInOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var si sink
+		wr := New(&si)
+		write(wr, 3)
+		wr.Close()
+		qt.Assert(t, si.String(), qt.Equals, "line 0\nline 1\nline 2\n")
+	})
+}
+
+func TestBudgetOfLines(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var si sink
+		wr := New(&si)
+		write(wr, perSecondMost+10)
+		qt.Assert(t, wr.Dropped(), qt.Equals, int64(10))
+		time.Sleep(2 * time.Second)
+		write(wr, 1)
+		wr.Close()
+		qt.Assert(t, wr.Dropped(), qt.Equals, int64(10))
+		qt.Assert(t, strings.Contains(si.String(), "lines=10 total=10"), qt.IsTrue)
+	})
+}
+
+// TestPipeThatNobodyReads fills a pipe and checks that nobody waits for it.
+func TestPipeThatNobodyReads(t *testing.T) {
+	reader, writer, err := os.Pipe()
+	qt.Assert(t, err, qt.IsNil)
+	wr := New(writer)
+	line := []byte(strings.Repeat("x", 1000) + "\n")
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for range 2000 {
+			_, _ = wr.Write(line)
+		}
+		wr.Close()
+	}()
+	select {
+	case <-done:
+	case <-time.After(20 * time.Second):
+		t.Fatal("a write waited for the reader")
+	}
+	qt.Assert(t, wr.Dropped() > 0, qt.IsTrue)
+	qt.Assert(t, reader.Close(), qt.IsNil)
+	qt.Assert(t, writer.Close(), qt.IsNil)
+}
--- a/internal/sched/lab_test.go
+++ b/internal/sched/lab_test.go
@@ -44,14 +44,15 @@
 	}
 }
 
-func newLab(t testing.TB, workers int) *lab {
-	la := &lab{t: t, specs: map[string]job.Spec{}, log: slog.New(slog.DiscardHandler)}
+func newLab(tb testing.TB, workers int) *lab {
+	tb.Helper()
+	la := &lab{t: tb, specs: map[string]job.Spec{}, log: slog.New(slog.DiscardHandler)}
 	la.fleet.RoomFunc = func(at worker.Attempt) worker.Resources {
 		id, ref, _ := job.ParseTaskID(at.Task)
 		return la.spec(id).Steps[ref.Step].Reserved()
 	}
 	for i := range workers {
-		la.addWorker(i, 0)
+		la.addWorker(i)
 	}
 	return la
 }
@@ -62,15 +63,14 @@
 	return la.specs[id]
 }
 
-// addWorker adds the worker at place i, in its life so-and-so.
-func (la *lab) addWorker(i, life int) *standin.FleetWorker {
+// addWorker adds a worker at an address of its own.
+func (la *lab) addWorker(i int) {
 	fw := &standin.FleetWorker{
-		Addr:  worker.Addr{HostPort: fmt.Sprintf("10.0.0.%d:80", i), Incarnation: fmt.Sprintf("i-%d-%d", i, life)},
+		Addr:  worker.Addr{HostPort: fmt.Sprintf("10.0.0.%d:80", i), Incarnation: fmt.Sprintf("i-%d", i)},
 		Holds: worker.Resources{MilliCores: 32_000, MemMB: 128_000},
 	}
 	la.fleet.Add(fw)
 	la.crew = append(la.crew, fw)
-	return fw
 }
 
 func (la *lab) listed() []Listed {
--- a/internal/sched/random_test.go
+++ b/internal/sched/random_test.go
@@ -35,6 +35,7 @@
 }
 
 func newDrama(t *testing.T, rt *rapid.T) *drama {
+	t.Helper()
 	dr := &drama{lab: newLab(t, 4), rt: rt, accepted: map[int]bool{}, cancelled: map[int]bool{}, refused: map[int]bool{}, maybe: map[int]bool{}, shown: map[int]job.State{}}
 	dr.fleet.RunFunc = func(at worker.Attempt) (time.Duration, string) {
 		id, _, _ := job.ParseTaskID(at.Task)
--- a/internal/sched/workers_test.go
+++ b/internal/sched/workers_test.go
@@ -231,7 +231,7 @@
 			}
 			end()
 			la.crew = nil
-			la.addWorker(7, 0)
+			la.addWorker(7)
 			_, end = la.own()
 			defer end()
 			time.Sleep(7 * time.Second)
--- a/internal/tenure/former.go
+++ b/internal/tenure/former.go
@@ -34,11 +34,11 @@
 
 // ask asks the former owner's host until it answers.
 func (fo *former) ask(ctx context.Context) {
-	switch {
-	case fo.row.Owner == "":
+	switch fo.row.Owner {
+	case "":
 		fo.ended("it released the cell, or there was none")
 		return
-	case fo.row.Owner == fo.ke.Self:
+	case fo.ke.Self:
 		fo.ended("it was an earlier process of this host")
 		return
 	}
--- a/internal/tenure/tenure_test.go
+++ b/internal/tenure/tenure_test.go
@@ -40,7 +40,7 @@
 	ended  error
 }
 
-func (ra *race) add(name string) *rival {
+func (ra *race) add(name string) {
 	ri := &rival{ra: ra}
 	table := ra.table.Client()
 	ri.keeper = &Keeper{
@@ -51,7 +51,6 @@
 	ctx, end := context.WithCancel(context.Background())
 	ri.end = end
 	go ri.keeper.Run(ctx)
-	return ri
 }
 
 // through puts the host's gate before the table.
--- /dev/null
+++ b/internal/watch/watch_test.go
@@ -0,0 +1,116 @@
+package watch
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/pepperhatch/pepperhatch/internal/standin"
+	"github.com/pepperhatch/pepperhatch/internal/store"
+)
+
+// mirror keeps what a watch told.
+type mirror struct {
+	t     *testing.T
+	table standin.Table
+	watch Watch
+
+	mu   sync.Mutex
+	rows map[string]string
+}
+
+func follow(t *testing.T, test func(mi *mirror)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		mi := &mirror{t: t, rows: map[string]string{}}
+		mi.watch = Watch{Table: mi.table.Client(), Name: "op", Under: "op/c0/", OnRows: mi.onRows, Log: slog.New(slog.DiscardHandler)}
+		ctx, end := context.WithCancel(context.Background())
+		go mi.watch.Run(ctx)
+		test(mi)
+		end()
+	})
+}
+
+func (mi *mirror) onRows(rows []store.FeedRow, whole bool) {
+	mi.mu.Lock()
+	defer mi.mu.Unlock()
+	if whole {
+		clear(mi.rows)
+	}
+	for _, row := range rows {
+		if row.Gone {
+			delete(mi.rows, row.Key)
+			continue
+		}
+		mi.rows[row.Key] = string(row.Value)
+	}
+}
+
+func (mi *mirror) write(key string, n int) {
+	txn := store.NewTxn()
+	txn.Puts = []store.Put{{Key: key, Value: json.RawMessage(fmt.Sprint(n)), Delete: n < 0}}
+	_, err := mi.table.Client().CommitFunc(context.Background(), txn)
+	qt.Assert(mi.t, err, qt.IsNil)
+}
+
+func (mi *mirror) assertRows(want map[string]string) {
+	mi.mu.Lock()
+	defer mi.mu.Unlock()
+	qt.Assert(mi.t, mi.rows, qt.DeepEquals, want)
+}
+
+func TestChangesCome(t *testing.T) {
+	follow(t, func(mi *mirror) {
+		mi.write("op/c0/a", 1)
+		mi.write("op/c1/a", 1)
+		mi.write("other/c0/a", 1)
+		time.Sleep(10 * time.Millisecond)
+		mi.assertRows(map[string]string{"op/c0/a": "1"})
+		mi.write("op/c0/a", 2)
+		mi.write("op/c0/b", 3)
+		time.Sleep(10 * time.Millisecond)
+		mi.assertRows(map[string]string{"op/c0/a": "2", "op/c0/b": "3"})
+		mi.write("op/c0/a", -1)
+		time.Sleep(10 * time.Millisecond)
+		mi.assertRows(map[string]string{"op/c0/b": "3"})
+	})
+}
+
+func TestHistoryForgottenWhileAway(t *testing.T) {
+	follow(t, func(mi *mirror) {
+		mi.write("op/c0/a", 1)
+		mi.write("op/c0/b", 1)
+		time.Sleep(10 * time.Millisecond)
+		mi.table.Gate.Set(standin.Fault{Mode: standin.ModeDown})
+		time.Sleep(5 * time.Second)
+		mi.table.Gate.Set(standin.Fault{})
+		mi.write("op/c0/a", -1)
+		mi.table.ForgetHistory()
+		time.Sleep(time.Second)
+		mi.assertRows(map[string]string{"op/c0/b": "1"})
+	})
+}
+
+func TestContact(t *testing.T) {
+	follow(t, func(mi *mirror) {
+		time.Sleep(5 * time.Second)
+		last, since := mi.watch.Contact()
+		qt.Assert(t, time.Since(last) <= waitMost, qt.IsTrue)
+		qt.Assert(t, time.Since(since) >= 4*time.Second, qt.IsTrue)
+		mi.table.Gate.Set(standin.Fault{Mode: standin.ModeFreeze})
+		time.Sleep(10 * time.Second)
+		last, _ = mi.watch.Contact()
+		qt.Assert(t, time.Since(last) > 5*time.Second, qt.IsTrue)
+		mi.table.Gate.Set(standin.Fault{})
+		time.Sleep(3 * time.Second)
+		_, since = mi.watch.Contact()
+		qt.Assert(t, time.Since(since) < 4*time.Second, qt.IsTrue)
+	})
+}
