Put jobs that can still be in time before those that cannot

What: a job's aim and the rest of its chain by the estimates it came with; jobs that wait are sorted by priority, hope, arrival.

--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -80,6 +80,10 @@
 	Priority int `json:"priority,omitempty"`
 	// MaxFailures is how often one task may fail.
 	MaxFailures int `json:"max_failures"`
+	// Stretch and AllowanceMS say how soon the job should be done: within
+	// Stretch times its longest chain of work, and AllowanceMS milliseconds.
+	Stretch     float64 `json:"stretch,omitempty"`
+	AllowanceMS int64   `json:"allowance_ms,omitempty"`
 }
 
 // Job is a job that was accepted, and what became of its tasks.
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -26,13 +26,17 @@
 	Priority int
 	// MaxFailures is how often one task may fail.
 	MaxFailures int
+	// Stretch and AllowanceMS say how soon a job should be done; see [job.Terms].
+	Stretch     float64
+	AllowanceMS int64
 	// Advised queues may run a step only where an advisor allows it.
 	Advised bool
 }
 
 // Terms returns what a job accepted now is held to.
 func (qu Queue) Terms() job.Terms {
-	return job.Terms{Queue: qu.Name, Service: qu.Service, Priority: qu.Priority, MaxFailures: max(qu.MaxFailures, 1)}
+	return job.Terms{Queue: qu.Name, Service: qu.Service, Priority: qu.Priority, MaxFailures: max(qu.MaxFailures, 1),
+		Stretch: qu.Stretch, AllowanceMS: qu.AllowanceMS}
 }
 
 // Config is one version of the configuration.
--- a/internal/sched/entry.go
+++ b/internal/sched/entry.go
@@ -12,8 +12,11 @@
 // entry is a job with what the owner knows of it besides.
 type entry struct {
 	jo *job.Job
-	// order sorts jobs of one priority.
+	// order sorts jobs of one priority and hope.
 	order int64
+	// aimMS is how soon it should be done, hope whether it can be.
+	aimMS int64
+	hope  hope
 	// specVer and progVer are the versions of its rows, 0 if not written.
 	specVer, progVer int64
 	// shown is the state last written, empty before the first write.
@@ -128,18 +131,57 @@
 	return n
 }
 
-// compareEntries sorts by priority, then by order of arrival.
+// compareEntries sorts by priority, then by hope, then by order of arrival.
 func compareEntries(a, b *entry) int {
-	if c := cmp.Compare(a.jo.Terms.Priority, b.jo.Terms.Priority); c != 0 {
-		return c
+	return cmp.Or(
+		cmp.Compare(a.jo.Terms.Priority, b.jo.Terms.Priority),
+		cmp.Compare(a.hope, b.hope),
+		cmp.Compare(a.order, b.order),
+	)
+}
+
+// hope says what a job is still worth to its caller. Where there is too little
+// room for all, those that can be in time go before those that cannot.
+type hope int8
+
+// The degrees of hope.
+const (
+	inTime hope = iota
+	late
+	tooLate
+)
+
+// lateMost is how many times its aim a job may take and still be worth
+// something, as the users state it.
+const lateMost = 3
+
+// judge returns the job's hope at a moment.
+func (en *entry) judge(now time.Time) hope {
+	if en.aimMS <= 0 {
+		return inTime
+	}
+	done := now.Sub(en.acceptedAt).Milliseconds() + en.jo.RemainingMS()
+	switch {
+	case done <= en.aimMS:
+		return inTime
+	case done <= lateMost*en.aimMS:
+		return late
+	}
+	return tooLate
+}
+
+// sortActive sorts the jobs that wait by their hopes now.
+func (ow *Owner) sortActive(now time.Time) {
+	for _, en := range ow.active {
+		en.hope = en.judge(now)
 	}
-	return cmp.Compare(a.order, b.order)
+	slices.SortFunc(ow.active, compareEntries)
 }
 
 // add enters a job.
 func (ow *Owner) add(jo *job.Job) *entry {
 	ow.seq++
-	en := &entry{jo: jo, order: ow.seq, attempts: map[job.TaskRef]*attempt{}, acceptedAt: time.Now()}
+	en := &entry{jo: jo, order: ow.seq, aimMS: jo.AimMS(), attempts: map[job.TaskRef]*attempt{}, acceptedAt: time.Now()}
 	ow.entries[jo.ID] = en
 	return en
 }
--- a/internal/sched/owner.go
+++ b/internal/sched/owner.go
@@ -166,6 +166,7 @@
 	for _, ho := range ow.hosts {
 		ho.tick(now)
 	}
+	ow.sortActive(now)
 	ow.moveHeld(now)
 	ow.tickOrphans(now)
 	ow.forgetEnded(now)
