--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -76,6 +76,16 @@
 		{name: "declare-dead", short: "plan to take over from an entry host that is gone", command: &deadCommand{st: st},
 			long: "For an entry host whose process is certainly gone and that nobody is left to take over from; ask one of the same data centre. A wrong word can make two owners.\nExample: pepperhatch declare-dead e1-7b2d1303"},
 		{name: "job", short: "batch jobs", sub: jobEntries(st, false)},
+		{name: "batch", short: "jobs with steps, on the users' platform", sub: []commandEntry{
+			{name: "submit", short: "hand a job in", command: &batchSubmitCommand{st: st},
+				long: "Prints the job's id. Exit code 3 says that it was not taken, 4 that it may have been: hand it in again with --id.\nExample: pepperhatch batch submit --queue depot-plan job.json"},
+			{name: "state", short: "show a job's state", command: &batchStateCommand{st: st},
+				long: "Example: pepperhatch batch state --watch 5c0e7a21d94b36f8"},
+			{name: "cancel", short: "end a job", command: &batchCancelCommand{st: st},
+				long: "Example: pepperhatch batch cancel 5c0e7a21d94b36f8"},
+			{name: "list", short: "list jobs", command: &batchListCommand{st: st},
+				long: "Example: pepperhatch batch list"},
+		}},
 		{name: "service", short: "services", sub: jobEntries(st, true)},
 		{name: "config", short: "configuration", sub: []commandEntry{
 			{name: "get", short: "show the configuration in force", command: &configGetCommand{st: st},
--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -91,12 +91,24 @@
 	if err := wo.awaitReady(ctx); err != nil {
 		return false, err
 	}
+	ya, err := wo.startJobs(hctx)
+	if err != nil {
+		return false, err
+	}
 	wo.printAddresses()
+	wo.printf("  pepperhatch batch list --addr %s", ya.addr)
+	jctx, stopJobs := context.WithCancel(ctx)
+	defer stopJobs()
+	jobs := make(chan jobsSeen, 1)
+	go func() { jobs <- ya.handIn(jctx) }()
 	re, seen := wo.drive(ctx)
+	stopJobs()
+	jobsBroken := ya.broken(<-jobs)
 	counts := wo.taskCounts()
 	stopHosts()
 	wo.ended.Wait()
-	return wo.conclude(re, seen, counts)
+	broken, err := wo.conclude(re, seen, counts)
+	return broken || jobsBroken, err
 }
 
 // serve serves a handler on a free loopback port.
--- a/internal/dev/dev_test.go
+++ b/internal/dev/dev_test.go
@@ -20,6 +20,7 @@
 	c.Assert(err, qt.IsNil)
 	c.Assert(broken, qt.IsFalse, qt.Commentf("%s", out.String()))
 	c.Assert(out.String(), qt.Contains, "no promise was seen broken")
+	c.Assert(out.String(), qt.Matches, `(?s).*jobs with steps: [1-9]\d* accepted, .*, 0 tasks run twice.*`)
 }
 
 // TestRunTwice makes sure that a run-once request that ran twice is seen, and
--- a/internal/door/door.go
+++ b/internal/door/door.go
@@ -267,6 +267,20 @@
 	return "", false, nil
 }
 
+// List returns the jobs that the cell's owner remembers.
+func (do *Door) List(ctx context.Context) ([]sched.Summary, error) {
+	re, err := call(ctx, do, pathList, struct{}{}, func(ctx context.Context, ow *sched.Owner) (listReply, error) {
+		jobs, err := ow.List(ctx)
+		return listReply{Jobs: jobs}, err
+	})
+	return re.Jobs, err
+}
+
+// listReply has the owner's jobs.
+type listReply struct {
+	Jobs []sched.Summary `json:"jobs"`
+}
+
 // pendingRequest asks for a queue's count.
 type pendingRequest struct {
 	Queue string `json:"queue"`
--- a/internal/door/peer.go
+++ b/internal/door/peer.go
@@ -15,6 +15,7 @@
 	pathCancel  = "/cell/cancel"
 	pathState   = "/cell/state"
 	pathPending = "/cell/pending"
+	pathList    = "/cell/list"
 	pathProcess = "/cell/process"
 )
 
@@ -43,6 +44,10 @@
 		n, err := ow.Pending(ctx, req.Queue)
 		return pendingReply{Pending: n}, err
 	}))
+	mux.Handle("POST "+pathList, handle(do, func(ctx context.Context, ow *sched.Owner, _ struct{}) (listReply, error) {
+		jobs, err := ow.List(ctx)
+		return listReply{Jobs: jobs}, err
+	}))
 	mux.Handle("POST "+pathProcess, wire.Handle(func(_ context.Context, req replacement) (processReply, error) {
 		do.Keeper.Replaced(req.Epoch)
 		return processReply{Process: do.Keeper.Process}, nil
--- a/internal/jobhost/host.go
+++ b/internal/jobhost/host.go
@@ -15,6 +15,7 @@
 
 	"github.com/pepperhatch/pepperhatch/internal/clock"
 	"github.com/pepperhatch/pepperhatch/internal/door"
+	"github.com/pepperhatch/pepperhatch/internal/jobapi"
 	"github.com/pepperhatch/pepperhatch/internal/queue"
 	"github.com/pepperhatch/pepperhatch/internal/sched"
 	"github.com/pepperhatch/pepperhatch/internal/store"
@@ -98,12 +99,20 @@
 	}}
 }
 
+// peers serves other entry hosts, and the product's own interface.
+func (ho *Host) peers() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/cell/", ho.door.Handler())
+	mux.Handle("/jobs/", jobapi.Handler(ho.door))
+	return mux
+}
+
 // Run serves until ctx ends, and then makes a planned stop.
 func (ho *Host) Run(ctx context.Context) error {
 	servers := []server{
 		newServer(ho.se.CallerAddr, platform.Front{Door: ho.door}),
 		newServer(ho.se.ReadyAddr, platform.Readiness(ho.ready)),
-		newServer(ho.se.PeerAddr(), ho.door.Handler()),
+		newServer(ho.se.PeerAddr(), ho.peers()),
 		newServer(net.JoinHostPort(ho.se.IP, fmt.Sprint(metricsPort)), ho.scrape),
 	}
 	failed := make(chan error, len(servers))
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -47,12 +47,14 @@
 	MaxBody int64
 
 	byHost map[string][]Queue
+	byName map[string]Queue
 }
 
 // New returns a configuration with the given queues.
 func New(version, maxBody int64, queues []Queue) *Config {
-	co := &Config{Version: version, MaxBody: maxBody, byHost: map[string][]Queue{}}
+	co := &Config{Version: version, MaxBody: maxBody, byHost: map[string][]Queue{}, byName: map[string]Queue{}}
 	for _, qu := range queues {
+		co.byName[qu.Name] = qu
 		co.byHost[qu.Host] = append(co.byHost[qu.Host], qu)
 	}
 	for _, list := range co.byHost {
@@ -61,6 +63,12 @@
 	return co
 }
 
+// Queue returns the queue of a name.
+func (co *Config) Queue(name string) (Queue, bool) {
+	qu, ok := co.byName[name]
+	return qu, ok
+}
+
 // Match finds the queue with the longest prefix of the path, and what of the
 // path follows it.
 func (co *Config) Match(host, path string) (qu Queue, rest string, ok bool) {
