Read settings again at SIGHUP and when their file changes

Cause: SIGHUP ended the process, as nothing took it; what is bound to the users' times for stops and harm stood as constants.

Test: TestSettingsAreReadAgain.

--- a/internal/cli/run.go
+++ b/internal/cli/run.go
@@ -2,6 +2,9 @@
 
 import (
 	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/pepperhatch/pepperhatch/internal/jobhost"
 	"github.com/pepperhatch/pepperhatch/internal/logs"
@@ -34,5 +37,8 @@
 	}
 	ctx, stop := untilSignal()
 	defer stop()
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	go ho.Follow(ctx, rc.Settings, hup)
 	return ho.Run(ctx)
 }
--- a/internal/dev/jobs.go
+++ b/internal/dev/jobs.go
@@ -63,7 +63,7 @@
 func (ya *yard) serveCell(ctx context.Context, te tenure.Tenure) error {
 	ow := sched.New(sched.Owner{
 		Cell: jobCell, Tenure: te, Table: ya.wo.table.Client(), Agent: ya.fleet.Agent(), Log: ya.wo.set.Log,
-		Limits: sched.Limits{MaxLease: 6 * time.Second, StopTime: time.Second, KeepEnded: time.Minute},
+		Limits: sched.Limits{MaxLease: 6 * time.Second, StopTime: time.Second, HarmAfter: 4 * time.Second, KeepEnded: time.Minute},
 	})
 	defer ya.owner.Store(nil)
 	return ow.Run(ctx, func() {
--- a/internal/jobhost/host.go
+++ b/internal/jobhost/host.go
@@ -47,7 +47,7 @@
 
 // Host is an entry host. Make one with [New], then call [Host.Run].
 type Host struct {
-	se      Settings
+	se      atomic.Pointer[Settings]
 	log     *slog.Logger
 	metrics *telemetry.Metrics
 	scrape  http.Handler
@@ -67,10 +67,11 @@
 	if err != nil {
 		return nil, err
 	}
-	ho := &Host{
-		se: se, log: log, metrics: me, scrape: scrape, workers: platform.NewHTTPClient(workerConns),
-		table: platform.NewTable(platform.Client{HTTP: platform.NewHTTPClient(storeConns), StoreAddr: se.StoreAddr}),
-	}
+	ho := &Host{log: log, metrics: me, scrape: scrape, workers: platform.NewHTTPClient(workerConns)}
+	ho.se.Store(&se)
+	ho.table = platform.NewTable(platform.Client{
+		HTTP: platform.NewHTTPClient(storeConns), StoreAddrFunc: func() string { return ho.se.Load().StoreAddr },
+	})
 	ho.keeper = &tenure.Keeper{
 		Cell: cellName, Self: se.Name, Process: se.Name + "-" + uuid.NewString()[:8], Addr: se.PeerAddr(),
 		Table: ho.table, Serve: ho.serveCell, Log: log,
@@ -109,11 +110,12 @@
 
 // Run serves until ctx ends, and then makes a planned stop.
 func (ho *Host) Run(ctx context.Context) error {
+	se := ho.se.Load()
 	servers := []server{
-		newServer(ho.se.CallerAddr, platform.Front{Door: ho.door}),
-		newServer(ho.se.ReadyAddr, platform.Readiness(ho.ready)),
-		newServer(ho.se.PeerAddr(), ho.peers()),
-		newServer(net.JoinHostPort(ho.se.IP, fmt.Sprint(metricsPort)), ho.scrape),
+		newServer(se.CallerAddr, platform.Front{Door: ho.door}),
+		newServer(se.ReadyAddr, platform.Readiness(ho.ready)),
+		newServer(se.PeerAddr(), ho.peers()),
+		newServer(net.JoinHostPort(se.IP, fmt.Sprint(metricsPort)), ho.scrape),
 	}
 	failed := make(chan error, len(servers))
 	var lc net.ListenConfig
@@ -124,7 +126,7 @@
 		}
 		go func() { failed <- sv.hs.Serve(li) }()
 	}
-	ho.log.Info("started", "name", ho.se.Name, "process", ho.keeper.Process, "data_centre", ho.se.DataCentre, "callers", ho.se.CallerAddr, "peers", ho.se.PeerAddr())
+	ho.log.Info("started", "name", se.Name, "process", ho.keeper.Process, "data_centre", se.DataCentre, "callers", se.CallerAddr, "peers", se.PeerAddr())
 	wctx, end := context.WithCancel(context.WithoutCancel(ctx))
 	defer end()
 	var wg sync.WaitGroup
@@ -138,19 +140,20 @@
 	ho.stop(wctx, servers)
 	end()
 	wg.Wait()
-	ho.log.Info("stopped", "name", ho.se.Name)
+	ho.log.Info("stopped", "name", se.Name)
 	return nil
 }
 
 // stop makes a planned stop: the cell goes to another host at once, and
 // callers are served until most of the time to stop is over.
 func (ho *Host) stop(ctx context.Context, servers []server) {
-	ho.log.Info("stopping", "name", ho.se.Name, "grace_s", ho.se.GraceS)
+	se := ho.se.Load()
+	ho.log.Info("stopping", "name", se.Name, "grace_s", se.GraceS)
 	ho.stopping.Store(true)
 	ho.keeper.Release()
 	callers := servers[0].hs
 	callers.SetKeepAlivesEnabled(false)
-	clock.Sleep(ctx, max(seconds(ho.se.GraceS)-stopReserve, 0))
+	clock.Sleep(ctx, max(seconds(se.GraceS)-stopReserve, 0))
 	sctx, cancel := context.WithTimeout(ctx, stopReserve/2)
 	defer cancel()
 	if err := callers.Shutdown(sctx); err != nil {
@@ -184,9 +187,10 @@
 
 // serveCell runs the cell during a tenure.
 func (ho *Host) serveCell(ctx context.Context, te tenure.Tenure) error {
+	se := ho.se.Load()
 	ow := sched.New(sched.Owner{
 		Cell: cellName, Tenure: te, Table: ho.table, Agent: platform.NewAgent(ho.workers), Metrics: ho.metrics, Log: ho.log,
-		Limits: sched.Limits{MaxLease: millis(ho.se.MaxLeaseMS), StopTime: millis(ho.se.StopMS), KeepEnded: seconds(ho.se.KeepEndedS)},
+		Limits: sched.Limits{MaxLease: millis(se.MaxLeaseMS), StopTime: millis(se.StopMS), HarmAfter: millis(se.HarmMS), KeepEnded: seconds(se.KeepEndedS)},
 	})
 	wctx, end := context.WithCancel(ctx)
 	defer end()
--- a/internal/jobhost/path_test.go
+++ b/internal/jobhost/path_test.go
@@ -39,10 +39,8 @@
 	end, err := platformtest.Fleet(&to.fleet, &to.table, workers, "routedesk")
 	tb.Cleanup(end)
 	qt.Assert(tb, err, qt.IsNil)
-	se := Settings{
-		Name: "e1", DataCentre: "z", IP: "127.0.0.1", Ports: []int{1, 2}, StoreAddr: st.Listener.Addr().String(),
-		CallerAddr: "127.0.0.1:1", ReadyAddr: "127.0.0.1:2", MaxLeaseMS: 6000, StopMS: 900, GraceS: 6, KeepEndedS: 120, HarmMS: 4000,
-	}
+	se := goodSettings()
+	se.StoreAddr = st.Listener.Addr().String()
 	to.host, err = New(se, slog.New(slog.DiscardHandler))
 	qt.Assert(tb, err, qt.IsNil)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/sched/lab_test.go
+++ b/internal/sched/lab_test.go
@@ -103,7 +103,7 @@
 	te.Renounce = func(error) { cancel() }
 	ow := New(Owner{
 		Cell: "c0", Tenure: te, Table: la.table.Client(), Agent: la.fleet.Agent(), Log: la.log,
-		Limits: Limits{MaxLease: 6 * time.Second, StopTime: 900 * time.Millisecond, KeepEnded: 2 * time.Minute},
+		Limits: Limits{MaxLease: 6 * time.Second, StopTime: 900 * time.Millisecond, HarmAfter: 4 * time.Second, KeepEnded: 2 * time.Minute},
 	})
 	loaded := make(chan struct{})
 	done := make(chan error, 1)
--- a/internal/sched/launch.go
+++ b/internal/sched/launch.go
@@ -21,8 +21,6 @@
 	// settleRetry is the pause between attempts to find out what became of an
 	// order.
 	settleRetry = 200 * time.Millisecond
-	// haltAgain is when an attempt that still runs is halted again.
-	haltAgain = 700 * time.Millisecond
 )
 
 // launch sends the order of an attempt that is durable.
@@ -188,7 +186,8 @@
 
 // halt orders the end of an attempt.
 func (ow *Owner) halt(at *attempt, why string) {
-	if time.Since(at.halted) < haltAgain {
+	// Another order helps only if the first was lost.
+	if !at.halted.IsZero() && time.Since(at.halted) < ow.Limits.StopTime {
 		return
 	}
 	at.halted = time.Now()
--- a/internal/sched/owner.go
+++ b/internal/sched/owner.go
@@ -36,6 +36,8 @@
 	MaxLease time.Duration
 	// StopTime is the longest that a worker takes to stop an attempt.
 	StopTime time.Duration
+	// HarmAfter is how long fillers may keep a service over its target.
+	HarmAfter time.Duration
 	// KeepEnded is how long the state of a job is told after its end.
 	KeepEnded time.Duration
 }
--- a/internal/sched/pace.go
+++ b/internal/sched/pace.go
@@ -28,9 +28,9 @@
 	// learnGapMost bounds the time between two measurements that are learnt
 	// from: the load of a service swings within some 20 s.
 	learnGapMost = 1300 * time.Millisecond
-	// stubborn is how long a service may stay over its target before every
-	// filler beside it is held.
-	stubborn = 2000 * time.Millisecond
+	// stubbornPart is the part of the time for which fillers may keep a service
+	// over its target, after which every filler beside it is held.
+	stubbornPart = 0.5
 	// paceTimeout bounds one order.
 	paceTimeout = 400 * time.Millisecond
 )
@@ -203,7 +203,8 @@
 
 // stubborn reports whether the service has been over its target for long.
 func (at *attempt) stubborn(now time.Time) bool {
-	return !at.overSince.IsZero() && now.Sub(at.overSince) > stubborn
+	most := time.Duration(stubbornPart * float64(at.ho.ow.Limits.HarmAfter))
+	return !at.overSince.IsZero() && now.Sub(at.overSince) > most
 }
 
 // stubborn reports whether any service has been over its target for long.
