--- a/internal/sched/bench_test.go
+++ b/internal/sched/bench_test.go
@@ -1,11 +1,16 @@
 package sched
 
 import (
+	"context"
 	"fmt"
+	"slices"
+	"strconv"
 	"testing"
 	"time"
 
 	"github.com/pepperhatch/pepperhatch/internal/job"
+	"github.com/pepperhatch/pepperhatch/internal/standin"
+	"github.com/pepperhatch/pepperhatch/internal/store"
 	"github.com/pepperhatch/pepperhatch/internal/worker"
 )
 
@@ -68,3 +73,102 @@
 	}
 	b.ReportMetric(float64(b.Elapsed().Microseconds())/float64(10*n), "us/attempt")
 }
+
+// BenchmarkNextStart measures the time from the end of a step's last task at
+// its worker to the first start of the next step, with a store that takes 12 ms
+// for a write.
+func BenchmarkNextStart(b *testing.B) {
+	for _, workers := range []int{48, 350} {
+		b.Run(fmt.Sprint(workers), func(b *testing.B) {
+			la := newLab(b, workers)
+			la.fleet.RunFunc = func(worker.Attempt) (time.Duration, string) { return 50 * time.Millisecond, "done" }
+			ow, end := la.own()
+			defer end()
+			time.Sleep(200 * time.Millisecond)
+			la.table.Gate.Set(standin.Fault{Mode: standin.ModeSlow, DelayMS: 12})
+			n := 0
+			for b.Loop() {
+				n++
+				la.submit(ow, n, batch(2, 8))
+				time.Sleep(20 * time.Millisecond)
+			}
+			time.Sleep(time.Second)
+			gaps := la.gaps(n)
+			b.ReportMetric(percentile(gaps, 0.5), "p50-ms")
+			b.ReportMetric(percentile(gaps, 0.99), "p99-ms")
+		})
+	}
+}
+
+// gaps returns the times between the first two steps of jobs, sorted.
+func (la *lab) gaps(jobs int) []time.Duration {
+	last, first := make([]time.Time, jobs+1), make([]time.Time, jobs+1)
+	for _, ru := range la.fleet.Runs() {
+		id, ref, _ := job.ParseTaskID(ru.Task)
+		n, err := strconv.ParseInt(id, 16, 64)
+		if err != nil {
+			continue
+		}
+		if ref.Step == 0 && ru.Until.After(last[n]) {
+			last[n] = ru.Until
+		}
+		if ref.Step == 1 && (first[n].IsZero() || ru.From.Before(first[n])) {
+			first[n] = ru.From
+		}
+	}
+	var gaps []time.Duration
+	for n := 1; n <= jobs; n++ {
+		if !first[n].IsZero() {
+			gaps = append(gaps, first[n].Sub(last[n]))
+		}
+	}
+	slices.Sort(gaps)
+	return gaps
+}
+
+func percentile(sorted []time.Duration, part float64) float64 {
+	if len(sorted) == 0 {
+		return 0
+	}
+	return float64(sorted[int(part*float64(len(sorted)-1))].Microseconds()) / 1000
+}
+
+// BenchmarkLoad measures a new owner's reading of its cell.
+func BenchmarkLoad(b *testing.B) {
+	for _, jobs := range []int{500, 5000} {
+		b.Run(fmt.Sprint(jobs), func(b *testing.B) {
+			la := newLab(b, 1)
+			fillTable(b, la, jobs)
+			ow := New(Owner{Cell: "c0", Tenure: la.claim(), Table: la.table.Client(), Log: la.log})
+			b.ReportAllocs()
+			b.ResetTimer()
+			for b.Loop() {
+				if err := ow.loadOnce(context.Background()); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
+// fillTable writes jobs of 16 tasks, half of which are done.
+func fillTable(b *testing.B, la *lab, jobs int) {
+	b.Helper()
+	for n := range jobs {
+		jo := job.New(jobID(n), job.Terms{Queue: "q", Service: testService, MaxFailures: 2}, batch(2, 8))
+		for i := range 8 {
+			ref := job.TaskRef{Step: 0, Index: i}
+			jo.End(ref, jo.Start(ref, "i-0"), job.EndDone, "")
+		}
+		txn, err := store.NewTxn().WithPut("jobs/c0/"+jo.ID, 0, jo.SpecRow())
+		if err == nil {
+			txn, err = txn.WithPut("progress/c0/"+jo.ID, 0, jo.NextRow(1))
+		}
+		if err != nil {
+			b.Fatal(err)
+		}
+		if _, err := la.table.Client().Commit(context.Background(), txn); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
