Empty workers that leave before they are gone

Ruled out: taking a refused connection of a draining worker for its end; cuts refuse too.

Test that failed first: TestWorkerLeaves.

--- a/internal/sched/host.go
+++ b/internal/sched/host.go
@@ -27,8 +27,10 @@
 	Rack string
 	// Holds is what it has.
 	Holds worker.Resources
-	// Draining workers get nothing new.
-	Draining bool
+	// Draining workers get nothing new, and leave after Remaining at the
+	// earliest.
+	Draining  bool
+	Remaining time.Duration
 }
 
 // host is a worker of the cell.
@@ -37,6 +39,8 @@
 
 	ow          *Owner
 	incarnation string
+	// leaves is when a draining worker may leave, at the earliest.
+	leaves time.Time
 	// gone is set once the list no longer has it.
 	gone bool
 	// dead is set once its process is known to have ended.
@@ -136,6 +140,9 @@
 		if ho.Draining != li.Draining || ho.gone {
 			ow.Log.Info("worker changed", "worker", li.Incarnation, "draining", li.Draining, "listed", true)
 		}
+		if li.Draining && !ho.Draining {
+			ho.leaves = time.Now().Add(li.Remaining)
+		}
 		ho.Listed, ho.gone = li, false
 		return
 	}
@@ -149,6 +156,7 @@
 		Listed: li, ow: ow, incarnation: li.Incarnation, stop: stop, release: make(chan struct{}, 1),
 		attempts: map[*attempt]bool{}, failedJobs: map[string]bool{},
 	}
+	ho.leaves = time.Now().Add(li.Remaining)
 	ow.hosts[li.Incarnation] = ho
 	ow.sorted = nil
 	ow.byAddr[li.HostPort] = ho
--- a/internal/sched/owner.go
+++ b/internal/sched/owner.go
@@ -170,6 +170,7 @@
 	}
 	ow.sortActive(now)
 	ow.moveHeld(now)
+	ow.evacuate(now)
 	ow.tickOrphans(now)
 	ow.forgetEnded(now)
 	ow.due = true
--- a/internal/sched/workers_test.go
+++ b/internal/sched/workers_test.go
@@ -243,3 +243,52 @@
 		})
 	}
 }
+
+// TestWorkerLeaves has a worker leave after a notice. What lasts goes on
+// elsewhere before, what ends soon may end there, and the rest is stopped in
+// time to be resumed.
+func TestWorkerLeaves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		la := newLab(t, 3)
+		la.fleet.RunFunc = func(at worker.Attempt) (time.Duration, string) {
+			id, _, _ := job.ParseTaskID(at.Task)
+			switch id {
+			case jobID(1):
+				return -1, ""
+			case jobID(2):
+				return 1500 * time.Millisecond, "done"
+			}
+			return 8 * time.Second, "done"
+		}
+		ow, end := la.own()
+		defer end()
+		time.Sleep(time.Second)
+		la.submit(ow, 1, lasting(4))
+		la.submit(ow, 2, batch(1, 4))
+		la.submit(ow, 3, batch(1, 4))
+		time.Sleep(time.Second)
+		leaving := la.crew[0]
+		for _, fw := range la.crew {
+			if la.running()[fw.Addr.Incarnation] > la.running()[leaving.Addr.Incarnation] {
+				leaving = fw
+			}
+		}
+		list := la.listed()
+		for i := range list {
+			if list[i].Incarnation == leaving.Addr.Incarnation {
+				list[i].Draining, list[i].Remaining = true, 4500*time.Millisecond
+			}
+		}
+		ow.SetWorkers(list, nil, true)
+		time.Sleep(4500 * time.Millisecond)
+		la.fleet.Kill(leaving)
+		time.Sleep(500 * time.Millisecond)
+		la.assertRunning(8)
+		for _, ru := range la.fleet.Runs() {
+			qt.Check(t, ru.How, qt.Not(qt.Equals), "killed", qt.Commentf("%s", ru.Task))
+			if ru.Task[:16] == jobID(2) {
+				qt.Check(t, ru.How, qt.Equals, "done")
+			}
+		}
+	})
+}
