Count a service close to its target as over it

The figures of tails are rough; one that falls under the target by chance started the time anew after which all fillers are held.

--- a/internal/sched/pace.go
+++ b/internal/sched/pace.go
@@ -14,6 +14,8 @@
 
 // The numbers of control of fillers.
 const (
+	// near is the part of its target from which a service may be over it.
+	near = 0.9
 	// usageWindow is the time that a worker's figures are of.
 	usageWindow = 500 * time.Millisecond
 	// paceLag is how long an order needs to show in the figures.
@@ -212,11 +214,12 @@
 	return slices.ContainsFunc(ho.services, func(at *attempt) bool { return at.stubborn(now) })
 }
 
-// timeOver notes since when each service is over its target.
+// timeOver notes since when each service is over its target, or close to it:
+// its figures are rough and may fall under it by chance.
 func (ho *host) timeOver(now time.Time) {
 	for _, at := range ho.services {
 		switch {
-		case !at.serves() || at.usage <= at.step().TargetMS:
+		case !at.serves() || float64(at.usage) <= near*float64(at.step().TargetMS):
 			at.overSince = time.Time{}
 		case at.overSince.IsZero():
 			at.overSince = now
