Keep heartbeats and intake out of the owner's part

The store writes the rows of one part in turn and turns away what would wait for over a second; on a slow store (some two writes a second) the claims and the release waited behind what all hosts wrote to the intake.

What: heartbeats and intake rows have parts of their own. A heartbeat has no condition and names its epoch; that the tenure is confirmed now follows from the watch of the owner's row, counted from when its call was sent. Intake rows are removed by a write of their own once the job's rows are written.

Ruled out: a longer wait of claims (the store's own bound turns them away).

--- a/internal/door/door.go
+++ b/internal/door/door.go
@@ -161,16 +161,14 @@
 	}
 	txn := store.NewTxn()
 	txn.Conds = []store.Cond{{Key: key}}
-	if !row.Cancel {
-		txn.Conds = append(txn.Conds, store.Cond{Key: do.specKey(id)})
-	}
 	txn.Puts = []store.Put{{Key: key, Value: value}}
 	cctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	_, err = do.Table.CommitFunc(cctx, txn)
 	switch {
 	case err == nil, errors.Is(err, store.ErrConflict):
-		// The conditions fail only if the job, or this row, is there already.
+		// The condition fails only if this row is there already. A job that the
+		// owner has already is left as it is.
 		return sched.Verdict{Outcome: sched.Accepted}
 	case errors.Is(err, store.ErrBusy):
 		do.Log.Info("intake not written", "job", id, "err", err)
@@ -188,7 +186,6 @@
 	return sched.Verdict{Outcome: sched.Unknown, Reason: sched.ReasonUnreachable, RetryAfter: retryAfter}
 }
 
-func (do *Door) specKey(id string) string     { return sched.SpecTable + "/" + do.Cell + "/" + id }
 func (do *Door) progressKey(id string) string { return sched.ProgressTable + "/" + do.Cell + "/" + id }
 
 // reference names a job on its way to the owner.
--- a/internal/jobhost/host.go
+++ b/internal/jobhost/host.go
@@ -210,7 +210,7 @@
 func (ho *Host) watchCell(ctx context.Context, ow *sched.Owner) {
 	workers := watch.Watch{Table: ho.table, Name: platform.WorkerTable, Under: platform.WorkerPrefix, Log: ho.log,
 		OnRows: func(rows []store.FeedRow, whole bool) { ho.onWorkers(ow, rows, whole) }}
-	intake := watch.Watch{Table: ho.table, Name: sched.IntakeTable, Under: sched.IntakeTable + "/" + cellName + "/", Log: ho.log,
+	intake := watch.Watch{Table: ho.table, Name: sched.IntakeTable, Under: sched.IntakePrefix(cellName), Log: ho.log,
 		OnRows: func(rows []store.FeedRow, _ bool) { ow.Import(rows) }}
 	go workers.Run(ctx)
 	go intake.Run(ctx)
--- a/internal/sched/commit.go
+++ b/internal/sched/commit.go
@@ -116,14 +116,6 @@
 		wr.txn.Conds = append(wr.txn.Conds, store.Cond{Key: ow.specKey(id)})
 		wr.txn.Puts = append(wr.txn.Puts, store.Put{Key: ow.specKey(id), Value: spec})
 	}
-	if en.inIntake {
-		en.inIntake = false
-		wr.txn.Puts = append(wr.txn.Puts, store.Put{Key: IntakeKey(ow.Cell, id), Delete: true})
-	}
-	if en.cancelRow {
-		en.cancelRow = false
-		wr.txn.Puts = append(wr.txn.Puts, store.Put{Key: CancelKey(ow.Cell, id), Delete: true})
-	}
 	wr.parts = append(wr.parts, pa)
 	return size
 }
--- a/internal/sched/entry.go
+++ b/internal/sched/entry.go
@@ -40,11 +40,6 @@
 	orphans []job.TaskRef
 	// failedOn are the workers on which a task of the job failed.
 	failedOn map[string]bool
-	// inIntake is set if it came by the intake table, whose row is removed
-	// with the first write.
-	inIntake bool
-	// cancelRow is set if a cancellation came by the intake table.
-	cancelRow bool
 	// endedAt is when it was seen to reach a final state.
 	endedAt time.Time
 	// acceptedAt is when it was handed in to this owner.
--- a/internal/sched/intake.go
+++ b/internal/sched/intake.go
@@ -1,8 +1,13 @@
 package sched
 
 import (
+	"context"
 	"encoding/json"
+	"time"
 
+	"github.com/cenkalti/backoff/v5"
+
+	"github.com/pepperhatch/pepperhatch/internal/clock"
 	"github.com/pepperhatch/pepperhatch/internal/job"
 	"github.com/pepperhatch/pepperhatch/internal/store"
 )
@@ -17,8 +22,13 @@
 	Cancel bool `json:"cancel,omitempty"`
 }
 
+// IntakePrefix is that of a cell's rows. They are in a part of their own: the
+// store writes the rows of one part in turn, and the owner's must not wait
+// behind those of all other hosts.
+func IntakePrefix(cell string) string { return IntakeTable + "/" + cell + ".in/" }
+
 // IntakeKey names the row of a job that was handed in.
-func IntakeKey(cell, id string) string { return IntakeTable + "/" + cell + "/" + id }
+func IntakeKey(cell, id string) string { return IntakePrefix(cell) + id }
 
 // cancelSuffix follows the id in the key of a cancellation.
 const cancelSuffix = ".cancel"
@@ -53,10 +63,31 @@
 		en = ow.add(job.New(id, in.Terms, in.Spec))
 		ow.Log.Info("job taken over from an entry host", "job", id, "queue", in.Terms.Queue, "version", row.Version)
 	}
-	en.inIntake = true
+	en.effects = append(en.effects, func() { go ow.clearIntake(IntakeKey(ow.Cell, id)) })
 	ow.touch(en)
 }
 
+// clearIntake removes a row once what it says is in the cell's own rows. If
+// that fails the next reading finds the row again, and the job with it.
+func (ow *Owner) clearIntake(key string) {
+	txn := store.NewTxn()
+	txn.Puts = []store.Put{{Key: key, Delete: true}}
+	bo := backoff.NewExponentialBackOff()
+	bo.InitialInterval, bo.MaxInterval = rewriteFirst, time.Second
+	for {
+		ctx, cancel := context.WithTimeout(ow.ctx, writeTimeout)
+		_, err := ow.Table.CommitFunc(ctx, txn)
+		cancel()
+		if err == nil {
+			return
+		}
+		ow.Log.Info("intake row not removed yet", "key", key, "err", err)
+		if !clock.Sleep(ow.ctx, bo.NextBackOff()) {
+			return
+		}
+	}
+}
+
 // importCancel cancels a job. Entry hosts write a cancellation only after they
 // saw the job's own row.
 func (ow *Owner) importCancel(id string) {
@@ -70,6 +101,6 @@
 		en.jo.Cancelled = true
 		ow.finish(en)
 	}
-	en.cancelRow = true
+	en.effects = append(en.effects, func() { go ow.clearIntake(CancelKey(ow.Cell, id)) })
 	ow.touch(en)
 }
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -45,6 +45,9 @@
 	// on extending the leases of what runs. A new owner that can reach neither
 	// a worker nor its former owner waits so long, and then for the lease.
 	ExtendFor = 8 * time.Second
+	// releaseWithin is how long an owner that stops tries to give its cell up; by
+	// then the others notice its silence.
+	releaseWithin = SilentAfter
 	// askEvery is the time between questions to a former owner's host.
 	askEvery = 500 * time.Millisecond
 )
@@ -125,7 +128,11 @@
 }
 
 func (ke *Keeper) ownerKey() string { return tableName + "/" + ke.Cell + "/owner" }
-func (ke *Keeper) beatKey() string  { return tableName + "/" + ke.Cell + "/beat" }
+
+// beatPart is apart from the cell's rows: the store writes those of one part in
+// turn, and heartbeats must not wait behind a cell's work.
+func (ke *Keeper) beatPart() string { return tableName + "/" + ke.Cell + ".beat/" }
+func (ke *Keeper) beatKey() string  { return ke.beatPart() + "beat" }
 
 // Current returns the owner last seen; ok is false if there is none.
 func (ke *Keeper) Current() (row OwnerRow, ok bool) {
@@ -168,7 +175,7 @@
 
 // Run takes part until ctx ends.
 func (ke *Keeper) Run(ctx context.Context) {
-	ke.watch = watch.Watch{Table: ke.Table, Name: tableName, Under: tableName + "/" + ke.Cell + "/", OnRows: ke.onRows, Log: ke.Log}
+	ke.watch = watch.Watch{Table: ke.Table, Name: tableName, Under: tableName + "/" + ke.Cell + "/", Also: ke.beatPart(), OnRows: ke.onRows, Log: ke.Log}
 	go ke.watch.Run(ctx)
 	for clock.Sleep(ctx, checkEvery) {
 		row, version, due, why := ke.claimDue()
@@ -227,7 +234,8 @@
 		ke.Log.Error("heartbeat cannot be read", "cell", ke.Cell, "version", row.Version, "err", err)
 		return
 	}
-	if be != ke.beat {
+	// A heartbeat of a former owner says nothing of this one.
+	if be.Epoch == ke.row.Epoch && be != ke.beat {
 		ke.beat, ke.beatSeen = be, time.Now()
 	}
 }
@@ -312,8 +320,8 @@
 	ke.row, ke.version, ke.end = row, version, end
 	ke.beatSeen = time.Now()
 	ke.mu.Unlock()
-	hb := &heart{ke: ke, epoch: row.Epoch, version: version, confirmed: sent}
-	go hb.run(sctx, end)
+	hb := &heart{ke: ke, epoch: row.Epoch, claimed: sent}
+	go hb.run(sctx)
 	fo := &former{ke: ke, row: formerRow, epoch: row.Epoch}
 	go fo.ask(sctx)
 	ke.Log.Info("owning the cell", "cell", ke.Cell, "epoch", row.Epoch, "version", version)
@@ -331,7 +339,14 @@
 
 // release gives the cell up, so that another host need not wait for silence.
 func (ke *Keeper) release(ctx context.Context, row OwnerRow, version int64) {
-	if _, err := ke.write(ctx, OwnerRow{Epoch: row.Epoch}, version); err != nil {
+	ctx, cancel := context.WithTimeout(ctx, releaseWithin)
+	defer cancel()
+	for ctx.Err() == nil {
+		_, err := ke.write(ctx, OwnerRow{Epoch: row.Epoch}, version)
+		if err == nil || errors.Is(err, store.ErrConflict) {
+			return
+		}
 		ke.Log.Warn("cell not released", "cell", ke.Cell, "epoch", row.Epoch, "err", err)
+		clock.Sleep(ctx, checkEvery)
 	}
 }
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -44,6 +44,9 @@
 	Name string
 	// Under is the prefix of the keys wanted; it begins with Name and "/".
 	Under string
+	// Also is another prefix of which changes are wanted, but no first reading;
+	// empty is none.
+	Also string
 	// OnRows gets rows in the order of their changes. If whole is set they are
 	// all there are, and any other that was known is gone.
 	OnRows func(rows []store.FeedRow, whole bool)
@@ -55,14 +58,15 @@
 	lost    bool
 
 	mu sync.Mutex
-	// contact is when the table last answered, regained when it first did
-	// after a loss.
+	// contact is when the call was sent that the table last answered, regained
+	// when it first answered after a loss.
 	contact  time.Time
 	regained time.Time
 }
 
-// Contact returns when the table last answered, and since when it has without
-// an error in between. Both are zero before the first answer.
+// Contact returns when the call was sent that the table last answered, and
+// since when it has answered without an error in between. What was told is true
+// of some moment after the first. Both are zero before the first answer.
 func (wa *Watch) Contact() (last, since time.Time) {
 	wa.mu.Lock()
 	defer wa.mu.Unlock()
@@ -74,11 +78,12 @@
 	bo := backoff.NewExponentialBackOff()
 	bo.InitialInterval, bo.MaxInterval = retryFirst, retryMost
 	for ctx.Err() == nil {
+		sent := time.Now()
 		err := wa.step(ctx)
 		if ctx.Err() != nil {
 			return
 		}
-		wa.note(err)
+		wa.note(sent, err)
 		if err == nil {
 			bo.Reset()
 			continue
@@ -88,9 +93,9 @@
 }
 
 // note keeps and logs whether the table answers.
-func (wa *Watch) note(err error) {
+func (wa *Watch) note(sent time.Time, err error) {
 	if err == nil {
-		wa.answered()
+		wa.answered(sent)
 		wa.lost = false
 		return
 	}
@@ -105,12 +110,12 @@
 	wa.lost = true
 }
 
-func (wa *Watch) answered() {
+func (wa *Watch) answered(sent time.Time) {
 	wa.mu.Lock()
 	defer wa.mu.Unlock()
-	wa.contact = time.Now()
+	wa.contact = sent
 	if wa.lost || wa.regained.IsZero() {
-		wa.regained = wa.contact
+		wa.regained = time.Now()
 		wa.Log.Info("store answers", "watch", wa.Under, "version", wa.version)
 	}
 }
@@ -134,7 +139,9 @@
 
 // within leaves out rows that do not begin with the prefix.
 func (wa *Watch) within(rows []store.FeedRow) []store.FeedRow {
-	return slices.DeleteFunc(rows, func(row store.FeedRow) bool { return !strings.HasPrefix(row.Key, wa.Under) })
+	return slices.DeleteFunc(rows, func(row store.FeedRow) bool {
+		return !strings.HasPrefix(row.Key, wa.Under) && (wa.Also == "" || !strings.HasPrefix(row.Key, wa.Also))
+	})
 }
 
 // list reads all rows. Pages are read at different moments; the feed goes on
