--- a/internal/sched/host.go
+++ b/internal/sched/host.go
@@ -37,7 +37,10 @@
 type host struct {
 	Listed
 
-	ow          *Owner
+	ow *Owner
+	// target is where it listens; unlike what the list says it never changes,
+	// so that orders on their way may read it.
+	target      worker.Addr
 	incarnation string
 	// leaves is when a draining worker may leave, at the earliest.
 	leaves time.Time
@@ -153,7 +156,7 @@
 		"millicores", li.Holds.MilliCores, "mem_mb", li.Holds.MemMB, "draining", li.Draining)
 	ctx, stop := context.WithCancel(ow.ctx)
 	ho := &host{
-		Listed: li, ow: ow, incarnation: li.Incarnation, stop: stop, release: make(chan struct{}, 1),
+		Listed: li, ow: ow, target: li.Addr, incarnation: li.Incarnation, stop: stop, release: make(chan struct{}, 1),
 		attempts: map[*attempt]bool{}, failedJobs: map[string]bool{},
 	}
 	ho.leaves = time.Now().Add(li.Remaining)
@@ -271,7 +274,7 @@
 		}
 		sent := time.Now()
 		lctx, cancel := context.WithTimeout(ctx, lo.Wait+lookGrace)
-		si, err := ho.ow.Agent.LookFunc(lctx, ho.Addr, lo)
+		si, err := ho.ow.Agent.LookFunc(lctx, ho.target, lo)
 		cancel()
 		if ctx.Err() != nil {
 			return
--- a/internal/sched/launch.go
+++ b/internal/sched/launch.go
@@ -51,7 +51,7 @@
 func (ow *Owner) sendLaunch(at *attempt, la worker.Launch) {
 	sent := time.Now()
 	ctx, cancel := context.WithTimeout(ow.ctx, launchTimeout)
-	ack, err := ow.Agent.LaunchFunc(ctx, at.ho.Addr, la)
+	ack, err := ow.Agent.LaunchFunc(ctx, at.ho.target, la)
 	cancel()
 	got := time.Now()
 	ow.post(func() { ow.launched(at, ack, sent, got, err) })
@@ -167,7 +167,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ow.ctx, lookGrace)
 	defer cancel()
-	si, err := ow.Agent.LookFunc(ctx, ho.Addr, worker.Look{Fence: ow.Tenure.Epoch, Seen: seen})
+	si, err := ow.Agent.LookFunc(ctx, ho.target, worker.Look{Fence: ow.Tenure.Epoch, Seen: seen})
 	if err != nil {
 		return false, err
 	}
@@ -199,7 +199,7 @@
 func (ow *Owner) sendHalt(ho *host, wa worker.Attempt) bool {
 	ctx, cancel := context.WithTimeout(ow.ctx, haltTimeout)
 	defer cancel()
-	_, err := ow.Agent.HaltFunc(ctx, ho.Addr, worker.Halt{Attempt: wa, Fence: ow.Tenure.Epoch})
+	_, err := ow.Agent.HaltFunc(ctx, ho.target, worker.Halt{Attempt: wa, Fence: ow.Tenure.Epoch})
 	if err != nil {
 		ow.Log.Info("halt not done", "task", wa.Task, "attempt", wa.Number, "worker", ho.incarnation, "err", err)
 	}
--- a/internal/sched/pace.go
+++ b/internal/sched/pace.go
@@ -370,7 +370,7 @@
 func (ow *Owner) sendPace(at *attempt, pa worker.Pace) {
 	ctx, cancel := context.WithTimeout(ow.ctx, paceTimeout)
 	defer cancel()
-	if _, err := ow.Agent.PaceFunc(ctx, at.ho.Addr, pa); err != nil {
+	if _, err := ow.Agent.PaceFunc(ctx, at.ho.target, pa); err != nil {
 		ow.Log.Info("pace not set", "task", pa.Task, "attempt", pa.Number, "worker", at.ho.incarnation, "err", err)
 		ow.post(func() { at.pace = unknownPace })
 	}
--- a/internal/sched/workers_test.go
+++ b/internal/sched/workers_test.go
@@ -114,10 +114,10 @@
 		ow, end := la.own()
 		defer end()
 		time.Sleep(time.Second)
-		la.crew[0].Late = 3 * time.Second
+		la.fleet.SetLate(la.crew[0], 3*time.Second)
 		la.submit(ow, 1, batch(2, 16))
 		time.Sleep(8 * time.Second)
-		la.crew[0].Late = 0
+		la.fleet.SetLate(la.crew[0], 0)
 		time.Sleep(12 * time.Second)
 		qt.Assert(t, la.state(ow, 1), qt.Equals, job.Succeeded)
 		la.assertNothingTwice()
--- a/internal/tenure/tenure_test.go
+++ b/internal/tenure/tenure_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -114,6 +115,20 @@
 	return ri.serves
 }
 
+// cause returns why its last tenure ended.
+func (ri *rival) cause() error {
+	ri.mu.Lock()
+	defer ri.mu.Unlock()
+	return ri.ended
+}
+
+// tenures returns the epochs of the tenures so far.
+func (ra *race) tenures() []int64 {
+	ra.mu.Lock()
+	defer ra.mu.Unlock()
+	return slices.Clone(ra.epochs)
+}
+
 // owner returns the only host that serves the cell.
 func (ra *race) owner() *rival {
 	var owner *rival
@@ -154,7 +169,7 @@
 		first := ra.owner()
 		time.Sleep(20 * time.Second)
 		qt.Assert(t, ra.owner(), qt.Equals, first)
-		qt.Assert(t, ra.epochs, qt.DeepEquals, []int64{1})
+		qt.Assert(t, ra.tenures(), qt.DeepEquals, []int64{1})
 	})
 }
 
@@ -173,7 +188,7 @@
 				within = RefusedAfter + BeatEvery + 500*time.Millisecond
 			}
 			time.Sleep(within)
-			qt.Assert(t, len(ra.epochs), qt.Equals, 2)
+			qt.Assert(t, len(ra.tenures()), qt.Equals, 2)
 		})
 	}
 }
@@ -194,7 +209,7 @@
 		time.Sleep(SilentAfter + 2*time.Second)
 		next := ra.owner()
 		qt.Assert(t, next, qt.Not(qt.Equals), first)
-		qt.Assert(t, errors.Is(first.ended, ErrOver), qt.IsTrue)
+		qt.Assert(t, errors.Is(first.cause(), ErrOver), qt.IsTrue)
 		first.gate.Set(standin.Fault{})
 		time.Sleep(5 * time.Second)
 		qt.Assert(t, ra.owner(), qt.Equals, next)
@@ -231,7 +246,7 @@
 		ra.add("e0")
 		time.Sleep(500 * time.Millisecond)
 		qt.Assert(t, ra.owner(), qt.Not(qt.Equals), first)
-		qt.Assert(t, ra.epochs, qt.DeepEquals, []int64{1, 2})
+		qt.Assert(t, ra.tenures(), qt.DeepEquals, []int64{1, 2})
 	})
 }
 
