Tell the next owner when the leases of silent workers lapse

What: an owner that releases the cell says in its row after how long the leases of workers that do not answer have lapsed at the latest; one that answers again is taken off before its leases are extended.

Test: TestOwnersChangeWhileAWorkerIsGone.

--- a/internal/dev/jobs.go
+++ b/internal/dev/jobs.go
@@ -60,16 +60,17 @@
 }
 
 // serveCell runs the cell while the keeper owns it.
-func (ya *yard) serveCell(ctx context.Context, te tenure.Tenure) error {
-	ow := sched.New(sched.Owner{
+func (ya *yard) serveCell(ctx context.Context, te tenure.Tenure) (map[string]int64, error) {
+	ow := sched.New(&sched.Owner{
 		Cell: jobCell, Tenure: te, Table: ya.wo.table.Client(), Agent: ya.fleet.Agent(), Log: ya.wo.set.Log,
 		Limits: sched.Limits{MaxLease: 6 * time.Second, StopTime: time.Second, HarmAfter: 4 * time.Second, KeepEnded: time.Minute},
 	})
 	defer ya.owner.Store(nil)
-	return ow.Run(ctx, func() {
+	err := ow.Run(ctx, func() {
 		ya.owner.Store(ow)
 		ow.SetWorkers(ya.workers(), nil, true)
 	})
+	return ow.Handover(), err
 }
 
 func (ya *yard) workers() []sched.Listed {
--- a/internal/jobhost/host.go
+++ b/internal/jobhost/host.go
@@ -186,9 +186,9 @@
 }
 
 // serveCell runs the cell during a tenure.
-func (ho *Host) serveCell(ctx context.Context, te tenure.Tenure) error {
+func (ho *Host) serveCell(ctx context.Context, te tenure.Tenure) (map[string]int64, error) {
 	se := ho.se.Load()
-	ow := sched.New(sched.Owner{
+	ow := sched.New(&sched.Owner{
 		Cell: cellName, Tenure: te, Table: ho.table, Agent: platform.NewAgent(ho.workers), Metrics: ho.metrics, Log: ho.log,
 		Limits: sched.Limits{MaxLease: millis(se.MaxLeaseMS), StopTime: millis(se.StopMS), HarmAfter: millis(se.HarmMS), KeepEnded: seconds(se.KeepEndedS)},
 	})
@@ -201,9 +201,9 @@
 	defer ho.owner.Store(nil)
 	err := ow.Run(ctx, loaded)
 	if errors.Is(err, context.Canceled) {
-		return nil
+		err = nil
 	}
-	return err
+	return ow.Handover(), err
 }
 
 // watchCell hands the owner the list of workers and what other hosts took in.
--- a/internal/sched/entry.go
+++ b/internal/sched/entry.go
@@ -70,6 +70,8 @@
 	// a service is over its target.
 	lastTail  int64
 	overSince time.Time
+	// overLast is when it last was.
+	overLast time.Time
 	// pace is the share of its speed that it was told, in per cent, or
 	// unknownPace.
 	pace int
--- /dev/null
+++ b/internal/sched/handover.go
@@ -0,0 +1,54 @@
+package sched
+
+import (
+	"maps"
+	"time"
+)
+
+// Handover returns, once [Owner.Run] has returned or before that, after how many
+// milliseconds at the latest the leases of workers lapse that do not answer, by
+// incarnation. The next owner need not wait for longer.
+func (ow *Owner) Handover() map[string]int64 {
+	ow.handing.Lock()
+	defer ow.handing.Unlock()
+	return maps.Clone(ow.silent)
+}
+
+// noteAnswer takes a worker that answers off what the next owner is told: its
+// leases are about to be extended.
+func (ow *Owner) noteAnswer(ho *host) {
+	ow.handing.Lock()
+	defer ow.handing.Unlock()
+	delete(ow.silent, ho.incarnation)
+}
+
+// noteSilent keeps what [Owner.Handover] returns.
+func (ow *Owner) noteSilent(now time.Time) {
+	silent := map[string]int64{}
+	for incarnation, ho := range ow.hosts {
+		if len(ho.attempts) > 0 && (!ho.settled || !ho.failing.IsZero()) {
+			silent[incarnation] = ho.lapseIn(now)
+		}
+	}
+	for incarnation := range ow.orphans {
+		silent[incarnation] = max(ow.orphansUntil(incarnation).Sub(now).Milliseconds(), 0)
+	}
+	ow.handing.Lock()
+	defer ow.handing.Unlock()
+	ow.silent = silent
+}
+
+// lapseIn returns the milliseconds until the worker's leases have lapsed by the
+// slowest clock, if they are not extended any more. Looks on their way may have
+// extended them once more since the last note: that is allowed for.
+func (ho *host) lapseIn(now time.Time) int64 {
+	if !ho.settled {
+		return max(ho.ow.orphansUntil(ho.incarnation).Sub(now).Milliseconds(), 0)
+	}
+	earliest, _ := ho.clockNow(now)
+	left := float64(ho.leaseUntilMS-earliest) / (1 - clockDrift)
+	if now.Sub(ho.failing) < extendSilent+lookGrace {
+		left = float64(ho.ow.Limits.MaxLease.Milliseconds()) / (1 - clockDrift)
+	}
+	return max(int64(left)+lapseMargin.Milliseconds(), 0)
+}
--- a/internal/sched/host.go
+++ b/internal/sched/host.go
@@ -345,6 +345,7 @@
 		ho.ow.Log.Info("worker answers again", "worker", ho.incarnation, "after", got.Sub(ho.failing))
 		ho.failing = time.Time{}
 	}
+	ho.ow.noteAnswer(ho)
 	ho.seen = got
 	ho.read(si.ClockMS, got)
 	ended := ho.takeEnds(si)
@@ -529,22 +530,34 @@
 // ended by the slowest clock.
 func (ho *host) lapsed(now time.Time) bool {
 	if !ho.settled {
-		return ho.ow.orphansOver(now)
+		return ho.ow.orphansOver(ho.incarnation, now)
 	}
 	earliest, _ := ho.clockNow(now)
 	return earliest > ho.leaseUntilMS+lapseMargin.Milliseconds()
 }
 
 // orphansOver reports whether attempts ordered by a former owner have ended on
-// every worker that cannot be reached: their leases have lapsed since the last
-// moment at which that owner can have extended them.
-func (ow *Owner) orphansOver(now time.Time) bool {
+// a worker that cannot be reached.
+func (ow *Owner) orphansOver(incarnation string, now time.Time) bool {
+	return now.After(ow.orphansUntil(incarnation))
+}
+
+// orphansUntil returns when such attempts have ended at the latest: when the
+// former owner said so as it released the cell, or once leases have lapsed since
+// the last moment at which it can have extended them.
+func (ow *Owner) orphansUntil(incarnation string) time.Time {
 	last := ow.opened.Add(tenure.ExtendFor)
 	if ended := ow.Tenure.FormerEnded(); !ended.IsZero() && ended.Before(last) {
 		last = ended
 	}
 	lease := time.Duration(float64(ow.Limits.MaxLease) * (1 + 2*clockDrift))
-	return now.Sub(last) > lease+lapseMargin
+	until := last.Add(lease + lapseMargin)
+	if ms, ok := ow.Tenure.Former.SilentMS[incarnation]; ok {
+		if known := ow.opened.Add(time.Duration(ms)*time.Millisecond + lapseMargin); known.Before(until) {
+			return known
+		}
+	}
+	return until
 }
 
 // judge keeps how a worker does, and sets it aside if it fails the tasks of
--- a/internal/sched/load.go
+++ b/internal/sched/load.go
@@ -109,14 +109,26 @@
 // tickOrphans ends attempts on workers that were never seen, once their
 // leases have lapsed.
 func (ow *Owner) tickOrphans(now time.Time) {
-	if len(ow.orphans) == 0 || !ow.orphansOver(now) {
-		return
+	for incarnation := range ow.orphans {
+		if ow.orphansOver(incarnation, now) {
+			delete(ow.orphans, incarnation)
+			ow.endOrphans(incarnation)
+		}
 	}
+}
+
+// endOrphans ends the attempts on a worker that was never seen.
+func (ow *Owner) endOrphans(incarnation string) {
 	for _, en := range ow.entries {
+		rest := en.orphans[:0]
 		for _, ref := range en.orphans {
-			ow.end(en, ref, en.jo.Task(ref).Attempt, job.EndLapsed, "", "its worker was not seen since the takeover")
+			ta := en.jo.Task(ref)
+			if ta.Worker != incarnation {
+				rest = append(rest, ref)
+				continue
+			}
+			ow.end(en, ref, ta.Attempt, job.EndLapsed, "", "its worker was not seen since the takeover")
 		}
-		en.orphans = nil
+		en.orphans = rest
 	}
-	clear(ow.orphans)
 }
--- a/internal/sched/owner.go
+++ b/internal/sched/owner.go
@@ -20,6 +20,7 @@
 import (
 	"context"
 	"log/slog"
+	"sync"
 	"time"
 
 	"github.com/pepperhatch/pepperhatch/internal/interfere"
@@ -60,6 +61,10 @@
 	// Log gets decisions.
 	Log *slog.Logger
 
+	// silent is for the next owner.
+	handing sync.Mutex
+	silent  map[string]int64
+
 	events chan func()
 	ended  chan struct{}
 
@@ -101,14 +106,14 @@
 )
 
 // New returns an owner that is ready for [Owner.Run].
-func New(ow Owner) *Owner {
+func New(ow *Owner) *Owner {
 	ow.events = make(chan func(), eventsMost)
 	ow.ended = make(chan struct{})
 	ow.entries = map[string]*entry{}
 	ow.hosts = map[string]*host{}
 	ow.byAddr = map[string]*host{}
 	ow.orphans = map[string]int{}
-	return &ow
+	return ow
 }
 
 // Run reads the state of the cell, calls loaded, and serves it until ctx ends.
@@ -168,6 +173,7 @@
 	for _, ho := range ow.hosts {
 		ho.tick(now)
 	}
+	ow.noteSilent(now)
 	ow.sortActive(now)
 	ow.moveHeld(now)
 	ow.evacuate(now)
--- a/internal/sched/pace.go
+++ b/internal/sched/pace.go
@@ -14,6 +14,9 @@
 
 // The numbers of control of fillers.
 const (
+	// calmFor is how long a service must stay under that before it counts as
+	// under its target again.
+	calmFor = time.Second
 	// near is the part of its target from which a service may be over it.
 	near = 0.9
 	// usageWindow is the time that a worker's figures are of.
@@ -32,7 +35,7 @@
 	learnGapMost = 1300 * time.Millisecond
 	// stubbornPart is the part of the time for which fillers may keep a service
 	// over its target, after which every filler beside it is held.
-	stubbornPart = 0.5
+	stubbornPart = 0.4
 	// paceTimeout bounds one order.
 	paceTimeout = 400 * time.Millisecond
 )
@@ -219,10 +222,16 @@
 func (ho *host) timeOver(now time.Time) {
 	for _, at := range ho.services {
 		switch {
-		case !at.serves() || float64(at.usage) <= near*float64(at.step().TargetMS):
+		case !at.serves():
 			at.overSince = time.Time{}
+		case float64(at.usage) <= near*float64(at.step().TargetMS):
+			if now.Sub(at.overLast) > calmFor {
+				at.overSince = time.Time{}
+			}
 		case at.overSince.IsZero():
-			at.overSince = now
+			at.overSince, at.overLast = now, now
+		default:
+			at.overLast = now
 		}
 	}
 }
--- a/internal/sched/workers_test.go
+++ b/internal/sched/workers_test.go
@@ -292,3 +292,30 @@
 		}
 	})
 }
+
+// TestOwnersChangeWhileAWorkerIsGone has a worker vanish and its owner stop,
+// and the next one too: what is known of its leases goes along.
+func TestOwnersChangeWhileAWorkerIsGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		la := newLab(t, 3)
+		la.fleet.RunFunc = endless
+		ow, end := la.own()
+		time.Sleep(time.Second)
+		la.submit(ow, 1, lasting(4))
+		time.Sleep(time.Second)
+		for _, fw := range la.crew {
+			if la.running()[fw.Addr.Incarnation] > 0 {
+				la.fleet.Kill(fw)
+			}
+		}
+		for range 2 {
+			time.Sleep(2 * time.Second)
+			la.handover = ow.Handover()
+			end()
+			ow, end = la.own()
+		}
+		defer func() { end() }()
+		time.Sleep(4 * time.Second)
+		la.assertRunning(4)
+	})
+}
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -67,6 +67,10 @@
 	Addr string `json:"addr,omitempty"`
 	// Epoch counts owners.
 	Epoch int64 `json:"epoch"`
+	// SilentMS says, in the row of a cell that was released, after how many
+	// milliseconds at the latest the leases of workers lapse that did not
+	// answer, by incarnation.
+	SilentMS map[string]int64 `json:"silent_ms,omitempty"`
 }
 
 // beatRow is the content of the heartbeat's row.
@@ -107,8 +111,9 @@
 	Addr    string
 	// Table is the store's.
 	Table store.Table
-	// Serve runs the cell while the host owns it, until ctx ends.
-	Serve func(ctx context.Context, te Tenure) error
+	// Serve runs the cell while the host owns it, until ctx ends, and returns
+	// what the next owner should know: see [OwnerRow].
+	Serve func(ctx context.Context, te Tenure) (silentMS map[string]int64, err error)
 	// AskFunc tells the host at addr that the cell has a new owner, and returns
 	// its process.
 	AskFunc func(ctx context.Context, addr string, epoch int64) (process string, err error)
@@ -302,7 +307,7 @@
 	if rerr != nil {
 		return 0, fmt.Errorf("write owner's row: %w; read it back: %w", err, rerr)
 	}
-	if now == row {
+	if now.Epoch == row.Epoch && now.Process == row.Process {
 		return have, nil
 	}
 	return 0, fmt.Errorf("write owner's row: %w", err)
@@ -325,7 +330,7 @@
 	fo := &former{ke: ke, row: formerRow, epoch: row.Epoch}
 	go fo.ask(sctx)
 	ke.Log.Info("owning the cell", "cell", ke.Cell, "epoch", row.Epoch, "version", version)
-	err := ke.Serve(sctx, Tenure{Epoch: row.Epoch, Key: ke.ownerKey(), Version: version, Former: formerRow, FormerEnded: fo.when, Confirmed: hb.last, Renounce: end})
+	silent, err := ke.Serve(sctx, Tenure{Epoch: row.Epoch, Key: ke.ownerKey(), Version: version, Former: formerRow, FormerEnded: fo.when, Confirmed: hb.last, Renounce: end})
 	cause := context.Cause(sctx)
 	end(err)
 	ke.mu.Lock()
@@ -333,7 +338,7 @@
 	ke.mu.Unlock()
 	ke.Log.Info("tenure ended", "cell", ke.Cell, "epoch", row.Epoch, "err", err, "cause", cause)
 	if !errors.Is(cause, ErrOver) {
-		ke.release(context.WithoutCancel(ctx), row, version)
+		ke.release(context.WithoutCancel(ctx), OwnerRow{Epoch: row.Epoch, SilentMS: silent}, version)
 	}
 }
 
@@ -342,7 +347,7 @@
 	ctx, cancel := context.WithTimeout(ctx, releaseWithin)
 	defer cancel()
 	for ctx.Err() == nil {
-		_, err := ke.write(ctx, OwnerRow{Epoch: row.Epoch}, version)
+		_, err := ke.write(ctx, row, version)
 		if err == nil || errors.Is(err, store.ErrConflict) {
 			return
 		}
