--- a/internal/sched/entry.go
+++ b/internal/sched/entry.go
@@ -17,8 +17,8 @@
 	// aimMS is how soon it should be done, hope whether it can be.
 	aimMS int64
 	hope  hope
-	// specVer and progVer are the versions of its rows, 0 if not written.
-	specVer, progVer int64
+	// progVer is the version of its row of progress, 0 if not written.
+	progVer int64
 	// shown is the state last written, empty before the first write.
 	shown job.State
 	// dirty is set while a change waits to be written, writing while a write
--- a/internal/sched/load.go
+++ b/internal/sched/load.go
@@ -52,7 +52,7 @@
 		if err != nil {
 			return err
 		}
-		ow.restore(jo, byID[id].Version, row.Version)
+		ow.restore(jo, row.Version)
 	}
 	return nil
 }
@@ -60,9 +60,9 @@
 func lastPart(key string) string { return key[strings.LastIndexByte(key, '/')+1:] }
 
 // restore enters a job as it was read.
-func (ow *Owner) restore(jo *job.Job, specVer, progVer int64) {
+func (ow *Owner) restore(jo *job.Job, progVer int64) {
 	en := ow.add(jo)
-	en.specVer, en.progVer, en.shown = specVer, progVer, jo.State()
+	en.progVer, en.shown = progVer, jo.State()
 	if en.shown.Final() {
 		en.endedAt = time.Now()
 	}
--- /dev/null
+++ b/internal/sched/looks.go
@@ -0,0 +1,285 @@
+package sched
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/pepperhatch/pepperhatch/internal/clock"
+	"github.com/pepperhatch/pepperhatch/internal/job"
+	"github.com/pepperhatch/pepperhatch/internal/telemetry"
+	"github.com/pepperhatch/pepperhatch/internal/worker"
+)
+
+// Times of looks.
+const (
+	// lookWait is how long a worker with work may wait for an end before it
+	// answers; without work it waits idleWait, and beside services with
+	// targets, whose figures are of half a second, serveWait.
+	lookWait  = time.Second
+	serveWait = 600 * time.Millisecond
+	idleWait  = 2 * time.Second
+	// lookGrace is how much longer an answer may take before the connection
+	// counts as dead.
+	lookGrace = 600 * time.Millisecond
+	// lookRetry is the pause after a look that failed.
+	lookRetry = 250 * time.Millisecond
+	// undurableWait is how long a look waits for ends to become durable before
+	// it extends leases all the same.
+	undurableWait = 500 * time.Millisecond
+	// silentAfter is the time without a successful look after which a worker
+	// gets nothing new.
+	silentAfter = 2500 * time.Millisecond
+	// extendSilent is how long the leases of a worker that does not answer are
+	// extended: each order on its way may be obeyed, so they would never lapse.
+	extendSilent = time.Second
+	// maxEnds is the most ends that one answer lists.
+	maxEnds = 500
+)
+
+// looks looks at the worker again and again until ctx ends.
+func (ho *host) looks(ctx context.Context) {
+	for ctx.Err() == nil {
+		lo, err := ask(ctx, ho.ow, func(answer func(worker.Look)) { answer(ho.nextLook()) })
+		if err != nil {
+			return
+		}
+		sent := time.Now()
+		lctx, cancel := context.WithTimeout(ctx, lo.Wait+lookGrace)
+		si, err := ho.ow.Agent.LookFunc(lctx, ho.target, lo)
+		cancel()
+		if ctx.Err() != nil {
+			return
+		}
+		got := time.Now()
+		if !ho.ow.post(func() { ho.looked(sent, got, si, err) }) {
+			return
+		}
+		ho.pause(ctx, err)
+	}
+}
+
+// pause waits until the next look is due: until the ends just seen are
+// durable, but not for long.
+func (ho *host) pause(ctx context.Context, err error) {
+	if err != nil {
+		clock.Sleep(ctx, lookRetry)
+		return
+	}
+	ti := time.NewTimer(undurableWait)
+	defer ti.Stop()
+	select {
+	case <-ho.release:
+	case <-ti.C:
+	case <-ctx.Done():
+	}
+}
+
+// nextLook is what to ask now.
+func (ho *host) nextLook() worker.Look {
+	now := time.Now()
+	lo := worker.Look{Fence: ho.ow.Tenure.Epoch, Seen: ho.acked}
+	if ho.failing.IsZero() || now.Sub(ho.failing) < extendSilent {
+		lo.LeaseUntilMS = ho.leaseNow(now)
+	}
+	switch {
+	case ho.clockAt.IsZero() || ho.undurable > 0 || !ho.failing.IsZero():
+	case ho.mixed():
+		lo.Wait = serveWait
+	case len(ho.attempts) > 0:
+		lo.Wait = lookWait
+	default:
+		lo.Wait = idleWait
+	}
+	return lo
+}
+
+// mixed reports whether fillers run beside services with targets.
+func (ho *host) mixed() bool {
+	filled, served := false, false
+	for at := range ho.attempts {
+		filled = filled || at.step().Filler
+		served = served || at.serves()
+	}
+	return filled && served
+}
+
+// looked takes in what a look saw.
+func (ho *host) looked(sent, got time.Time, si worker.Sight, err error) {
+	if ho.dead {
+		return
+	}
+	if err != nil {
+		ho.lookFailed(err)
+		return
+	}
+	if !ho.failing.IsZero() {
+		ho.ow.Log.Info("worker answers again", "worker", ho.incarnation, "after", got.Sub(ho.failing))
+		ho.failing = time.Time{}
+	}
+	ho.ow.noteAnswer(ho)
+	ho.seen = got
+	ho.read(si.ClockMS, got)
+	ended := ho.takeEnds(si)
+	ho.takeRunning(si, got)
+	if len(si.Ended) < maxEnds {
+		ho.takeMissing(si, sent, ended)
+		if !ho.settled {
+			ho.settled = true
+			ho.ow.Log.Info("worker settled", "worker", ho.incarnation, "running", len(si.Running), "ended", len(si.Ended))
+		}
+	}
+	ho.measure(got)
+	ho.acknowledge()
+}
+
+func (ho *host) lookFailed(err error) {
+	ho.ow.Metrics.Add(telemetry.Looks, 1, "outcome", "failed")
+	switch {
+	case errors.Is(err, worker.ErrOtherLife):
+		ho.die("another process answers at its address")
+	case errors.Is(err, worker.ErrFenced):
+		ho.ow.Log.Warn("worker obeys a later owner", "worker", ho.incarnation, "epoch", ho.ow.Tenure.Epoch)
+		ho.failing = time.Now()
+	case ho.failing.IsZero():
+		ho.failing = time.Now()
+		ho.ow.Log.Warn("worker does not answer", "worker", ho.incarnation, "attempts", len(ho.attempts), "err", err)
+	}
+}
+
+// takeEnds takes in ends that are new, and returns all that are listed.
+func (ho *host) takeEnds(si worker.Sight) map[worker.Attempt]bool {
+	ended := map[worker.Attempt]bool{}
+	for _, ea := range si.Ended {
+		ended[ea.Attempt] = true
+		if ea.EndNumber <= ho.handled {
+			continue
+		}
+		ho.handled = ea.EndNumber
+		ho.takeEnd(ea)
+	}
+	return ended
+}
+
+func (ho *host) takeEnd(ea worker.EndedAttempt) {
+	id, ref, ok := job.ParseTaskID(ea.Task)
+	en := ho.ow.entries[id]
+	if !ok || en == nil {
+		ho.ow.Log.Info("end of an unknown task", "task", ea.Task, "attempt", ea.Number, "worker", ho.incarnation, "end", ea.How)
+		return
+	}
+	ho.judge(en, ea.How)
+	if ho.ow.end(en, ref, ea.Number, endOf(ea.How), ea.Checkpoint, "listed by the worker") {
+		ho.undurable++
+		en.effects = append(en.effects, ho.durable)
+	}
+}
+
+// endOf translates a worker's word for how an attempt ended. What is neither
+// done nor failed can be tried again at no one's expense.
+func endOf(how string) job.End {
+	switch how {
+	case "done":
+		return job.EndDone
+	case "failed":
+		return job.EndFailed
+	case "stopped":
+		return job.EndStopped
+	}
+	return job.EndLapsed
+}
+
+// durable notes that an end became durable.
+func (ho *host) durable() {
+	ho.undurable--
+	ho.acknowledge()
+}
+
+// acknowledge lets the next look go ahead once all ends are durable.
+func (ho *host) acknowledge() {
+	if ho.undurable > 0 {
+		return
+	}
+	ho.acked = ho.handled
+	select {
+	case ho.release <- struct{}{}:
+	default:
+	}
+}
+
+// takeRunning takes in what runs. What should not is stopped.
+func (ho *host) takeRunning(si worker.Sight, got time.Time) {
+	for _, ra := range si.Running {
+		at := ho.find(ra.Attempt)
+		if at == nil {
+			ho.stray(ra)
+			continue
+		}
+		ho.started(at, got)
+		if ra.Percent != at.percent || at.moved.IsZero() {
+			at.percent, at.moved = ra.Percent, got
+		}
+		at.usage = ra.Usage
+		if ra.Checkpoint != "" {
+			at.en.jo.Task(at.ref).Checkpoint = ra.Checkpoint
+		}
+		if at.en.jo.State().Final() {
+			ho.ow.halt(at, "still running after the end of its job")
+		}
+	}
+}
+
+// stray stops an attempt that the cell's rows do not have.
+func (ho *host) stray(ra worker.RunningAttempt) {
+	ho.ow.Log.Warn("stopping an attempt that is not ours", "task", ra.Task, "attempt", ra.Number, "worker", ho.incarnation)
+	go ho.ow.sendHalt(ho, ra.Attempt)
+}
+
+// started notes that an attempt is known to be at the worker.
+func (ho *host) started(at *attempt, now time.Time) {
+	if !at.launched.IsZero() {
+		return
+	}
+	at.launched = now
+	if at.spell != nil {
+		at.spell.from = now
+	}
+	ho.easeIn(at, now)
+}
+
+// find returns the attempt that the worker names, if it runs here.
+func (ho *host) find(wa worker.Attempt) *attempt {
+	id, ref, ok := job.ParseTaskID(wa.Task)
+	en := ho.ow.entries[id]
+	if !ok || en == nil {
+		return nil
+	}
+	at := en.attempts[ref]
+	if at == nil || at.ho != ho || at.number != wa.Number {
+		return nil
+	}
+	return at
+}
+
+// takeMissing notes the end of attempts that a look should have listed and did
+// not: those that were acknowledged before it was sent, and before the worker
+// is settled all that former owners ordered.
+func (ho *host) takeMissing(si worker.Sight, sent time.Time, ended map[worker.Attempt]bool) {
+	running := map[worker.Attempt]bool{}
+	for _, ra := range si.Running {
+		running[ra.Attempt] = true
+	}
+	for at := range ho.attempts {
+		wa := worker.Attempt{Task: at.en.jo.TaskID(at.ref), Number: at.number}
+		if running[wa] || ended[wa] {
+			continue
+		}
+		if !at.launched.IsZero() && at.launched.Before(sent) {
+			ho.ow.end(at.en, at.ref, at.number, job.EndLapsed, "", "no longer listed by the worker")
+			continue
+		}
+		if at.inherited && !ho.settled {
+			ho.ow.end(at.en, at.ref, at.number, job.EndNever, "", "ordered by a former owner and not listed")
+		}
+	}
+}
