--- a/internal/sched/host.go
+++ b/internal/sched/host.go
@@ -87,7 +87,6 @@
 }
 
 func (ow *Owner) setWorkers(listed []Listed, gone []string, whole bool) {
-	ow.listed = true
 	for _, li := range listed {
 		ow.seeWorker(li)
 	}
--- a/internal/sched/owner.go
+++ b/internal/sched/owner.go
@@ -77,7 +77,6 @@
 	// sorted has them in an order that does not change, or is nil.
 	sorted []*host
 	byAddr map[string]*host
-	listed bool
 	due    bool
 	dirty  []*entry
 	writes int
