--- a/internal/sched/entry.go
+++ b/internal/sched/entry.go
@@ -62,9 +62,8 @@
 	settling bool
 	// halted is when an order to stop it was last sent, or zero.
 	halted time.Time
-	// percent is how far it has come, since moved; usage is the last figure.
+	// percent is how far it has come, usage the last figure.
 	percent int
-	moved   time.Time
 	usage   int64
 	// lastTail is the usage at the measurement before, overSince since when
 	// a service is over its target.
--- a/internal/sched/looks.go
+++ b/internal/sched/looks.go
@@ -216,10 +216,7 @@
 			continue
 		}
 		ho.started(at, got)
-		if ra.Percent != at.percent || at.moved.IsZero() {
-			at.percent, at.moved = ra.Percent, got
-		}
-		at.usage = ra.Usage
+		at.percent, at.usage = ra.Percent, ra.Usage
 		if ra.Checkpoint != "" {
 			at.en.jo.Task(at.ref).Checkpoint = ra.Checkpoint
 		}
--- a/internal/sched/owner.go
+++ b/internal/sched/owner.go
@@ -92,8 +92,8 @@
 
 // Times of the loop.
 const (
-	// tickEvery is the time between looks at what only time changes: lapsed
-	// leases, stalled attempts.
+	// tickEvery is the time between looks at what only time changes, such as
+	// leases that lapse.
 	tickEvery = 100 * time.Millisecond
 	// eventsMost bounds the events that wait for the loop.
 	eventsMost = 1024
