--- a/internal/sched/pace.go
+++ b/internal/sched/pace.go
@@ -14,22 +14,22 @@
 
 // The numbers of control of fillers.
 const (
-	// calmFor is how long a service must stay under that before it counts as
-	// under its target again.
+	// near is the part of its target from which a service may be over it, calmFor
+	// how long it must stay under that before it counts as under its target
+	// again.
+	near    = 0.9
 	calmFor = time.Second
-	// near is the part of its target from which a service may be over it.
-	near = 0.9
 	// usageWindow is the time that a worker's figures are of.
 	usageWindow = 500 * time.Millisecond
 	// paceLag is how long an order needs to show in the figures.
 	paceLag = usageWindow + 100*time.Millisecond
 	// tight is the part of its target over which a service is relieved, calm
-	// that under which fillers are sped up again.
+	// that under which fillers are sped up again, roomy that under which it must
+	// be expected for a filler to be placed there: the service's own load rises
+	// before its figures show it.
 	tight = 0.85
-	// roomy is the part that is to remain free beside a filler when it is
-	// placed: the service's own load rises before its figures show it.
-	roomy = 0.7
 	calm  = 0.75
+	roomy = 0.7
 	// learnGapMost bounds the time between two measurements that are learnt
 	// from: the load of a service swings within some 20 s.
 	learnGapMost = 1300 * time.Millisecond
