Send one order of a pace at a time

Each order went out on its own connection; easing in and control follow each other within milliseconds, so the older could arrive last, and the owner, which believed the newer, never corrected it.

Test that failed first: TestOrdersOfOnePaceDoNotPassEachOther (the worker got 40, 0, 70 and kept 70).

--- a/internal/sched/entry.go
+++ b/internal/sched/entry.go
@@ -74,6 +74,8 @@
 	// pace is the share of its speed that it was told, in per cent, or
 	// unknownPace.
 	pace int
+	// pacing is set while an order to set the pace is under way.
+	pacing bool
 	// heldSince is since when a filler's pace is so low that it hardly works.
 	heldSince time.Time
 	// spell is the time since its share last changed.
--- a/internal/sched/pace.go
+++ b/internal/sched/pace.go
@@ -367,7 +367,30 @@
 		at.heldSince = now
 	}
 	ho.setSpell(at, now, true)
-	go ho.ow.sendPace(at, worker.Pace{Attempt: at.name(), Percent: percent, Fence: ho.ow.Tenure.Epoch})
+	ho.ow.orderPace(at)
+}
+
+// orderPace sends the wanted pace of an attempt, one order at a time: two on
+// their way could pass each other, and the worker keep the older one.
+func (ow *Owner) orderPace(at *attempt) {
+	if at.pacing {
+		return
+	}
+	at.pacing = true
+	go ow.sendPace(at, worker.Pace{Attempt: at.name(), Percent: at.pace, Fence: ow.Tenure.Epoch})
+}
+
+// pacedTo takes in the answer to an order, and sends the next if another pace
+// is wanted by now. After an order without an answer the pace is not known.
+func (ow *Owner) pacedTo(at *attempt, percent int, err error) {
+	at.pacing = false
+	switch {
+	case at.en.attempts[at.ref] != at:
+	case at.pace != percent && at.pace != unknownPace:
+		ow.orderPace(at)
+	case err != nil:
+		at.pace = unknownPace
+	}
 }
 
 // leastChange is the least change of pace in per cent that is worth an order,
@@ -379,10 +402,11 @@
 func (ow *Owner) sendPace(at *attempt, pa worker.Pace) {
 	ctx, cancel := context.WithTimeout(ow.ctx, paceTimeout)
 	defer cancel()
-	if _, err := ow.Agent.PaceFunc(ctx, at.ho.target, pa); err != nil {
+	_, err := ow.Agent.PaceFunc(ctx, at.ho.target, pa)
+	if err != nil {
 		ow.Log.Info("pace not set", "task", pa.Task, "attempt", pa.Number, "worker", at.ho.incarnation, "err", err)
-		ow.post(func() { at.pace = unknownPace })
 	}
+	ow.post(func() { ow.pacedTo(at, pa.Percent, err) })
 }
 
 // disturbs rates how much a filler would disturb the services on a worker, and
--- a/internal/sched/pace_test.go
+++ b/internal/sched/pace_test.go
@@ -111,3 +111,29 @@
 		qt.Assert(t, late.speed(), qt.Equals, 0)
 	})
 }
+
+// TestOrdersOfOnePaceDoNotPassEachOther has the first order take long: the next
+// goes out only after it, with the pace that is wanted by then.
+func TestOrdersOfOnePaceDoNotPassEachOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sh := newShop(t, 1)
+		at := sh.fillers[0]
+		var got []int
+		sh.ho.ow.Agent.PaceFunc = func(_ context.Context, _ worker.Addr, pa worker.Pace) (worker.Ack, error) {
+			if pa.Percent == 70 {
+				time.Sleep(100 * time.Millisecond)
+			}
+			got = append(got, pa.Percent)
+			return worker.Ack{}, nil
+		}
+		for _, percent := range []int{70, 40, 0} {
+			sh.ho.pace(at, percent, time.Now(), "test")
+			time.Sleep(10 * time.Millisecond)
+		}
+		for range 3 {
+			time.Sleep(200 * time.Millisecond)
+			sh.ho.ow.drain()
+		}
+		qt.Assert(t, got, qt.DeepEquals, []int{70, 0})
+	})
+}
