--- a/internal/sched/lab_test.go
+++ b/internal/sched/lab_test.go
@@ -38,8 +38,9 @@
 }
 
 func (la *lab) formerEnded(now time.Time) func() time.Time {
+	known := la.formerKnown || la.handover != nil
 	return func() time.Time {
-		if la.formerKnown || la.handover != nil {
+		if known {
 			return now
 		}
 		return time.Time{}
