Wait for the written state in a test of the list

The list's comment says so now, and the test waits for both. The state that callers are told is the written one, as it must be.

--- a/internal/jobhost/jobapi_test.go
+++ b/internal/jobhost/jobapi_test.go
@@ -34,7 +34,7 @@
 	qt.Assert(t, ve.Outcome, qt.Equals, sched.Accepted)
 	to.eventually("running", func() bool {
 		jobs, err := cl.List(ctx)
-		return err == nil && len(jobs) == 1 && jobs[0].Running == 2 && jobs[0].Tasks == 2
+		return err == nil && len(jobs) == 1 && jobs[0].Running == 2 && jobs[0].Tasks == 2 && jobs[0].State == job.Running
 	})
 	state, err := cl.State(ctx, id)
 	qt.Assert(t, err, qt.IsNil)
--- a/internal/sched/list.go
+++ b/internal/sched/list.go
@@ -13,7 +13,8 @@
 	// ID and Queue name it.
 	ID    string `json:"id"`
 	Queue string `json:"queue"`
-	// State is as last written.
+	// State is as last written; the counts are as decided, which may be ahead
+	// of it by the time of a write.
 	State job.State `json:"state"`
 	// Tasks counts its tasks, Done those that are done, Running those with an
 	// attempt that runs, or may.
