Let hosts with more processor claim cells first

Change: a host with less processor than former owners had (or than 0.8 cores, for the first) claims up to 0.5 s later. The cell's row keeps the most that an owner had. Hosts of one size claim as before. Weighed: a row with the sizes of all hosts (more to write and to age), a small owner that hands over to a large one that returns (not built: it would have to know that one is there). Tests: TestLargeHostsOwn (failed with no delay), TestSmallHostsOwnWithoutLargeOnes.

--- a/internal/jobhost/host.go
+++ b/internal/jobhost/host.go
@@ -73,7 +73,7 @@
 		HTTP: platform.NewHTTPClient(storeConns), StoreAddrFunc: func() string { return ho.se.Load().StoreAddr },
 	})
 	ho.keeper = &tenure.Keeper{
-		Cell: cellName, Self: se.Name, Process: se.Name + "-" + uuid.NewString()[:8], Addr: se.PeerAddr(),
+		Cell: cellName, Self: se.Name, Process: se.Name + "-" + uuid.NewString()[:8], Addr: se.PeerAddr(), Cores: se.Processor(),
 		Table: ho.table, Serve: ho.serveCell, Log: log,
 	}
 	ho.door = &door.Door{
--- a/internal/jobhost/settings.go
+++ b/internal/jobhost/settings.go
@@ -23,6 +23,10 @@
 	// CallerAddr and ReadyAddr are where callers and the balancer connect.
 	CallerAddr string `json:"caller_addr"`
 	ReadyAddr  string `json:"ready_addr"`
+	// Cores is the part of a core that the process may use, 0 if that is not
+	// known, and Speed how many times as fast as a usual core it is, 0 for one.
+	Cores float64 `json:"cores"`
+	Speed float64 `json:"speed"`
 	// StoreAddr is the store's.
 	StoreAddr string `json:"store_addr"`
 	// MaxLeaseMS is the longest lease that a worker grants, StopMS the longest
@@ -74,9 +78,19 @@
 	}{{"max_lease_ms", se.MaxLeaseMS}, {"stop_ms", se.StopMS}, {"grace_s", se.GraceS}, {"keep_ended_s", se.KeepEndedS}, {"harm_ms", se.HarmMS}} {
 		bad(nu.n <= 0, nu.name, "%v: want more than 0", nu.n)
 	}
+	bad(se.Cores < 0, "cores", "%v: want 0 or more", se.Cores)
+	bad(se.Speed < 0, "speed", "%v: want 0 or more", se.Speed)
 	return errors.Join(errs...)
 }
 
+// Processor is what the process may use, in usual cores; 0 is not known.
+func (se Settings) Processor() float64 {
+	if se.Speed == 0 {
+		return se.Cores
+	}
+	return se.Cores * se.Speed
+}
+
 // PeerAddr is where other entry hosts connect.
 func (se Settings) PeerAddr() string { return net.JoinHostPort(se.IP, fmt.Sprint(se.Ports[0])) }
 
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -45,6 +45,12 @@
 	// on extending the leases of what runs. A new owner that can reach neither
 	// a worker nor its former owner waits so long, and then for the lease.
 	ExtendFor = 8 * time.Second
+	// handicapMost is how much later at most a small host claims a cell than a
+	// large one: longer than the jitter and the spread of the news.
+	handicapMost = 500 * time.Millisecond
+	// ampleCores is the processor that the first owner is taken to want, in
+	// cores: 350 workers were seen to need 0.35 on average.
+	ampleCores = 0.8
 	// releaseWithin is how long an owner that stops tries to give its cell up; by
 	// then the others notice its silence.
 	releaseWithin = SilentAfter
@@ -65,6 +71,9 @@
 	Process string `json:"process,omitempty"`
 	// Addr is where the owner takes requests of other entry hosts.
 	Addr string `json:"addr,omitempty"`
+	// MostCores is the most processor that the host of an owner had so far, in
+	// cores; 0 is not known.
+	MostCores float64 `json:"most_cores,omitempty"`
 	// Epoch counts owners.
 	Epoch int64 `json:"epoch"`
 	// SilentMS says, in the row of a cell that was released, after how many
@@ -109,6 +118,8 @@
 	Self    string
 	Process string
 	Addr    string
+	// Cores is the processor that this host has, in cores; 0 is not known.
+	Cores float64
 	// Table is the store's.
 	Table store.Table
 	// Serve runs the cell while the host owns it, until ctx ends, and returns
@@ -255,7 +266,7 @@
 		return row, version, false, ""
 	}
 	if row.Owner == "" {
-		return row, version, true, "nobody owns it"
+		return row, version, time.Since(ke.beatSeen) >= ke.handicap(row), "nobody owns it"
 	}
 	if row.Owner == ke.Self && row.Process != ke.Process {
 		return row, version, true, "owned by an earlier process of this host"
@@ -268,15 +279,29 @@
 	if ke.refused {
 		limit = RefusedAfter
 	}
-	if silent := time.Since(seen); silent > limit {
+	if silent := time.Since(seen); silent > limit+ke.handicap(row) {
 		return row, version, true, fmt.Sprintf("owner silent for %v", silent.Round(time.Millisecond))
 	}
 	return row, version, false, ""
 }
 
+// handicap is how much later than others this host claims the cell: a host with
+// less processor than former owners had, or than a first owner may need, leaves
+// it to larger ones.
+func (ke *Keeper) handicap(last OwnerRow) time.Duration {
+	want := last.MostCores
+	if want == 0 {
+		want = ampleCores
+	}
+	if ke.Cores <= 0 || ke.Cores >= want {
+		return 0
+	}
+	return time.Duration((1 - ke.Cores/want) * float64(handicapMost))
+}
+
 // claim writes the owner's row and, if that took effect, serves the cell.
 func (ke *Keeper) claim(ctx context.Context, former OwnerRow, version int64, why string) {
-	row := OwnerRow{Owner: ke.Self, Process: ke.Process, Addr: ke.Addr, Epoch: former.Epoch + 1}
+	row := OwnerRow{Owner: ke.Self, Process: ke.Process, Addr: ke.Addr, MostCores: max(ke.Cores, former.MostCores), Epoch: former.Epoch + 1}
 	ke.Log.Info("claiming the cell", "cell", ke.Cell, "epoch", row.Epoch, "former", former.Owner, "version", version, "why", why)
 	sent := time.Now()
 	won, err := ke.write(ctx, row, version)
@@ -338,7 +363,7 @@
 	ke.mu.Unlock()
 	ke.Log.Info("tenure ended", "cell", ke.Cell, "epoch", row.Epoch, "err", err, "cause", cause)
 	if !errors.Is(cause, ErrOver) {
-		ke.release(context.WithoutCancel(ctx), OwnerRow{Epoch: row.Epoch, SilentMS: silent}, version)
+		ke.release(context.WithoutCancel(ctx), OwnerRow{Epoch: row.Epoch, MostCores: row.MostCores, SilentMS: silent}, version)
 	}
 }
 
--- a/internal/tenure/tenure_test.go
+++ b/internal/tenure/tenure_test.go
@@ -41,11 +41,14 @@
 	ended  error
 }
 
-func (ra *race) add(name string) {
+func (ra *race) add(name string) { ra.addSized(name, 0) }
+
+// addSized adds a host with so much processor, in cores.
+func (ra *race) addSized(name string, cores float64) {
 	ri := &rival{ra: ra}
 	table := ra.table.Client()
 	ri.keeper = &Keeper{
-		Cell: "c0", Self: name, Process: fmt.Sprintf("%s-%d", name, len(ra.hosts)), Addr: name, Table: ri.through(table),
+		Cell: "c0", Cores: cores, Self: name, Process: fmt.Sprintf("%s-%d", name, len(ra.hosts)), Addr: name, Table: ri.through(table),
 		Serve: ri.serve, AskFunc: ra.ask, Log: slog.New(slog.DiscardHandler),
 	}
 	ra.hosts = append(ra.hosts, ri)
@@ -260,3 +263,43 @@
 		qt.Assert(t, ra.owner(), qt.Not(qt.Equals), first)
 	})
 }
+
+// TestLargeHostsOwn has the small hosts come first, then lose the owner, and
+// then stop it as planned.
+func TestLargeHostsOwn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ra := &race{t: t}
+		defer ra.stop()
+		for i := range 6 {
+			ra.addSized(fmt.Sprint("small", i), 0.11)
+		}
+		time.Sleep(50 * time.Millisecond)
+		for i := range 3 {
+			ra.addSized(fmt.Sprint("large", i), 0.8)
+		}
+		time.Sleep(5 * time.Second)
+		first := ra.owner()
+		qt.Assert(t, first.keeper.Cores, qt.Equals, 0.8)
+		first.end()
+		time.Sleep(5 * time.Second)
+		second := ra.owner()
+		qt.Assert(t, second.keeper.Cores, qt.Equals, 0.8)
+		second.keeper.Release()
+		time.Sleep(5 * time.Second)
+		qt.Assert(t, ra.owner().keeper.Cores, qt.Equals, 0.8)
+	})
+}
+
+// TestSmallHostsOwnWithoutLargeOnes loses the only large host.
+func TestSmallHostsOwnWithoutLargeOnes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ra := &race{t: t}
+		defer ra.stop()
+		ra.addSized("large", 0.8)
+		ra.addSized("small", 0.11)
+		time.Sleep(5 * time.Second)
+		ra.owner().end()
+		time.Sleep(5 * time.Second)
+		qt.Assert(t, ra.owner().keeper.Self, qt.Equals, "small")
+	})
+}
