Tell silence without waiting for the feed; small owners leave the cell

The logs show all hosts claiming 3.02 to 3.04 s after the last heartbeat, large and small at once: a host trusted its view only once the next feed call (1.5 s) had answered, which hid the delay of small hosts; a restarted host claimed its own row at once; and a small owner stayed for good. Change: a watch tells whether it answers, and silence is judged by that; SilentAfter is 2.8 s, under the 3.0 s it came to. The delay holds for restarted hosts too. An owner with less than half of the processor of the largest former owner releases the cell after 2 s, doubled each time that no larger one came. Ruled out: the store (took writes all along), recovery itself (0.3 s to load on a large host). Tests: TestSmallOwnerYields (failed without), TestAnswering.

--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -31,7 +31,7 @@
 	BeatEvery = 500 * time.Millisecond
 	// SilentAfter is the silence after which an owner is replaced: a store 120
 	// times slower than usual takes 1.4 s for a write.
-	SilentAfter = 2500 * time.Millisecond
+	SilentAfter = 2800 * time.Millisecond
 	// RefusedAfter replaces SilentAfter when the owner's port refuses
 	// connections: its process has ended.
 	RefusedAfter = 900 * time.Millisecond
@@ -51,6 +51,13 @@
 	// ampleCores is the processor that the first owner is taken to want, in
 	// cores: 350 workers were seen to need 0.35 on average.
 	ampleCores = 0.8
+	// yieldUnder is the part of the processor of the largest former owner under
+	// which an owner leaves the cell to a larger host, yieldAfter how long it
+	// stays before, twice as long each time that none had come, up to yieldMost:
+	// each change costs some 0.5 s without an owner.
+	yieldUnder = 0.5
+	yieldAfter = 2 * time.Second
+	yieldMost  = 32 * time.Second
 	// releaseWithin is how long an owner that stops tries to give its cell up; by
 	// then the others notice its silence.
 	releaseWithin = SilentAfter
@@ -141,6 +148,8 @@
 	stopping bool
 	end      context.CancelCauseFunc
 	watch    watch.Watch
+	// yields counts the tenures left to larger hosts.
+	yields int
 }
 
 func (ke *Keeper) ownerKey() string { return tableName + "/" + ke.Cell + "/owner" }
@@ -187,7 +196,10 @@
 	}
 }
 
-var errStopping = errors.New("planned stop")
+var (
+	errStopping = errors.New("planned stop")
+	errYielding = errors.New("left to a larger host")
+)
 
 // Run takes part until ctx ends.
 func (ke *Keeper) Run(ctx context.Context) {
@@ -258,18 +270,19 @@
 
 // claimDue reports whether this host should claim the cell now, and why.
 func (ke *Keeper) claimDue() (row OwnerRow, version int64, due bool, why string) {
-	last, since := ke.watch.Contact()
+	_, since := ke.watch.Contact()
+	answering := ke.watch.Answering()
 	ke.mu.Lock()
 	defer ke.mu.Unlock()
 	row, version = ke.row, ke.version
-	if !ke.known || ke.stopping || time.Since(last) > SilentAfter {
+	if !ke.known || ke.stopping || !answering {
 		return row, version, false, ""
 	}
 	if row.Owner == "" {
 		return row, version, time.Since(ke.beatSeen) >= ke.handicap(row), "nobody owns it"
 	}
 	if row.Owner == ke.Self && row.Process != ke.Process {
-		return row, version, true, "owned by an earlier process of this host"
+		return row, version, time.Since(ke.beatSeen) >= ke.handicap(row), "owned by an earlier process of this host"
 	}
 	seen := ke.beatSeen
 	if since.After(seen) {
@@ -354,6 +367,7 @@
 	go hb.run(sctx)
 	fo := &former{ke: ke, row: formerRow, epoch: row.Epoch}
 	go fo.ask(sctx)
+	go ke.yield(sctx, row, end)
 	ke.Log.Info("owning the cell", "cell", ke.Cell, "epoch", row.Epoch, "version", version)
 	silent, err := ke.Serve(sctx, Tenure{Epoch: row.Epoch, Key: ke.ownerKey(), Version: version, Former: formerRow, FormerEnded: fo.when, Confirmed: hb.last, Renounce: end})
 	cause := context.Cause(sctx)
@@ -367,6 +381,21 @@
 	}
 }
 
+// yield ends the tenure of a host that is much smaller than former owners were,
+// after a while in which larger ones may have come back. If none has, this host
+// claims the cell again, and stays longer.
+func (ke *Keeper) yield(ctx context.Context, row OwnerRow, end context.CancelCauseFunc) {
+	if ke.Cores <= 0 || ke.Cores >= yieldUnder*row.MostCores {
+		return
+	}
+	stay := min(yieldAfter<<ke.yields, yieldMost)
+	if clock.Sleep(ctx, stay) {
+		ke.yields++
+		ke.Log.Info("leaving the cell to a larger host", "cell", ke.Cell, "epoch", row.Epoch, "cores", ke.Cores, "most_cores", row.MostCores, "after", stay)
+		end(errYielding)
+	}
+}
+
 // release gives the cell up, so that another host need not wait for silence.
 func (ke *Keeper) release(ctx context.Context, row OwnerRow, version int64) {
 	ctx, cancel := context.WithTimeout(ctx, releaseWithin)
--- a/internal/tenure/tenure_test.go
+++ b/internal/tenure/tenure_test.go
@@ -303,3 +303,21 @@
 		qt.Assert(t, ra.owner().keeper.Self, qt.Equals, "small")
 	})
 }
+
+// TestSmallOwnerYields has a large host come back after a small one took over.
+func TestSmallOwnerYields(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ra := &race{t: t}
+		defer ra.stop()
+		ra.addSized("large", 0.8)
+		ra.addSized("small", 0.11)
+		time.Sleep(5 * time.Second)
+		ra.owner().gate.Set(standin.Fault{Mode: standin.ModeFreeze})
+		time.Sleep(5 * time.Second)
+		for _, ri := range ra.hosts {
+			ri.gate.Set(standin.Fault{})
+		}
+		time.Sleep(12 * time.Second)
+		qt.Assert(t, ra.owner().keeper.Self, qt.Equals, "large")
+	})
+}
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -62,6 +62,10 @@
 	// when it first answered after a loss.
 	contact  time.Time
 	regained time.Time
+	// answer is when the last answer came, failing is set if the last call had
+	// none.
+	answer  time.Time
+	failing bool
 }
 
 // Contact returns when the call was sent that the table last answered, and
@@ -73,6 +77,14 @@
 	return wa.contact, wa.regained
 }
 
+// Answering reports whether the table answered the last call, and did so within
+// the time that one call may take.
+func (wa *Watch) Answering() bool {
+	wa.mu.Lock()
+	defer wa.mu.Unlock()
+	return !wa.failing && !wa.answer.IsZero() && time.Since(wa.answer) < waitMost+answerGrace
+}
+
 // Run follows until ctx ends.
 func (wa *Watch) Run(ctx context.Context) {
 	bo := backoff.NewExponentialBackOff()
@@ -99,6 +111,7 @@
 		wa.lost = false
 		return
 	}
+	wa.unanswered()
 	if errors.Is(err, store.ErrHistoryGone) {
 		wa.Log.Warn("store forgot its history, reading all again", "watch", wa.Under, "version", wa.version)
 		wa.synced = false
@@ -110,10 +123,16 @@
 	wa.lost = true
 }
 
+func (wa *Watch) unanswered() {
+	wa.mu.Lock()
+	defer wa.mu.Unlock()
+	wa.failing = true
+}
+
 func (wa *Watch) answered(sent time.Time) {
 	wa.mu.Lock()
 	defer wa.mu.Unlock()
-	wa.contact = sent
+	wa.contact, wa.answer, wa.failing = sent, time.Now(), false
 	if wa.lost || wa.regained.IsZero() {
 		wa.regained = time.Now()
 		wa.Log.Info("store answers", "watch", wa.Under, "version", wa.version)
--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -114,3 +114,17 @@
 		qt.Assert(t, time.Since(since) < 4*time.Second, qt.IsTrue)
 	})
 }
+
+func TestAnswering(t *testing.T) {
+	follow(t, func(mi *mirror) {
+		qt.Assert(t, mi.watch.Answering(), qt.IsFalse)
+		time.Sleep(waitMost + time.Second)
+		qt.Assert(t, mi.watch.Answering(), qt.IsTrue)
+		mi.table.Gate.Set(standin.Fault{Mode: standin.ModeFreeze})
+		time.Sleep(waitMost + answerGrace + time.Second)
+		qt.Assert(t, mi.watch.Answering(), qt.IsFalse)
+		mi.table.Gate.Set(standin.Fault{})
+		time.Sleep(waitMost + 2*time.Second)
+		qt.Assert(t, mi.watch.Answering(), qt.IsTrue)
+	})
+}
