--- a/internal/interfere/interfere.go
+++ b/internal/interfere/interfere.go
@@ -19,7 +19,9 @@
 package interfere
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -31,6 +33,8 @@
 	priorVar  = 16
 	// leastVar keeps learning going, as programs change.
 	leastVar = 0.15
+	// keptVar is the least variance of what was kept from before.
+	keptVar = 1
 	// mostDrop bounds what is learnt.
 	mostDrop = 15
 	// offsetVar is the variance of a replica's offset from its step, which
@@ -57,7 +61,8 @@
 // Pair is a service's image and a filler's.
 type Pair struct {
 	// Service and Filler are the images.
-	Service, Filler string
+	Service string `json:"service"`
+	Filler  string `json:"filler"`
 }
 
 // estimate is a number and its variance.
@@ -91,6 +96,38 @@
 	return es
 }
 
+// Learnt is what was learnt of a pair, to be kept.
+type Learnt struct {
+	Pair
+
+	// Drop is the pair's, see [Model.Drop], and Variance its uncertainty.
+	Drop     float64 `json:"drop"`
+	Variance float64 `json:"variance"`
+}
+
+// Learnt returns what was learnt, sorted by images.
+func (mo *Model) Learnt() []Learnt {
+	list := make([]Learnt, 0, len(mo.pairs))
+	for pa, es := range mo.pairs {
+		list = append(list, Learnt{Pair: pa, Drop: es.mean, Variance: es.variance})
+	}
+	slices.SortFunc(list, func(a, b Learnt) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Filler, b.Filler))
+	})
+	return list
+}
+
+// FromLearnt returns a model that begins with what was kept. It is less certain
+// of it than it was, as programs may have changed since.
+func FromLearnt(list []Learnt) Model {
+	var mo Model
+	for _, le := range list {
+		es := mo.pair(le.Pair)
+		es.mean, es.variance = min(max(le.Drop, 0), mostDrop), max(le.Variance, keptVar)
+	}
+	return mo
+}
+
 // Shares are the shares of a worker's processors that fillers use, by image.
 type Shares map[string]float64
 
--- a/internal/interfere/interfere_test.go
+++ b/internal/interfere/interfere_test.go
@@ -10,7 +10,10 @@
 	"pgregory.net/rapid"
 )
 
-const testTarget = 24
+const (
+	testTarget   = 24
+	testReplicas = 6
+)
 
 // world is a step of several replicas on workers of their own, whose tails
 // follow the law that the package assumes.
@@ -22,10 +25,10 @@
 	began    time.Time
 }
 
-func newWorld(seed uint64, replicas int, drops map[string]float64) *world {
+func newWorld(seed uint64, drops map[string]float64) *world {
 	wo := &world{rng: rand.New(rand.NewPCG(seed, 1)), drops: drops, began: time.Unix(0, 0), now: time.Unix(0, 0)}
 	tr := &Track{}
-	for range replicas {
+	for range testReplicas {
 		wo.replicas = append(wo.replicas, &Replica{Track: tr})
 	}
 	return wo
@@ -69,7 +72,7 @@
 
 func TestObserveTellsBadPairsFromGood(t *testing.T) {
 	for seed := range uint64(20) {
-		wo := newWorld(seed, 6, map[string]float64{"good": 0, "bad": 9})
+		wo := newWorld(seed, map[string]float64{"good": 0, "bad": 9})
 		mo := &Model{}
 		for range 20 {
 			wo.observe(mo, wo.shares)
@@ -83,7 +86,7 @@
 // load swings: they are told apart by replicas that have none.
 func TestObserveWithoutChange(t *testing.T) {
 	for seed := range uint64(20) {
-		wo := newWorld(seed, 6, map[string]float64{"good": 0, "bad": 9})
+		wo := newWorld(seed, map[string]float64{"good": 0, "bad": 9})
 		mo := &Model{}
 		always := []Shares{{"bad": 0.1}, {"good": 0.1}, nil, {"bad": 0.1}, {"good": 0.1}, nil}
 		n := 0
@@ -97,7 +100,7 @@
 
 // TestAloneLooksAhead compares what is expected in 0.6 s with what comes.
 func TestAloneLooksAhead(t *testing.T) {
-	wo := newWorld(3, 6, nil)
+	wo := newWorld(3, nil)
 	mo := &Model{}
 	sum := 0.0
 	const rounds = 100
@@ -158,3 +161,21 @@
 		}
 	})
 }
+
+func TestLearntIsKept(t *testing.T) {
+	wo := newWorld(1, map[string]float64{"good": 0, "bad": 9})
+	var mo Model
+	for range 20 {
+		wo.observe(&mo, wo.shares)
+	}
+	kept := FromLearnt(mo.Learnt())
+	for _, filler := range []string{"good", "bad", "unknown"} {
+		qt.Check(t, kept.Drop(Pair{"s", filler}), qt.Equals, mo.Drop(Pair{"s", filler}))
+	}
+}
+
+func TestLearntOutOfBoundsIsNotTrusted(t *testing.T) {
+	mo := FromLearnt([]Learnt{{Pair: Pair{"s", "f"}, Drop: 1e9}, {Pair: Pair{"s", "g"}, Drop: -3}})
+	qt.Assert(t, mo.Drop(Pair{"s", "f"}), qt.Equals, float64(mostDrop))
+	qt.Assert(t, mo.Drop(Pair{"s", "g"}), qt.Equals, 0.0)
+}
--- a/internal/sched/owner.go
+++ b/internal/sched/owner.go
@@ -91,6 +91,9 @@
 	opened  time.Time
 	// model is what was learnt of fillers and services.
 	model interfere.Model
+	// saved is when what was learnt was last written, saving is set while it is.
+	saved  time.Time
+	saving bool
 }
 
 // Times of the loop.
@@ -126,6 +129,7 @@
 	if err := ow.load(ctx); err != nil {
 		return err
 	}
+	ow.loadLearnt(ctx)
 	ow.Log.Info("cell loaded", "cell", ow.Cell, "epoch", ow.Tenure.Epoch, "jobs", len(ow.entries), "active", len(ow.active), "took", time.Since(ow.opened))
 	loaded()
 	ti := time.NewTicker(tickEvery)
@@ -182,6 +186,7 @@
 	ow.evacuate(now)
 	ow.tickOrphans(now)
 	ow.forgetEnded(now)
+	ow.saveLearnt(now)
 	ow.due = true
 }
 
