Ask a silent owner's host whether it lives

Cause: an owner that loses power is replaced after 2.8 s of silence, which is that long for slow stores only. Change: after 1.2 s of silence each host asks the owner's host once, for 0.5 s; if nobody answers, or another process does, the cell is claimed after 1.7 s. An owner that answers is left until 2.8 s. Weighed: a shorter silence for all (a store 60 times slower than usual would end tenures), limits that follow the gaps seen (the first slow write comes without notice). Tests: TestOwnerLosesPower (before: 2.8 s), TestOwnerThatAnswersIsLeftInPeace.

--- /dev/null
+++ b/internal/tenure/probe.go
@@ -0,0 +1,53 @@
+package tenure
+
+import (
+	"context"
+	"time"
+)
+
+// Numbers of probes.
+const (
+	// suspectAfter is the silence after which a host asks the owner's host
+	// whether it lives: two heartbeats, and the time that one takes to be told.
+	suspectAfter = 1200 * time.Millisecond
+	// probeTimeout is how long the answer may take: 3 ms of way, and some
+	// processor time of a host that may be short of it.
+	probeTimeout = 500 * time.Millisecond
+	// UnreachableAfter replaces SilentAfter when the owner's host neither writes
+	// heartbeats nor answers.
+	UnreachableAfter = suspectAfter + probeTimeout
+)
+
+// probe asks a silent owner's host, once in a silence, whether the owner's
+// process lives.
+func (ke *Keeper) probe(ctx context.Context) {
+	ke.mu.Lock()
+	row, asked := ke.row, ke.probed
+	due := ke.known && row.Owner != "" && row.Process != ke.Process && !asked && time.Since(ke.beatSeen) > suspectAfter
+	ke.probed = asked || due
+	ke.mu.Unlock()
+	if due {
+		go ke.ask(ctx, row)
+	}
+}
+
+func (ke *Keeper) ask(ctx context.Context, row OwnerRow) {
+	actx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	process, err := ke.AskFunc(actx, row.Addr, row.Epoch)
+	ke.Log.Info("asked a silent owner's host", "cell", ke.Cell, "owner", row.Owner, "epoch", row.Epoch, "process", process, "err", err)
+	if err == nil && process == row.Process {
+		return
+	}
+	ke.mu.Lock()
+	defer ke.mu.Unlock()
+	if ke.row.Epoch == row.Epoch && ke.probed {
+		ke.unreachable = true
+	}
+}
+
+// heard notes a sign of life of the owner.
+func (ke *Keeper) heard() {
+	ke.beatSeen = time.Now()
+	ke.probed, ke.unreachable = false, false
+}
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -145,9 +145,13 @@
 	beat     beatRow
 	beatSeen time.Time
 	refused  bool
-	stopping bool
-	end      context.CancelCauseFunc
-	watch    watch.Watch
+	// probed is set once the owner's host was asked in this silence, unreachable
+	// if it did not answer, or another process did.
+	probed      bool
+	unreachable bool
+	stopping    bool
+	end         context.CancelCauseFunc
+	watch       watch.Watch
 	// yields counts the tenures left to larger hosts.
 	yields int
 }
@@ -206,6 +210,7 @@
 	ke.watch = watch.Watch{Table: ke.Table, Name: tableName, Under: tableName + "/" + ke.Cell + "/", Also: ke.beatPart(), OnRows: ke.onRows, Log: ke.Log}
 	go ke.watch.Run(ctx)
 	for clock.Sleep(ctx, checkEvery) {
+		ke.probe(ctx)
 		row, version, due, why := ke.claimDue()
 		if !due {
 			continue
@@ -226,7 +231,7 @@
 	defer ke.mu.Unlock()
 	if whole && !ke.known {
 		ke.known = true
-		ke.beatSeen = time.Now()
+		ke.heard()
 	}
 	for _, row := range rows {
 		switch row.Key {
@@ -249,7 +254,7 @@
 	}
 	ke.row, ke.version = or, row.Version
 	ke.refused = false
-	ke.beatSeen = time.Now()
+	ke.heard()
 	ke.Log.Info("owner of the cell", "cell", ke.Cell, "owner", or.Owner, "epoch", or.Epoch, "version", row.Version)
 	if ke.end != nil && or.Process != ke.Process {
 		ke.end(ErrOver)
@@ -264,7 +269,8 @@
 	}
 	// A heartbeat of a former owner says nothing of this one.
 	if be.Epoch == ke.row.Epoch && be != ke.beat {
-		ke.beat, ke.beatSeen = be, time.Now()
+		ke.beat = be
+		ke.heard()
 	}
 }
 
@@ -289,8 +295,11 @@
 		seen = since
 	}
 	limit := SilentAfter
-	if ke.refused {
+	switch {
+	case ke.refused:
 		limit = RefusedAfter
+	case ke.unreachable:
+		limit = UnreachableAfter
 	}
 	if silent := time.Since(seen); silent > limit+ke.handicap(row) {
 		return row, version, true, fmt.Sprintf("owner silent for %v", silent.Round(time.Millisecond))
@@ -361,7 +370,7 @@
 		return
 	}
 	ke.row, ke.version, ke.end = row, version, end
-	ke.beatSeen = time.Now()
+	ke.heard()
 	ke.mu.Unlock()
 	hb := &heart{ke: ke, epoch: row.Epoch, claimed: sent}
 	go hb.run(sctx)
--- a/internal/tenure/tenure_test.go
+++ b/internal/tenure/tenure_test.go
@@ -35,6 +35,8 @@
 	end    context.CancelFunc
 	// gate is the host's own way to the store.
 	gate standin.Gate
+	// dark hosts do not answer others.
+	dark bool
 
 	mu     sync.Mutex
 	serves bool
@@ -85,7 +87,7 @@
 	ra.mu.Lock()
 	defer ra.mu.Unlock()
 	for _, ri := range ra.hosts {
-		if ri.keeper.Addr == addr && ri.end != nil {
+		if ri.keeper.Addr == addr && ri.end != nil && !ri.dark {
 			ri.keeper.Replaced(epoch)
 			return ri.keeper.Process, nil
 		}
@@ -196,6 +198,32 @@
 	}
 }
 
+// TestOwnerLosesPower has the owner's host neither write nor answer.
+func TestOwnerLosesPower(t *testing.T) {
+	raceOf(t, 3, func(ra *race) {
+		first := ra.owner()
+		first.gate.Set(standin.Fault{Mode: standin.ModeFreeze})
+		ra.mu.Lock()
+		first.dark = true
+		ra.mu.Unlock()
+		time.Sleep(UnreachableAfter + BeatEvery + 400*time.Millisecond)
+		qt.Assert(t, len(ra.tenures()), qt.Equals, 2)
+	})
+}
+
+// TestOwnerThatAnswersIsLeftInPeace has an owner whose heartbeats stay away for
+// a while, as on a slow store, while its host answers.
+func TestOwnerThatAnswersIsLeftInPeace(t *testing.T) {
+	raceOf(t, 3, func(ra *race) {
+		first := ra.owner()
+		first.gate.Set(standin.Fault{Mode: standin.ModeFreeze})
+		time.Sleep(UnreachableAfter + 400*time.Millisecond)
+		first.gate.Set(standin.Fault{})
+		time.Sleep(3 * time.Second)
+		qt.Assert(t, ra.tenures(), qt.DeepEquals, []int64{1})
+	})
+}
+
 func TestOwnerReleases(t *testing.T) {
 	raceOf(t, 3, func(ra *race) {
 		first := ra.owner()
