--- a/internal/sched/entry.go
+++ b/internal/sched/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -20,6 +21,8 @@
 	aimMS int64
 	hope  hope
 	work  int64
+	// turn sorts jobs of one priority and hope, and place is used to find it.
+	turn, place int
 	// progVer is the version of its row of progress, 0 if not written.
 	progVer int64
 	// shown is the state last written, empty before the first write.
@@ -150,16 +153,14 @@
 	return n
 }
 
-// compareEntries sorts by priority, then by hope, then by the work that is left:
-// with too little room for all, more jobs are in time if the small ones go first
-// and those that have begun are finished.
+// compareEntries sorts by priority, then by hope, then by turn.
 func compareEntries(a, b *entry) int {
-	return cmp.Or(
-		cmp.Compare(a.jo.Terms.Priority, b.jo.Terms.Priority),
-		cmp.Compare(a.hope, b.hope),
-		cmp.Compare(a.work, b.work),
-		cmp.Compare(a.order, b.order),
-	)
+	return cmp.Or(compareGroups(a, b), cmp.Compare(a.turn, b.turn), cmp.Compare(a.order, b.order))
+}
+
+// compareGroups sorts by priority, then by hope.
+func compareGroups(a, b *entry) int {
+	return cmp.Or(cmp.Compare(a.jo.Terms.Priority, b.jo.Terms.Priority), cmp.Compare(a.hope, b.hope))
 }
 
 // hope says what a job is still worth to its caller. Where there is too little
@@ -192,18 +193,46 @@
 	return tooLate
 }
 
-// sortActive sorts the jobs that wait by what is known of them now.
+// sortActive sorts the jobs that wait by what is known of them now. With too
+// little room for all, more jobs are in time if the small ones go first and those
+// that have begun are finished; but large ones must not starve. So two take their
+// turn by the work that is left for one that does by its age.
 func (ow *Owner) sortActive(now time.Time) {
 	for _, en := range ow.active {
 		en.hope, en.work = en.judge(now), en.jo.RemainingWork()
 	}
+	ow.rank(func(a, b *entry) int { return cmp.Compare(a.work, b.work) })
+	for _, en := range ow.active {
+		en.turn = en.place
+	}
+	ow.rank(func(a, b *entry) int { return cmp.Compare(a.order, b.order) })
+	for _, en := range ow.active {
+		en.turn = min(en.turn, bySizePerAge*en.place)
+	}
 	slices.SortFunc(ow.active, compareEntries)
 }
 
+// rank gives each job its place among those of its priority and hope.
+func (ow *Owner) rank(compare func(a, b *entry) int) {
+	slices.SortFunc(ow.active, func(a, b *entry) int {
+		return cmp.Or(compareGroups(a, b), compare(a, b), cmp.Compare(a.order, b.order))
+	})
+	for i, en := range ow.active {
+		en.place = 0
+		if i > 0 && compareGroups(ow.active[i-1], en) == 0 {
+			en.place = ow.active[i-1].place + 1
+		}
+	}
+}
+
+// bySizePerAge is how many jobs take their turn by size for one that does by
+// age: with none by age the largest tenth was served under half as often as all.
+const bySizePerAge = 2
+
 // add enters a job.
 func (ow *Owner) add(jo *job.Job) *entry {
 	ow.seq++
-	en := &entry{jo: jo, order: ow.seq, aimMS: jo.AimMS(), work: jo.RemainingWork(), attempts: map[job.TaskRef]*attempt{}, acceptedAt: time.Now()}
+	en := &entry{jo: jo, order: ow.seq, aimMS: jo.AimMS(), turn: math.MaxInt, attempts: map[job.TaskRef]*attempt{}, acceptedAt: time.Now()}
 	ow.entries[jo.ID] = en
 	return en
 }
