Try attempts that stand still elsewhere

Cause: tasks on sick workers stand still for seconds (srv_grey, hang); nothing noticed but the end of the worker. Change: an attempt that should work and shows no progress in two looks and 1 s, and 6% of its estimated time, is stopped and placed elsewhere from its checkpoint; its worker gets nothing new for 2.5 s. Held fillers and endless tasks are left out.

--- a/internal/sched/entry.go
+++ b/internal/sched/entry.go
@@ -86,6 +86,9 @@
 	// percent is how far it has come, usage the last figure.
 	percent int
 	usage   int64
+	// movedAt is when it was last seen to get on, still counts the looks since.
+	movedAt time.Time
+	still   int
 	// replica is what was learnt of a service.
 	replica interfere.Replica
 	// overSince is since when a service is over its target.
--- a/internal/sched/looks.go
+++ b/internal/sched/looks.go
@@ -216,13 +216,17 @@
 			continue
 		}
 		ho.started(at, got)
-		at.percent, at.usage = ra.Percent, ra.Usage
+		at.usage = ra.Usage
+		at.follow(ra.Percent, got)
 		if ra.Checkpoint != "" {
 			at.en.jo.Task(at.ref).Checkpoint = ra.Checkpoint
 		}
 		if at.en.jo.State().Final() {
 			ho.ow.halt(at, "still running after the end of its job")
 		}
+		if at.stalled(got) {
+			ho.relieve(at, got)
+		}
 	}
 }
 
--- /dev/null
+++ b/internal/sched/stall.go
@@ -0,0 +1,47 @@
+package sched
+
+import (
+	"time"
+
+	"github.com/pepperhatch/pepperhatch/internal/telemetry"
+)
+
+// Attempts that stand still.
+const (
+	// stalledAfter is how long an attempt may show no progress, besides
+	// stalledPart of its task's estimated time: a worker reports whole per cent,
+	// and estimates are off by half.
+	stalledAfter = time.Second
+	stalledPart  = 0.06
+	// stalledLooks is how many looks must have shown none.
+	stalledLooks = 2
+	// asideStalled is how long a worker is set aside on which an attempt stands
+	// still.
+	asideStalled = 2500 * time.Millisecond
+)
+
+// follow takes in how far an attempt has come.
+func (at *attempt) follow(percent int, now time.Time) {
+	if percent != at.percent || at.speed() <= heldPace || at.movedAt.IsZero() {
+		at.movedAt, at.still = now, 0
+	} else {
+		at.still++
+	}
+	at.percent = percent
+}
+
+// stalled reports whether an attempt that should get on stands still.
+func (at *attempt) stalled(now time.Time) bool {
+	if at.step().Endless || at.still < stalledLooks || !at.halted.IsZero() {
+		return false
+	}
+	part := time.Duration(stalledPart * float64(at.step().EstimateMS) * float64(time.Millisecond))
+	return now.Sub(at.movedAt) > stalledAfter+part
+}
+
+// relieve stops an attempt that stands still, so that it is tried elsewhere.
+func (ho *host) relieve(at *attempt, now time.Time) {
+	ho.ow.Metrics.Add(telemetry.Stalls, 1)
+	ho.setAside(asideStalled, "attempts stand still")
+	ho.ow.halt(at, "no progress for "+now.Sub(at.movedAt).Round(time.Millisecond).String())
+}
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -43,6 +43,7 @@
 	Launches     Name = "pepperhatch_launches"
 	Looks        Name = "pepperhatch_looks"
 	PlaceRounds  Name = "pepperhatch_placement_rounds"
+	Stalls       Name = "pepperhatch_attempts_stalled"
 )
 
 // Duration is the histogram of request times.
@@ -79,6 +80,7 @@
 	{Launches, "outcome", "orders to start an attempt, by what the worker said", "no-answer or unfit: look for the workers in the log"},
 	{Looks, "outcome", "looks at workers that failed", "growth: workers are away"},
 	{PlaceRounds, "", "rounds of placement of a cell, each over all its workers", "many a second: the owner's processor is short, see CAPACITY.md"},
+	{Stalls, "", "attempts that were stopped as they made no progress", "look for the workers in the log: \"attempts stand still\""},
 	{TaskEvents, "event", "tasks started, done, failed, evicted, throttled", "evictions: see place.eviction-budget"},
 }
 
