Keep room for endless tasks that find none

Lines written for it show no worker with room: 95% of all processors were reserved by endless tasks, and short tasks of the same priority took each part of the rest as it got free. Besides, an endless task that had waited for 3 s counted as without hope and went after all that could be in time. Ruled out: ends not taken note of, places lost in the list of waiting jobs, workers that do not answer. Change: endless tasks never lose hope, and one that finds no room keeps the worker that lacks least, and will have it once its short tasks have ended, from other tasks (one worker of 16 at most). Test: TestEndlessTasksFindRoom (failed before).

--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 )
@@ -159,6 +160,11 @@
 	return n
 }
 
+// Endless reports whether the job has tasks that run until it is cancelled.
+func (jo *Job) Endless() bool {
+	return slices.ContainsFunc(jo.Spec.Steps, func(st Step) bool { return st.Endless })
+}
+
 // Ready reports whether the tasks of a step may start: the job goes on, and
 // every step before it is done.
 func (jo *Job) Ready(step int) bool {
--- a/internal/sched/entry.go
+++ b/internal/sched/entry.go
@@ -183,7 +183,8 @@
 
 // judge returns the job's hope at a moment.
 func (en *entry) judge(now time.Time) hope {
-	if en.aimMS <= 0 {
+	// An endless task is worth something at any time.
+	if en.aimMS <= 0 || en.jo.Endless() {
 		return inTime
 	}
 	done := now.Sub(en.acceptedAt).Milliseconds() + en.jo.RemainingMS()
--- a/internal/sched/host.go
+++ b/internal/sched/host.go
@@ -72,6 +72,8 @@
 	// are likely to use, in thousandths of a core.
 	reserved worker.Resources
 	inUse    int64
+	// passing is the part of reserved that tasks take that end by themselves.
+	passing worker.Resources
 	// asideUntil is until when it gets nothing new; failures counts attempts
 	// that failed here since one was done, of failedJobs.
 	asideUntil time.Time
@@ -189,6 +191,9 @@
 	ho.services = slices.DeleteFunc(ho.services, func(other *attempt) bool { return other == at })
 	ho.reserved = ho.reserved.Without(at.step().Reserved())
 	ho.inUse -= likelyUse(at.step())
+	if !at.step().Endless {
+		ho.passing = ho.passing.Without(at.step().Reserved())
+	}
 }
 
 // put enters an attempt.
@@ -196,6 +201,9 @@
 	ho.attempts[at] = true
 	ho.reserved = ho.reserved.With(at.step().Reserved())
 	ho.inUse += likelyUse(at.step())
+	if !at.step().Endless {
+		ho.passing = ho.passing.With(at.step().Reserved())
+	}
 	if at.step().HasTarget() {
 		ho.services = append(ho.services, at)
 		at.replica.Track = at.en.track(at.ref.Step)
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -60,6 +60,8 @@
 	idle int64
 	// stubborn is set if a service there was over its target for long.
 	stubborn bool
+	// kept is set if its room is kept for an endless task.
+	kept bool
 	// sums are its services, if summed.
 	sums   []serving
 	summed bool
@@ -85,6 +87,8 @@
 	hosts []*candidate
 	// patience is how long fillers wait for a good place.
 	patience time.Duration
+	// keeps counts the workers whose room is kept.
+	keeps int
 	// noPlace are fillers for which there was none.
 	noPlace []shape
 }
@@ -102,6 +106,7 @@
 			}
 			ca := pl.pick(en, ref)
 			if ca == nil {
+				pl.keepRoom(en, ref)
 				break
 			}
 			pl.start(en, ref, ca)
@@ -157,8 +162,13 @@
 }
 
 func (ca *candidate) fits(en *entry, ref job.TaskRef, st *job.Step) bool {
+	return ca.allowed(en, ref, st) && st.Reserved().Fits(ca.free) && (!ca.kept || st.Filler)
+}
+
+// allowed reports whether a task may run on the worker, if it had room.
+func (ca *candidate) allowed(en *entry, ref job.TaskRef, st *job.Step) bool {
 	ho := ca.ho
-	if ho.Service != en.jo.Terms.Service || !st.Reserved().Fits(ca.free) {
+	if ho.Service != en.jo.Terms.Service {
 		return false
 	}
 	if st.Label != "" && !ho.hasLabel(st.Label) {
--- a/internal/sched/place_test.go
+++ b/internal/sched/place_test.go
@@ -116,3 +116,42 @@
 		qt.Assert(t, after-before <= 1, qt.IsTrue, qt.Commentf("%d rounds within one write", after-before))
 	})
 }
+
+// TestEndlessTasksFindRoom has short tasks come all the time and take each part
+// of a worker as it gets free: a large endless task starts all the same.
+func TestEndlessTasksFindRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		la := newLab(t, 2)
+		la.fleet.RunFunc = func(at worker.Attempt) (time.Duration, string) {
+			id, _, _ := job.ParseTaskID(at.Task)
+			if la.spec(id).Steps[0].Endless {
+				return -1, ""
+			}
+			return 700 * time.Millisecond, "done"
+		}
+		ow, end := la.own()
+		defer end()
+		time.Sleep(time.Second)
+		large := lasting(1)
+		large.Steps[0].Each = worker.Resources{MilliCores: 20_000, MemMB: 20_000}
+		n := 0
+		stream := func(seconds int) {
+			for range seconds * 20 {
+				n++
+				short := batch(1, 3)
+				short.Steps[0].Each = worker.Resources{MilliCores: 1500, MemMB: 1000}
+				go la.submit(ow, n, short)
+				time.Sleep(50 * time.Millisecond)
+			}
+		}
+		stream(2)
+		go la.submit(ow, 1_000_000, large)
+		stream(4)
+		started := false
+		for _, ru := range la.fleet.Runs() {
+			id, _, _ := job.ParseTaskID(ru.Task)
+			started = started || id == jobID(1_000_000)
+		}
+		qt.Assert(t, started, qt.IsTrue)
+	})
+}
