Bound the stay of small owners and the pairs that are kept

Cause: on reading the change again: the stay doubled by shifting, which overflows after 33 turns (over a quarter of an hour with no large host) and would then release the cell at once, again and again; and with more than some 700 pairs of images the row of what was learnt is over the store's 64 KiB and would be refused for good. Change: the stay is 32 s at most by a loop; the 500 most certain pairs are kept. A field is named for what it is. Tests: TestYieldStay (100 turns), TestLearntIsBounded.

--- a/internal/interfere/interfere.go
+++ b/internal/interfere/interfere.go
@@ -105,16 +105,16 @@
 	Variance float64 `json:"variance"`
 }
 
-// Learnt returns what was learnt, sorted by images.
-func (mo *Model) Learnt() []Learnt {
+// Learnt returns what was learnt, up to a number of pairs, the most certain first.
+func (mo *Model) Learnt(most int) []Learnt {
 	list := make([]Learnt, 0, len(mo.pairs))
 	for pa, es := range mo.pairs {
 		list = append(list, Learnt{Pair: pa, Drop: es.mean, Variance: es.variance})
 	}
 	slices.SortFunc(list, func(a, b Learnt) int {
-		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Filler, b.Filler))
+		return cmp.Or(cmp.Compare(a.Variance, b.Variance), cmp.Compare(a.Service, b.Service), cmp.Compare(a.Filler, b.Filler))
 	})
-	return list
+	return list[:min(len(list), most)]
 }
 
 // FromLearnt returns a model that begins with what was kept. It is less certain
--- a/internal/interfere/interfere_test.go
+++ b/internal/interfere/interfere_test.go
@@ -168,7 +168,7 @@
 	for range 20 {
 		wo.observe(&mo, wo.shares)
 	}
-	kept := FromLearnt(mo.Learnt())
+	kept := FromLearnt(mo.Learnt(10))
 	for _, filler := range []string{"good", "bad", "unknown"} {
 		qt.Check(t, kept.Drop(Pair{"s", filler}), qt.Equals, mo.Drop(Pair{"s", filler}))
 	}
@@ -179,3 +179,12 @@
 	qt.Assert(t, mo.Drop(Pair{"s", "f"}), qt.Equals, float64(mostDrop))
 	qt.Assert(t, mo.Drop(Pair{"s", "g"}), qt.Equals, 0.0)
 }
+
+func TestLearntIsBounded(t *testing.T) {
+	mo := FromLearnt([]Learnt{
+		{Pair: Pair{"s", "f"}, Drop: 1, Variance: 9}, {Pair: Pair{"s", "g"}, Drop: 2, Variance: 3}, {Pair: Pair{"s", "h"}, Drop: 3, Variance: 4},
+	})
+	qt.Assert(t, mo.Learnt(2), qt.DeepEquals, []Learnt{
+		{Pair: Pair{"s", "g"}, Drop: 2, Variance: 3}, {Pair: Pair{"s", "h"}, Drop: 3, Variance: 4},
+	})
+}
--- a/internal/sched/entry.go
+++ b/internal/sched/entry.go
@@ -21,8 +21,9 @@
 	aimMS int64
 	hope  hope
 	work  int64
-	// turn sorts jobs of one priority and hope, and place is used to find it.
-	turn, place int
+	// turn sorts jobs of one priority and hope; rank is the place in one order,
+	// by size or by age, of which the turn is made.
+	turn, rank int
 	// progVer is the version of its row of progress, 0 if not written.
 	progVer int64
 	// shown is the state last written, empty before the first write.
@@ -207,24 +208,24 @@
 	}
 	ow.rank(func(a, b *entry) int { return cmp.Compare(a.work, b.work) })
 	for _, en := range ow.active {
-		en.turn = en.place
+		en.turn = en.rank
 	}
 	ow.rank(func(a, b *entry) int { return cmp.Compare(a.order, b.order) })
 	for _, en := range ow.active {
-		en.turn = min(en.turn, bySizePerAge*en.place)
+		en.turn = min(en.turn, bySizePerAge*en.rank)
 	}
 	slices.SortFunc(ow.active, compareEntries)
 }
 
-// rank gives each job its place among those of its priority and hope.
+// rank ranks each job among those of its priority and hope.
 func (ow *Owner) rank(compare func(a, b *entry) int) {
 	slices.SortFunc(ow.active, func(a, b *entry) int {
 		return cmp.Or(compareGroups(a, b), compare(a, b), cmp.Compare(a.order, b.order))
 	})
 	for i, en := range ow.active {
-		en.place = 0
+		en.rank = 0
 		if i > 0 && compareGroups(ow.active[i-1], en) == 0 {
-			en.place = ow.active[i-1].place + 1
+			en.rank = ow.active[i-1].rank + 1
 		}
 	}
 }
--- a/internal/sched/learnt.go
+++ b/internal/sched/learnt.go
@@ -17,6 +17,9 @@
 	// saveEvery is the time between two writes of it: a pair is learnt within 2 to
 	// 5 s, and a write of 180 pairs has some 15 KB.
 	saveEvery = 4 * time.Second
+	// pairsMost bounds the pairs kept, so that the row stays under the store's
+	// 64 KiB at some 90 bytes a pair.
+	pairsMost = 500
 )
 
 // learntRow is what was learnt in a cell.
@@ -46,7 +49,7 @@
 	if ow.saving || now.Sub(ow.saved) < saveEvery || ow.storeDown() {
 		return
 	}
-	pairs := ow.model.Learnt()
+	pairs := ow.model.Learnt(pairsMost)
 	if len(pairs) == 0 {
 		return
 	}
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -397,7 +397,7 @@
 	if ke.Cores <= 0 || ke.Cores >= yieldUnder*row.MostCores {
 		return
 	}
-	stay := min(yieldAfter<<ke.yields, yieldMost)
+	stay := yieldStay(ke.yields)
 	if clock.Sleep(ctx, stay) {
 		ke.yields++
 		ke.Log.Info("leaving the cell to a larger host", "cell", ke.Cell, "epoch", row.Epoch, "cores", ke.Cores, "most_cores", row.MostCores, "after", stay)
@@ -405,6 +405,19 @@
 	}
 }
 
+// yieldStay is how long a small owner stays after so many times that no larger
+// host came.
+func yieldStay(yields int) time.Duration {
+	stay := yieldAfter
+	for range yields {
+		if stay >= yieldMost {
+			return yieldMost
+		}
+		stay *= 2
+	}
+	return min(stay, yieldMost)
+}
+
 // release gives the cell up, so that another host need not wait for silence.
 func (ke *Keeper) release(ctx context.Context, row OwnerRow, version int64) {
 	ctx, cancel := context.WithTimeout(ctx, releaseWithin)
--- a/internal/tenure/tenure_test.go
+++ b/internal/tenure/tenure_test.go
@@ -349,3 +349,12 @@
 		qt.Assert(t, ra.owner().keeper.Self, qt.Equals, "large")
 	})
 }
+
+func TestYieldStay(t *testing.T) {
+	for _, tc := range []struct {
+		yields int
+		want   time.Duration
+	}{{0, 2 * time.Second}, {1, 4 * time.Second}, {4, 32 * time.Second}, {5, 32 * time.Second}, {100, 32 * time.Second}} {
+		qt.Check(t, yieldStay(tc.yields), qt.Equals, tc.want)
+	}
+}
