--- a/internal/door/door_test.go
+++ b/internal/door/door_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"log/slog"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -29,7 +30,7 @@
 	t     *testing.T
 	table standin.Table
 	door  *Door
-	owner *sched.Owner
+	owner atomic.Pointer[sched.Owner]
 }
 
 func newHall(t *testing.T) *hall {
@@ -39,7 +40,7 @@
 	ha.door = &Door{
 		Cell: "c0", Table: ha.table.Client(), Keeper: &tenure.Keeper{Cell: "c0", Self: "e1", Process: "e1-1", Log: log},
 		Peers: http.DefaultClient, PortRefused: func(error) bool { return false },
-		Local: func() *sched.Owner { return ha.owner }, ConfigFunc: func() *queue.Config { return nil }, Log: log,
+		Local: ha.owner.Load, ConfigFunc: func() *queue.Config { return nil }, Log: log,
 	}
 	return ha
 }
@@ -56,7 +57,7 @@
 		}
 	}()
 	<-loaded
-	ha.owner = ow
+	ha.owner.Store(ow)
 	return cancel
 }
 
@@ -99,7 +100,7 @@
 		for _, row := range rows {
 			feed = append(feed, store.FeedRow{Row: row})
 		}
-		ha.owner.Import(feed)
+		ha.owner.Load().Import(feed)
 		time.Sleep(time.Second)
 		ha.assertState(job.Cancelled, true)
 		rows, err = ha.table.Client().List(context.Background(), sched.IntakePrefix("c0"))
@@ -128,7 +129,7 @@
 				qt.Check(t, time.Since(start) < 1500*time.Millisecond, qt.IsTrue)
 				time.Sleep(10 * time.Second)
 				ha.table.Gate.Set(standin.Fault{})
-				ha.owner = nil
+				ha.owner.Store(nil)
 				_, known, err := ha.door.State(context.Background(), testID)
 				qt.Assert(t, err, qt.IsNil)
 				switch ve.Outcome {
