Refuse jobs whose request was never sent, rather than call them unknown

Where the connection itself could not be opened in 0.4 s nothing was sent; only a refused port counted as that. Change: an error of opening a connection, to the owner or to the store, means not taken, with a time to come back. Both judgements of errors moved to wire, as they know nothing of the platform; the door's seam for one is gone. Ruled out: requests sent twice by net/http (a POST that went out on an older connection is not sent again).

--- a/internal/dev/jobs.go
+++ b/internal/dev/jobs.go
@@ -47,7 +47,7 @@
 		AskFunc: func(context.Context, string, int64) (string, error) { return "", nil },
 	}
 	ya.door = &door.Door{
-		Cell: jobCell, Table: wo.table.Client(), Keeper: ya.keep, Peers: http.DefaultClient, PortRefused: func(error) bool { return false },
+		Cell: jobCell, Table: wo.table.Client(), Keeper: ya.keep, Peers: http.DefaultClient,
 		Local: ya.owner.Load, ConfigFunc: func() *queue.Config { return co }, Log: wo.set.Log,
 	}
 	addr, err := wo.serve(jobapi.Handler(ya.door))
--- a/internal/door/door.go
+++ b/internal/door/door.go
@@ -48,9 +48,6 @@
 	Keeper *tenure.Keeper
 	// Peers is the client for other entry hosts.
 	Peers *http.Client
-	// PortRefused reports whether an error says that nothing listens at a
-	// peer's address.
-	PortRefused func(error) bool
 	// Local returns this host's owner of the cell, or nil.
 	Local func() *sched.Owner
 	// ConfigFunc returns the configuration in force, or nil.
@@ -102,11 +99,10 @@
 	if err == nil {
 		return resp, nil
 	}
-	if do.PortRefused(err) {
+	if wire.PortRefused(err) {
 		do.Keeper.PortRefused(row.Process)
-		return zero, fmt.Errorf("ask owner %s: %w: %w", row.Owner, errNotDelivered, err)
 	}
-	if wire.Code(err) == codeNotOwner {
+	if wire.NotConnected(err) || wire.Code(err) == codeNotOwner {
 		return zero, fmt.Errorf("ask owner %s: %w: %w", row.Owner, errNotDelivered, err)
 	}
 	return zero, fmt.Errorf("ask owner %s: %w", row.Owner, err)
@@ -175,7 +171,7 @@
 		return do.giveUp(clean)
 	}
 	do.Log.Info("intake not known to be written", "job", id, "err", err)
-	return do.giveUp(clean && do.PortRefused(err))
+	return do.giveUp(clean && wire.NotConnected(err))
 }
 
 // giveUp is the answer when nothing worked.
--- a/internal/door/door_test.go
+++ b/internal/door/door_test.go
@@ -39,7 +39,7 @@
 	log := slog.New(slog.DiscardHandler)
 	ha.door = &Door{
 		Cell: "c0", Table: ha.table.Client(), Keeper: &tenure.Keeper{Cell: "c0", Self: "e1", Process: "e1-1", Log: log},
-		Peers: http.DefaultClient, PortRefused: func(error) bool { return false },
+		Peers: http.DefaultClient,
 		Local: ha.owner.Load, ConfigFunc: func() *queue.Config { return nil }, Log: log,
 	}
 	return ha
--- a/internal/jobhost/host.go
+++ b/internal/jobhost/host.go
@@ -77,7 +77,7 @@
 		Table: ho.table, Serve: ho.serveCell, Log: log,
 	}
 	ho.door = &door.Door{
-		Cell: cellName, Table: ho.table, Keeper: ho.keeper, Peers: platform.NewHTTPClient(peerConns), PortRefused: platform.PortRefused,
+		Cell: cellName, Table: ho.table, Keeper: ho.keeper, Peers: platform.NewHTTPClient(peerConns),
 		Local: ho.owner.Load, ConfigFunc: ho.config.Load, Metrics: me, Log: log,
 	}
 	ho.keeper.AskFunc = ho.door.Ask
