--- a/internal/tenure/tenure_test.go
+++ b/internal/tenure/tenure_test.go
@@ -206,7 +206,9 @@
 		ra.mu.Lock()
 		first.dark = true
 		ra.mu.Unlock()
-		time.Sleep(UnreachableAfter + BeatEvery + 400*time.Millisecond)
+		// Before silence alone would do, even if the last heartbeat was as old as
+		// it can be.
+		time.Sleep(SilentAfter - BeatEvery - 200*time.Millisecond)
 		qt.Assert(t, len(ra.tenures()), qt.Equals, 2)
 	})
 }
