Keep images of services on workers of their own

Workers of 64 cores made the room left, rated in workers of 32, weigh more than the company, so that a service joined another image rather than an empty worker. Change: the image's weight 0.5 -> 3, over the room of the largest worker. A test that failed first.

--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -275,10 +275,11 @@
 // balance is the share of those that are alike less that of the others.
 func balance(alike, all int) float64 { return float64(2*alike-all) / float64(all) }
 
-// Weights of kinship against the share of free room: as much as half a worker
-// each, by trials at 0.5 and 1.5.
+// Weights of kinship against the free room in workers of coresScale. That of the
+// image goes before the room of the largest worker, by trials at 0.5 and 3; that of
+// the job is as much as half a worker, by trials at 0, 0.5 and 1.
 const (
-	imageWeight = 0.5
+	imageWeight = 3
 	jobWeight   = 0.5
 )
 
--- a/internal/sched/place_test.go
+++ b/internal/sched/place_test.go
@@ -57,6 +57,24 @@
 	})
 }
 
+// TestImagesKeepApart has two workers of 64 cores, one with a service of another
+// image and one empty: the service goes to the empty one, although the other is
+// fuller, since beside another image it would leave less room to fillers.
+func TestImagesKeepApart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ow := idleOwner(t)
+		mixed, empty := emptyHost(ow, "mixed"), emptyHost(ow, "empty")
+		for _, ho := range []*host{mixed, empty} {
+			ho.Holds = worker.Resources{MilliCores: 64_000, MemMB: 256_000}
+		}
+		stranger := addJob(ow, 1, serviceStep(1, "other"))
+		mixed.put(&attempt{ho: mixed, en: stranger, number: 1})
+		mixed.reserved = mixed.reserved.With(worker.Resources{MilliCores: 48_000})
+		ca := ow.newPlacer().pick(addJob(ow, 2, serviceStep(1, "s")), job.TaskRef{})
+		qt.Assert(t, ca.ho.incarnation, qt.Equals, "empty")
+	})
+}
+
 // TestSmallJobsGoFirst has jobs that came in the order of their sizes, the
 // largest first: two take their turn by size for one that does by age.
 func TestSmallJobsGoFirst(t *testing.T) {
