Tell what the time of jobs goes to, and sum it up from logs

Change: each moment of a job has one cause (order, work, paced, room, place, stop, store), booked every tick; lines "job time" at the end and "job waits" at 1 s and after each doubling, a counter, and `pepperhatch account LOG...`, which prints shares by queue and by how jobs did.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -86,6 +86,8 @@
 			{name: "list", short: "list jobs", command: &batchListCommand{st: st},
 				long: "Example: pepperhatch batch list"},
 		}},
+		{name: "account", short: "say what the time of jobs went to, from logs", command: &accountCommand{st: st},
+			long: "Reads logs of entry hosts and prints, by queue and by how jobs did, the share of their time by cause.\nExample: pepperhatch account e1.log e2.log"},
 		{name: "service", short: "services", sub: jobEntries(st, true)},
 		{name: "config", short: "configuration", sub: []commandEntry{
 			{name: "get", short: "show the configuration in force", command: &configGetCommand{st: st},
--- a/internal/sched/entry.go
+++ b/internal/sched/entry.go
@@ -53,6 +53,10 @@
 	endedAt time.Time
 	// acceptedAt is when it was handed in to this owner.
 	acceptedAt time.Time
+	// lack is what the last round of placement lacked for a task that waits.
+	lack Cause
+	// spent is what its time went to.
+	spent spent
 }
 
 // track returns the track of a step's load.
@@ -254,6 +258,7 @@
 		delete(en.attempts, ref)
 	}
 	if end == job.EndFailed {
+		en.spent.failed++
 		if en.failedOn == nil {
 			en.failedOn = map[string]bool{}
 		}
@@ -273,6 +278,7 @@
 	}
 	if en.endedAt.IsZero() {
 		en.endedAt = time.Now()
+		ow.tellTime(en, en.endedAt)
 	}
 	for _, at := range en.attempts {
 		en.effects = append(en.effects, func() { ow.halt(at, "job "+string(en.jo.State())) })
--- a/internal/sched/move.go
+++ b/internal/sched/move.go
@@ -40,6 +40,7 @@
 			}
 			if pl.welcomes(at) {
 				moves++
+				at.en.spent.moved++
 				ow.halt(at, "held for the sake of a service, and another worker has room")
 			}
 		}
--- a/internal/sched/owner.go
+++ b/internal/sched/owner.go
@@ -181,6 +181,7 @@
 		ho.tick(now)
 	}
 	ow.noteSilent(now)
+	ow.account(now)
 	ow.sortActive(now)
 	ow.moveHeld(now)
 	ow.evacuate(now)
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -104,7 +104,8 @@
 			if en.jo.Tasks[step][index].State != job.Waiting {
 				continue
 			}
-			ca := pl.pick(en, ref)
+			ca, lack := pl.pick(en, ref)
+			en.lack = lack
 			if ca == nil {
 				pl.keepRoom(en, ref)
 				break
@@ -114,17 +115,21 @@
 	}
 }
 
-// pick returns the best worker for a task, or nil.
-func (pl *placer) pick(en *entry, ref job.TaskRef) *candidate {
+// pick returns the best worker for a task, or nil and what lacks.
+func (pl *placer) pick(en *entry, ref job.TaskRef) (best *candidate, lack Cause) {
 	st := &en.jo.Spec.Steps[ref.Step]
 	if st.Filler && pl.hopeless(en, st) {
-		return nil
+		return nil, CausePlace
 	}
 	patient := pl.patient(en)
-	var best *candidate
+	lack = CauseRoom
 	var bestScore float64
 	for _, ca := range pl.hosts {
-		if !ca.fits(en, ref, st) || (st.Filler && patient && !ca.suits(st)) {
+		if !ca.fits(en, ref, st) {
+			continue
+		}
+		if st.Filler && patient && !ca.suits(st) {
+			lack = CausePlace
 			continue
 		}
 		if score := ca.score(en, st); best == nil || score > bestScore {
@@ -134,7 +139,10 @@
 	if best == nil && st.Filler {
 		pl.noPlace = append(pl.noPlace, shape{st: st, service: en.jo.Terms.Service, patient: patient})
 	}
-	return best
+	if best != nil {
+		lack = CauseOrder
+	}
+	return best, lack
 }
 
 // shape is a filler's step for which no place was found.
--- a/internal/sched/place_test.go
+++ b/internal/sched/place_test.go
@@ -52,7 +52,7 @@
 		other.put(&attempt{ho: other, en: stranger, number: 1})
 		other.reserved = other.reserved.With(worker.Resources{MilliCores: 8000})
 		pl := ow.newPlacer()
-		ca := pl.pick(en, job.TaskRef{Index: 1})
+		ca, _ := pl.pick(en, job.TaskRef{Index: 1})
 		qt.Assert(t, ca.ho.incarnation, qt.Equals, "own")
 	})
 }
@@ -70,7 +70,7 @@
 		stranger := addJob(ow, 1, serviceStep(1, "other"))
 		mixed.put(&attempt{ho: mixed, en: stranger, number: 1})
 		mixed.reserved = mixed.reserved.With(worker.Resources{MilliCores: 48_000})
-		ca := ow.newPlacer().pick(addJob(ow, 2, serviceStep(1, "s")), job.TaskRef{})
+		ca, _ := ow.newPlacer().pick(addJob(ow, 2, serviceStep(1, "s")), job.TaskRef{})
 		qt.Assert(t, ca.ho.incarnation, qt.Equals, "empty")
 	})
 }
--- /dev/null
+++ b/internal/sched/spent.go
@@ -0,0 +1,154 @@
+package sched
+
+import (
+	"log/slog"
+	"time"
+
+	"github.com/pepperhatch/pepperhatch/internal/telemetry"
+)
+
+// Cause is what a job's time goes to. Each moment of a job has one, so that its
+// causes add up to its age.
+type Cause int8
+
+// The causes.
+const (
+	// CauseOrder: a task waits for a write or for an order to reach its worker.
+	CauseOrder Cause = iota
+	// CauseWork: all tasks that may run do, at full speed.
+	CauseWork
+	// CausePaced: the same, but one of them is slowed for the sake of a service.
+	CausePaced
+	// CauseRoom: a task waits, as no worker that it may run on has room.
+	CauseRoom
+	// CausePlace: a filler waits, as it would disturb services wherever it has
+	// room, or finds no idle processors there.
+	CausePlace
+	// CauseStop: an attempt is being stopped, to go on elsewhere.
+	CauseStop
+	// CauseStore: the store takes no writes.
+	CauseStore
+
+	causes
+)
+
+// causeNames are the names of causes in logs and metrics.
+var causeNames = [causes]string{"order", "work", "paced", "room", "place", "stop", "store"}
+
+// String returns the cause's name.
+func (ca Cause) String() string { return causeNames[ca] }
+
+// CauseNames returns the names of all causes, in their order.
+func CauseNames() []string { return causeNames[:] }
+
+// Waits that are told.
+const (
+	// firstWait is how long a job waits before a line tells of it; the next one
+	// follows after twice as long, so that a job has few lines however long it
+	// waits.
+	firstWait = time.Second
+)
+
+// spent is what the time of a job went to.
+type spent struct {
+	byCause [causes]time.Duration
+	// since is the moment up to which time is accounted for.
+	since time.Time
+	// tell is the wait after which a line tells of it.
+	tell time.Duration
+	// failed and moved count its attempts that failed, and that were stopped to
+	// go on elsewhere.
+	failed, moved int
+}
+
+// account adds the time since the last look to what jobs that are not over spend
+// it on.
+func (ow *Owner) account(now time.Time) {
+	down := ow.storeDown()
+	for _, en := range ow.entries {
+		if en.endedAt.IsZero() && !en.jo.Endless() {
+			en.spend(en.cause(down), now)
+			ow.tellWait(en, now)
+		}
+	}
+}
+
+// spend books the time since the last look under a cause.
+func (en *entry) spend(ca Cause, now time.Time) {
+	if en.spent.since.IsZero() {
+		en.spent.since = en.acceptedAt
+	}
+	en.spent.byCause[ca] += max(now.Sub(en.spent.since), 0)
+	en.spent.since = now
+}
+
+// cause is what the job's time goes to now.
+func (en *entry) cause(storeDown bool) Cause {
+	switch {
+	case storeDown && (en.waiting > 0 || en.progVer == 0):
+		return CauseStore
+	case en.progVer == 0:
+		return CauseOrder
+	case en.waiting > 0:
+		return en.lack
+	}
+	worst := CauseWork
+	for _, at := range en.attempts {
+		switch {
+		case !at.halted.IsZero():
+			return CauseStop
+		case at.launched.IsZero():
+			worst = CauseOrder
+		case at.pace >= 0 && at.pace < fullPace && worst == CauseWork:
+			worst = CausePaced
+		}
+	}
+	return worst
+}
+
+// attrs are the fields of log lines on a job's time, in milliseconds.
+func (sp *spent) attrs() []slog.Attr {
+	list := make([]slog.Attr, 0, causes+2)
+	for ca, d := range sp.byCause {
+		list = append(list, slog.Int64(causeNames[ca]+"_ms", d.Milliseconds()))
+	}
+	return append(list, slog.Int("failed", sp.failed), slog.Int("moved", sp.moved))
+}
+
+// tellWait writes a line on a job whose tasks have waited for long.
+func (ow *Owner) tellWait(en *entry, now time.Time) {
+	wait := now.Sub(en.waitingSince)
+	if en.waiting == 0 || wait < firstWait {
+		en.spent.tell = firstWait
+		return
+	}
+	if wait < en.spent.tell {
+		return
+	}
+	en.spent.tell = 2 * wait
+	ow.logTime("job waits", en, now, slog.String("for", en.cause(ow.storeDown()).String()), slog.Duration("wait", wait), slog.Int("tasks", en.waiting))
+}
+
+// tellTime writes a line on what the time of a job that is over went to, and
+// counts it.
+func (ow *Owner) tellTime(en *entry, now time.Time) {
+	if en.jo.Endless() {
+		return
+	}
+	en.spend(en.cause(ow.storeDown()), now)
+	for ca, d := range en.spent.byCause {
+		if d > 0 {
+			ow.Metrics.Add(telemetry.JobTime, d.Milliseconds(), "cause", causeNames[ca])
+		}
+	}
+	ow.logTime("job time", en, now)
+}
+
+// logTime writes a line with what the time of a job went to.
+func (ow *Owner) logTime(msg string, en *entry, now time.Time, more ...slog.Attr) {
+	attrs := append([]slog.Attr{
+		slog.String("job", en.jo.ID), slog.String("queue", en.jo.Terms.Queue), slog.String("state", string(en.jo.State())),
+		slog.Int64("age_ms", now.Sub(en.acceptedAt).Milliseconds()), slog.Int64("aim_ms", en.aimMS),
+	}, more...)
+	ow.Log.LogAttrs(ow.ctx, slog.LevelInfo, msg, append(attrs, en.spent.attrs()...)...)
+}
--- /dev/null
+++ b/internal/sched/spent_test.go
@@ -0,0 +1,97 @@
+package sched
+
+import (
+	"bytes"
+	"log/slog"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/pepperhatch/pepperhatch/internal/worker"
+)
+
+// lines keeps log lines.
+type lines struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (li *lines) Write(line []byte) (int, error) {
+	li.mu.Lock()
+	defer li.mu.Unlock()
+	return li.buf.Write(line)
+}
+
+// with returns the lines that have all of the words.
+func (li *lines) with(words ...string) []string {
+	li.mu.Lock()
+	defer li.mu.Unlock()
+	var list []string
+	for line := range strings.Lines(li.buf.String()) {
+		has := true
+		for _, word := range words {
+			has = has && strings.Contains(line, word)
+		}
+		if has {
+			list = append(list, line)
+		}
+	}
+	return list
+}
+
+// loggedLab is a lab whose log is kept.
+func loggedLab(t *testing.T, workers int) (*lab, *lines) {
+	t.Helper()
+	la, li := newLab(t, workers), &lines{}
+	la.log = slog.New(slog.NewTextHandler(li, nil))
+	return la, li
+}
+
+// TestTimeOfJobsAddsUp has more tasks than there is room for: what the line at
+// the job's end says of its causes adds up to its age, and part of it is room.
+func TestTimeOfJobsAddsUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		la, li := loggedLab(t, 1)
+		ow, end := la.own()
+		defer end()
+		time.Sleep(time.Second)
+		la.submit(ow, 1, batch(1, 40))
+		time.Sleep(5 * time.Second)
+		qt.Assert(t, li.with(`msg="job time"`, "job="+jobID(1), "state=succeeded"), qt.HasLen, 1)
+		synctest.Wait()
+		en, err := ask(t.Context(), ow, func(answer func(spent)) { answer(ow.entries[jobID(1)].spent) })
+		qt.Assert(t, err, qt.IsNil)
+		var sum time.Duration
+		for _, d := range en.byCause {
+			sum += d
+		}
+		age, err := ask(t.Context(), ow, func(answer func(time.Duration)) {
+			answer(ow.entries[jobID(1)].endedAt.Sub(ow.entries[jobID(1)].acceptedAt))
+		})
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, sum, qt.Equals, age)
+		qt.Assert(t, en.byCause[CauseRoom] > time.Second, qt.IsTrue, qt.Commentf("room %v", en.byCause[CauseRoom]))
+		qt.Assert(t, en.byCause[CauseWork] > 500*time.Millisecond, qt.IsTrue, qt.Commentf("work %v", en.byCause[CauseWork]))
+	})
+}
+
+// TestLongWaitsAreTold has a job for which no worker ever has room: its lines
+// come at growing distances and name the cause.
+func TestLongWaitsAreTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		la, li := loggedLab(t, 1)
+		ow, end := la.own()
+		defer end()
+		time.Sleep(time.Second)
+		sp := batch(1, 1)
+		sp.Steps[0].Each = worker.Resources{MilliCores: 99_000}
+		la.submit(ow, 1, sp)
+		time.Sleep(20 * time.Second)
+		told := li.with(`msg="job waits"`, "for=room")
+		qt.Assert(t, len(told) >= 3 && len(told) <= 5, qt.IsTrue, qt.Commentf("%d lines", len(told)))
+	})
+}
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -44,6 +44,7 @@
 	Looks        Name = "pepperhatch_looks"
 	PlaceRounds  Name = "pepperhatch_placement_rounds"
 	Stalls       Name = "pepperhatch_attempts_stalled"
+	JobTime      Name = "pepperhatch_job_milliseconds"
 )
 
 // Duration is the histogram of request times.
@@ -81,6 +82,7 @@
 	{Looks, "outcome", "looks at workers that failed", "growth: workers are away"},
 	{PlaceRounds, "", "rounds of placement of a cell, each over all its workers", "many a second: the owner's processor is short, see CAPACITY.md"},
 	{Stalls, "", "attempts that were stopped as they made no progress", "look for the workers in the log: \"attempts stand still\""},
+	{JobTime, "cause", "time of jobs that are over, in milliseconds, by what it went to", "much of room or place: too little room; of store or order: the store or the owner is slow"},
 	{TaskEvents, "event", "tasks started, done, failed, evicted, throttled", "evictions: see place.eviction-budget"},
 }
 
