Rate the room of workers by the share that is free

Cause: the rating took free cores in workers of 32, so what the weights beside it meant hung on the size of machines; further has 64 and 96, so that short tasks and services went to small empty workers before large full ones. Change: the share of the worker's own room. A test that failed first.

--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -242,7 +242,7 @@
 // large tasks find room elsewhere, and workers without services are left to
 // fillers that would disturb any.
 func (ca *candidate) score(en *entry, st *job.Step) float64 {
-	score := -float64(ca.free.MilliCores) / coresScale
+	score := -share(ca.free.MilliCores, ca.ho.Holds.MilliCores)
 	if st.Filler {
 		sum, over := ca.disturbs(st)
 		score = share(ca.idle, ca.ho.Holds.MilliCores) - disturbWeight*sum - overWeight*over
@@ -283,9 +283,9 @@
 // balance is the share of those that are alike less that of the others.
 func balance(alike, all int) float64 { return float64(2*alike-all) / float64(all) }
 
-// Weights of kinship against the free room in workers of coresScale. That of the
-// image goes before the room of the largest worker, by trials at 0.5 and 3; that of
-// the job is as much as half a worker, by trials at 0, 0.5 and 1.
+// Weights of kinship against the share of a worker that is free. That of the image
+// goes before any share, by trials at 0.5 and 3; that of the job is as much as half
+// a worker, by trials at 0, 0.5 and 1.
 const (
 	imageWeight = 3
 	jobWeight   = 0.5
@@ -293,9 +293,6 @@
 
 // Penalties of workers that failed.
 const (
-	// coresScale is the unreserved processor time, in thousandths of a core, that
-	// weighs as much as one point of the other ratings: a worker's size.
-	coresScale = 32_000
 	// failedPenalty keeps a job's tasks off a worker that failed one of them.
 	failedPenalty = 4
 	// doubtPenalty is for each attempt that failed there since one was done.
--- a/internal/sched/place_test.go
+++ b/internal/sched/place_test.go
@@ -75,6 +75,20 @@
 	})
 }
 
+// TestFullerWorkerFirst has a short task for two workers of different sizes: it
+// goes where the smaller share is free, although more is.
+func TestFullerWorkerFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ow := idleOwner(t)
+		emptyHost(ow, "empty")
+		fuller := emptyHost(ow, "fuller")
+		fuller.Holds = worker.Resources{MilliCores: 96_000, MemMB: 384_000}
+		fuller.reserved = worker.Resources{MilliCores: 56_000}
+		ca, _ := ow.newPlacer().pick(addJob(ow, 1, job.Step{Tasks: 1, Each: worker.Resources{MilliCores: 3000}}), job.TaskRef{})
+		qt.Assert(t, ca.ho.incarnation, qt.Equals, "fuller")
+	})
+}
+
 // TestSmallJobsGoFirst has jobs that came in the order of their sizes, the
 // largest first: two take their turn by size for one that does by age.
 func TestSmallJobsGoFirst(t *testing.T) {
