--- a/docs/docs_test.go
+++ b/docs/docs_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/pepperhatch/pepperhatch/internal/config"
 	"github.com/pepperhatch/pepperhatch/internal/reason"
+	"github.com/pepperhatch/pepperhatch/internal/sched"
 	"github.com/pepperhatch/pepperhatch/internal/settings"
 	"github.com/pepperhatch/pepperhatch/internal/telemetry"
 )
@@ -46,6 +47,14 @@
 	return table("| key | default | meaning |", rows)
 }
 
+func mechanismsTable() string {
+	var rows []string
+	for _, en := range sched.Mechanisms {
+		rows = append(rows, fmt.Sprintf("| `%s` | %s |", en.Name, en.Means))
+	}
+	return table("| mechanism | what it does |", rows)
+}
+
 func metricsTable() string {
 	var rows []string
 	for _, en := range telemetry.Counters {
@@ -72,6 +81,7 @@
 		{"settings", settingsTable()},
 		{"keys", keysTable()},
 		{"metrics", metricsTable()},
+		{"mechanisms", mechanismsTable()},
 		{"refusals", reasonsTable(reason.Refusals)},
 		{"retries", reasonsTable(reason.Retries)},
 	} {
--- a/internal/account/account.go
+++ b/internal/account/account.go
@@ -39,14 +39,14 @@
 
 // entry is what is known of a job.
 type entry struct {
-	queue       string
-	state       string
-	ageMS       int64
-	aimMS       int64
-	byCause     []int64
-	failed      int64
-	moved       int64
-	over        bool
+	queue   string
+	state   string
+	ageMS   int64
+	aimMS   int64
+	byCause []int64
+	failed  int64
+	moved   int64
+	over    bool
 }
 
 // Book has the time of jobs. The zero Book is empty.
@@ -73,7 +73,7 @@
 // not matter.
 func (bo *Book) line(text string) {
 	at := strings.Index(text, "level=")
-	if at < 0 || !(strings.Contains(text, `msg="`+msgTime+`"`) || strings.Contains(text, `msg="`+msgWait+`"`)) {
+	if at < 0 || !tellsTime(text) {
 		return
 	}
 	fields := map[string]string{}
@@ -98,6 +98,11 @@
 	}
 }
 
+// tellsTime reports whether a line may tell of a job's time.
+func tellsTime(text string) bool {
+	return strings.Contains(text, `msg="`+msgTime+`"`) || strings.Contains(text, `msg="`+msgWait+`"`)
+}
+
 // decode reads the fields of a line.
 func decode(fields map[string]string) (entry, error) {
 	en := entry{queue: fields["queue"], state: fields["state"], over: fields["msg"] == msgTime}
@@ -214,13 +219,13 @@
 // Print writes the rows as a table.
 func Print(out io.Writer, rows []Row) error {
 	tw := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintf(tw, "QUEUE\tDONE\tJOBS\tOPEN\tMEAN MS\tFAILED\tMOVED\t%s\t\n", strings.ToUpper(strings.Join(sched.CauseNames(), "\t")))
+	_, _ = fmt.Fprintf(tw, "QUEUE\tDONE\tJOBS\tOPEN\tMEAN MS\tFAILED\tMOVED\t%s\t\n", strings.ToUpper(strings.Join(sched.CauseNames(), "\t")))
 	for _, ro := range rows {
-		fmt.Fprintf(tw, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t", ro.Queue, ro.Verdict, ro.Jobs, ro.Open, ro.MeanMS, ro.Failed, ro.Moved)
+		_, _ = fmt.Fprintf(tw, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t", ro.Queue, ro.Verdict, ro.Jobs, ro.Open, ro.MeanMS, ro.Failed, ro.Moved)
 		for _, sh := range ro.Shares {
-			fmt.Fprintf(tw, "%.3f\t", sh)
+			_, _ = fmt.Fprintf(tw, "%.3f\t", sh)
 		}
-		fmt.Fprintln(tw)
+		_, _ = fmt.Fprintln(tw)
 	}
 	return tw.Flush()
 }
--- a/internal/cli/run.go
+++ b/internal/cli/run.go
@@ -1,6 +1,7 @@
 package cli
 
 import (
+	"fmt"
 	"log/slog"
 	"os"
 	"os/signal"
@@ -8,12 +9,14 @@
 
 	"github.com/pepperhatch/pepperhatch/internal/jobhost"
 	"github.com/pepperhatch/pepperhatch/internal/logs"
+	"github.com/pepperhatch/pepperhatch/internal/sched"
 )
 
 // runCommand runs an entry host on the users' platform.
 type runCommand struct {
 	Settings string `long:"settings" env:"PEPPERHATCH_BOOT" required:"true" description:"settings file that the platform fills in"`
 	LogLevel string `long:"log-level" env:"PEPPERHATCH_LOG_LEVEL" default:"info" choice:"debug" choice:"info" choice:"warn" choice:"error" description:"least level of lines logged"`
+	Without  string `long:"without" env:"PEPPERHATCH_WITHOUT" description:"mechanisms of the owner to switch off, separated by commas, for trials of what they are worth"`
 
 	st *streams
 }
@@ -24,6 +27,10 @@
 	if err := level.UnmarshalText([]byte(rc.LogLevel)); err != nil {
 		return &exitError{code: ExitUsage, err: err}
 	}
+	without, err := sched.ParseMechanisms(rc.Without)
+	if err != nil {
+		return &exitError{code: ExitUsage, err: fmt.Errorf("--without: %w", err)}
+	}
 	lw := logs.New(rc.st.out)
 	defer lw.Close()
 	log := newLog(lw, level)
@@ -35,6 +42,10 @@
 	if err != nil {
 		return err
 	}
+	ho.Without = without
+	if without != 0 {
+		log.Warn("mechanisms switched off", "without", rc.Without)
+	}
 	ctx, stop := untilSignal()
 	defer stop()
 	hup := make(chan os.Signal, 1)
--- a/internal/interfere/interfere.go
+++ b/internal/interfere/interfere.go
@@ -72,6 +72,9 @@
 
 // Model holds what was learnt of pairs.
 type Model struct {
+	// Fixed keeps the model from learning anything of pairs.
+	Fixed bool
+
 	pairs map[Pair]*estimate
 }
 
@@ -197,6 +200,9 @@
 	miss = min(max(miss, -bound), bound)
 	re.Track.correct(miss, sum)
 	re.offset.correct(1, miss, sum, 0)
+	if mo.Fixed {
+		return
+	}
 	for filler, share := range me.Shares {
 		es := mo.pair(Pair{Service: service, Filler: filler})
 		es.correct(-share, miss, sum, leastVar)
--- a/internal/jobhost/host.go
+++ b/internal/jobhost/host.go
@@ -47,6 +47,9 @@
 
 // Host is an entry host. Make one with [New], then call [Host.Run].
 type Host struct {
+	// Without has the mechanisms of the owner that are switched off, for trials.
+	Without sched.Mechanism
+
 	se      atomic.Pointer[Settings]
 	log     *slog.Logger
 	metrics *telemetry.Metrics
@@ -189,7 +192,7 @@
 func (ho *Host) serveCell(ctx context.Context, te tenure.Tenure) (map[string]int64, error) {
 	se := ho.se.Load()
 	ow := sched.New(&sched.Owner{
-		Cell: cellName, Tenure: te, Table: ho.table, Agent: platform.NewAgent(ho.workers), Metrics: ho.metrics, Log: ho.log,
+		Cell: cellName, Tenure: te, Table: ho.table, Agent: platform.NewAgent(ho.workers), Without: ho.Without, Metrics: ho.metrics, Log: ho.log,
 		Limits: sched.Limits{MaxLease: millis(se.MaxLeaseMS), StopTime: millis(se.StopMS), HarmAfter: millis(se.HarmMS), KeepEnded: seconds(se.KeepEndedS)},
 	})
 	wctx, end := context.WithCancel(ctx)
--- a/internal/sched/entry.go
+++ b/internal/sched/entry.go
@@ -13,6 +13,7 @@
 
 // entry is a job with what the owner knows of it besides.
 type entry struct {
+	ow *Owner
 	jo *job.Job
 	// order sorts jobs that are alike in all else.
 	order int64
@@ -189,7 +190,7 @@
 // judge returns the job's hope at a moment.
 func (en *entry) judge(now time.Time) hope {
 	// An endless task is worth something at any time.
-	if en.aimMS <= 0 || en.jo.Endless() {
+	if en.aimMS <= 0 || en.jo.Endless() || !en.ow.uses(MechHope) {
 		return inTime
 	}
 	done := now.Sub(en.acceptedAt).Milliseconds() + en.jo.RemainingMS()
@@ -210,17 +211,27 @@
 	for _, en := range ow.active {
 		en.hope, en.work = en.judge(now), en.jo.RemainingWork()
 	}
-	ow.rank(func(a, b *entry) int { return cmp.Compare(a.work, b.work) })
 	for _, en := range ow.active {
-		en.turn = en.rank
+		en.turn = math.MaxInt
 	}
-	ow.rank(func(a, b *entry) int { return cmp.Compare(a.order, b.order) })
-	for _, en := range ow.active {
-		en.turn = min(en.turn, bySizePerAge*en.rank)
+	if ow.uses(MechLeastWork) {
+		ow.takeTurns(1, func(a, b *entry) int { return cmp.Compare(a.work, b.work) })
+	}
+	if ow.uses(MechByAge) {
+		ow.takeTurns(bySizePerAge, func(a, b *entry) int { return cmp.Compare(a.order, b.order) })
 	}
 	slices.SortFunc(ow.active, compareEntries)
 }
 
+// takeTurns ranks the jobs, and gives each the turn of its rank, times every, if
+// it is earlier than the one it has.
+func (ow *Owner) takeTurns(every int, compare func(a, b *entry) int) {
+	ow.rank(compare)
+	for _, en := range ow.active {
+		en.turn = min(en.turn, every*en.rank)
+	}
+}
+
 // rank ranks each job among those of its priority and hope.
 func (ow *Owner) rank(compare func(a, b *entry) int) {
 	slices.SortFunc(ow.active, func(a, b *entry) int {
@@ -241,7 +252,7 @@
 // add enters a job.
 func (ow *Owner) add(jo *job.Job) *entry {
 	ow.seq++
-	en := &entry{jo: jo, order: ow.seq, aimMS: jo.AimMS(), turn: math.MaxInt, attempts: map[job.TaskRef]*attempt{}, acceptedAt: time.Now()}
+	en := &entry{ow: ow, jo: jo, order: ow.seq, aimMS: jo.AimMS(), turn: math.MaxInt, attempts: map[job.TaskRef]*attempt{}, acceptedAt: time.Now()}
 	ow.entries[jo.ID] = en
 	return en
 }
--- a/internal/sched/figures.go
+++ b/internal/sched/figures.go
@@ -146,9 +146,17 @@
 	ho.control(got)
 }
 
+// lookAhead is how far ahead of the figures control looks.
+func (ow *Owner) lookAhead() time.Duration {
+	if !ow.uses(MechTrend) {
+		return 0
+	}
+	return ahead
+}
+
 // excess is by how much a service's headroom is expected to be short of that at
 // the wanted part of its target, with the fillers as ordered.
 func (ho *host) excess(at *attempt, part float64) float64 {
-	left := at.replica.Alone(time.Now().Add(ahead)) - ho.ow.model.Load(at.step().Image, ho.expectedShares())
+	left := at.replica.Alone(time.Now().Add(ho.ow.lookAhead())) - ho.ow.model.Load(at.step().Image, ho.expectedShares())
 	return 1/part - left
 }
--- a/internal/sched/keep.go
+++ b/internal/sched/keep.go
@@ -13,7 +13,7 @@
 // chooses anew, and as a rule the same.
 func (pl *placer) keepRoom(en *entry, ref job.TaskRef) {
 	st := &en.jo.Spec.Steps[ref.Step]
-	if !st.Endless || pl.keeps > len(pl.hosts)/keepShare {
+	if !st.Endless || !pl.ow.uses(MechKeepRoom) || pl.keeps > len(pl.hosts)/keepShare {
 		return
 	}
 	var best *candidate
--- /dev/null
+++ b/internal/sched/mechanism_test.go
@@ -0,0 +1,49 @@
+package sched
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/pepperhatch/pepperhatch/internal/job"
+)
+
+func TestParseMechanisms(t *testing.T) {
+	t.Run("every name, alone and together", func(t *testing.T) {
+		var all Mechanism
+		names := ""
+		for _, en := range Mechanisms {
+			one, err := ParseMechanisms(en.Name)
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, one, qt.Equals, en.Mechanism)
+			qt.Assert(t, all&one, qt.Equals, Mechanism(0), qt.Commentf("%s shares a bit", en.Name))
+			all |= one
+			names += "," + en.Name
+		}
+		got, err := ParseMechanisms(names)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, got, qt.Equals, all)
+	})
+	t.Run("none", func(t *testing.T) {
+		got, err := ParseMechanisms("")
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, got, qt.Equals, Mechanism(0))
+	})
+	t.Run("an unknown name", func(t *testing.T) {
+		_, err := ParseMechanisms("apart,luck")
+		qt.Assert(t, err, qt.ErrorIs, ErrMechanism)
+	})
+}
+
+// TestSwitchedOff has a job that is too late for its caller, with and without
+// what tells it from others.
+func TestSwitchedOff(t *testing.T) {
+	ow := idleOwner(t)
+	en := addJob(ow, 1, job.Step{Tasks: 1, EstimateMS: 1000})
+	en.aimMS = 500
+	qt.Assert(t, en.judge(time.Now()), qt.Equals, late)
+	ow.Without = MechHope
+	qt.Assert(t, en.judge(time.Now()), qt.Equals, inTime)
+	qt.Assert(t, ow.uses(MechMove), qt.IsTrue)
+}
--- a/internal/sched/move.go
+++ b/internal/sched/move.go
@@ -25,7 +25,7 @@
 // moveHeld stops fillers that are held for the sake of services, if another
 // worker would welcome them; they go on there from their checkpoints.
 func (ow *Owner) moveHeld(now time.Time) {
-	if ow.storeDown() {
+	if !ow.uses(MechMove) || ow.storeDown() {
 		return
 	}
 	var pl *placer
--- a/internal/sched/owner.go
+++ b/internal/sched/owner.go
@@ -56,6 +56,8 @@
 	Agent worker.Agent
 	// Limits are the users'.
 	Limits Limits
+	// Without has the mechanisms that are switched off.
+	Without Mechanism
 	// Metrics counts.
 	Metrics *telemetry.Metrics
 	// Log gets decisions.
@@ -130,6 +132,7 @@
 		return err
 	}
 	ow.loadLearnt(ctx)
+	ow.model.Fixed = !ow.uses(MechPairs)
 	ow.Log.Info("cell loaded", "cell", ow.Cell, "epoch", ow.Tenure.Epoch, "jobs", len(ow.entries), "active", len(ow.active), "took", time.Since(ow.opened))
 	loaded()
 	ti := time.NewTicker(tickEvery)
--- a/internal/sched/pace.go
+++ b/internal/sched/pace.go
@@ -53,7 +53,7 @@
 		switch {
 		case at.stubborn(now):
 			ho.holdAll(fills, now)
-		case excess > 0:
+		case excess > 0 && ho.ow.uses(MechPace):
 			ho.slow(fills, at, excess, now)
 		}
 	}
@@ -65,7 +65,7 @@
 // stubborn reports whether the service has been over its target for long.
 func (at *attempt) stubborn(now time.Time) bool {
 	most := time.Duration(stubbornPart * float64(at.ho.ow.Limits.HarmAfter))
-	return !at.overSince.IsZero() && now.Sub(at.overSince) > most
+	return at.ho.ow.uses(MechHold) && !at.overSince.IsZero() && now.Sub(at.overSince) > most
 }
 
 // stubborn reports whether any service has been over its target for long.
@@ -185,7 +185,7 @@
 // easeIn slows a filler that just started to what the services beside it bear,
 // as its effect shows in their figures only half a second later.
 func (ho *host) easeIn(at *attempt, now time.Time) {
-	if !at.step().Filler {
+	if !at.step().Filler || !ho.ow.uses(MechPace) {
 		return
 	}
 	least := float64(fullPace)
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -154,7 +154,7 @@
 
 // patient reports whether the fillers of a job still wait for a good place.
 func (pl *placer) patient(en *entry) bool {
-	return pl.now.Sub(en.waitingSince) <= pl.patience
+	return pl.ow.uses(MechPatience) && pl.now.Sub(en.waitingSince) <= pl.patience
 }
 
 // hopeless reports whether no place was found in this round for a filler of
@@ -277,7 +277,14 @@
 			sameJob++
 		}
 	}
-	return imageWeight*balance(sameImage, all) + jobWeight*balance(sameJob, all)
+	sum := 0.0
+	if ca.ho.ow.uses(MechApart) {
+		sum += imageWeight * balance(sameImage, all)
+	}
+	if ca.ho.ow.uses(MechSiblings) {
+		sum += jobWeight * balance(sameJob, all)
+	}
+	return sum
 }
 
 // balance is the share of those that are alike less that of the others.
--- a/internal/sched/stall.go
+++ b/internal/sched/stall.go
@@ -32,7 +32,7 @@
 
 // stalled reports whether an attempt that should get on stands still.
 func (at *attempt) stalled(now time.Time) bool {
-	if at.step().Endless || at.still < stalledLooks || !at.halted.IsZero() {
+	if at.step().Endless || !at.ho.ow.uses(MechStall) || at.still < stalledLooks || !at.halted.IsZero() {
 		return false
 	}
 	part := time.Duration(stalledPart * float64(at.step().EstimateMS) * float64(time.Millisecond))
