--- /dev/null
+++ b/internal/lab/play.go
@@ -0,0 +1,233 @@
+package lab
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"time"
+
+	"github.com/pepperhatch/pepperhatch/internal/interfere"
+	"github.com/pepperhatch/pepperhatch/internal/job"
+	"github.com/pepperhatch/pepperhatch/internal/sched"
+	"github.com/pepperhatch/pepperhatch/internal/standin"
+	"github.com/pepperhatch/pepperhatch/internal/store"
+	"github.com/pepperhatch/pepperhatch/internal/tenure"
+	"github.com/pepperhatch/pepperhatch/internal/worker"
+)
+
+// Times of a play.
+const (
+	// warmUp is how long services run before batch jobs come, coolDown how long
+	// jobs may take after the last came.
+	warmUp   = 5 * time.Second
+	coolDown = 15 * time.Second
+	// advanceEvery is the time between two steps of the world.
+	advanceEvery = 50 * time.Millisecond
+)
+
+// Variant is a policy or a piece of knowledge to play.
+type Variant struct {
+	// Name names it in reports.
+	Name string
+	// Without has mechanisms that are switched off.
+	Without sched.Mechanism
+	// KnowsPairs gives the owner the true disturbance of all pairs, KnowsTimes
+	// true run times; Undisturbed has fillers disturb nothing.
+	KnowsPairs, KnowsTimes, Undisturbed bool
+}
+
+// Bounds are the real policy and what more knowledge would give.
+var Bounds = []Variant{
+	{Name: "real"},
+	{Name: "knows pairs", KnowsPairs: true},
+	{Name: "knows run times", KnowsTimes: true},
+	{Name: "told pairs", KnowsPairs: true, Without: sched.MechPairs},
+	{Name: "knows both", KnowsPairs: true, KnowsTimes: true},
+	{Name: "no disturbance", Undisturbed: true},
+}
+
+// play is one day under way.
+type play struct {
+	day   *day
+	va    Variant
+	table standin.Table
+	fleet standin.Fleet
+	began time.Time
+}
+
+// Play plays a day of the mix and returns what it came to. Call it where time is
+// virtual: it sleeps for the whole day.
+func Play(ctx context.Context, mi Mix, seed uint64, va Variant) (Result, error) {
+	pl := &play{day: drawDay(mi, seed), va: va, began: time.Now()}
+	if va.KnowsTimes {
+		pl.day.declareTrueTimes()
+	}
+	pl.fleet.World = pl.world(seed)
+	pl.fleet.RoomFunc = func(at worker.Attempt) worker.Resources { return pl.step(at).Reserved() }
+	pl.fleet.RunFunc = pl.run
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	ow, err := pl.own(ctx)
+	if err != nil {
+		return Result{}, err
+	}
+	go pl.advance(ctx)
+	pl.submitAll(ctx, ow)
+	time.Sleep(coolDown)
+	return pl.result(), nil
+}
+
+// declareTrueTimes has all jobs declare their true run times.
+func (da *day) declareTrueTimes() {
+	for _, dr := range da.jobs {
+		dr.spec = dr.trueJob().Spec
+	}
+}
+
+// world is how tasks disturb each other.
+func (pl *play) world(seed uint64) *standin.World {
+	return &standin.World{
+		StepFunc: pl.step,
+		DropFunc: func(service, filler string) float64 {
+			if pl.va.Undisturbed {
+				return 0
+			}
+			return pl.day.drops[interfere.Pair{Service: service, Filler: filler}]
+		},
+		LoadFunc: func(at worker.Attempt, now time.Time) float64 {
+			id, _, _ := job.ParseTaskID(at.Task)
+			return pl.day.load(pl.day.byID[id], now.Sub(pl.began))
+		},
+		Most: pl.day.mix.Services.Headroom, Rough: pl.day.mix.Rough, Rng: rand.New(rand.NewPCG(seed, 2)),
+	}
+}
+
+// step is what a task is.
+func (pl *play) step(at worker.Attempt) *job.Step {
+	id, ref, _ := job.ParseTaskID(at.Task)
+	return &pl.day.byID[id].spec.Steps[ref.Step]
+}
+
+// run is how long a task runs; services have no end.
+func (pl *play) run(at worker.Attempt) (time.Duration, string) {
+	id, ref, _ := job.ParseTaskID(at.Task)
+	dr := pl.day.byID[id]
+	if dr.spec.Steps[ref.Step].Endless {
+		return -1, ""
+	}
+	return time.Duration(dr.runMS[ref.Step]) * time.Millisecond, "done"
+}
+
+// workers enters the workers and returns the list of them.
+func (pl *play) workers() []sched.Listed {
+	mi := &pl.day.mix
+	var list []sched.Listed
+	for i := range mi.Workers {
+		holds := worker.Resources{MilliCores: mi.MilliCores, MemMB: mi.MemMB}
+		if i%3 == 2 {
+			holds = worker.Resources{MilliCores: mi.MilliCores * 3 / 2, MemMB: mi.MemMB * 3 / 2}
+		}
+		ad := worker.Addr{HostPort: fmt.Sprintf("10.0.%d.%d:80", i/250, i%250), Incarnation: fmt.Sprintf("i-%03d", i)}
+		pl.fleet.Add(&standin.FleetWorker{Addr: ad, Holds: holds})
+		rack := fmt.Sprintf("r%d", i/8)
+		list = append(list, sched.Listed{Addr: ad, Service: service, Rack: rack, Labels: []string{"a", rack}, Holds: holds})
+	}
+	return list
+}
+
+// ownerKey is the row that says who owns the cell.
+const ownerKey = "cells/c0/owner"
+
+// own starts the owner of the cell.
+func (pl *play) own(ctx context.Context) (*sched.Owner, error) {
+	txn, err := store.NewTxn().WithPut(ownerKey, 0, tenure.OwnerRow{Owner: "host", Epoch: 1})
+	if err != nil {
+		return nil, err
+	}
+	version, err := pl.table.Client().Commit(ctx, txn)
+	if err != nil {
+		return nil, fmt.Errorf("claim the cell: %w", err)
+	}
+	if err := pl.tellPairs(ctx); err != nil {
+		return nil, err
+	}
+	te := tenure.Tenure{Epoch: 1, Key: ownerKey, Version: version, FormerEnded: time.Now, Confirmed: time.Now, Renounce: func(error) {}}
+	ow := sched.New(&sched.Owner{
+		Cell: "c0", Tenure: te, Table: pl.table.Client(), Agent: pl.fleet.Agent(), Log: slog.New(slog.DiscardHandler), Without: pl.va.Without,
+		Limits: sched.Limits{MaxLease: 10 * time.Second, StopTime: 900 * time.Millisecond, HarmAfter: 4 * time.Second, KeepEnded: 2 * time.Minute},
+	})
+	loaded := make(chan struct{})
+	ended := make(chan error, 1)
+	go func() { ended <- ow.Run(ctx, func() { close(loaded) }) }()
+	select {
+	case <-loaded:
+	case err := <-ended:
+		return nil, fmt.Errorf("owner ended: %w", err)
+	}
+	ow.SetWorkers(pl.workers(), nil, true)
+	return ow, nil
+}
+
+// tellPairs writes the true disturbance of all pairs where a former owner would
+// have written what it learnt.
+func (pl *play) tellPairs(ctx context.Context) error {
+	if !pl.va.KnowsPairs {
+		return nil
+	}
+	var row struct {
+		Pairs []interfere.Learnt `json:"pairs"`
+	}
+	for pa, drop := range pl.day.drops {
+		row.Pairs = append(row.Pairs, interfere.Learnt{Pair: pa, Drop: drop})
+	}
+	value, err := json.Marshal(row)
+	if err != nil {
+		return fmt.Errorf("encode pairs: %w", err)
+	}
+	txn := store.NewTxn()
+	txn.Puts = []store.Put{{Key: sched.LearntTable + "/c0/pairs", Value: value}}
+	if _, err := pl.table.Client().Commit(ctx, txn); err != nil {
+		return fmt.Errorf("tell pairs: %w", err)
+	}
+	return nil
+}
+
+// advance lets time pass in the world.
+func (pl *play) advance(ctx context.Context) {
+	ti := time.NewTicker(advanceEvery)
+	defer ti.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ti.C:
+			pl.fleet.Advance(advanceEvery)
+		}
+	}
+}
+
+// submitAll hands the jobs in at their times.
+func (pl *play) submitAll(ctx context.Context, ow *sched.Owner) {
+	time.Sleep(time.Second)
+	for _, dr := range pl.day.jobs {
+		if dr.batch == nil {
+			pl.submit(ctx, ow, dr)
+		}
+	}
+	time.Sleep(warmUp)
+	start := time.Now()
+	for _, dr := range pl.day.jobs {
+		if dr.batch != nil {
+			dr.at += start.Sub(pl.began)
+			time.AfterFunc(time.Until(pl.began.Add(dr.at)), func() { pl.submit(ctx, ow, dr) })
+		}
+	}
+	time.Sleep(time.Duration(pl.day.mix.Seconds) * time.Second)
+}
+
+// submit hands a job in; one that is not taken counts as never done.
+func (pl *play) submit(ctx context.Context, ow *sched.Owner, dr *drawn) {
+	_, _ = ow.Submit(ctx, dr.id, dr.terms, dr.spec)
+}
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -24,6 +26,9 @@
 	// Seen is set once the owner acknowledged the end, unless the worker's
 	// leases had lapsed in between: the owner may then have given it up.
 	Seen bool
+	// Served is how long it served in a [World]; OverByFillers and OverAlone are
+	// how long it was over its target, through fillers and by its own load.
+	Served, OverByFillers, OverAlone time.Duration
 
 	lapsed bool
 }
@@ -34,6 +39,8 @@
 	// RunFunc returns how long a task works and how it then ends; a negative
 	// time is endless.
 	RunFunc func(at worker.Attempt) (time.Duration, string)
+	// World has tasks disturb each other, if set.
+	World *World
 	// RoomFunc returns what a task takes of a worker's room.
 	RoomFunc func(at worker.Attempt) worker.Resources
 
@@ -76,6 +83,15 @@
 	takes  worker.Resources
 	timer  *time.Timer
 	target time.Duration
+	how    string
+	// worked is how much of target a filler has worked in a world, used the
+	// processor time it gets, usage its rough figure, and pace what it was told,
+	// if it was.
+	worked time.Duration
+	used   float64
+	usage  int64
+	pace   int
+	paced  bool
 }
 
 // Add adds a worker.
@@ -267,11 +283,15 @@
 	}
 	ru := &FleetRun{Attempt: la.Attempt, Worker: fw.Addr.Incarnation, Payload: la.Payload, Checkpoint: la.Checkpoint, From: time.Now()}
 	fw.fl.runs = append(fw.fl.runs, ru)
-	ta := &fleetTask{run: ru, takes: takes, target: work}
+	ta := &fleetTask{run: ru, takes: takes, target: work, how: how}
 	fw.running[la.Task] = ta
 	if work < 0 {
 		return
 	}
+	if wo := fw.fl.World; wo != nil && wo.StepFunc(la.Attempt).Filler {
+		ta.worked = resumed(la.Checkpoint)
+		return
+	}
 	ta.timer = time.AfterFunc(work, func() {
 		fw.fl.mu.Lock()
 		defer fw.fl.mu.Unlock()
@@ -299,13 +319,29 @@
 
 // checkpoint names how far a run came, in whole seconds.
 func (ta *fleetTask) checkpoint() string {
+	if ta.worked > 0 {
+		return fmt.Sprintf("%s@%d", ta.run.Task, ta.worked.Milliseconds())
+	}
 	return fmt.Sprintf("%s@%d", ta.run.Task, int(time.Since(ta.run.From).Seconds()))
 }
 
+// resumed is how far a filler in a world had come by a checkpoint.
+func resumed(checkpoint string) time.Duration {
+	_, ms, _ := strings.Cut(checkpoint, "@")
+	n, err := strconv.Atoi(ms)
+	if err != nil {
+		return 0
+	}
+	return time.Duration(n) * time.Millisecond
+}
+
 func (ta *fleetTask) percent() int {
 	if ta.target <= 0 {
 		return 100
 	}
+	if ta.worked > 0 {
+		return int(min(100*ta.worked/ta.target, 99))
+	}
 	return int(min(100*time.Since(ta.run.From)/ta.target, 99))
 }
 
@@ -324,6 +360,9 @@
 	if fw.fenced(pa.Fence) {
 		return fw.ack(), worker.ErrFenced
 	}
+	if ta := fw.running[pa.Task]; ta != nil && ta.run.Number == pa.Number {
+		ta.pace, ta.paced = pa.Percent, true
+	}
 	return fw.ack(), nil
 }
 
@@ -374,7 +413,7 @@
 	defer fw.fl.mu.Unlock()
 	si := worker.Sight{ClockMS: fw.clock(), Ended: append([]worker.EndedAttempt(nil), fw.ended...)}
 	for _, ta := range fw.running {
-		si.Running = append(si.Running, worker.RunningAttempt{Attempt: ta.run.Attempt, Checkpoint: ta.checkpoint(), Percent: ta.percent()})
+		si.Running = append(si.Running, worker.RunningAttempt{Attempt: ta.run.Attempt, Checkpoint: ta.checkpoint(), Percent: ta.percent(), Usage: ta.usage})
 	}
 	return si
 }
