--- a/internal/sched/entry.go
+++ b/internal/sched/entry.go
@@ -1,7 +1,6 @@
 package sched
 
 import (
-	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -73,48 +72,6 @@
 	return tr
 }
 
-// attempt is what the owner knows of an attempt that runs, or may.
-type attempt struct {
-	ref    job.TaskRef
-	number int
-	ho     *host
-	// en is its job.
-	en *entry
-	// launched is when the worker acknowledged the order, or zero.
-	launched time.Time
-	// inherited is set if a former owner ordered it.
-	inherited bool
-	// settling is set while it is found out what became of an order without
-	// an answer.
-	settling bool
-	// halted is when an order to stop it was last sent, or zero.
-	halted time.Time
-	// percent is how far it has come, usage the last figure.
-	percent int
-	usage   int64
-	// movedAt is when it was last seen to get on, still counts the looks since.
-	movedAt time.Time
-	still   int
-	// replica is what was learnt of a service.
-	replica interfere.Replica
-	// overSince is since when a service is over its target.
-	overSince time.Time
-	// overLast is when it last was.
-	overLast time.Time
-	// pace is the share of its speed that it was told, in per cent, or
-	// unknownPace.
-	pace int
-	// pacing is set while an order to set the pace is under way.
-	pacing bool
-	// heldSince is since when a filler's pace is so low that it hardly works.
-	heldSince time.Time
-	// pacedAt is when its pace last changed.
-	pacedAt time.Time
-	// uses is the part of its declared processor time that a filler uses at full
-	// speed, or 0 if that is not known.
-	uses float64
-}
-
 // touch notes that a job has changed: it is to be written, and its waiting
 // tasks are counted anew.
 func (ow *Owner) touch(en *entry) {
@@ -162,93 +119,6 @@
 	return n
 }
 
-// compareEntries sorts by priority, then by hope, then by turn.
-func compareEntries(a, b *entry) int {
-	return cmp.Or(compareGroups(a, b), cmp.Compare(a.turn, b.turn), cmp.Compare(a.order, b.order))
-}
-
-// compareGroups sorts by priority, then by hope.
-func compareGroups(a, b *entry) int {
-	return cmp.Or(cmp.Compare(a.jo.Terms.Priority, b.jo.Terms.Priority), cmp.Compare(a.hope, b.hope))
-}
-
-// hope says what a job is still worth to its caller. Where there is too little
-// room for all, those that can be in time go before those that cannot.
-type hope int8
-
-// The degrees of hope.
-const (
-	inTime hope = iota
-	late
-	tooLate
-)
-
-// lateMost is how many times its aim a job may take and still be worth
-// something, as the users state it.
-const lateMost = 3
-
-// judge returns the job's hope at a moment.
-func (en *entry) judge(now time.Time) hope {
-	// An endless task is worth something at any time.
-	if en.aimMS <= 0 || en.jo.Endless() || !en.ow.uses(MechHope) {
-		return inTime
-	}
-	done := now.Sub(en.acceptedAt).Milliseconds() + en.jo.RemainingMS()
-	switch {
-	case done <= en.aimMS:
-		return inTime
-	case done <= lateMost*en.aimMS:
-		return late
-	}
-	return tooLate
-}
-
-// sortActive sorts the jobs that wait by what is known of them now. With too
-// little room for all, more jobs are in time if the small ones go first and those
-// that have begun are finished; but large ones must not starve. So two take their
-// turn by the work that is left for one that does by its age.
-func (ow *Owner) sortActive(now time.Time) {
-	for _, en := range ow.active {
-		en.hope, en.work = en.judge(now), en.jo.RemainingWork()
-	}
-	for _, en := range ow.active {
-		en.turn = math.MaxInt
-	}
-	if ow.uses(MechLeastWork) {
-		ow.takeTurns(1, func(a, b *entry) int { return cmp.Compare(a.work, b.work) })
-	}
-	if ow.uses(MechByAge) {
-		ow.takeTurns(bySizePerAge, func(a, b *entry) int { return cmp.Compare(a.order, b.order) })
-	}
-	slices.SortFunc(ow.active, compareEntries)
-}
-
-// takeTurns ranks the jobs, and gives each the turn of its rank, times every, if
-// it is earlier than the one it has.
-func (ow *Owner) takeTurns(every int, compare func(a, b *entry) int) {
-	ow.rank(compare)
-	for _, en := range ow.active {
-		en.turn = min(en.turn, every*en.rank)
-	}
-}
-
-// rank ranks each job among those of its priority and hope.
-func (ow *Owner) rank(compare func(a, b *entry) int) {
-	slices.SortFunc(ow.active, func(a, b *entry) int {
-		return cmp.Or(compareGroups(a, b), compare(a, b), cmp.Compare(a.order, b.order))
-	})
-	for i, en := range ow.active {
-		en.rank = 0
-		if i > 0 && compareGroups(ow.active[i-1], en) == 0 {
-			en.rank = ow.active[i-1].rank + 1
-		}
-	}
-}
-
-// bySizePerAge is how many jobs take their turn by size for one that does by
-// age: with none by age the largest tenth was served under half as often as all.
-const bySizePerAge = 2
-
 // add enters a job.
 func (ow *Owner) add(jo *job.Job) *entry {
 	ow.seq++
--- a/internal/sched/host.go
+++ b/internal/sched/host.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/pepperhatch/pepperhatch/internal/job"
@@ -305,7 +306,7 @@
 	for _, ho := range ow.hosts {
 		list = append(list, ho)
 	}
-	slices.SortFunc(list, func(a, b *host) int { return compareStrings(a.incarnation, b.incarnation) })
+	slices.SortFunc(list, func(a, b *host) int { return strings.Compare(a.incarnation, b.incarnation) })
 	ow.sorted = list
 	return list
 }
--- a/internal/sched/pace.go
+++ b/internal/sched/pace.go
@@ -5,6 +5,7 @@
 	"context"
 	"math"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/pepperhatch/pepperhatch/internal/interfere"
@@ -112,7 +113,7 @@
 // tail should be gone.
 func (ho *host) slow(fills []*attempt, service *attempt, excess float64, now time.Time) {
 	slices.SortFunc(fills, func(a, b *attempt) int {
-		return cmp.Or(cmp.Compare(ho.harm(b, service), ho.harm(a, service)), compareStrings(taskID(a), taskID(b)))
+		return cmp.Or(cmp.Compare(ho.harm(b, service), ho.harm(a, service)), strings.Compare(taskID(a), taskID(b)))
 	})
 	removable := 0.0
 	for _, at := range fills {
@@ -166,7 +167,7 @@
 		return most
 	}
 	slices.SortFunc(fills, func(a, b *attempt) int {
-		return cmp.Or(cmp.Compare(worst(a), worst(b)), compareStrings(taskID(a), taskID(b)))
+		return cmp.Or(cmp.Compare(worst(a), worst(b)), strings.Compare(taskID(a), taskID(b)))
 	})
 	for _, at := range fills {
 		more := float64(fullPace-at.speed()) / fullPace
