--- a/internal/sched/order.go
+++ b/internal/sched/order.go
@@ -54,7 +54,7 @@
 // turn by the work that is left for one that does by its age.
 func (ow *Owner) sortActive(now time.Time) {
 	for _, en := range ow.active {
-		en.hope, en.work = en.judge(now), en.jo.RemainingWork()
+		en.hope, en.work = en.judge(now), en.remainingWork()
 	}
 	for _, en := range ow.active {
 		en.turn = math.MaxInt
@@ -68,6 +68,16 @@
 	slices.SortFunc(ow.active, compareEntries)
 }
 
+// remainingWork is the work that is left of the job. That of endless tasks has no
+// end, so among jobs of a priority they take their turn by age: a short task that
+// waits behind them is late, while they lose as much as they wait.
+func (en *entry) remainingWork() int64 {
+	if en.jo.Endless() {
+		return math.MaxInt64
+	}
+	return en.jo.RemainingWork()
+}
+
 // takeTurns ranks the jobs, and gives each the turn of its rank, times every, if
 // it is earlier than the one it has.
 func (ow *Owner) takeTurns(every int, compare func(a, b *entry) int) {
--- a/internal/sched/place_test.go
+++ b/internal/sched/place_test.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"fmt"
 	"log/slog"
 	"testing"
 	"testing/synctest"
@@ -8,6 +9,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/pepperhatch/pepperhatch/internal/interfere"
 	"github.com/pepperhatch/pepperhatch/internal/job"
 	"github.com/pepperhatch/pepperhatch/internal/standin"
 	"github.com/pepperhatch/pepperhatch/internal/worker"
@@ -75,6 +77,64 @@
 	})
 }
 
+// learnt returns a model that knows the drops of two images of services beside
+// the fillers f0, f1 and so on.
+func learnt(one, other []float64) interfere.Model {
+	var list []interfere.Learnt
+	for image, drops := range map[string][]float64{"one": one, "other": other} {
+		for i, drop := range drops {
+			list = append(list, interfere.Learnt{Pair: interfere.Pair{Service: image, Filler: fmt.Sprint("f", i)}, Drop: drop})
+		}
+	}
+	return interfere.FromLearnt(list)
+}
+
+// TestImagesThatSufferAlike has a worker with a service of another image and an
+// empty one: the service joins the other if the same fillers are bad for both.
+func TestImagesThatSufferAlike(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		model interfere.Model
+		want  string
+	}{
+		{"alike", learnt([]float64{11, 0, 1, 10}, []float64{10, 1, 0, 12}), "other"},
+		{"unlike", learnt([]float64{11, 0, 1, 10}, []float64{1, 10, 11, 0}), "empty"},
+		{"too little known", learnt([]float64{11, 0}, []float64{11, 0}), "empty"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ow := idleOwner(t)
+				ow.model = tc.model
+				emptyHost(ow, "empty")
+				other := emptyHost(ow, "other")
+				other.put(&attempt{ho: other, en: addJob(ow, 1, serviceStep(1, "other")), number: 1})
+				ca, _ := ow.newPlacer().pick(addJob(ow, 2, serviceStep(1, "one")), job.TaskRef{})
+				qt.Assert(t, ca.ho.incarnation, qt.Equals, tc.want)
+			})
+		})
+	}
+}
+
+// TestShortTasksBeforeEndless has an endless job and short ones, the endless one
+// handed in after the first: it takes its turn by age alone.
+func TestShortTasksBeforeEndless(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ow := idleOwner(t)
+		short := job.Step{Tasks: 2, Each: worker.Resources{MilliCores: 3000}, EstimateMS: 1000}
+		ow.touch(addJob(ow, 1, short))
+		ow.touch(addJob(ow, 2, serviceStep(9, "s")))
+		for n := range 3 {
+			ow.touch(addJob(ow, n+3, short))
+		}
+		ow.sortActive(time.Now())
+		var order []int
+		for _, en := range ow.active {
+			order = append(order, en.jo.Spec.Steps[0].Tasks)
+		}
+		qt.Assert(t, order, qt.DeepEquals, []int{2, 2, 9, 2, 2})
+	})
+}
+
 // TestFullerWorkerFirst has a short task for two workers of different sizes: it
 // goes where the smaller share is free, although more is.
 func TestFullerWorkerFirst(t *testing.T) {
