Count images of services that suffer alike as one

Change: how alike two images are, by the drops learnt of both, takes the place of same or not. Worked out once a round.

--- a/internal/interfere/interfere.go
+++ b/internal/interfere/interfere.go
@@ -99,6 +99,40 @@
 	return es
 }
 
+// The numbers of likeness.
+const (
+	// alikePairs is how many fillers must be known beside both services, and
+	// alikeVar the most variance of a drop that is known.
+	alikePairs = 3
+	alikeVar   = 2
+	// alikeDrop is the mean difference of drops at which images are neither alike
+	// nor unlike: harmless pairs were seen to differ by up to 2.
+	alikeDrop = 2
+)
+
+// Alike rates how alike the images of two services suffer from fillers: 1 if all
+// drops are the same, 0 if they differ by alikeDrop, -1 if by far more. Too little
+// known of either counts as unlike.
+func (mo *Model) Alike(a, b string) float64 {
+	if a == b {
+		return 1
+	}
+	n, sum := 0, 0.0
+	for pa, es := range mo.pairs {
+		if pa.Service != a || es.variance > alikeVar {
+			continue
+		}
+		if other := mo.pairs[Pair{Service: b, Filler: pa.Filler}]; other != nil && other.variance <= alikeVar {
+			n++
+			sum += math.Abs(es.mean - other.mean)
+		}
+	}
+	if n < alikePairs {
+		return -1
+	}
+	return max(1-sum/float64(n)/alikeDrop, -1)
+}
+
 // Learnt is what was learnt of a pair, to be kept.
 type Learnt struct {
 	Pair
--- a/internal/sched/mechanism.go
+++ b/internal/sched/mechanism.go
@@ -20,6 +20,8 @@
 	MechHandOn
 	// MechApart keeps services of different images on different workers.
 	MechApart
+	// MechAlike counts images that were seen to suffer alike as one.
+	MechAlike
 	// MechSiblings places replicas of one step side by side.
 	MechSiblings
 	// MechLeastWork has jobs with least work left go first.
@@ -56,6 +58,7 @@
 	{MechPairs, "pairs", "learns how much each filler's image disturbs each service's"},
 	{MechHandOn, "hand-on", "keeps what was learnt of pairs for the next owner"},
 	{MechApart, "apart", "keeps services of different images on different workers"},
+	{MechAlike, "alike", "counts images of services that were seen to suffer alike as one"},
 	{MechSiblings, "siblings", "places replicas of one step side by side"},
 	{MechLeastWork, "least-work", "has jobs with least work left go first"},
 	{MechByAge, "by-age", "has every third job take its turn by age"},
--- a/internal/sched/owner.go
+++ b/internal/sched/owner.go
@@ -93,6 +93,8 @@
 	opened  time.Time
 	// model is what was learnt of fillers and services.
 	model interfere.Model
+	// likeness has what was worked out in this round of placement.
+	likeness map[imagePair]float64
 	// saved is when what was learnt was last written, saving is set while it is.
 	saved  time.Time
 	saving bool
@@ -120,6 +122,7 @@
 	ow.hosts = map[string]*host{}
 	ow.byAddr = map[string]*host{}
 	ow.orphans = map[string]int{}
+	ow.likeness = map[imagePair]float64{}
 	return ow
 }
 
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -29,6 +29,7 @@
 // newPlacer begins a round of placement.
 func (ow *Owner) newPlacer() *placer {
 	pl := &placer{ow: ow, now: time.Now()}
+	clear(ow.likeness)
 	var reserved, holds int64
 	for _, ho := range ow.sortedHosts() {
 		if !ho.usable(pl.now) {
--- a/internal/sched/rate.go
+++ b/internal/sched/rate.go
@@ -24,34 +24,53 @@
 	return score - float64(ca.ho.failures)*doubtPenalty
 }
 
-// kinship rates the company that an endless task would have. A filler disturbs
-// some images badly and others hardly, so it finds a good place more easily if a
-// worker has few of them. Replicas of one step share their load, so side by side
-// they leave room to fillers at the same time.
+// kinship rates the company that an endless task would have. A filler must suit
+// every service on its worker, so it finds a place more easily if a worker's
+// services suffer alike: those of one image do, and others may be seen to. Replicas
+// of one step share their load, so side by side they leave room to fillers at the
+// same time.
 func (ca *candidate) kinship(en *entry, image string) float64 {
-	all := len(ca.ho.services)
+	ow, all := ca.ho.ow, len(ca.ho.services)
 	if all == 0 {
 		return 0
 	}
-	sameImage, sameJob := 0, 0
+	alike, sameJob := 0.0, 0
 	for _, at := range ca.ho.services {
-		if at.step().Image == image {
-			sameImage++
-		}
+		alike += ow.alike(image, at.step().Image)
 		if at.en == en {
 			sameJob++
 		}
 	}
 	sum := 0.0
-	if ca.ho.ow.uses(MechApart) {
-		sum += imageWeight * balance(sameImage, all)
+	if ow.uses(MechApart) {
+		sum += imageWeight * alike / float64(all)
 	}
-	if ca.ho.ow.uses(MechSiblings) {
+	if ow.uses(MechSiblings) {
 		sum += jobWeight * balance(sameJob, all)
 	}
 	return sum
 }
 
+// imagePair is two images of services.
+type imagePair struct{ a, b string }
+
+// alike rates how alike two images of services suffer from fillers, from -1 to 1.
+// It is worked out once a round of placement.
+func (ow *Owner) alike(a, b string) float64 {
+	switch {
+	case a == b:
+		return 1
+	case !ow.uses(MechAlike):
+		return -1
+	}
+	pa := imagePair{a, b}
+	if known, ok := ow.likeness[pa]; ok {
+		return known
+	}
+	ow.likeness[pa] = ow.model.Alike(a, b)
+	return ow.likeness[pa]
+}
+
 // balance is the share of those that are alike less that of the others.
 func balance(alike, all int) float64 { return float64(2*alike-all) / float64(all) }
 
