Replace an owner that the store refuses as soon as one that does not answer

Change: a host that is asked says besides whether the store refused its last two heartbeats; such an owner is replaced after 1.7 s, as one that cannot be reached. One lost heartbeat, or a slow store, does not count: TestOwnerThatAnswersIsLeftInPeace stands as it was. Claims stay conditional writes, so nothing rests on what the host says. Test: TestOwnerRefusedByTheStore (failed before). AskFunc returns what a host says of itself, so two tests' fakes changed type.

--- a/internal/door/peer.go
+++ b/internal/door/peer.go
@@ -6,6 +6,7 @@
 	"net/http"
 
 	"github.com/pepperhatch/pepperhatch/internal/sched"
+	"github.com/pepperhatch/pepperhatch/internal/tenure"
 	"github.com/pepperhatch/pepperhatch/internal/wire"
 )
 
@@ -50,7 +51,8 @@
 	}))
 	mux.Handle("POST "+pathProcess, wire.Handle(func(_ context.Context, req replacement) (processReply, error) {
 		do.Keeper.Replaced(req.Epoch)
-		return processReply{Process: do.Keeper.Process}, nil
+		li := do.Keeper.Life()
+		return processReply{Process: li.Process, Refused: li.Refused}, nil
 	}))
 	return mux
 }
@@ -60,15 +62,18 @@
 	Epoch int64 `json:"epoch"`
 }
 
-// processReply names the host's process.
+// processReply names the host's process, and says whether the store refuses its
+// heartbeats as an owner.
 type processReply struct {
 	Process string `json:"process"`
+	Refused bool   `json:"refused,omitempty"`
 }
 
-// Ask tells the entry host at addr of a new owner and returns its process.
-func (do *Door) Ask(ctx context.Context, addr string, epoch int64) (string, error) {
+// Ask tells the entry host at addr of a new owner and returns what it says of
+// itself.
+func (do *Door) Ask(ctx context.Context, addr string, epoch int64) (tenure.Life, error) {
 	re, err := wire.Post[replacement, processReply](ctx, do.Peers, "http://"+addr+pathProcess, replacement{Epoch: epoch})
-	return re.Process, err
+	return tenure.Life{Process: re.Process, Refused: re.Refused}, err
 }
 
 // handle serves one kind of request on the cell's owner.
--- a/internal/tenure/former.go
+++ b/internal/tenure/former.go
@@ -44,11 +44,11 @@
 	}
 	for {
 		actx, cancel := context.WithTimeout(ctx, askEvery)
-		process, err := fo.ke.AskFunc(actx, fo.row.Addr, fo.epoch)
+		li, err := fo.ke.AskFunc(actx, fo.row.Addr, fo.epoch)
 		cancel()
 		switch {
 		case err != nil:
-		case process == fo.row.Process:
+		case li.Process == fo.row.Process:
 			fo.ended("it was told of its replacement")
 			return
 		default:
--- a/internal/tenure/heart.go
+++ b/internal/tenure/heart.go
@@ -27,6 +27,8 @@
 }
 
 func (he *heart) run(ctx context.Context) {
+	// The claim was just written.
+	he.ke.noteBeat(true)
 	for n := int64(1); ; n++ {
 		cctx, cancel := context.WithTimeout(ctx, callTimeout)
 		_, err := he.ke.Table.CommitFunc(cctx, he.beat(n))
@@ -34,12 +36,24 @@
 		if err != nil && ctx.Err() == nil {
 			he.ke.Log.Warn("heartbeat not written", "cell", he.ke.Cell, "epoch", he.epoch, "n", n, "err", err)
 		}
+		he.ke.noteBeat(err == nil)
 		if !clock.Sleep(ctx, BeatEvery) {
 			return
 		}
 	}
 }
 
+// noteBeat notes whether a heartbeat was written.
+func (ke *Keeper) noteBeat(written bool) {
+	ke.mu.Lock()
+	defer ke.mu.Unlock()
+	if written {
+		ke.missed = 0
+		return
+	}
+	ke.missed++
+}
+
 // beat returns the write of a heartbeat. It has no condition: it names its
 // epoch, and one that is of a former owner, or comes late, tells nobody
 // anything.
--- a/internal/tenure/probe.go
+++ b/internal/tenure/probe.go
@@ -16,8 +16,26 @@
 	// UnreachableAfter replaces SilentAfter when the owner's host neither writes
 	// heartbeats nor answers.
 	UnreachableAfter = suspectAfter + probeTimeout
+	// missedMost is how many heartbeats in a row an owner fails to write before it
+	// says that the store refuses it: one may fail while the store is slow.
+	missedMost = 2
 )
 
+// Life is what a host says of itself when it is asked.
+type Life struct {
+	// Process is the host's process.
+	Process string
+	// Refused is set if the store refused its last heartbeats as an owner.
+	Refused bool
+}
+
+// Life returns what this host says of itself.
+func (ke *Keeper) Life() Life {
+	ke.mu.Lock()
+	defer ke.mu.Unlock()
+	return Life{Process: ke.Process, Refused: ke.missed >= missedMost}
+}
+
 // probe asks a silent owner's host, once in a silence, whether the owner's
 // process lives.
 func (ke *Keeper) probe(ctx context.Context) {
@@ -34,9 +52,9 @@
 func (ke *Keeper) ask(ctx context.Context, row OwnerRow) {
 	actx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	process, err := ke.AskFunc(actx, row.Addr, row.Epoch)
-	ke.Log.Info("asked a silent owner's host", "cell", ke.Cell, "owner", row.Owner, "epoch", row.Epoch, "process", process, "err", err)
-	if err == nil && process == row.Process {
+	li, err := ke.AskFunc(actx, row.Addr, row.Epoch)
+	ke.Log.Info("asked a silent owner's host", "cell", ke.Cell, "owner", row.Owner, "epoch", row.Epoch, "process", li.Process, "refused", li.Refused, "err", err)
+	if err == nil && li.Process == row.Process && !li.Refused {
 		return
 	}
 	ke.mu.Lock()
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -134,7 +134,7 @@
 	Serve func(ctx context.Context, te Tenure) (silentMS map[string]int64, err error)
 	// AskFunc tells the host at addr that the cell has a new owner, and returns
 	// its process.
-	AskFunc func(ctx context.Context, addr string, epoch int64) (process string, err error)
+	AskFunc func(ctx context.Context, addr string, epoch int64) (Life, error)
 	// Log gets events.
 	Log *slog.Logger
 
@@ -146,12 +146,15 @@
 	beatSeen time.Time
 	refused  bool
 	// probed is set once the owner's host was asked in this silence, unreachable
-	// if it did not answer, or another process did.
+	// if it did not answer, or the store refuses it.
 	probed      bool
 	unreachable bool
-	stopping    bool
-	end         context.CancelCauseFunc
-	watch       watch.Watch
+	// missed counts the heartbeats that this host, as the owner, failed to write
+	// since the last one that it wrote.
+	missed   int
+	stopping bool
+	end      context.CancelCauseFunc
+	watch    watch.Watch
 	// yields counts the tenures left to larger hosts.
 	yields int
 }
--- a/internal/tenure/tenure_test.go
+++ b/internal/tenure/tenure_test.go
@@ -83,16 +83,16 @@
 	}
 }
 
-func (ra *race) ask(_ context.Context, addr string, epoch int64) (string, error) {
+func (ra *race) ask(_ context.Context, addr string, epoch int64) (Life, error) {
 	ra.mu.Lock()
 	defer ra.mu.Unlock()
 	for _, ri := range ra.hosts {
 		if ri.keeper.Addr == addr && ri.end != nil && !ri.dark {
 			ri.keeper.Replaced(epoch)
-			return ri.keeper.Process, nil
+			return ri.keeper.Life(), nil
 		}
 	}
-	return "", errors.New("nobody there")
+	return Life{}, errors.New("nobody there")
 }
 
 func (ri *rival) serve(ctx context.Context, te Tenure) (map[string]int64, error) {
@@ -213,6 +213,18 @@
 	})
 }
 
+// TestOwnerRefusedByTheStore has the store refuse the owner alone, whose host says
+// so when asked.
+func TestOwnerRefusedByTheStore(t *testing.T) {
+	raceOf(t, 3, func(ra *race) {
+		first := ra.owner()
+		first.gate.Set(standin.Fault{Mode: standin.ModeDown})
+		time.Sleep(SilentAfter - BeatEvery - 200*time.Millisecond)
+		qt.Assert(t, ra.owner(), qt.Not(qt.Equals), first)
+		qt.Assert(t, len(ra.tenures()), qt.Equals, 2)
+	})
+}
+
 // TestOwnerThatAnswersIsLeftInPeace has an owner whose heartbeats stay away for
 // a while, as on a slow store, while its host answers.
 func TestOwnerThatAnswersIsLeftInPeace(t *testing.T) {
