Write jobs in the place of an owner that the store refuses

Change: a host that the store answers writes such a job to the intake itself, as it does when the owner cannot be reached; the owner's refusal is definite, so the answer stays true either way. If the store does not take it the host refuses for a second without trying, so an outage for all costs one try. Test: TestOwnerThatTheStoreRefuses (failed before).

--- a/internal/door/cut_test.go
+++ b/internal/door/cut_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"os"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -73,3 +75,45 @@
 		qt.Assert(t, ha.submit().Outcome, qt.Equals, sched.Unknown)
 	})
 }
+
+// roundTrip is a way to other hosts.
+type roundTrip func(*http.Request) (*http.Response, error)
+
+func (rt roundTrip) RoundTrip(re *http.Request) (*http.Response, error) { return rt(re) }
+
+// refusing answers as an owner does whose writes the store does not take.
+func refusing(*http.Request) (*http.Response, error) {
+	body := `{"outcome":"refused","reason":"store-away","retry_after":1000000000}`
+	return &http.Response{StatusCode: http.StatusOK, Header: http.Header{"Content-Type": {"application/json"}}, Body: io.NopCloser(strings.NewReader(body))}, nil
+}
+
+// TestOwnerThatTheStoreRefuses has the owner refuse a job, as the store refuses
+// it, while the store answers this host.
+func TestOwnerThatTheStoreRefuses(t *testing.T) {
+	t.Run("the host writes the job in its place", func(t *testing.T) {
+		besideOwner(t, noWay(), func(ha *hall) {
+			ha.door.Peers = &http.Client{Transport: roundTrip(refusing)}
+			qt.Assert(t, ha.submit().Outcome, qt.Equals, sched.Accepted)
+			var row sched.IntakeRow
+			version, err := ha.table.Client().Get(context.Background(), sched.IntakeKey("c0", testID), &row)
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, version > 0, qt.IsTrue)
+		})
+	})
+	t.Run("where the store refuses the host too, the job is refused", func(t *testing.T) {
+		besideOwner(t, noWay(), func(ha *hall) {
+			ha.door.Peers = &http.Client{Transport: roundTrip(refusing)}
+			tries := 0
+			ha.door.Table.CommitFunc = func(context.Context, store.Txn) (store.CommitReply, error) {
+				tries++
+				return store.CommitReply{}, store.ErrBusy
+			}
+			for range 3 {
+				ve := ha.submit()
+				qt.Assert(t, ve.Outcome, qt.Equals, sched.Refused)
+				qt.Assert(t, ve.RetryAfter > 0, qt.IsTrue)
+			}
+			qt.Assert(t, tries, qt.Equals, 1)
+		})
+	})
+}
--- a/internal/door/door.go
+++ b/internal/door/door.go
@@ -14,6 +14,7 @@
 	"fmt"
 	"log/slog"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/pepperhatch/pepperhatch/internal/job"
@@ -34,6 +35,9 @@
 	// of the 3 s that callers wait: what is held longer and not served costs
 	// them the chance to go elsewhere.
 	storeTimeout = 700 * time.Millisecond
+	// doubtFor is how long the store is not tried in an owner's place once it failed:
+	// two heartbeats, by which a host has news of it.
+	doubtFor = time.Second
 	// retryAfter is when a refused caller is told to come back.
 	retryAfter = time.Second
 )
@@ -55,6 +59,10 @@
 	// Metrics counts, Log gets decisions.
 	Metrics *telemetry.Metrics
 	Log     *slog.Logger
+
+	// doubtUntil is until when the store is not tried in an owner's place, in
+	// nanoseconds since 1970, as it failed just now.
+	doubtUntil atomic.Int64
 }
 
 // Config returns the configuration in force, or nil before the first.
@@ -124,15 +132,39 @@
 		return ow.Submit(ctx, id, te, sp)
 	})
 	way := "owner"
-	if err != nil {
+	take := func(clean bool) sched.Verdict {
 		way = "intake"
-		clean := errors.Is(err, errNotDelivered)
-		ve = do.intake(ctx, sched.IntakeKey(do.Cell, id), id, sched.IntakeRow{Terms: te, Spec: sp}, clean)
+		return do.intake(ctx, sched.IntakeKey(do.Cell, id), id, sched.IntakeRow{Terms: te, Spec: sp}, clean)
+	}
+	switch {
+	case err != nil:
+		ve = take(errors.Is(err, errNotDelivered))
+	case do.inItsPlace(ve):
+		// The owner's refusal is definite.
+		ve = take(true)
+		do.doubt(ve)
 	}
 	do.note("submit", id, te.Queue, way, ve, start, err)
 	return ve
 }
 
+// inItsPlace reports whether a job that the owner refused, as the store does not
+// take its writes, can be written by this host: if the store answers it.
+func (do *Door) inItsPlace(ve sched.Verdict) bool {
+	if ve.Outcome != sched.Refused || ve.Reason != sched.ReasonStoreAway || do.Local() != nil {
+		return false
+	}
+	return do.Keeper.StoreAnswers() && time.Now().UnixNano() >= do.doubtUntil.Load()
+}
+
+// doubt keeps from trying the store in an owner's place for a while, if it did not
+// take a job: it may be away for all.
+func (do *Door) doubt(ve sched.Verdict) {
+	if ve.Outcome != sched.Accepted {
+		do.doubtUntil.Store(time.Now().Add(doubtFor).UnixNano())
+	}
+}
+
 // note logs and counts the answer to a request.
 func (do *Door) note(kind, id, qu, way string, ve sched.Verdict, start time.Time, err error) {
 	do.Log.Info("request answered", "kind", kind, "job", id, "queue", qu, "way", way, "outcome", ve.Outcome, "reason", ve.Reason,
--- a/internal/tenure/probe.go
+++ b/internal/tenure/probe.go
@@ -36,6 +36,9 @@
 	return Life{Process: ke.Process, Refused: ke.missed >= missedMost}
 }
 
+// StoreAnswers reports whether the store answers this host.
+func (ke *Keeper) StoreAnswers() bool { return ke.watch.Answering() }
+
 // probe asks a silent owner's host, once in a silence, whether the owner's
 // process lives.
 func (ke *Keeper) probe(ctx context.Context) {
@@ -54,18 +57,19 @@
 	defer cancel()
 	li, err := ke.AskFunc(actx, row.Addr, row.Epoch)
 	ke.Log.Info("asked a silent owner's host", "cell", ke.Cell, "owner", row.Owner, "epoch", row.Epoch, "process", li.Process, "refused", li.Refused, "err", err)
-	if err == nil && li.Process == row.Process && !li.Refused {
+	lives := err == nil && li.Process == row.Process
+	if lives && !li.Refused {
 		return
 	}
 	ke.mu.Lock()
 	defer ke.mu.Unlock()
 	if ke.row.Epoch == row.Epoch && ke.probed {
-		ke.unreachable = true
+		ke.unreachable, ke.turnedAway = !lives, lives
 	}
 }
 
 // heard notes a sign of life of the owner.
 func (ke *Keeper) heard() {
 	ke.beatSeen = time.Now()
-	ke.probed, ke.unreachable = false, false
+	ke.probed, ke.unreachable, ke.turnedAway = false, false, false
 }
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -146,9 +146,11 @@
 	beatSeen time.Time
 	refused  bool
 	// probed is set once the owner's host was asked in this silence, unreachable
-	// if it did not answer, or the store refuses it.
+	// if it did not answer, or another process did, turnedAway if it said that the
+	// store refuses it.
 	probed      bool
 	unreachable bool
+	turnedAway  bool
 	// missed counts the heartbeats that this host, as the owner, failed to write
 	// since the last one that it wrote.
 	missed   int
@@ -301,6 +303,8 @@
 	switch {
 	case ke.refused:
 		limit = RefusedAfter
+	case ke.turnedAway:
+		limit = suspectAfter
 	case ke.unreachable:
 		limit = UnreachableAfter
 	}
