--- a/internal/sched/bench_test.go
+++ b/internal/sched/bench_test.go
@@ -37,7 +37,7 @@
 // BenchmarkPlace measures one round of placement with nothing to be placed but
 // fillers that no worker welcomes.
 func BenchmarkPlace(b *testing.B) {
-	for _, workers := range []int{48, 350, 1000} {
+	for _, workers := range []int{48, 66, 350, 490, 1000} {
 		b.Run(fmt.Sprint(workers), func(b *testing.B) {
 			la := newLab(b, workers)
 			la.fleet.RunFunc = func(worker.Attempt) (time.Duration, string) { return -1, "" }
