Acknowledge an end only once what it rests on is written

The next owner read a row with an attempt that runs, found it neither running nor ended, and started it again.

Mended: ends are acknowledged once the job's row is as the owner holds it, news or not; and an attempt that was given up and turns out to be done counts, as long as the next one has not been ordered.

Ruled out: clocks and leases (the lapse was right by the worker's clock), orders passing each other, and answers of looks that came late.

Tests: TestDoneThoughGivenUp, TestEndsWaitForWhatTheyRestOn; each fails without its half. The lab also counts a start over a second after an acknowledged end, lapsed leases or not.

--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -223,6 +223,18 @@
 	return true
 }
 
+// DoneLate notes that an attempt that had been given up, as its leases had lapsed
+// for all that was known, was done all the same, and reports whether that was news.
+// It counts while the task waits for its next attempt.
+func (jo *Job) DoneLate(ref TaskRef, attempt int) bool {
+	ta := jo.Task(ref)
+	if ta == nil || ta.State != Waiting || attempt < 1 || attempt > ta.Attempt || jo.State().Final() || jo.Spec.Steps[ref.Step].Endless {
+		return false
+	}
+	jo.endDone(ref, ta)
+	return true
+}
+
 func (jo *Job) endDone(ref TaskRef, ta *Task) {
 	if jo.Spec.Steps[ref.Step].Endless {
 		return
--- a/internal/sched/attempt.go
+++ b/internal/sched/attempt.go
@@ -14,6 +14,8 @@
 	ho     *host
 	// en is its job.
 	en *entry
+	// ordered is set once its order was sent.
+	ordered bool
 	// launched is when the worker acknowledged the order, or zero.
 	launched time.Time
 	// inherited is set if a former owner ordered it.
--- a/internal/sched/entry.go
+++ b/internal/sched/entry.go
@@ -152,6 +152,21 @@
 	return true
 }
 
+// doneLate notes that an attempt which had been given up was done all the same. An
+// attempt that was to follow it, and of which no order was sent, is taken back.
+func (ow *Owner) doneLate(en *entry, ref job.TaskRef, number int, incarnation string) {
+	if at := en.attempts[ref]; at != nil && at.number > number && !at.ordered && !at.inherited {
+		ow.end(en, ref, at.number, job.EndNever, "", "an attempt before it was done")
+	}
+	if !en.jo.DoneLate(ref, number) {
+		return
+	}
+	ow.Metrics.Add(telemetry.AttemptEnds, 1, "end", "done-late")
+	ow.Log.Info("attempt that was given up was done", "job", en.jo.ID, "task", en.jo.TaskID(ref), "attempt", number, "worker", incarnation, "state", en.jo.State())
+	ow.finish(en)
+	ow.touch(en)
+}
+
 // finish stops what still runs of a job that is over.
 func (ow *Owner) finish(en *entry) {
 	if !en.jo.State().Final() {
--- a/internal/sched/lab_test.go
+++ b/internal/sched/lab_test.go
@@ -171,7 +171,7 @@
 func (la *lab) problems() []string {
 	var list []string
 	byTask := map[string][]standin.FleetRun{}
-	doneAt, notedAt := map[string]time.Time{}, map[string]time.Time{}
+	doneAt, notedAt, knownAt := map[string]time.Time{}, map[string]time.Time{}, map[string]time.Time{}
 	for _, ru := range la.fleet.Runs() {
 		byTask[ru.Task] = append(byTask[ru.Task], ru)
 		if ru.How == "done" {
@@ -181,6 +181,11 @@
 		if ru.How == "done" && ru.Seen {
 			notedAt[ru.Task] = ru.Until
 		}
+		// Whatever became of leases, the owner knows of the end once it
+		// acknowledged it.
+		if ru.How == "done" && !ru.Noted.IsZero() {
+			knownAt[ru.Task] = ru.Noted
+		}
 	}
 	for task, runs := range byTask {
 		for i, ru := range runs {
@@ -190,12 +195,19 @@
 			if at, ok := notedAt[task]; ok && ru.From.After(at) {
 				list = append(list, fmt.Sprintf("task %s: attempt %d began after it was done", task, ru.Number))
 			}
+			if at, ok := knownAt[task]; ok && ru.From.Sub(at) > knownFor {
+				list = append(list, fmt.Sprintf("task %s: attempt %d began %v after its end was acknowledged", task, ru.Number, ru.From.Sub(at)))
+			}
 			list = append(list, la.outOfOrder(ru, doneAt)...)
 		}
 	}
 	return list
 }
 
+// knownFor is how long after an end was acknowledged a start may still be on its
+// way that was ordered before.
+const knownFor = time.Second
+
 func (la *lab) outOfOrder(ru standin.FleetRun, doneAt map[string]time.Time) []string {
 	var list []string
 	id, ref, _ := job.ParseTaskID(ru.Task)
--- /dev/null
+++ b/internal/sched/late_test.go
@@ -0,0 +1,75 @@
+package sched
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/pepperhatch/pepperhatch/internal/job"
+	"github.com/pepperhatch/pepperhatch/internal/standin"
+	"github.com/pepperhatch/pepperhatch/internal/worker"
+)
+
+// longWork is the work of a task that ends after the looks under way, and before
+// its worker's leases lapse.
+const longWork = 2500 * time.Millisecond
+
+func workLong(worker.Attempt) (time.Duration, string) { return longWork, "done" }
+
+// silence freezes the only worker while it works, until its leases have lapsed
+// for all that its owner knows. What ran there was done before.
+func silence(la *lab, ow *Owner) {
+	time.Sleep(time.Second)
+	qt.Assert(la.t, la.submit(ow, 1, batch(1, 1)).Outcome, qt.Equals, Accepted)
+	time.Sleep(300 * time.Millisecond)
+	la.crew[0].Gate.Set(standin.Fault{Mode: standin.ModeFreeze})
+	time.Sleep(10 * time.Second)
+}
+
+// assertRunOnce checks that the task ran once and its job succeeded.
+func assertRunOnce(la *lab, ow *Owner) {
+	la.t.Helper()
+	qt.Check(la.t, len(la.fleet.Runs()), qt.Equals, 1)
+	qt.Check(la.t, la.state(ow, 1), qt.Equals, job.Succeeded)
+	la.assertNothingTwice()
+}
+
+func TestDoneThoughGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		la := newLab(t, 1)
+		la.fleet.RunFunc = workLong
+		ow, end := la.own()
+		defer end()
+		silence(la, ow)
+		la.crew[0].Gate.Set(standin.Fault{})
+		time.Sleep(2 * time.Second)
+		assertRunOnce(la, ow)
+	})
+}
+
+func TestEndsWaitForWhatTheyRestOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		la := newLab(t, 1)
+		la.fleet.RunFunc = workLong
+		la.formerKnown = true
+		ow, end := la.own()
+		time.Sleep(time.Second)
+		la.submit(ow, 1, batch(1, 1))
+		time.Sleep(300 * time.Millisecond)
+		la.crew[0].Gate.Set(standin.Fault{Mode: standin.ModeFreeze})
+		time.Sleep(3 * time.Second)
+		// The attempt is given up and that is not written, when its end is listed.
+		la.table.Gate.Set(standin.Fault{Mode: standin.ModeDown})
+		time.Sleep(7 * time.Second)
+		la.crew[0].Gate.Set(standin.Fault{})
+		time.Sleep(time.Second)
+		end()
+		la.table.Gate.Set(standin.Fault{})
+		ow, end = la.own()
+		defer end()
+		time.Sleep(4 * time.Second)
+		assertRunOnce(la, ow)
+	})
+}
--- a/internal/sched/launch.go
+++ b/internal/sched/launch.go
@@ -29,6 +29,7 @@
 		ow.unlaunched(at)
 		return
 	}
+	at.ordered = true
 	ta := at.en.jo.Task(at.ref)
 	la := worker.Launch{
 		Attempt: at.name(), Payload: at.en.jo.Spec.Payload, Checkpoint: ta.Checkpoint,
--- a/internal/sched/looks.go
+++ b/internal/sched/looks.go
@@ -169,10 +169,24 @@
 		return
 	}
 	ho.judge(en, ea.How)
-	if ho.ow.end(en, ref, ea.Number, endOf(ea.How), ea.Checkpoint, "listed by the worker") {
-		ho.undurable++
-		en.effects = append(en.effects, ho.durable)
+	end := endOf(ea.How)
+	if !ho.ow.end(en, ref, ea.Number, end, ea.Checkpoint, "listed by the worker") && end == job.EndDone {
+		ho.ow.doneLate(en, ref, ea.Number, ho.incarnation)
 	}
+	ho.awaitWrite(en)
+}
+
+// awaitWrite keeps the ends just listed from being acknowledged until the job is
+// written as it is now. Also an end that is no news may rest on what is not
+// written yet: that its attempt was given up. The next owner would read of an
+// attempt that runs, and find it neither running nor ended.
+func (ho *host) awaitWrite(en *entry) {
+	if !en.dirty && !en.writing {
+		return
+	}
+	ho.undurable++
+	en.effects = append(en.effects, ho.durable)
+	ho.ow.touch(en)
 }
 
 // endOf translates a worker's word for how an attempt ended. What is neither
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -26,6 +26,9 @@
 	// Seen is set once the owner acknowledged the end, unless the worker's
 	// leases had lapsed in between: the owner may then have given it up.
 	Seen bool
+	// Noted is when the owner acknowledged the end, whatever became of the leases,
+	// or zero.
+	Noted time.Time
 	// Served is how long it served in a [World]; OverByFillers and OverAlone are
 	// how long it was over its target, through fillers and by its own load.
 	Served, OverByFillers, OverAlone time.Duration
@@ -399,7 +402,7 @@
 	}
 	fw.extend(lo.LeaseUntilMS)
 	for len(fw.ended) > 0 && fw.ended[0].EndNumber <= lo.Seen {
-		fw.endedRuns[0].Seen = !fw.endedRuns[0].lapsed
+		fw.endedRuns[0].Seen, fw.endedRuns[0].Noted = !fw.endedRuns[0].lapsed, time.Now()
 		fw.ended, fw.endedRuns = fw.ended[1:], fw.endedRuns[1:]
 	}
 	if len(fw.ended) > 0 {
