Carry the owner's orders to workers through other entry hosts

Cause, seen on the small twins of the large deployment: one process talks to all workers.

Change: an owner of more workers than it can reach itself (320 for each core that it has) holds one stream to each of a few other entry hosts, its relays, on which orders and answers travel many to a frame. A relay carries out what it is told and decides nothing; a look is told as its difference to the one before. Which host relays for which worker is the owner's plan; each change of the way to a worker raises that worker's fencing token, so that nothing still on its way by the former one is obeyed. Hosts enter themselves in a table of the store, once a start. Small deployments go on as before, by the same code.

Weighed: dividing the workers into cells with an owner each.

--- a/internal/jobhost/host.go
+++ b/internal/jobhost/host.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -17,6 +18,8 @@
 	"github.com/pepperhatch/pepperhatch/internal/door"
 	"github.com/pepperhatch/pepperhatch/internal/jobapi"
 	"github.com/pepperhatch/pepperhatch/internal/queue"
+	"github.com/pepperhatch/pepperhatch/internal/registry"
+	"github.com/pepperhatch/pepperhatch/internal/relay"
 	"github.com/pepperhatch/pepperhatch/internal/sched"
 	"github.com/pepperhatch/pepperhatch/internal/store"
 	"github.com/pepperhatch/pepperhatch/internal/telemetry"
@@ -59,6 +62,9 @@
 	keeper  *tenure.Keeper
 	door    *door.Door
 
+	relay   *relay.Server
+	streams *http.Client
+
 	config   atomic.Pointer[queue.Config]
 	owner    atomic.Pointer[sched.Owner]
 	stopping atomic.Bool
@@ -84,6 +90,8 @@
 		Local: ho.owner.Load, ConfigFunc: ho.config.Load, Metrics: me, Log: log,
 	}
 	ho.keeper.AskFunc = ho.door.Ask
+	ho.relay = &relay.Server{Agent: platform.NewAgent(ho.workers), Log: log}
+	ho.streams = platform.NewHTTPClient(1)
 	return ho, nil
 }
 
@@ -108,6 +116,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("/cell/", ho.door.Handler())
 	mux.Handle("/jobs/", jobapi.Handler(ho.door))
+	mux.Handle(relay.Path, ho.relay)
 	return mux
 }
 
@@ -135,6 +144,7 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { ho.watchConfig(wctx) })
 	wg.Go(func() { ho.keeper.Run(wctx) })
+	wg.Go(func() { registry.Announce(ctx, ho.table, ho.member(), ho.log) })
 	select {
 	case err := <-failed:
 		return fmt.Errorf("serve: %w", err)
@@ -154,6 +164,8 @@
 	ho.log.Info("stopping", "name", se.Name, "grace_s", se.GraceS)
 	ho.stopping.Store(true)
 	ho.keeper.Release()
+	ho.relay.Leave()
+	go registry.Withdraw(ctx, ho.table, se.Name, ho.log)
 	callers := servers[0].hs
 	callers.SetKeepAlivesEnabled(false)
 	clock.Sleep(ctx, max(seconds(se.GraceS)-stopReserve, 0))
@@ -188,18 +200,32 @@
 	}
 }
 
+// member is this host as the list of entry hosts has it.
+func (ho *Host) member() registry.Member {
+	se := ho.se.Load()
+	return registry.Member{Name: se.Name, Process: ho.keeper.Process, Addr: se.PeerAddr(), DataCentre: se.DataCentre, Cores: se.Processor()}
+}
+
 // serveCell runs the cell during a tenure.
 func (ho *Host) serveCell(ctx context.Context, te tenure.Tenure) (map[string]int64, error) {
 	se := ho.se.Load()
+	po := &relay.Pool{
+		Self: se.Name, Cores: se.Processor(), Epoch: te.Epoch, HTTP: ho.streams, Direct: platform.NewAgent(ho.workers),
+		Metrics: ho.metrics, Log: ho.log,
+	}
 	ow := sched.New(&sched.Owner{
-		Cell: cellName, Tenure: te, Table: ho.table, Agent: platform.NewAgent(ho.workers), Without: ho.Without, Metrics: ho.metrics, Log: ho.log,
-		Limits: sched.Limits{MaxLease: millis(se.MaxLeaseMS), StopTime: millis(se.StopMS), HarmAfter: millis(se.HarmMS), KeepEnded: seconds(se.KeepEndedS)},
+		Cell: cellName, Tenure: te, Table: ho.table, Agent: po.Agent(), Without: ho.Without, Metrics: ho.metrics, Log: ho.log,
+		ViaFunc:     func(li sched.Listed) string { return po.Via(li.Incarnation, li.DataCentre) },
+		DroppedFunc: po.Drop,
+		Limits:      sched.Limits{MaxLease: millis(se.MaxLeaseMS), StopTime: millis(se.StopMS), HarmAfter: millis(se.HarmMS), KeepEnded: seconds(se.KeepEndedS)},
 	})
+	po.ChangedFunc = ow.Reroute
 	wctx, end := context.WithCancel(ctx)
 	defer end()
+	go po.Run(wctx)
 	loaded := func() {
 		ho.owner.Store(ow)
-		ho.watchCell(wctx, ow)
+		ho.watchCell(wctx, ow, po)
 	}
 	defer ho.owner.Store(nil)
 	err := ow.Run(ctx, loaded)
@@ -209,17 +235,39 @@
 	return ow.Handover(), err
 }
 
-// watchCell hands the owner the list of workers and what other hosts took in.
-func (ho *Host) watchCell(ctx context.Context, ow *sched.Owner) {
+// watchCell hands the owner the lists of workers and of entry hosts, and what
+// other hosts took in.
+func (ho *Host) watchCell(ctx context.Context, ow *sched.Owner, po *relay.Pool) {
+	hosts := watch.Watch{Table: ho.table, Name: registry.Table, Under: registry.Prefix, Log: ho.log,
+		OnRows: func(rows []store.FeedRow, whole bool) { ho.onMembers(po, rows, whole) }}
+	go hosts.Run(ctx)
 	workers := watch.Watch{Table: ho.table, Name: platform.WorkerTable, Under: platform.WorkerPrefix, Log: ho.log,
-		OnRows: func(rows []store.FeedRow, whole bool) { ho.onWorkers(ow, rows, whole) }}
+		OnRows: func(rows []store.FeedRow, whole bool) { ho.onWorkers(ow, po, rows, whole) }}
 	intake := watch.Watch{Table: ho.table, Name: sched.IntakeTable, Under: sched.IntakePrefix(cellName), Log: ho.log,
 		OnRows: func(rows []store.FeedRow, _ bool) { ow.Import(rows) }}
 	go workers.Run(ctx)
 	go intake.Run(ctx)
 }
 
-func (ho *Host) onWorkers(ow *sched.Owner, rows []store.FeedRow, whole bool) {
+func (ho *Host) onMembers(po *relay.Pool, rows []store.FeedRow, whole bool) {
+	var listed []registry.Member
+	var gone []string
+	for _, row := range rows {
+		if row.Gone {
+			gone = append(gone, strings.TrimPrefix(row.Key, registry.Prefix))
+			continue
+		}
+		me, err := registry.Decode(row.Row)
+		if err != nil {
+			ho.log.Error("entry host's row cannot be read", "err", err)
+			continue
+		}
+		listed = append(listed, me)
+	}
+	po.SetMembers(listed, gone, whole)
+}
+
+func (ho *Host) onWorkers(ow *sched.Owner, po *relay.Pool, rows []store.FeedRow, whole bool) {
 	var listed []sched.Listed
 	var gone []string
 	for _, row := range rows {
@@ -234,5 +282,10 @@
 		}
 		listed = append(listed, li)
 	}
+	names := make([]string, len(listed))
+	for i, li := range listed {
+		names[i] = li.Incarnation
+	}
+	po.SetWorkers(names, gone, whole)
 	ow.SetWorkers(listed, gone, whole)
 }
--- /dev/null
+++ b/internal/relay/outbox.go
@@ -0,0 +1,62 @@
+package relay
+
+import (
+	"sync"
+	"time"
+)
+
+// outboxMost bounds what waits to be sent on a stream: some seconds of the most
+// orders that one owner gives.
+const outboxMost = 10_000
+
+// outbox holds what waits to be sent. Make one with [newOutbox].
+type outbox[T any] struct {
+	mu    sync.Mutex
+	items []T
+	wake  chan struct{}
+}
+
+func newOutbox[T any]() *outbox[T] { return &outbox[T]{wake: make(chan struct{}, 1)} }
+
+// put adds an item, and reports whether there was room.
+func (ob *outbox[T]) put(item T) bool {
+	ob.mu.Lock()
+	defer ob.mu.Unlock()
+	if len(ob.items) >= outboxMost {
+		return false
+	}
+	ob.items = append(ob.items, item)
+	select {
+	case ob.wake <- struct{}{}:
+	default:
+	}
+	return true
+}
+
+func (ob *outbox[T]) take() []T {
+	ob.mu.Lock()
+	defer ob.mu.Unlock()
+	items := ob.items
+	ob.items = nil
+	return items
+}
+
+// pump sends what is put, many items to a frame, and a frame without any after
+// [beatEvery], until send fails or done is closed.
+func (ob *outbox[T]) pump(done <-chan struct{}, send func([]T) error) error {
+	beat := time.NewTimer(beatEvery)
+	defer beat.Stop()
+	for {
+		select {
+		case <-done:
+			return nil
+		case <-beat.C:
+		case <-ob.wake:
+			time.Sleep(gatherFor)
+		}
+		if err := send(ob.take()); err != nil {
+			return err
+		}
+		beat.Reset(beatEvery)
+	}
+}
--- /dev/null
+++ b/internal/relay/plan.go
@@ -0,0 +1,117 @@
+package relay
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/pepperhatch/pepperhatch/internal/registry"
+)
+
+// Loads of hosts.
+const (
+	// directPerCore is how many workers a host reaches itself as an owner, for each
+	// core that it has: 350 workers with 560 to 900 starts a second were seen to take 0.35
+	// of a core, so that it would be some third of the host.
+	directPerCore = 320
+	// relayPerCore is how many workers a host is given as a relay, for each core
+	// that it has: seven calls a second and worker at 0.2 ms take a fifth of it.
+	relayPerCore = 150
+)
+
+// plan assigns workers to relays. It keeps what is assigned as long as the relay
+// is of use, and adds to relays that have room before it opens another: each
+// stream costs the owner frames. The zero value has nobody; it is not for several
+// goroutines at once.
+type plan struct {
+	// self is the owner's host, cores what it has.
+	self  string
+	cores float64
+	// members are the entry hosts, by name; lost has those not to be used.
+	members map[string]registry.Member
+	lost    map[string]bool
+	// assigned has each worker's relay, by incarnation, and load how many workers
+	// each relay has.
+	assigned map[string]string
+	load     map[string]int
+}
+
+// shared reports whether an owner of so many workers uses relays.
+func (pl *plan) shared(workers int) bool {
+	return pl.cores > 0 && float64(workers) > directPerCore*pl.cores
+}
+
+func capacity(me registry.Member) int { return max(int(relayPerCore*me.Cores), 1) }
+
+// usable reports whether a host may relay.
+func (pl *plan) usable(name string) bool {
+	_, ok := pl.members[name]
+	return ok && name != pl.self && !pl.lost[name]
+}
+
+// assign returns the relay of a worker in a data centre, or "" if there is none.
+func (pl *plan) assign(incarnation, dataCentre string) string {
+	if via, ok := pl.assigned[incarnation]; ok {
+		if pl.usable(via) {
+			return via
+		}
+		pl.release(incarnation)
+	}
+	via := pl.pick(dataCentre)
+	if via == "" {
+		return ""
+	}
+	if pl.assigned == nil {
+		pl.assigned, pl.load = map[string]string{}, map[string]int{}
+	}
+	pl.assigned[incarnation] = via
+	pl.load[via]++
+	return via
+}
+
+// release takes a worker off its relay.
+func (pl *plan) release(incarnation string) {
+	if via, ok := pl.assigned[incarnation]; ok {
+		pl.load[via]--
+		delete(pl.assigned, incarnation)
+	}
+}
+
+// pick returns the host that is to relay for one more worker: in the worker's data
+// centre if one has room there, one that relays already if it has room, the one
+// with most processor otherwise. If none has room, it is the least loaded.
+func (pl *plan) pick(dataCentre string) string {
+	best := ""
+	for _, name := range slices.Sorted(maps.Keys(pl.members)) {
+		if pl.usable(name) && (best == "" || pl.compare(name, best, dataCentre) < 0) {
+			best = name
+		}
+	}
+	return best
+}
+
+// compare orders hosts by how well they suit as the relay of one more worker.
+func (pl *plan) compare(a, b, dataCentre string) int {
+	ma, mb := pl.members[a], pl.members[b]
+	ra, rb := pl.load[a] < capacity(ma), pl.load[b] < capacity(mb)
+	switch {
+	case ra != rb:
+		return prefer(ra)
+	case !ra:
+		return cmp.Compare(float64(pl.load[a])/float64(capacity(ma)), float64(pl.load[b])/float64(capacity(mb)))
+	case (ma.DataCentre == dataCentre) != (mb.DataCentre == dataCentre):
+		return prefer(ma.DataCentre == dataCentre)
+	case (pl.load[a] > 0) != (pl.load[b] > 0):
+		return prefer(pl.load[a] > 0)
+	}
+	return cmp.Or(cmp.Compare(mb.Cores, ma.Cores), strings.Compare(a, b))
+}
+
+// prefer orders the first of two before the second, if it is so for the first.
+func prefer(first bool) int {
+	if first {
+		return -1
+	}
+	return 1
+}
--- /dev/null
+++ b/internal/relay/pool.go
@@ -0,0 +1,308 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"maps"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+
+	"github.com/pepperhatch/pepperhatch/internal/clock"
+	"github.com/pepperhatch/pepperhatch/internal/registry"
+	"github.com/pepperhatch/pepperhatch/internal/telemetry"
+	"github.com/pepperhatch/pepperhatch/internal/worker"
+)
+
+// Times of relays.
+const (
+	// openFor is how long an order waits for a stream to open: it is to another
+	// entry host, some 3 ms away.
+	openFor = 250 * time.Millisecond
+	// awayFirst and awayMost are how long a host is not used after its stream
+	// ended, twice as long each time.
+	awayFirst = 2 * time.Second
+	awayMost  = 30 * time.Second
+	// provedAfter is how long a stream must have been open for the next pause to
+	// be the first again.
+	provedAfter = 10 * time.Second
+)
+
+// Pool is an owner's relays. Set the fields, then call [Pool.Run]; the other
+// methods may be called from any goroutine.
+type Pool struct {
+	// Self names the owner's host, Cores is the processor that it has, in cores.
+	Self  string
+	Cores float64
+	// Epoch is the owner's.
+	Epoch int64
+	// HTTP is the client for other entry hosts, which must not limit the time of a
+	// request.
+	HTTP *http.Client
+	// Direct reaches workers from this host.
+	Direct worker.Agent
+	// ChangedFunc is called when workers may have another relay than before.
+	ChangedFunc func()
+	// Metrics counts, Log gets relays that come and go.
+	Metrics *telemetry.Metrics
+	Log     *slog.Logger
+
+	mu   sync.Mutex
+	ctx  context.Context
+	plan plan
+	// workers are those that the owner has, by incarnation.
+	workers map[string]bool
+	links   map[string]*link
+}
+
+// link is the owner's relation to one host.
+type link struct {
+	name string
+	// st is its stream, ready is closed once that is open or has failed.
+	st    *stream
+	ready chan struct{}
+	bo    *backoff.ExponentialBackOff
+}
+
+// Run keeps streams until ctx ends.
+func (po *Pool) Run(ctx context.Context) {
+	po.mu.Lock()
+	po.ctx = ctx
+	po.plan.self, po.plan.cores = po.Self, po.Cores
+	po.mu.Unlock()
+	<-ctx.Done()
+}
+
+// SetMembers takes in rows of the list of entry hosts. If whole is set they are
+// all there are.
+func (po *Pool) SetMembers(listed []registry.Member, gone []string, whole bool) {
+	po.mu.Lock()
+	defer po.mu.Unlock()
+	if whole || po.plan.members == nil {
+		po.plan.members = map[string]registry.Member{}
+	}
+	for _, me := range listed {
+		was := po.plan.members[me.Name]
+		po.plan.members[me.Name] = me
+		if was.Process != me.Process {
+			delete(po.plan.lost, me.Name)
+		}
+	}
+	for _, name := range gone {
+		delete(po.plan.members, name)
+	}
+	po.changed()
+}
+
+// SetWorkers takes in the incarnations of workers that were listed, and of those
+// that are no longer. If whole is set the listed ones are all there are.
+func (po *Pool) SetWorkers(listed, gone []string, whole bool) {
+	po.mu.Lock()
+	defer po.mu.Unlock()
+	was := po.plan.shared(len(po.workers))
+	if whole || po.workers == nil {
+		po.workers = map[string]bool{}
+	}
+	for _, incarnation := range listed {
+		po.workers[incarnation] = true
+	}
+	for _, incarnation := range gone {
+		delete(po.workers, incarnation)
+	}
+	if po.plan.shared(len(po.workers)) != was {
+		po.changed()
+	}
+}
+
+// changed tells of a change without waiting for it to be taken in.
+func (po *Pool) changed() {
+	if po.ChangedFunc != nil {
+		go po.ChangedFunc()
+	}
+}
+
+// Via names the entry host through which a worker is to be reached, or is empty
+// if it is to be reached directly.
+func (po *Pool) Via(incarnation, dataCentre string) string {
+	po.mu.Lock()
+	defer po.mu.Unlock()
+	if po.ctx == nil || !po.plan.shared(len(po.workers)) {
+		po.plan.release(incarnation)
+		return ""
+	}
+	return po.plan.assign(incarnation, dataCentre)
+}
+
+// Drop forgets a worker.
+func (po *Pool) Drop(incarnation string) {
+	po.mu.Lock()
+	defer po.mu.Unlock()
+	po.plan.release(incarnation)
+}
+
+// Loads returns how many workers each relay has.
+func (po *Pool) Loads() map[string]int {
+	po.mu.Lock()
+	defer po.mu.Unlock()
+	return maps.Clone(po.plan.load)
+}
+
+// stream returns the open stream to a host, and opens one if there is none.
+func (po *Pool) stream(ctx context.Context, via string) (*stream, error) {
+	li := po.link(via)
+	if li == nil {
+		return nil, worker.ErrNotSent
+	}
+	ti := time.NewTimer(openFor)
+	defer ti.Stop()
+	select {
+	case <-li.ready:
+		return li.st, nil
+	case <-ti.C:
+	case <-ctx.Done():
+	}
+	return nil, worker.ErrNotSent
+}
+
+// link returns the link to a host, or nil if it is not to be used.
+func (po *Pool) link(via string) *link {
+	po.mu.Lock()
+	defer po.mu.Unlock()
+	me, ok := po.plan.members[via]
+	if !ok || po.plan.lost[via] || po.ctx == nil {
+		return nil
+	}
+	li := po.links[via]
+	if li == nil {
+		bo := backoff.NewExponentialBackOff()
+		bo.InitialInterval, bo.MaxInterval = awayFirst, awayMost
+		li = &link{name: via, bo: bo}
+		if po.links == nil {
+			po.links = map[string]*link{}
+		}
+		po.links[via] = li
+	}
+	if li.st == nil {
+		po.open(li, me)
+	}
+	return li
+}
+
+// open opens a link's stream.
+func (po *Pool) open(li *link, me registry.Member) {
+	st := newStream(li.name, po.Self, po.Epoch, po.Log)
+	ready := make(chan struct{})
+	li.st, li.ready = st, ready
+	st.onLeaving = func() { po.lose(li, st, errLeaving) }
+	go func() {
+		began := time.Now()
+		err := st.run(po.ctx, po.HTTP, me.Addr, func() {
+			po.Log.Info("relay answers", "relay", me.Name, "data_centre", me.DataCentre, "cores", me.Cores, "took", time.Since(began))
+			close(ready)
+		})
+		if time.Since(began) > provedAfter {
+			li.bo.Reset()
+		}
+		po.lose(li, st, err)
+	}()
+}
+
+// errLeaving: the relay's host is about to stop.
+var errLeaving = errors.New("relay's host stops")
+
+// lose takes a host out of use for a while.
+func (po *Pool) lose(li *link, st *stream, why error) {
+	po.mu.Lock()
+	defer po.mu.Unlock()
+	if li.st != st || po.ctx.Err() != nil {
+		return
+	}
+	li.st = nil
+	away := li.bo.NextBackOff()
+	po.Log.Warn("relay not used for a while", "relay", li.name, "workers", po.plan.load[li.name], "away", away, "why", why)
+	po.Metrics.Add(telemetry.RelaysLost, 1)
+	if po.plan.lost == nil {
+		po.plan.lost = map[string]bool{}
+	}
+	po.plan.lost[li.name] = true
+	po.changed()
+	go po.regain(li.name, away)
+}
+
+// regain lets a host be used again.
+func (po *Pool) regain(name string, after time.Duration) {
+	if !clock.Sleep(po.ctx, after) {
+		return
+	}
+	po.mu.Lock()
+	defer po.mu.Unlock()
+	delete(po.plan.lost, name)
+}
+
+// Agent reaches workers the way that their addresses say.
+func (po *Pool) Agent() worker.Agent {
+	return worker.Agent{
+		LaunchFunc: func(ctx context.Context, ad worker.Addr, la worker.Launch) (worker.Ack, error) {
+			if ad.Via == "" {
+				return po.Direct.LaunchFunc(ctx, ad, la)
+			}
+			return po.launch(ctx, ad, la)
+		},
+		HaltFunc: func(ctx context.Context, ad worker.Addr, ha worker.Halt) (worker.Ack, error) {
+			if ad.Via == "" {
+				return po.Direct.HaltFunc(ctx, ad, ha)
+			}
+			return po.order(ctx, ad, order{Kind: kindHalt, Task: ha.Task, Number: ha.Number, Fence: ha.Fence})
+		},
+		PaceFunc: func(ctx context.Context, ad worker.Addr, pa worker.Pace) (worker.Ack, error) {
+			if ad.Via == "" {
+				return po.Direct.PaceFunc(ctx, ad, pa)
+			}
+			return po.order(ctx, ad, order{Kind: kindPace, Task: pa.Task, Number: pa.Number, Fence: pa.Fence, Percent: pa.Percent})
+		},
+		LookFunc: func(ctx context.Context, ad worker.Addr, lo worker.Look) (worker.Sight, error) {
+			if ad.Via == "" {
+				return po.Direct.LookFunc(ctx, ad, lo)
+			}
+			re, err := po.call(ctx, ad, order{Kind: kindLook, Fence: lo.Fence, Seen: lo.Seen, LeaseUntilMS: lo.LeaseUntilMS, WaitMS: lo.Wait.Milliseconds()})
+			return re.si, err
+		},
+	}
+}
+
+// launch sends a launch, once more with its payload if the relay does not have
+// that.
+func (po *Pool) launch(ctx context.Context, ad worker.Addr, la worker.Launch) (worker.Ack, error) {
+	or := order{
+		Kind: kindLaunch, Task: la.Task, Number: la.Number, Fence: la.Fence, Text: la.Payload,
+		Checkpoint: la.Checkpoint, LeaseUntilMS: la.LeaseUntilMS,
+	}
+	ack, err := po.order(ctx, ad, or)
+	if !errors.Is(err, errNoPayload) {
+		return ack, err
+	}
+	if st, serr := po.stream(ctx, ad.Via); serr == nil {
+		st.lacks()
+	}
+	ack, err = po.order(ctx, ad, or)
+	if errors.Is(err, errNoPayload) {
+		err = worker.ErrNotSent
+	}
+	return ack, err
+}
+
+func (po *Pool) order(ctx context.Context, ad worker.Addr, or order) (worker.Ack, error) {
+	re, err := po.call(ctx, ad, or)
+	return worker.Ack{ClockMS: re.an.ClockMS}, err
+}
+
+func (po *Pool) call(ctx context.Context, ad worker.Addr, or order) (result, error) {
+	st, err := po.stream(ctx, ad.Via)
+	if err != nil {
+		return result{}, err
+	}
+	return st.call(ctx, ad, or)
+}
--- /dev/null
+++ b/internal/relay/relay.go
@@ -0,0 +1,165 @@
+// Package relay carries the orders of a cell's owner to workers through other
+// entry hosts, and the workers' answers back.
+//
+// The owner alone decides, and keeps all state. What costs it most is talking
+// to workers: a request of its own for each order and each look, over a
+// connection of its own. So it holds one stream to each of a few entry hosts,
+// its relays, on which orders and answers travel many to a frame. A relay
+// carries each order out as the owner would have done, and answers with what the
+// worker said. It decides nothing and remembers nothing that would be missed: if
+// a stream ends, what was under way has no answer, as after a lost connection to
+// the worker itself, and the owner settles it by another way.
+//
+// A stream is one HTTP request whose body and answer both go on; each is a
+// sequence of JSON values, one a frame. Both sides send a frame at least every
+// [beatEvery], so that a connection that went silent is noticed.
+package relay
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/pepperhatch/pepperhatch/internal/worker"
+)
+
+// Path is where a host takes streams.
+const Path = "/relay/stream"
+
+// Times of a stream.
+const (
+	// beatEvery is the time after which an empty frame is sent.
+	beatEvery = 400 * time.Millisecond
+	// silentMost is how long no frame may come before the stream counts as dead:
+	// three beats, and some processor time of a host that is short of it.
+	silentMost = 1500 * time.Millisecond
+	// gatherFor is how long a frame waits for more after its first order or
+	// answer: less than the way to another data centre and back.
+	gatherFor = 2 * time.Millisecond
+)
+
+// kind says what an order is.
+type kind string
+
+// The kinds of orders.
+const (
+	kindLaunch kind = "launch"
+	kindHalt   kind = "halt"
+	kindPace   kind = "pace"
+	kindLook   kind = "look"
+)
+
+// order is one order on its way to a relay. Fields that its kind does not have
+// are left out.
+type order struct {
+	// N is the order's number on the stream, under which it is answered.
+	N int64 `json:"n"`
+	// Kind says which of the rest is there.
+	Kind kind `json:"k"`
+	// Worker numbers the worker on the stream; HostPort and Incarnation say which
+	// one it is, the first time.
+	Worker      int    `json:"w"`
+	HostPort    string `json:"addr,omitempty"`
+	Incarnation string `json:"inc,omitempty"`
+	// Fence is the fencing token.
+	Fence int64 `json:"f"`
+	// TimeoutMS is how long the answer may take.
+	TimeoutMS int64 `json:"t"`
+	// Task and Number are the attempt.
+	Task   string `json:"task,omitempty"`
+	Number int    `json:"a,omitempty"`
+	// Payload names the payload of a launch by its hash; Text has it, the first
+	// time.
+	Payload string `json:"p,omitempty"`
+	Text    string `json:"text,omitempty"`
+	// Checkpoint is what to resume from.
+	Checkpoint string `json:"c,omitempty"`
+	// LeaseUntilMS is the end of leases by the worker's clock.
+	LeaseUntilMS int64 `json:"u,omitempty"`
+	// Percent is the pace.
+	Percent int `json:"pc,omitempty"`
+	// Seen is the last end that the worker may forget, WaitMS how long a look may
+	// wait for another.
+	Seen   int64 `json:"s,omitempty"`
+	WaitMS int64 `json:"wait,omitempty"`
+}
+
+// orders is a frame to a relay.
+type orders struct {
+	Orders []order `json:"o,omitempty"`
+}
+
+// answer is the answer to one order.
+type answer struct {
+	// N is the order's number.
+	N int64 `json:"n"`
+	// Code is empty or the code of the error, Text its text.
+	Code code   `json:"e,omitempty"`
+	Text string `json:"text,omitempty"`
+	// ClockMS is what the worker's clock read.
+	ClockMS int64 `json:"ms,omitempty"`
+	// Worker is the worker of a look, and Listed what that saw.
+	Worker int     `json:"w,omitempty"`
+	Listed *listed `json:"l,omitempty"`
+}
+
+// answers is a frame of a relay.
+type answers struct {
+	Answers []answer `json:"a,omitempty"`
+	// Leaving is set once the relay's host is about to stop.
+	Leaving bool `json:"leaving,omitempty"`
+}
+
+// code stands for an error on a stream.
+type code string
+
+// The codes of errors that are not a worker's.
+const (
+	// codeNoAnswer: the order may have been carried out, or may be yet.
+	codeNoAnswer code = "no-answer"
+	// codeNoPayload: the relay does not have the payload that a launch names.
+	codeNoPayload code = "no-payload"
+)
+
+// codes has the errors of workers that stay what they are over a stream.
+var codes = []struct {
+	code code
+	err  error
+}{
+	{"fenced", worker.ErrFenced},
+	{"old", worker.ErrOldAttempt},
+	{"late", worker.ErrLateLease},
+	{"no-room", worker.ErrNoRoom},
+	{"unfit", worker.ErrUnfit},
+	{"other-life", worker.ErrOtherLife},
+	{"malformed", worker.ErrMalformed},
+}
+
+// codeOf returns the code of an error.
+func codeOf(err error) code {
+	for _, known := range codes {
+		if errors.Is(err, known.err) {
+			return known.code
+		}
+	}
+	return codeNoAnswer
+}
+
+// errNoPayload: the launch was not sent to the worker.
+var errNoPayload = errors.New("relay does not have the payload")
+
+// asError returns the error that the answer stands for.
+func (an answer) asError(via string) error {
+	switch an.Code {
+	case "":
+		return nil
+	case codeNoPayload:
+		return errNoPayload
+	}
+	for _, known := range codes {
+		if an.Code == known.code {
+			return fmt.Errorf("through %s: %w", via, known.err)
+		}
+	}
+	return fmt.Errorf("through %s: %s", via, an.Text)
+}
--- /dev/null
+++ b/internal/relay/server.go
@@ -0,0 +1,227 @@
+package relay
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pepperhatch/pepperhatch/internal/worker"
+)
+
+// Header fields of a stream's request: who opens it.
+const (
+	headerOwner = "Pepperhatch-Owner"
+	headerEpoch = "Pepperhatch-Epoch"
+)
+
+// Bounds on what a relay keeps for one stream.
+const (
+	// payloadsMost is how many payloads it keeps, each of some thousand bytes; an
+	// owner is told if one it names is not there.
+	payloadsMost = 2000
+	// timeoutMost bounds one order, whatever it says.
+	timeoutMost = 5 * time.Second
+)
+
+// Server is the relay's side of streams. Set the fields, then use it as a handler.
+type Server struct {
+	// Agent talks to workers.
+	Agent worker.Agent
+	// Log gets streams that begin and end.
+	Log *slog.Logger
+
+	leaving atomic.Bool
+	mu      sync.Mutex
+	open    map[*serving]bool
+}
+
+// serving is one stream.
+type serving struct {
+	sv  *Server
+	ctx context.Context
+	// end ends the stream.
+	end context.CancelFunc
+	out *outbox[answer]
+
+	// The rest is the reader's alone.
+	workers  map[int]*reached
+	payloads map[string]string
+}
+
+// reached is a worker as a stream knows it.
+type reached struct {
+	number int
+	addr   worker.Addr
+
+	mu     sync.Mutex
+	differ differ
+}
+
+// Leave tells the owners that this host is about to stop.
+func (sv *Server) Leave() {
+	sv.leaving.Store(true)
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	for se := range sv.open {
+		se.out.put(answer{})
+	}
+}
+
+// ServeHTTP implements http.Handler: it serves one stream until that ends.
+func (sv *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	rc := http.NewResponseController(w)
+	if err := errors.Join(rc.EnableFullDuplex(), rc.SetReadDeadline(time.Now().Add(silentMost))); err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+	owner, epoch := r.Header.Get(headerOwner), r.Header.Get(headerEpoch)
+	sv.Log.Info("relaying for an owner", "owner", owner, "epoch", epoch)
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	se := &serving{sv: sv, ctx: ctx, end: cancel, out: newOutbox[answer](), workers: map[int]*reached{}, payloads: map[string]string{}}
+	sv.enter(se)
+	defer sv.drop(se)
+	go func() {
+		defer cancel()
+		if err := se.write(w, rc); err != nil {
+			sv.Log.Info("stream of an owner cannot be written", "owner", owner, "err", err)
+		}
+	}()
+	err := se.read(r.Body, rc)
+	sv.Log.Info("no longer relaying for an owner", "owner", owner, "epoch", epoch, "workers", len(se.workers), "err", err)
+}
+
+func (sv *Server) enter(se *serving) {
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	if sv.open == nil {
+		sv.open = map[*serving]bool{}
+	}
+	sv.open[se] = true
+}
+
+func (sv *Server) drop(se *serving) {
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	delete(sv.open, se)
+}
+
+// write sends answers until the stream ends.
+func (se *serving) write(w io.Writer, rc *http.ResponseController) error {
+	enc := json.NewEncoder(w)
+	if err := rc.Flush(); err != nil {
+		return err
+	}
+	return se.out.pump(se.ctx.Done(), func(list []answer) error {
+		fr := answers{Answers: list, Leaving: se.sv.leaving.Load()}
+		if err := errors.Join(rc.SetWriteDeadline(time.Now().Add(silentMost)), enc.Encode(fr)); err != nil {
+			return fmt.Errorf("write frame: %w", err)
+		}
+		return rc.Flush()
+	})
+}
+
+// read takes orders until the stream ends.
+func (se *serving) read(body io.Reader, rc *http.ResponseController) error {
+	dec := json.NewDecoder(body)
+	for {
+		var fr orders
+		if err := dec.Decode(&fr); err != nil {
+			return fmt.Errorf("read frame: %w", err)
+		}
+		if err := rc.SetReadDeadline(time.Now().Add(silentMost)); err != nil {
+			return fmt.Errorf("read frame: %w", err)
+		}
+		for _, or := range fr.Orders {
+			se.take(or)
+		}
+	}
+}
+
+// take begins one order.
+func (se *serving) take(or order) {
+	re := se.workers[or.Worker]
+	if re == nil || or.HostPort != "" {
+		re = &reached{number: or.Worker, addr: worker.Addr{HostPort: or.HostPort, Incarnation: or.Incarnation}}
+		se.workers[or.Worker] = re
+	}
+	if or.Kind == kindLaunch && !se.fill(&or) {
+		se.out.put(answer{N: or.N, Code: codeNoPayload})
+		return
+	}
+	go se.carryOut(re, or)
+}
+
+// fill gives a launch its payload, and reports whether it is there.
+func (se *serving) fill(or *order) bool {
+	if or.Payload == "" {
+		return true
+	}
+	if or.Text == "" {
+		or.Text = se.payloads[or.Payload]
+		return or.Text != ""
+	}
+	if len(se.payloads) >= payloadsMost {
+		clear(se.payloads)
+	}
+	se.payloads[or.Payload] = or.Text
+	return true
+}
+
+// carryOut carries an order out and answers it.
+func (se *serving) carryOut(re *reached, or order) {
+	ctx, cancel := context.WithTimeout(se.ctx, min(time.Duration(or.TimeoutMS)*time.Millisecond, timeoutMost))
+	defer cancel()
+	an := answer{N: or.N}
+	ag, at := se.sv.Agent, worker.Attempt{Task: or.Task, Number: or.Number}
+	var ack worker.Ack
+	var err error
+	switch or.Kind {
+	case kindLaunch:
+		ack, err = ag.LaunchFunc(ctx, re.addr, worker.Launch{Attempt: at, Payload: or.Text, Checkpoint: or.Checkpoint, Fence: or.Fence, LeaseUntilMS: or.LeaseUntilMS})
+	case kindHalt:
+		ack, err = ag.HaltFunc(ctx, re.addr, worker.Halt{Attempt: at, Fence: or.Fence})
+	case kindPace:
+		ack, err = ag.PaceFunc(ctx, re.addr, worker.Pace{Attempt: at, Percent: or.Percent, Fence: or.Fence})
+	case kindLook:
+		se.look(ctx, re, or)
+		return
+	default:
+		err = fmt.Errorf("%w: order of kind %q", worker.ErrMalformed, or.Kind)
+	}
+	an.ClockMS = ack.ClockMS
+	se.answer(an, err)
+}
+
+// look looks at a worker and answers with what is new. Differences go out in the
+// order in which they are made.
+func (se *serving) look(ctx context.Context, re *reached, or order) {
+	lo := worker.Look{Fence: or.Fence, Seen: or.Seen, LeaseUntilMS: or.LeaseUntilMS, Wait: time.Duration(or.WaitMS) * time.Millisecond}
+	si, err := se.sv.Agent.LookFunc(ctx, re.addr, lo)
+	if err != nil {
+		se.answer(answer{N: or.N}, err)
+		return
+	}
+	re.mu.Lock()
+	defer re.mu.Unlock()
+	se.answer(answer{N: or.N, ClockMS: si.ClockMS, Worker: re.number, Listed: re.differ.diff(si, time.Now())}, nil)
+}
+
+func (se *serving) answer(an answer, err error) {
+	if err != nil {
+		an.Code, an.Text = codeOf(err), err.Error()
+	}
+	if !se.out.put(an) {
+		// What follows would be differences to what the owner never had.
+		se.sv.Log.Warn("ending the stream of an owner, as too many answers wait", "order", an.N)
+		se.end()
+	}
+}
--- a/internal/sched/host.go
+++ b/internal/sched/host.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/pepperhatch/pepperhatch/internal/job"
@@ -36,9 +37,9 @@
 	Listed
 
 	ow *Owner
-	// target is where it listens; unlike what the list says it never changes,
-	// so that orders on their way may read it.
-	target      worker.Addr
+	// way is how it is reached now. Orders on their way read it from any
+	// goroutine.
+	way         atomic.Pointer[way]
 	incarnation string
 	// leaves is when a draining worker may leave, at the earliest.
 	leaves time.Time
@@ -131,10 +132,11 @@
 		"millicores", li.Holds.MilliCores, "mem_mb", li.Holds.MemMB, "draining", li.Draining)
 	ctx, stop := context.WithCancel(ow.ctx)
 	ho := &host{
-		Listed: li, ow: ow, target: li.Addr, incarnation: li.Incarnation, stop: stop, release: make(chan struct{}, 1),
+		Listed: li, ow: ow, incarnation: li.Incarnation, stop: stop, release: make(chan struct{}, 1),
 		attempts: map[*attempt]bool{}, failedJobs: map[string]bool{},
 	}
 	ho.leaves = time.Now().Add(li.Remaining)
+	ho.way.Store(ow.firstWay(li))
 	ow.hosts[li.Incarnation] = ho
 	ow.sorted = nil
 	ow.byAddr[li.HostPort] = ho
@@ -160,6 +162,9 @@
 		return
 	}
 	ho.stop()
+	if ow.DroppedFunc != nil {
+		ow.DroppedFunc(ho.incarnation)
+	}
 	delete(ow.hosts, ho.incarnation)
 	ow.sorted = nil
 	if ow.byAddr[ho.HostPort] == ho {
--- a/internal/sched/launch.go
+++ b/internal/sched/launch.go
@@ -33,7 +33,7 @@
 	ta := at.en.jo.Task(at.ref)
 	la := worker.Launch{
 		Attempt: at.name(), Payload: at.en.jo.Spec.Payload, Checkpoint: ta.Checkpoint,
-		Fence: ow.Tenure.Epoch, LeaseUntilMS: at.ho.leaseNow(time.Now()),
+		LeaseUntilMS: at.ho.leaseNow(time.Now()),
 	}
 	go ow.sendLaunch(at, la)
 }
@@ -52,7 +52,9 @@
 func (ow *Owner) sendLaunch(at *attempt, la worker.Launch) {
 	sent := time.Now()
 	ctx, cancel := context.WithTimeout(ow.ctx, launchTimeout)
-	ack, err := ow.Agent.LaunchFunc(ctx, at.ho.target, la)
+	wa := at.ho.wayNow()
+	la.Fence = wa.fence
+	ack, err := ow.Agent.LaunchFunc(ctx, wa.addr, la)
 	cancel()
 	got := time.Now()
 	ow.post(func() { ow.launched(at, ack, sent, got, err) })
@@ -93,6 +95,8 @@
 		ho.setAside(asideNoRoom, "its clock is not known well")
 	case errors.Is(err, worker.ErrFenced):
 		ho.setAside(asideUnfit, "obeys a later owner")
+	case errors.Is(err, worker.ErrNotSent):
+		ho.setAside(asideUnfit, "there is no way to it now")
 	case errors.Is(err, worker.ErrOtherLife):
 		ho.die("another process answers at its address")
 	default:
@@ -112,6 +116,7 @@
 	}{
 		{worker.ErrFenced, "fenced"}, {worker.ErrOldAttempt, "old"}, {worker.ErrLateLease, "late"},
 		{worker.ErrNoRoom, "no-room"}, {worker.ErrUnfit, "unfit"}, {worker.ErrOtherLife, "other-life"}, {worker.ErrMalformed, "malformed"},
+		{worker.ErrNotSent, "not-sent"},
 	} {
 		if errors.Is(err, known.err) {
 			return known.word
@@ -168,7 +173,8 @@
 	}
 	ctx, cancel := context.WithTimeout(ow.ctx, lookGrace)
 	defer cancel()
-	si, err := ow.Agent.LookFunc(ctx, ho.target, worker.Look{Fence: ow.Tenure.Epoch, Seen: seen})
+	way := ho.wayNow()
+	si, err := ow.Agent.LookFunc(ctx, way.addr, worker.Look{Fence: way.fence, Seen: seen})
 	if err != nil {
 		return false, err
 	}
@@ -200,7 +206,8 @@
 func (ow *Owner) sendHalt(ho *host, wa worker.Attempt) bool {
 	ctx, cancel := context.WithTimeout(ow.ctx, haltTimeout)
 	defer cancel()
-	_, err := ow.Agent.HaltFunc(ctx, ho.target, worker.Halt{Attempt: wa, Fence: ow.Tenure.Epoch})
+	way := ho.wayNow()
+	_, err := ow.Agent.HaltFunc(ctx, way.addr, worker.Halt{Attempt: wa, Fence: way.fence})
 	if err != nil {
 		ow.Log.Info("halt not done", "task", wa.Task, "attempt", wa.Number, "worker", ho.incarnation, "err", err)
 	}
--- a/internal/sched/looks.go
+++ b/internal/sched/looks.go
@@ -46,7 +46,9 @@
 		}
 		sent := time.Now()
 		lctx, cancel := context.WithTimeout(ctx, lo.Wait+lookGrace)
-		si, err := ho.ow.Agent.LookFunc(lctx, ho.target, lo)
+		wa := ho.wayNow()
+		lo.Fence = wa.fence
+		si, err := ho.ow.Agent.LookFunc(lctx, wa.addr, lo)
 		cancel()
 		if ctx.Err() != nil {
 			return
@@ -78,7 +80,7 @@
 // nextLook is what to ask now.
 func (ho *host) nextLook() worker.Look {
 	now := time.Now()
-	lo := worker.Look{Fence: ho.ow.Tenure.Epoch, Seen: ho.acked}
+	lo := worker.Look{Seen: ho.acked}
 	if ho.failing.IsZero() || now.Sub(ho.failing) < extendSilent {
 		lo.LeaseUntilMS = ho.leaseNow(now)
 	}
--- a/internal/sched/owner.go
+++ b/internal/sched/owner.go
@@ -56,6 +56,11 @@
 	Agent worker.Agent
 	// Limits are the users'.
 	Limits Limits
+	// ViaFunc names the entry host through which a worker is to be reached, empty
+	// for directly, and DroppedFunc tells that a worker is not reached any more.
+	// Both may be nil.
+	ViaFunc     func(Listed) string
+	DroppedFunc func(incarnation string)
 	// Without has the mechanisms that are switched off.
 	Without Mechanism
 	// Metrics counts.
--- a/internal/sched/pace.go
+++ b/internal/sched/pace.go
@@ -234,7 +234,7 @@
 		return
 	}
 	at.pacing = true
-	go ow.sendPace(at, worker.Pace{Attempt: at.name(), Percent: at.pace, Fence: ow.Tenure.Epoch})
+	go ow.sendPace(at, worker.Pace{Attempt: at.name(), Percent: at.pace})
 }
 
 // pacedTo takes in the answer to an order, and sends the next if another pace
@@ -259,7 +259,9 @@
 func (ow *Owner) sendPace(at *attempt, pa worker.Pace) {
 	ctx, cancel := context.WithTimeout(ow.ctx, paceTimeout)
 	defer cancel()
-	_, err := ow.Agent.PaceFunc(ctx, at.ho.target, pa)
+	wa := at.ho.wayNow()
+	pa.Fence = wa.fence
+	_, err := ow.Agent.PaceFunc(ctx, wa.addr, pa)
 	if err != nil {
 		ow.Log.Info("pace not set", "task", pa.Task, "attempt", pa.Number, "worker", at.ho.incarnation, "err", err)
 	}
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -45,6 +45,7 @@
 	PlaceRounds  Name = "pepperhatch_placement_rounds"
 	Stalls       Name = "pepperhatch_attempts_stalled"
 	JobTime      Name = "pepperhatch_job_milliseconds"
+	RelaysLost   Name = "pepperhatch_relays_lost"
 )
 
 // Duration is the histogram of request times.
@@ -83,6 +84,7 @@
 	{PlaceRounds, "", "rounds of placement of a cell, each over all its workers", "many a second: the owner's processor is short, see CAPACITY.md"},
 	{Stalls, "", "attempts that were stopped as they made no progress", "look for the workers in the log: \"attempts stand still\""},
 	{JobTime, "cause", "time of jobs that are over, in milliseconds, by what it went to", "much of room or place: too little room; of store or order: the store or the owner is slow"},
+	{RelaysLost, "", "streams of an owner to other entry hosts that ended", "look for \"relay not used for a while\" in the owner's log"},
 	{TaskEvents, "event", "tasks started, done, failed, evicted, throttled", "evictions: see place.eviction-budget"},
 }
 
--- a/internal/worker/agent.go
+++ b/internal/worker/agent.go
@@ -13,12 +13,15 @@
 	Number int
 }
 
-// Addr is a worker's process: where it listens and which life is meant.
+// Addr is a worker's process: where it listens, which life is meant, and the way
+// there.
 type Addr struct {
 	// HostPort is where it listens.
 	HostPort string
 	// Incarnation names the process; another one at the address refuses.
 	Incarnation string
+	// Via names the entry host through which it is reached; empty is directly.
+	Via string
 }
 
 // Launch orders the start of an attempt.
@@ -125,6 +128,8 @@
 	ErrOtherLife = errors.New("another incarnation is at the address")
 	// ErrMalformed: the worker cannot read the order.
 	ErrMalformed = errors.New("worker cannot read the order")
+	// ErrNotSent: the order did not leave for the worker.
+	ErrNotSent = errors.New("order was not sent")
 )
 
 // Agent is a client of workers that are ordered task by task.
