Write short rows of progress

A job's row has all its tasks, some 42 bytes each in JSON, and is written anew with every change, some 15 times a job.

Change: a character a task, and workers, attempts, failures and checkpoints only where they do not follow from that. A row that lacks the tasks of a job that goes on is an error, so that rows of earlier versions are not read as jobs that have not begun.

Tests: TestRowsOfSteps reads rows of any tasks back; TestRowsThatCannotBeRead has six more rows.

--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -55,15 +55,15 @@
 // Task is one task.
 type Task struct {
 	// State is where it is.
-	State TaskState `json:"s,omitempty"`
+	State TaskState
 	// Attempt is the last attempt's number, from 1; 0 before the first.
-	Attempt int `json:"a,omitempty"`
+	Attempt int
 	// Failures counts attempts that ended failed.
-	Failures int `json:"f,omitempty"`
+	Failures int
 	// Worker is the incarnation of the last attempt's worker.
-	Worker string `json:"w,omitempty"`
+	Worker string
 	// Checkpoint is what the next attempt starts from.
-	Checkpoint string `json:"c,omitempty"`
+	Checkpoint string
 }
 
 // TaskRef names a task within its job.
--- a/internal/job/job_test.go
+++ b/internal/job/job_test.go
@@ -93,10 +93,43 @@
 	}
 }
 
+const oneTask = `{"spec":{"steps":[{"tasks":1,"each":{}}]}}`
+
 func TestRowsThatCannotBeRead(t *testing.T) {
-	for _, tc := range [][2]string{{"", "{}"}, {"{}", ""}, {`{"spec":{"steps":[{"tasks":1,"each":{}}]}}`, `{"tasks":[[],[]]}`}} {
+	for _, tc := range [][2]string{{"", "{}"}, {"{}", ""}, {`{"spec":{"steps":[{"tasks":1,"each":{}}]}}`, `{"tasks":[[],[]]}`},
+		{oneTask, `{"steps":[{"s":"w"},{"s":"w"}]}`}, {oneTask, `{"steps":[{"s":"ww"}]}`}, {oneTask, `{"steps":[{"s":"x"}]}`},
+		{oneTask, `{"steps":[{"s":"s","w":["a"]}]}`}, {oneTask, `{"steps":[{"s":"s","w":["a"],"o":[1]}]}`}, {oneTask, `{"state":"running"}`}} {
 		_, err := Restore(testID, []byte(tc[0]), []byte(tc[1]))
-		qt.Check(t, err, qt.IsNotNil)
+		qt.Check(t, err, qt.IsNotNil, qt.Commentf("%s", tc[1]))
+	}
+}
+
+// TestRowsOfSteps reads rows of any tasks back.
+func TestRowsOfSteps(t *testing.T) {
+	proptest.Check(t, proptest.Size{Checks: 300}, func(rt *rapid.T) {
+		tasks := rapid.SliceOfN(rapid.Custom(drawTask), 1, 40).Draw(rt, "tasks")
+		data, err := json.Marshal(newStepRow(tasks))
+		qt.Assert(t, err, qt.IsNil)
+		var sr StepRow
+		qt.Assert(t, json.Unmarshal(data, &sr), qt.IsNil)
+		again, err := sr.tasks(len(tasks))
+		qt.Assert(t, err, qt.IsNil)
+		for i := range tasks {
+			want := tasks[i]
+			if want.State != Started {
+				// Only started tasks have a worker that matters.
+				want.Worker = ""
+			}
+			qt.Assert(t, again[i], qt.Equals, want)
+		}
+	})
+}
+
+func drawTask(rt *rapid.T) Task {
+	return Task{
+		State: TaskState(rapid.IntRange(0, len(stateChars)-1).Draw(rt, "state")), Attempt: rapid.IntRange(0, 3).Draw(rt, "attempt"),
+		Failures: rapid.IntRange(0, 2).Draw(rt, "failures"), Worker: rapid.SampledFrom([]string{"i-1", "i-2", "i-3"}).Draw(rt, "worker"),
+		Checkpoint: rapid.SampledFrom([]string{"", "c1"}).Draw(rt, "checkpoint"),
 	}
 }
 
--- a/internal/job/row.go
+++ b/internal/job/row.go
@@ -21,9 +21,9 @@
 	Epoch int64 `json:"epoch"`
 	// State repeats what follows from the rest, for readers.
 	State State `json:"state"`
-	// Cancelled and Tasks are the job's.
-	Cancelled bool     `json:"cancelled,omitempty"`
-	Tasks     [][]Task `json:"tasks,omitempty"`
+	// Cancelled is the job's, Steps has its tasks.
+	Cancelled bool      `json:"cancelled,omitempty"`
+	Steps     []StepRow `json:"steps,omitempty"`
 }
 
 // SpecRow returns the row of what never changes.
@@ -35,7 +35,9 @@
 	jo.Rev++
 	row := ProgressRow{Rev: jo.Rev, Epoch: epoch, State: jo.State(), Cancelled: jo.Cancelled}
 	if !row.State.Final() || jo.Live() {
-		row.Tasks = jo.Tasks
+		for _, tasks := range jo.Tasks {
+			row.Steps = append(row.Steps, newStepRow(tasks))
+		}
 	}
 	return row
 }
@@ -65,11 +67,12 @@
 	jo := New(id, sr.Terms, sr.Spec)
 	jo.Rev, jo.Cancelled = pr.Rev, pr.Cancelled
 	switch {
-	case pr.Tasks != nil:
-		if len(pr.Tasks) != len(jo.Tasks) {
-			return nil, fmt.Errorf("progress of job %s has %d steps, its spec %d", id, len(pr.Tasks), len(jo.Tasks))
+	case pr.Steps != nil:
+		if err := jo.take(pr.Steps); err != nil {
+			return nil, fmt.Errorf("progress of job %s: %w", id, err)
 		}
-		jo.Tasks = pr.Tasks
+	case !pr.State.Final():
+		return nil, fmt.Errorf("progress of job %s: %w: %s without tasks", id, errRow, pr.State)
 	case pr.State == Succeeded:
 		jo.all(Done)
 	case pr.State == Failed:
@@ -79,6 +82,21 @@
 	return jo, nil
 }
 
+// take takes in the tasks of rows.
+func (jo *Job) take(rows []StepRow) error {
+	if len(rows) != len(jo.Tasks) {
+		return fmt.Errorf("%w: %d steps, want %d", errRow, len(rows), len(jo.Tasks))
+	}
+	for i, sr := range rows {
+		tasks, err := sr.tasks(len(jo.Tasks[i]))
+		if err != nil {
+			return fmt.Errorf("step %d: %w", i, err)
+		}
+		jo.Tasks[i] = tasks
+	}
+	return nil
+}
+
 func (jo *Job) all(state TaskState) {
 	for _, tasks := range jo.Tasks {
 		for i := range tasks {
