Bound the starts under way, and remove what a job that is over does not need

(2) A new owner reads the specs of all jobs of the last two minutes, some 2 kB each, over that link. (3) The crash of a relay: its response was written after the handler returned.

Changes: a window of starts under way, which shrinks while answers are slow and grows while they are not; the row of a job's spec goes with the write that ends the job; the handler waits for its writer.

--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -106,6 +106,8 @@
 	left   []int
 	failed int
 	begun  int
+	// ended is the final state of a job of which nothing else was kept.
+	ended State
 }
 
 // New returns a job none of whose tasks has begun.
@@ -140,6 +142,8 @@
 // State returns what the caller sees.
 func (jo *Job) State() State {
 	switch {
+	case jo.ended != "":
+		return jo.ended
 	case jo.Cancelled:
 		return Cancelled
 	case jo.failed > 0:
--- a/internal/job/row.go
+++ b/internal/job/row.go
@@ -5,7 +5,9 @@
 	"fmt"
 )
 
-// SpecRow is what is written of a job once, when it is accepted.
+// SpecRow is what is written of a job once, when it is accepted. It is removed once
+// the job is over and nothing of it can run any more: a new owner then has less to
+// read, and nobody needs it.
 type SpecRow struct {
 	// Terms and Spec never change.
 	Terms Terms `json:"terms"`
@@ -24,6 +26,8 @@
 	// Cancelled is the job's, Steps has its tasks.
 	Cancelled bool      `json:"cancelled,omitempty"`
 	Steps     []StepRow `json:"steps,omitempty"`
+	// Queue names the queue of a job that is over, which has no other row.
+	Queue string `json:"queue,omitempty"`
 }
 
 // SpecRow returns the row of what never changes.
@@ -34,7 +38,9 @@
 func (jo *Job) NextRow(epoch int64) ProgressRow {
 	jo.Rev++
 	row := ProgressRow{Rev: jo.Rev, Epoch: epoch, State: jo.State(), Cancelled: jo.Cancelled}
-	if !row.State.Final() || jo.Live() {
+	if jo.Over() {
+		row.Queue = jo.Terms.Queue
+	} else {
 		for _, tasks := range jo.Tasks {
 			row.Steps = append(row.Steps, newStepRow(tasks))
 		}
@@ -42,6 +48,10 @@
 	return row
 }
 
+// Over reports whether the job is in a final state and nothing of it can run any
+// more.
+func (jo *Job) Over() bool { return jo.State().Final() && !jo.Live() }
+
 // Live reports whether any task may be running.
 func (jo *Job) Live() bool {
 	for _, tasks := range jo.Tasks {
@@ -54,29 +64,26 @@
 	return false
 }
 
-// Restore makes a job from its rows.
+// Restore makes a job from its rows. That of the spec may be missing for a job that
+// is over.
 func Restore(id string, spec, progress []byte) (*Job, error) {
-	var sr SpecRow
-	if err := json.Unmarshal(spec, &sr); err != nil {
-		return nil, fmt.Errorf("decode spec of job %s: %w", id, err)
-	}
 	var pr ProgressRow
 	if err := json.Unmarshal(progress, &pr); err != nil {
 		return nil, fmt.Errorf("decode progress of job %s: %w", id, err)
 	}
+	if pr.State.Final() && pr.Steps == nil {
+		jo := New(id, Terms{Queue: pr.Queue}, Spec{})
+		jo.Rev, jo.Cancelled, jo.ended = pr.Rev, pr.Cancelled, pr.State
+		return jo, nil
+	}
+	var sr SpecRow
+	if err := json.Unmarshal(spec, &sr); err != nil {
+		return nil, fmt.Errorf("decode spec of job %s: %w", id, err)
+	}
 	jo := New(id, sr.Terms, sr.Spec)
 	jo.Rev, jo.Cancelled = pr.Rev, pr.Cancelled
-	switch {
-	case pr.Steps != nil:
-		if err := jo.take(pr.Steps); err != nil {
-			return nil, fmt.Errorf("progress of job %s: %w", id, err)
-		}
-	case !pr.State.Final():
-		return nil, fmt.Errorf("progress of job %s: %w: %s without tasks", id, errRow, pr.State)
-	case pr.State == Succeeded:
-		jo.all(Done)
-	case pr.State == Failed:
-		jo.all(Failing)
+	if err := jo.take(pr.Steps); err != nil {
+		return nil, fmt.Errorf("progress of job %s: %w", id, err)
 	}
 	jo.count()
 	return jo, nil
@@ -96,11 +103,3 @@
 	}
 	return nil
 }
-
-func (jo *Job) all(state TaskState) {
-	for _, tasks := range jo.Tasks {
-		for i := range tasks {
-			tasks[i].State = state
-		}
-	}
-}
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -85,16 +85,19 @@
 	owner, epoch := r.Header.Get(headerOwner), r.Header.Get(headerEpoch)
 	sv.Log.Info("relaying for an owner", "owner", owner, "epoch", epoch)
 	ctx, cancel := context.WithCancel(r.Context())
-	defer cancel()
 	se := &serving{sv: sv, ctx: ctx, end: cancel, out: newOutbox[answer](), workers: map[int]*reached{}, payloads: map[string]string{}}
 	sv.enter(se)
 	defer sv.drop(se)
-	go func() {
+	// The response may not be written once this method has returned.
+	var writer sync.WaitGroup
+	defer writer.Wait()
+	defer cancel()
+	writer.Go(func() {
 		defer cancel()
 		if err := se.write(w, rc); err != nil {
 			sv.Log.Info("stream of an owner cannot be written", "owner", owner, "err", err)
 		}
-	}()
+	})
 	err := se.read(r.Body, rc)
 	sv.Log.Info("no longer relaying for an owner", "owner", owner, "epoch", epoch, "workers", len(se.workers), "err", err)
 }
--- a/internal/sched/attempt.go
+++ b/internal/sched/attempt.go
@@ -14,6 +14,8 @@
 	ho     *host
 	// en is its job.
 	en *entry
+	// underWay is set from its placement to the answer to its order.
+	underWay bool
 	// ordered is set once its order was sent.
 	ordered bool
 	// launched is when the worker acknowledged the order, or zero.
--- a/internal/sched/commit.go
+++ b/internal/sched/commit.go
@@ -103,14 +103,19 @@
 	en.effects, en.dirty, en.writing = nil, false, true
 	wr.txn.Conds = append(wr.txn.Conds, store.Cond{Key: pa.key, Version: en.progVer})
 	if en.removing {
-		wr.txn.Puts = append(wr.txn.Puts, store.Put{Key: pa.key, Delete: true}, store.Put{Key: ow.specKey(id), Delete: true})
+		wr.txn.Puts = append(wr.txn.Puts, store.Put{Key: pa.key, Delete: true})
+		wr.txn.Puts = append(wr.txn.Puts, ow.specGone(en)...)
 		wr.parts = append(wr.parts, pa)
 		return 0
 	}
 	pa.value = ow.encode(en.jo.NextRow(ow.Tenure.Epoch))
 	wr.txn.Puts = append(wr.txn.Puts, store.Put{Key: pa.key, Value: pa.value})
 	size := len(pa.value)
-	if pa.first {
+	switch {
+	case en.jo.Over():
+		wr.txn.Puts = append(wr.txn.Puts, ow.specGone(en)...)
+	case pa.first:
+		en.specKept = true
 		spec := ow.encode(en.jo.SpecRow())
 		size += len(spec)
 		wr.txn.Conds = append(wr.txn.Conds, store.Cond{Key: ow.specKey(id)})
@@ -120,6 +125,15 @@
 	return size
 }
 
+// specGone returns the removal of the row of a job's spec, if there is one.
+func (ow *Owner) specGone(en *entry) []store.Put {
+	if !en.specKept {
+		return nil
+	}
+	en.specKept = false
+	return []store.Put{{Key: ow.specKey(en.jo.ID), Delete: true}}
+}
+
 func (ow *Owner) encode(row any) []byte {
 	data, err := json.Marshal(row)
 	if err != nil {
--- a/internal/sched/entry.go
+++ b/internal/sched/entry.go
@@ -26,6 +26,8 @@
 	turn, rank int
 	// progVer is the version of its row of progress, 0 if not written.
 	progVer int64
+	// specKept is set while there is a row of its spec.
+	specKept bool
 	// shown is the state last written, empty before the first write.
 	shown job.State
 	// dirty is set while a change waits to be written, writing while a write
--- a/internal/sched/host.go
+++ b/internal/sched/host.go
@@ -193,6 +193,7 @@
 		return
 	}
 	delete(ho.attempts, at)
+	ho.ow.land(at)
 	ho.noteEnded(at, time.Now())
 	ho.services = slices.DeleteFunc(ho.services, func(other *attempt) bool { return other == at })
 	ho.reserved = ho.reserved.Without(at.step().Reserved())
--- a/internal/sched/launch.go
+++ b/internal/sched/launch.go
@@ -63,6 +63,10 @@
 // launched takes in the answer to a launch.
 func (ow *Owner) launched(at *attempt, ack worker.Ack, sent, got time.Time, err error) {
 	ow.Metrics.Add(telemetry.Launches, 1, "outcome", launchOutcome(err))
+	ow.land(at)
+	if ow.window.answered(got.Sub(sent), got) {
+		ow.Log.Info("fewer starts at once, as answers are slow", "cell", ow.Cell, "most", ow.window.limit(), "under_way", ow.window.underWay, "took", got.Sub(sent))
+	}
 	at.ho.read(ack.ClockMS, got)
 	if at.en.attempts[at.ref] != at {
 		return
--- a/internal/sched/load.go
+++ b/internal/sched/load.go
@@ -52,7 +52,7 @@
 		if err != nil {
 			return err
 		}
-		ow.restore(jo, row.Version)
+		ow.restore(jo, row.Version).specKept = byID[id].Version > 0
 	}
 	return nil
 }
@@ -60,7 +60,7 @@
 func lastPart(key string) string { return key[strings.LastIndexByte(key, '/')+1:] }
 
 // restore enters a job as it was read.
-func (ow *Owner) restore(jo *job.Job, progVer int64) {
+func (ow *Owner) restore(jo *job.Job, progVer int64) *entry {
 	en := ow.add(jo)
 	en.progVer, en.shown = progVer, jo.State()
 	if en.shown.Final() {
@@ -75,6 +75,7 @@
 		}
 	}
 	ow.recount(en)
+	return en
 }
 
 // adopt gives a worker that was just seen the attempts that former owners
--- a/internal/sched/owner.go
+++ b/internal/sched/owner.go
@@ -90,6 +90,8 @@
 	rounds int
 	dirty  []*entry
 	writes int
+	// window bounds the starts under way.
+	window window
 	// failing is since when writes have not succeeded, or zero.
 	failing time.Time
 	// orphans has the attempts on workers that no list named since the
@@ -156,7 +158,7 @@
 			ow.tick()
 		}
 		// What is placed while a write is under way waits for its end anyway.
-		if ow.due && ow.writes < writesAtOnce {
+		if ow.due && ow.writes < writesAtOnce && !ow.window.full() {
 			ow.place()
 		}
 		ow.flush()
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -22,6 +22,11 @@
 	ow.Metrics.Add(telemetry.PlaceRounds, 1)
 	pl := ow.newPlacer()
 	for _, en := range append([]*entry(nil), ow.active...) {
+		if ow.window.full() {
+			// The next round goes on once some have landed.
+			ow.due = true
+			return
+		}
 		pl.placeJob(en)
 	}
 }
@@ -96,6 +101,9 @@
 			if en.jo.Tasks[step][index].State != job.Waiting {
 				continue
 			}
+			if pl.ow.window.full() {
+				return
+			}
 			ca, lack := pl.pick(en, ref)
 			en.lack = lack
 			if ca == nil {
@@ -244,6 +252,7 @@
 	}
 	at := &attempt{ref: ref, number: number, ho: ca.ho, en: en, pace: fullPace}
 	ca.ho.put(at)
+	pl.ow.depart(at)
 	ca.summed = false
 	st := &en.jo.Spec.Steps[ref.Step]
 	ca.free = ca.free.Without(st.Reserved())
