Shorten messages and rows further; call answers slow from 250 ms

Change: numbers in place of hashes and names on a stream, fencing tokens and time-outs only where they differ; rows without what matters to nobody of tasks that are done, and with the checkpoint that an attempt started from, not each one that it made since (its worker tells those); the threshold of the window at 250 ms.

--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -62,8 +62,10 @@
 	Failures int
 	// Worker is the incarnation of the last attempt's worker.
 	Worker string
-	// Checkpoint is what the next attempt starts from.
+	// Checkpoint is what the next attempt starts from, Base what the last one
+	// started from.
 	Checkpoint string
+	Base       string
 }
 
 // TaskRef names a task within its job.
@@ -204,6 +206,7 @@
 	ta.State = Started
 	ta.Attempt++
 	ta.Worker = incarnation
+	ta.Base = ta.Checkpoint
 	return ta.Attempt
 }
 
@@ -244,7 +247,7 @@
 		return
 	}
 	ta.State = Done
-	ta.Worker, ta.Checkpoint = "", ""
+	ta.Worker, ta.Checkpoint, ta.Base = "", "", ""
 	jo.left[ref.Step]--
 }
 
--- a/internal/relay/listed.go
+++ b/internal/relay/listed.go
@@ -25,7 +25,8 @@
 // row is an attempt that runs. Its name is sent the first time only.
 type row struct {
 	// Row numbers it among the worker's.
-	Row    int    `json:"i"`
+	Row int `json:"i"`
+	// Task and Number are the attempt, counted from 0.
 	Task   string `json:"t,omitempty"`
 	Number int    `json:"a,omitempty"`
 	// Checkpoint, Percent and Usage are as in [worker.RunningAttempt].
@@ -36,13 +37,21 @@
 
 // ended is an end as in [worker.EndedAttempt].
 type ended struct {
-	EndNumber  int64  `json:"n"`
-	Task       string `json:"t"`
-	Number     int    `json:"a"`
-	How        string `json:"h"`
+	EndNumber int64 `json:"n"`
+	// Row is the number of the row that the attempt had, if it was told of; Task and
+	// Number, counted from 0, name it otherwise.
+	Row    int    `json:"i,omitempty"`
+	Task   string `json:"t,omitempty"`
+	Number int    `json:"a,omitempty"`
+	// How is left out of one that was done, and so is its checkpoint, which nobody
+	// needs.
+	How        string `json:"h,omitempty"`
 	Checkpoint string `json:"c,omitempty"`
 }
 
+// howDone is the worker's word for an attempt that was done.
+const howDone = "done"
+
 // differ makes differences of one worker's looks, on the relay. The zero value is
 // ready.
 type differ struct {
@@ -66,25 +75,39 @@
 		seen[ra.Attempt] = true
 		di.add(li, ra, due)
 	}
+	for _, ea := range si.Ended {
+		li.Ended = append(li.Ended, di.end(ea))
+	}
 	for at, ro := range di.rows {
 		if !seen[at] {
 			li.Gone = append(li.Gone, ro.Row)
 			delete(di.rows, at)
 		}
 	}
-	for _, ea := range si.Ended {
-		li.Ended = append(li.Ended, ended{EndNumber: ea.EndNumber, Task: ea.Task, Number: ea.Number, How: ea.How, Checkpoint: ea.Checkpoint})
-	}
 	return li
 }
 
+// end returns an end as it is sent.
+func (di *differ) end(ea worker.EndedAttempt) ended {
+	en := ended{EndNumber: ea.EndNumber}
+	if ro, ok := di.rows[ea.Attempt]; ok {
+		en.Row = ro.Row
+	} else {
+		en.Task, en.Number = ea.Task, ea.Number-1
+	}
+	if ea.How != howDone {
+		en.How, en.Checkpoint = ea.How, ea.Checkpoint
+	}
+	return en
+}
+
 // add adds what is new of an attempt that runs.
 func (di *differ) add(li *listed, ra worker.RunningAttempt, due bool) {
 	known, ok := di.rows[ra.Attempt]
 	ro := row{Row: known.Row, Checkpoint: ra.Checkpoint, Percent: ra.Percent, Usage: ra.Usage}
 	if !ok {
 		di.next++
-		ro.Row, ro.Task, ro.Number = di.next, ra.Task, ra.Number
+		ro.Row, ro.Task, ro.Number = di.next, ra.Task, ra.Number-1
 	}
 	if ok && (!due || ro == known) {
 		return
@@ -107,22 +130,32 @@
 	for _, ro := range li.New {
 		ra := me.rows[ro.Row]
 		if ro.Task != "" {
-			ra.Attempt = worker.Attempt{Task: ro.Task, Number: ro.Number}
+			ra.Attempt = worker.Attempt{Task: ro.Task, Number: ro.Number + 1}
 		}
 		ra.Checkpoint, ra.Percent, ra.Usage = ro.Checkpoint, ro.Percent, ro.Usage
 		me.rows[ro.Row] = ra
 	}
+	si := worker.Sight{ClockMS: clockMS, Running: make([]worker.RunningAttempt, 0, len(me.rows))}
+	for _, en := range li.Ended {
+		si.Ended = append(si.Ended, me.end(en))
+	}
 	for _, n := range li.Gone {
 		delete(me.rows, n)
 	}
-	si := worker.Sight{ClockMS: clockMS, Running: make([]worker.RunningAttempt, 0, len(me.rows))}
 	for _, ra := range me.rows {
 		si.Running = append(si.Running, ra)
 	}
-	for _, en := range li.Ended {
-		si.Ended = append(si.Ended, worker.EndedAttempt{
-			Attempt: worker.Attempt{Task: en.Task, Number: en.Number}, EndNumber: en.EndNumber, How: en.How, Checkpoint: en.Checkpoint,
-		})
-	}
 	return si
 }
+
+// end returns an end as the worker listed it.
+func (me *merger) end(en ended) worker.EndedAttempt {
+	ea := worker.EndedAttempt{Attempt: worker.Attempt{Task: en.Task, Number: en.Number + 1}, EndNumber: en.EndNumber, How: en.How, Checkpoint: en.Checkpoint}
+	if en.Row > 0 {
+		ea.Attempt = me.rows[en.Row].Attempt
+	}
+	if ea.How == "" {
+		ea.How = howDone
+	}
+	return ea
+}
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -255,13 +255,13 @@
 			if ad.Via == "" {
 				return po.Direct.HaltFunc(ctx, ad, ha)
 			}
-			return po.order(ctx, ad, order{Kind: kindHalt, Task: ha.Task, Number: ha.Number, Fence: ha.Fence})
+			return po.order(ctx, ad, order{Kind: kindHalt, Task: ha.Task, Number: ha.Number - 1, Fence: ha.Fence})
 		},
 		PaceFunc: func(ctx context.Context, ad worker.Addr, pa worker.Pace) (worker.Ack, error) {
 			if ad.Via == "" {
 				return po.Direct.PaceFunc(ctx, ad, pa)
 			}
-			return po.order(ctx, ad, order{Kind: kindPace, Task: pa.Task, Number: pa.Number, Fence: pa.Fence, Percent: pa.Percent})
+			return po.order(ctx, ad, order{Kind: kindPace, Task: pa.Task, Number: pa.Number - 1, Fence: pa.Fence, Percent: pa.Percent})
 		},
 		LookFunc: func(ctx context.Context, ad worker.Addr, lo worker.Look) (worker.Sight, error) {
 			if ad.Via == "" {
@@ -277,7 +277,7 @@
 // that.
 func (po *Pool) launch(ctx context.Context, ad worker.Addr, la worker.Launch) (worker.Ack, error) {
 	or := order{
-		Kind: kindLaunch, Task: la.Task, Number: la.Number, Fence: la.Fence, Text: la.Payload,
+		Kind: kindLaunch, Task: la.Task, Number: la.Number - 1, Fence: la.Fence, Text: la.Payload,
 		Checkpoint: la.Checkpoint, LeaseUntilMS: la.LeaseUntilMS,
 	}
 	ack, err := po.order(ctx, ad, or)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -36,6 +36,12 @@
 	// gatherFor is how long a frame waits for more after its first order or
 	// answer: less than the way to another data centre and back.
 	gatherFor = 2 * time.Millisecond
+	// timeoutUsual is what most orders have to be answered, lookUsual what looks have
+	// besides their wait, and nearUsual how much more or less counts as that: they are
+	// not sent then.
+	timeoutUsual = 400 * time.Millisecond
+	lookUsual    = 600 * time.Millisecond
+	nearUsual    = 30 * time.Millisecond
 )
 
 // kind says what an order is.
@@ -43,10 +49,10 @@
 
 // The kinds of orders.
 const (
-	kindLaunch kind = "launch"
-	kindHalt   kind = "halt"
-	kindPace   kind = "pace"
-	kindLook   kind = "look"
+	kindLaunch kind = "l"
+	kindHalt   kind = "h"
+	kindPace   kind = "p"
+	kindLook   kind = "k"
 )
 
 // order is one order on its way to a relay. Fields that its kind does not have
@@ -61,16 +67,18 @@
 	Worker      int    `json:"w"`
 	HostPort    string `json:"addr,omitempty"`
 	Incarnation string `json:"inc,omitempty"`
-	// Fence is the fencing token.
-	Fence int64 `json:"f"`
-	// TimeoutMS is how long the answer may take.
-	TimeoutMS int64 `json:"t"`
-	// Task and Number are the attempt.
-	Task   string `json:"task,omitempty"`
+	// Fence is the fencing token, if it is not the one of the order before to that
+	// worker.
+	Fence int64 `json:"f,omitempty"`
+	// TimeoutMS is how long the answer may take, besides the wait of a look, if that
+	// is not as usual.
+	TimeoutMS int64 `json:"t,omitempty"`
+	// Task and Number are the attempt, counted from 0 here, as most are the first.
+	Task   string `json:"id,omitempty"`
 	Number int    `json:"a,omitempty"`
-	// Payload names the payload of a launch by its hash; Text has it, the first
+	// Payload numbers the payload of a launch on the stream; Text has it, the first
 	// time.
-	Payload string `json:"p,omitempty"`
+	Payload int    `json:"p,omitempty"`
 	Text    string `json:"text,omitempty"`
 	// Checkpoint is what to resume from.
 	Checkpoint string `json:"c,omitempty"`
@@ -84,6 +92,35 @@
 	WaitMS int64 `json:"wait,omitempty"`
 }
 
+// withTimeout returns the order with the time that it has.
+func (or order) withTimeout(d time.Duration) order {
+	d -= time.Duration(or.WaitMS) * time.Millisecond
+	or.TimeoutMS = 0
+	if (d - or.usual()).Abs() > nearUsual {
+		or.TimeoutMS = max(d.Milliseconds(), 1)
+	}
+	return or
+}
+
+// timeout returns the time that the order has.
+func (or order) timeout() time.Duration {
+	d := time.Duration(or.TimeoutMS) * time.Millisecond
+	if or.TimeoutMS == 0 {
+		d = or.usual()
+	}
+	return min(d+time.Duration(or.WaitMS)*time.Millisecond, timeoutMost)
+}
+
+func (or order) usual() time.Duration {
+	if or.Kind == kindLook {
+		return lookUsual
+	}
+	return timeoutUsual
+}
+
+// attempt is the attempt that the order is about.
+func (or order) attempt() worker.Attempt { return worker.Attempt{Task: or.Task, Number: or.Number + 1} }
+
 // orders is a frame to a relay.
 type orders struct {
 	Orders []order `json:"o,omitempty"`
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -52,13 +52,15 @@
 
 	// The rest is the reader's alone.
 	workers  map[int]*reached
-	payloads map[string]string
+	payloads map[int]string
 }
 
 // reached is a worker as a stream knows it.
 type reached struct {
 	number int
 	addr   worker.Addr
+	// fence is that of the last order.
+	fence int64
 
 	mu     sync.Mutex
 	differ differ
@@ -85,7 +87,7 @@
 	owner, epoch := r.Header.Get(headerOwner), r.Header.Get(headerEpoch)
 	sv.Log.Info("relaying for an owner", "owner", owner, "epoch", epoch)
 	ctx, cancel := context.WithCancel(r.Context())
-	se := &serving{sv: sv, ctx: ctx, end: cancel, out: newOutbox[answer](), workers: map[int]*reached{}, payloads: map[string]string{}}
+	se := &serving{sv: sv, ctx: ctx, end: cancel, out: newOutbox[answer](), workers: map[int]*reached{}, payloads: map[int]string{}}
 	sv.enter(se)
 	defer sv.drop(se)
 	// The response may not be written once this method has returned.
@@ -156,6 +158,10 @@
 		re = &reached{number: or.Worker, addr: worker.Addr{HostPort: or.HostPort, Incarnation: or.Incarnation}}
 		se.workers[or.Worker] = re
 	}
+	if or.Fence == 0 {
+		or.Fence = re.fence
+	}
+	re.fence = or.Fence
 	if or.Kind == kindLaunch && !se.fill(&or) {
 		se.out.put(answer{N: or.N, Code: codeNoPayload})
 		return
@@ -165,7 +171,7 @@
 
 // fill gives a launch its payload, and reports whether it is there.
 func (se *serving) fill(or *order) bool {
-	if or.Payload == "" {
+	if or.Payload == 0 {
 		return true
 	}
 	if or.Text == "" {
@@ -181,10 +187,10 @@
 
 // carryOut carries an order out and answers it.
 func (se *serving) carryOut(re *reached, or order) {
-	ctx, cancel := context.WithTimeout(se.ctx, min(time.Duration(or.TimeoutMS)*time.Millisecond, timeoutMost))
+	ctx, cancel := context.WithTimeout(se.ctx, or.timeout())
 	defer cancel()
 	an := answer{N: or.N}
-	ag, at := se.sv.Agent, worker.Attempt{Task: or.Task, Number: or.Number}
+	ag, at := se.sv.Agent, or.attempt()
 	var ack worker.Ack
 	var err error
 	switch or.Kind {
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -40,10 +40,25 @@
 	ended   bool
 	next    int64
 	waiting map[int64]chan<- result
-	workers map[worker.Addr]int
+	workers map[worker.Addr]*peer
 	mergers map[int]*merger
-	// payloads has when each payload was last named, by its hash.
-	payloads map[string]time.Time
+	// payloads are those that the relay should have, by their hash; named counts
+	// those there ever were.
+	payloads map[uint64]named
+	named    int
+}
+
+// peer is a worker as a stream knows it: its number, and the fencing token of the
+// last order to it.
+type peer struct {
+	number int
+	fence  int64
+}
+
+// named is a payload's number on a stream, and when it was last named there.
+type named struct {
+	number int
+	last   time.Time
 }
 
 // result is what became of an order.
@@ -57,7 +72,7 @@
 func newStream(via, owner string, epoch int64, log *slog.Logger) *stream {
 	return &stream{
 		via: via, owner: owner, epoch: epoch, log: log, out: newOutbox[order](),
-		waiting: map[int64]chan<- result{}, workers: map[worker.Addr]int{}, mergers: map[int]*merger{}, payloads: map[string]time.Time{},
+		waiting: map[int64]chan<- result{}, workers: map[worker.Addr]*peer{}, mergers: map[int]*merger{}, payloads: map[uint64]named{},
 	}
 }
 
@@ -179,7 +194,8 @@
 		return 0, fmt.Errorf("through %s: %w", st.via, worker.ErrNotSent)
 	}
 	st.next++
-	or.N, or.TimeoutMS = st.next, time.Until(deadline).Milliseconds()
+	or.N = st.next
+	or = or.withTimeout(time.Until(deadline))
 	st.name(ad, &or)
 	if or.Kind == kindLaunch {
 		st.shorten(&or)
@@ -191,15 +207,21 @@
 	return or.N, nil
 }
 
-// name says which worker the order is for.
+// name says which worker the order is for, and leaves its fencing token out if that
+// is the last one.
 func (st *stream) name(ad worker.Addr, or *order) {
-	n, ok := st.workers[ad]
-	if !ok {
-		n = len(st.workers) + 1
-		st.workers[ad] = n
+	pe := st.workers[ad]
+	if pe == nil {
+		pe = &peer{number: len(st.workers) + 1}
+		st.workers[ad] = pe
 		or.HostPort, or.Incarnation = ad.HostPort, ad.Incarnation
 	}
-	or.Worker = n
+	or.Worker = pe.number
+	if or.Fence == pe.fence {
+		or.Fence = 0
+		return
+	}
+	pe.fence = or.Fence
 }
 
 // shorten leaves the payload out that the relay has.
@@ -207,23 +229,28 @@
 	if or.Text == "" {
 		return
 	}
-	or.Payload = strconv.FormatUint(xxhash.Sum64String(or.Text), 36) + "-" + strconv.Itoa(len(or.Text))
-	now := time.Now()
-	if last, ok := st.payloads[or.Payload]; ok && now.Sub(last) < payloadKept {
-		or.Text = ""
-	}
+	now, hash := time.Now(), xxhash.Sum64String(or.Text)
 	if len(st.payloads) >= payloadsMost/2 {
 		st.forgetPayloads(now)
 	}
-	st.payloads[or.Payload] = now
+	na, ok := st.payloads[hash]
+	if ok && now.Sub(na.last) < payloadKept {
+		or.Text = ""
+	} else {
+		st.named++
+		na.number = st.named
+	}
+	na.last = now
+	st.payloads[hash] = na
+	or.Payload = na.number
 }
 
 // forgetPayloads takes the relay not to have payloads that were not named for long,
 // or any, if all were.
 func (st *stream) forgetPayloads(now time.Time) {
-	for key, last := range st.payloads {
-		if now.Sub(last) >= payloadKept {
-			delete(st.payloads, key)
+	for hash, na := range st.payloads {
+		if now.Sub(na.last) >= payloadKept {
+			delete(st.payloads, hash)
 		}
 	}
 	if len(st.payloads) >= payloadsMost/2 {
--- a/internal/sched/window.go
+++ b/internal/sched/window.go
@@ -11,8 +11,8 @@
 	windowMost  = 1024
 	windowLeast = 12
 	// slowOrder is how long an answer to an order may take before it counts as
-	// slow: thirty times the usual, under half of what is waited for.
-	slowOrder = 150 * time.Millisecond
+	// slow: fifty times the usual, over half of what is waited for.
+	slowOrder = 250 * time.Millisecond
 	// slowShare is the share of slow answers, of the last slowOf or so, from which
 	// on the window shrinks: one slow worker, or a few, are not a reason.
 	slowShare = 0.3
