--- /dev/null
+++ b/internal/relay/stream_test.go
@@ -0,0 +1,207 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/pepperhatch/pepperhatch/internal/registry"
+	"github.com/pepperhatch/pepperhatch/internal/standin"
+	"github.com/pepperhatch/pepperhatch/internal/worker"
+)
+
+// network is an owner's pool with relays over HTTP and a fleet of workers behind them.
+type network struct {
+	t     *testing.T
+	fleet standin.Fleet
+	pool  *Pool
+	// relays are the hosts, and lines the ways to them.
+	relays []*Server
+	lines  []*standin.Line
+
+	mu      sync.Mutex
+	changes int
+}
+
+// newNetwork returns an owner with so many relays, each with room for all workers.
+func newNetwork(t *testing.T, relays int) *network {
+	t.Helper()
+	nt := &network{t: t}
+	log := slog.New(slog.DiscardHandler)
+	nt.pool = &Pool{Self: "self", Cores: 0.001, Epoch: 1, HTTP: &http.Client{}, Direct: nt.fleet.Agent(), Log: log, ChangedFunc: nt.changed}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go nt.pool.Run(ctx)
+	var members []registry.Member
+	for i := range relays {
+		sv := &Server{Agent: nt.fleet.Agent(), Log: log}
+		mux := http.NewServeMux()
+		mux.Handle(Path, sv)
+		hs := httptest.NewServer(mux)
+		t.Cleanup(func() { hs.CloseClientConnections(); hs.Close() })
+		ln, err := standin.NewLine(hs.Listener.Addr().String())
+		qt.Assert(t, err, qt.IsNil)
+		t.Cleanup(func() { _ = ln.Close() })
+		nt.relays, nt.lines = append(nt.relays, sv), append(nt.lines, ln)
+		members = append(members, registry.Member{Name: fmt.Sprint("r", i), Process: "p", Addr: ln.Addr(), Cores: 1})
+	}
+	nt.pool.SetMembers(members, nil, true)
+	nt.pool.SetWorkers([]string{"i-0", "i-1"}, nil, true)
+	nt.eventually("running", func() bool { return nt.pool.Via("i-0", "a") != "" })
+	return nt
+}
+
+func (nt *network) changed() {
+	nt.mu.Lock()
+	defer nt.mu.Unlock()
+	nt.changes++
+}
+
+func (nt *network) eventually(what string, ok func() bool) {
+	nt.t.Helper()
+	for range 2000 {
+		if ok() {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	nt.t.Fatalf("not so in time: %s", what)
+}
+
+// add adds a worker and returns its address by the way the pool wants.
+func (nt *network) add() worker.Addr {
+	ad := worker.Addr{HostPort: "10.0.0.1:80", Incarnation: "i-0"}
+	nt.fleet.Add(&standin.FleetWorker{Addr: ad, Holds: worker.Resources{MilliCores: 32_000, MemMB: 128_000}})
+	ad.Via = nt.pool.Via("i-0", "a")
+	return ad
+}
+
+func within() (context.Context, context.CancelFunc) {
+	return context.WithTimeout(context.Background(), 2*time.Second)
+}
+
+func (nt *network) launch(ad worker.Addr, task, payload string) error {
+	ctx, cancel := within()
+	defer cancel()
+	at := worker.Attempt{Task: task, Number: 1}
+	_, err := nt.pool.Agent().LaunchFunc(ctx, ad, worker.Launch{Attempt: at, Payload: payload, Fence: 7, LeaseUntilMS: 1 << 40})
+	return err
+}
+
+func (nt *network) look(ad worker.Addr, seen int64) (worker.Sight, error) {
+	ctx, cancel := within()
+	defer cancel()
+	return nt.pool.Agent().LookFunc(ctx, ad, worker.Look{Fence: 7, Seen: seen, LeaseUntilMS: 1 << 40})
+}
+
+func TestOrdersThroughARelay(t *testing.T) {
+	nt := newNetwork(t, 1)
+	nt.fleet.RunFunc = func(worker.Attempt) (time.Duration, string) { return -1, "" }
+	ad := nt.add()
+	payload := strings.Repeat("load the vans ", 50)
+	t.Run("launches carry their payload, also when it was sent before", func(t *testing.T) {
+		for _, task := range []string{"a", "b", "c"} {
+			qt.Assert(t, nt.launch(ad, task, payload), qt.IsNil)
+		}
+		qt.Assert(t, nt.launch(ad, "d", ""), qt.IsNil)
+		runs := nt.fleet.Runs()
+		qt.Assert(t, runs, qt.HasLen, 4)
+		for _, ru := range runs[:3] {
+			qt.Check(t, ru.Payload, qt.Equals, payload)
+		}
+		qt.Check(t, runs[3].Payload, qt.Equals, "")
+	})
+	t.Run("a payload that the relay lost is sent again", func(t *testing.T) {
+		st := nt.pool.links["r0"].st
+		st.mu.Lock()
+		for hash, na := range st.payloads {
+			na.number += 1000
+			st.payloads[hash] = na
+		}
+		st.mu.Unlock()
+		qt.Assert(t, nt.launch(ad, "e", payload), qt.IsNil)
+		qt.Assert(t, nt.fleet.Runs()[4].Payload, qt.Equals, payload)
+	})
+	t.Run("looks see what runs and what ended", func(t *testing.T) {
+		si, err := nt.look(ad, 0)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, si.Running, qt.HasLen, 5)
+		ctx, cancel := within()
+		defer cancel()
+		at := worker.Attempt{Task: "a", Number: 1}
+		_, err = nt.pool.Agent().PaceFunc(ctx, ad, worker.Pace{Attempt: at, Percent: 40, Fence: 7})
+		qt.Assert(t, err, qt.IsNil)
+		ack, err := nt.pool.Agent().HaltFunc(ctx, ad, worker.Halt{Attempt: at, Fence: 7})
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, ack.ClockMS > 0, qt.IsTrue)
+		si, err = nt.look(ad, 0)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, si.Running, qt.HasLen, 4)
+		qt.Assert(t, si.Ended, qt.HasLen, 1)
+		qt.Assert(t, si.Ended[0].Attempt, qt.Equals, at)
+		qt.Assert(t, si.Ended[0].How, qt.Equals, "stopped")
+	})
+	t.Run("errors stay what they are", func(t *testing.T) {
+		ctx, cancel := within()
+		defer cancel()
+		_, err := nt.pool.Agent().LookFunc(ctx, ad, worker.Look{Fence: 3})
+		qt.Assert(t, errors.Is(err, worker.ErrFenced), qt.IsTrue, qt.Commentf("%v", err))
+		other := ad
+		other.Incarnation = "i-9"
+		_, err = nt.look(other, 0)
+		qt.Assert(t, errors.Is(err, worker.ErrOtherLife), qt.IsTrue, qt.Commentf("%v", err))
+	})
+}
+
+func TestRelayIsLost(t *testing.T) {
+	nt := newNetwork(t, 2)
+	nt.fleet.RunFunc = func(worker.Attempt) (time.Duration, string) { return -1, "" }
+	ad := nt.add()
+	_, err := nt.look(ad, 0)
+	qt.Assert(t, err, qt.IsNil)
+	used := int(ad.Via[1] - '0')
+
+	t.Run("a connection that goes silent is noticed, and what was under way has no answer", func(t *testing.T) {
+		qt.Assert(t, nt.lines[used].Silence() > 0, qt.IsTrue)
+		err := nt.launch(ad, "a", "x")
+		qt.Assert(t, err, qt.IsNotNil)
+		qt.Assert(t, errors.Is(err, worker.ErrNotSent), qt.IsFalse, qt.Commentf("%v", err))
+		nt.eventually("another relay is wanted", func() bool { return nt.pool.Via("i-0", "a") != ad.Via })
+	})
+	t.Run("orders by the old way are not sent", func(t *testing.T) {
+		err := nt.launch(ad, "b", "x")
+		qt.Assert(t, errors.Is(err, worker.ErrNotSent), qt.IsTrue, qt.Commentf("%v", err))
+	})
+	t.Run("the other relay serves", func(t *testing.T) {
+		ad.Via = nt.pool.Via("i-0", "a")
+		si, err := nt.look(ad, 0)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, si.Running, qt.HasLen, 0)
+	})
+	t.Run("a relay that is about to stop is not used", func(t *testing.T) {
+		nt.relays[1-used].Leave()
+		nt.eventually("it is not wanted", func() bool { return nt.pool.Via("i-0", "a") != ad.Via })
+		nt.mu.Lock()
+		defer nt.mu.Unlock()
+		qt.Assert(t, nt.changes >= 2, qt.IsTrue)
+	})
+}
+
+func TestDirectWays(t *testing.T) {
+	nt := newNetwork(t, 0+1)
+	ad := nt.add()
+	ad.Via = ""
+	qt.Assert(t, nt.launch(ad, "a", "x"), qt.IsNil)
+	qt.Assert(t, nt.pool.links, qt.HasLen, 0)
+	nt.pool.SetWorkers(nil, nil, true)
+	qt.Assert(t, nt.pool.Via("i-0", "a"), qt.Equals, "")
+}
--- a/internal/sched/lab_test.go
+++ b/internal/sched/lab_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -33,6 +34,10 @@
 	log   *slog.Logger
 	// handover is what the last owner left.
 	handover map[string]int64
+	// throughFunc changes the client of workers, if set.
+	throughFunc func(worker.Agent) worker.Agent
+	// via is the entry host through which workers are reached, if any.
+	via atomic.Pointer[string]
 	// formerKnown has owners know that the one before has ceased to act.
 	formerKnown bool
 }
@@ -60,6 +65,20 @@
 	return la
 }
 
+func (la *lab) agent() worker.Agent {
+	if la.throughFunc != nil {
+		return la.throughFunc(la.fleet.Agent())
+	}
+	return la.fleet.Agent()
+}
+
+func (la *lab) viaNow(Listed) string {
+	if via := la.via.Load(); via != nil {
+		return *via
+	}
+	return ""
+}
+
 func (la *lab) spec(id string) job.Spec {
 	la.mu.Lock()
 	defer la.mu.Unlock()
@@ -109,8 +128,9 @@
 	te := la.claim()
 	te.Renounce = func(error) { cancel() }
 	ow := New(&Owner{
-		Cell: "c0", Tenure: te, Table: la.table.Client(), Agent: la.fleet.Agent(), Log: la.log,
-		Limits: Limits{MaxLease: 6 * time.Second, StopTime: 900 * time.Millisecond, HarmAfter: 4 * time.Second, KeepEnded: 2 * time.Minute},
+		Cell: "c0", Tenure: te, Table: la.table.Client(), Agent: la.agent(), Log: la.log,
+		ViaFunc: la.viaNow,
+		Limits:  Limits{MaxLease: 6 * time.Second, StopTime: 900 * time.Millisecond, HarmAfter: 4 * time.Second, KeepEnded: 2 * time.Minute},
 	})
 	loaded := make(chan struct{})
 	done := make(chan error, 1)
--- a/internal/sched/random_test.go
+++ b/internal/sched/random_test.go
@@ -56,7 +56,7 @@
 func (dr *drama) act() {
 	switch rapid.SampledFrom([]string{
 		"submit", "submit", "submit", "again", "cancel", "kill", "freeze", "lose", "late", "heal",
-		"store down", "store lost", "store slow", "store heal", "replace", "look",
+		"store down", "store lost", "store slow", "store heal", "replace", "look", "reroute",
 	}).Draw(dr.rt, "act") {
 	case "submit":
 		dr.jobs++
@@ -89,6 +89,10 @@
 		dr.replace()
 	case "look":
 		dr.lookAtStates()
+	case "reroute":
+		via := rapid.SampledFrom([]string{"", "e1", "e2"}).Draw(dr.rt, "via")
+		dr.via.Store(&via)
+		dr.ow.Reroute()
 	}
 }
 
--- /dev/null
+++ b/internal/standin/line.go
@@ -0,0 +1,101 @@
+package standin
+
+import (
+	"io"
+	"net"
+	"sync"
+)
+
+// Line is a TCP proxy on loopback before one address, which injects faults of the
+// network. Make one with [NewLine].
+type Line struct {
+	to string
+	li net.Listener
+
+	mu    sync.Mutex
+	conns []*lineConn
+}
+
+// lineConn is one connection through a line, both ends.
+type lineConn struct {
+	near, far net.Conn
+
+	mu     sync.Mutex
+	silent bool
+}
+
+// NewLine returns a line to an address, which listens until it is closed.
+func NewLine(to string) (*Line, error) {
+	li, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	ln := &Line{to: to, li: li}
+	go ln.accept()
+	return ln, nil
+}
+
+// Addr is where the line listens.
+func (ln *Line) Addr() string { return ln.li.Addr().String() }
+
+func (ln *Line) accept() {
+	for {
+		near, err := ln.li.Accept()
+		if err != nil {
+			return
+		}
+		far, err := net.Dial("tcp", ln.to)
+		if err != nil {
+			_ = near.Close()
+			continue
+		}
+		lc := &lineConn{near: near, far: far}
+		ln.mu.Lock()
+		ln.conns = append(ln.conns, lc)
+		ln.mu.Unlock()
+		go lc.pass(near, far)
+		go lc.pass(far, near)
+	}
+}
+
+// pass passes bytes on until either end closes; those of a silent connection are
+// taken and lost, and so is its end.
+func (lc *lineConn) pass(from, to net.Conn) {
+	buf := make([]byte, 16<<10)
+	for {
+		n, err := from.Read(buf)
+		lc.mu.Lock()
+		silent := lc.silent
+		lc.mu.Unlock()
+		if silent {
+			if err != nil {
+				return
+			}
+			continue
+		}
+		if _, werr := to.Write(buf[:n]); werr != nil || err != nil {
+			_, _ = lc.near.Close(), lc.far.Close()
+			return
+		}
+	}
+}
+
+// Silence has the connections that are open now go silent for good, without a
+// reset; new ones work. It returns how many there were.
+func (ln *Line) Silence() int {
+	ln.mu.Lock()
+	defer ln.mu.Unlock()
+	for _, lc := range ln.conns {
+		lc.mu.Lock()
+		lc.silent = true
+		lc.mu.Unlock()
+	}
+	n := len(ln.conns)
+	ln.conns = nil
+	return n
+}
+
+// Close ends the line; open connections stay until their ends close them.
+func (ln *Line) Close() error { return ln.li.Close() }
+
+var _ io.Closer = (*Line)(nil)
