--- a/internal/sched/owner.go
+++ b/internal/sched/owner.go
@@ -23,6 +23,7 @@
 	"sync"
 	"time"
 
+	"github.com/pepperhatch/pepperhatch/internal/clock"
 	"github.com/pepperhatch/pepperhatch/internal/interfere"
 	"github.com/pepperhatch/pepperhatch/internal/job"
 	"github.com/pepperhatch/pepperhatch/internal/store"
@@ -147,8 +148,7 @@
 	ow.model.Fixed = !ow.uses(MechPairs)
 	ow.Log.Info("cell loaded", "cell", ow.Cell, "epoch", ow.Tenure.Epoch, "jobs", len(ow.entries), "active", len(ow.active), "took", time.Since(ow.opened))
 	loaded()
-	ti := time.NewTicker(tickEvery)
-	defer ti.Stop()
+	go ow.ticks()
 	for {
 		select {
 		case <-ctx.Done():
@@ -156,8 +156,6 @@
 		case fn := <-ow.events:
 			fn()
 			ow.drain()
-		case <-ti.C:
-			ow.tick()
 		}
 		// What is placed while a write is under way waits for its end anyway.
 		if ow.due && ow.writes < writesAtOnce && !ow.window.full() {
@@ -167,6 +165,13 @@
 	}
 }
 
+// ticks has the loop look at what time alone changes, until the tenure is over. It
+// is an event like others, so that the loop waits for one thing only.
+func (ow *Owner) ticks() {
+	for clock.Sleep(ow.ctx, tickEvery) && ow.post(ow.tick) {
+	}
+}
+
 // drain handles the events that wait already, so that they share a write.
 func (ow *Owner) drain() {
 	for range eventsMost {
--- a/internal/sched/way_test.go
+++ b/internal/sched/way_test.go
@@ -38,6 +38,7 @@
 		la.throughFunc = ws.through
 		ow, end := la.own()
 		defer end()
+		time.Sleep(5 * time.Second)
 		for _, via := range []string{"e1", "e1", "e2", ""} {
 			la.via.Store(&via)
 			ow.Reroute()
