Read the configuration again after a loss, not all its changes

Change: the watch of the configuration reads the row as it is after a call without an answer, and the time for an answer grows with failures.

--- a/internal/jobhost/host.go
+++ b/internal/jobhost/host.go
@@ -178,7 +178,7 @@
 
 // watchConfig follows the configuration.
 func (ho *Host) watchConfig(ctx context.Context) {
-	wa := watch.Watch{Table: ho.table, Name: platform.ConfigTable, Under: platform.ConfigPrefix, OnRows: ho.onConfig, Log: ho.log}
+	wa := watch.Watch{Table: ho.table, Name: platform.ConfigTable, Under: platform.ConfigPrefix, Relist: true, OnRows: ho.onConfig, Log: ho.log}
 	wa.Run(ctx)
 }
 
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -31,6 +31,8 @@
 	answerGrace = 700 * time.Millisecond
 	// listTimeout bounds reading all rows.
 	listTimeout = 3 * time.Second
+	// patienceMost is how often the time for an answer is added to itself.
+	patienceMost = 3
 	// retryFirst and retryMost are the pauses after errors.
 	retryFirst = 50 * time.Millisecond
 	retryMost  = 400 * time.Millisecond
@@ -47,6 +49,10 @@
 	// Also is another prefix of which changes are wanted, but no first reading;
 	// empty is none.
 	Also string
+	// Relist has all rows read again after the table did not answer, rather than the
+	// changes since: for few rows that are large and change often, of which the last
+	// state is wanted. A host whose link is full may never get all the changes.
+	Relist bool
 	// OnRows gets rows in the order of their changes. If whole is set they are
 	// all there are, and any other that was known is gone.
 	OnRows func(rows []store.FeedRow, whole bool)
@@ -56,6 +62,8 @@
 	version int64
 	synced  bool
 	lost    bool
+	// failures counts calls without an answer since the last that had one.
+	failures int
 
 	mu sync.Mutex
 	// contact is when the call was sent that the table last answered, regained
@@ -108,10 +116,14 @@
 func (wa *Watch) note(sent time.Time, err error) {
 	if err == nil {
 		wa.answered(sent)
-		wa.lost = false
+		wa.lost, wa.failures = false, 0
 		return
 	}
 	wa.unanswered()
+	wa.failures++
+	if wa.Relist {
+		wa.synced = false
+	}
 	if errors.Is(err, store.ErrHistoryGone) {
 		wa.Log.Warn("store forgot its history, reading all again", "watch", wa.Under, "version", wa.version)
 		wa.synced = false
@@ -139,11 +151,17 @@
 	}
 }
 
+// patient returns how long an answer may take: longer after each failure, as it may
+// be large and the link full.
+func (wa *Watch) patient(d time.Duration) time.Duration {
+	return d * time.Duration(1+min(wa.failures, patienceMost))
+}
+
 func (wa *Watch) step(ctx context.Context) error {
 	if !wa.synced {
 		return wa.list(ctx)
 	}
-	ctx, cancel := context.WithTimeout(ctx, waitMost+answerGrace)
+	ctx, cancel := context.WithTimeout(ctx, waitMost+wa.patient(answerGrace))
 	defer cancel()
 	reply, err := wa.Table.FeedFunc(ctx, store.FeedRequest{Prefix: wa.Name, After: wa.version, WaitMS: waitMost.Milliseconds()})
 	if err != nil {
@@ -166,7 +184,7 @@
 // list reads all rows. Pages are read at different moments; the feed goes on
 // from the first, so that no change between them is missed.
 func (wa *Watch) list(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	ctx, cancel := context.WithTimeout(ctx, wa.patient(listTimeout))
 	defer cancel()
 	rows, version, err := wa.Table.ListFrom(ctx, wa.Under)
 	if err != nil {
--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -128,3 +128,29 @@
 		qt.Assert(t, mi.watch.Answering(), qt.IsTrue)
 	})
 }
+
+func TestRelistTellsTheLastStateOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		mi := &mirror{t: t, rows: map[string]string{}}
+		told := 0
+		count := func(rows []store.FeedRow, whole bool) {
+			told += len(rows)
+			mi.onRows(rows, whole)
+		}
+		mi.watch = Watch{Table: mi.table.Client(), Name: "op", Under: "op/c0/", Relist: true, OnRows: count, Log: slog.New(slog.DiscardHandler)}
+		ctx, end := context.WithCancel(context.Background())
+		defer end()
+		go mi.watch.Run(ctx)
+		mi.write("op/c0/a", 0)
+		time.Sleep(100 * time.Millisecond)
+		mi.table.Gate.Set(standin.Fault{Mode: standin.ModeDown})
+		time.Sleep(3 * time.Second)
+		mi.table.Gate.Set(standin.Fault{})
+		for n := range 20 {
+			mi.write("op/c0/a", n+1)
+		}
+		time.Sleep(2 * time.Second)
+		mi.assertRows(map[string]string{"op/c0/a": "20"})
+		qt.Assert(t, told < 5, qt.IsTrue, qt.Commentf("%d rows told", told))
+	})
+}
