Close idle connections beside one that went silent

Change: package transport; when a request runs into its deadline, the idle connections to that address are closed. Those with a request under way are left to theirs.

--- a/internal/jobhost/host.go
+++ b/internal/jobhost/host.go
@@ -24,6 +24,7 @@
 	"github.com/pepperhatch/pepperhatch/internal/store"
 	"github.com/pepperhatch/pepperhatch/internal/telemetry"
 	"github.com/pepperhatch/pepperhatch/internal/tenure"
+	"github.com/pepperhatch/pepperhatch/internal/transport"
 	"github.com/pepperhatch/pepperhatch/internal/watch"
 	"github.com/pepperhatch/pepperhatch/platform"
 )
@@ -76,22 +77,22 @@
 	if err != nil {
 		return nil, err
 	}
-	ho := &Host{log: log, metrics: me, scrape: scrape, workers: platform.NewHTTPClient(workerConns)}
+	ho := &Host{log: log, metrics: me, scrape: scrape, workers: transport.NewClient(workerConns)}
 	ho.se.Store(&se)
 	ho.table = platform.NewTable(platform.Client{
-		HTTP: platform.NewHTTPClient(storeConns), StoreAddrFunc: func() string { return ho.se.Load().StoreAddr },
+		HTTP: transport.NewClient(storeConns), StoreAddrFunc: func() string { return ho.se.Load().StoreAddr },
 	})
 	ho.keeper = &tenure.Keeper{
 		Cell: cellName, Self: se.Name, Process: se.Name + "-" + uuid.NewString()[:8], Addr: se.PeerAddr(), Cores: se.Processor(),
 		Table: ho.table, Serve: ho.serveCell, Log: log,
 	}
 	ho.door = &door.Door{
-		Cell: cellName, Table: ho.table, Keeper: ho.keeper, Peers: platform.NewHTTPClient(peerConns),
+		Cell: cellName, Table: ho.table, Keeper: ho.keeper, Peers: transport.NewClient(peerConns),
 		Local: ho.owner.Load, ConfigFunc: ho.config.Load, Metrics: me, Log: log,
 	}
 	ho.keeper.AskFunc = ho.door.Ask
 	ho.relay = &relay.Server{Agent: platform.NewAgent(ho.workers), Log: log}
-	ho.streams = platform.NewHTTPClient(1)
+	ho.streams = transport.NewClient(1)
 	return ho, nil
 }
 
--- a/internal/sched/late_test.go
+++ b/internal/sched/late_test.go
@@ -73,3 +73,31 @@
 		assertRunOnce(la, ow)
 	})
 }
+
+// TestStartsAfterTheCancellation has a worker carry an order out after its job was
+// cancelled, with the owner still there or another one.
+func TestStartsAfterTheCancellation(t *testing.T) {
+	for _, replaced := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			la := newLab(t, 1)
+			la.fleet.RunFunc = endless
+			ow, end := la.own()
+			defer func() { end() }()
+			time.Sleep(time.Second)
+			la.fleet.SetLate(la.crew[0], 3*time.Second)
+			la.submit(ow, 1, lasting(1))
+			time.Sleep(500 * time.Millisecond)
+			ve, err := ow.Cancel(t.Context(), jobID(1))
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, ve.Outcome, qt.Equals, Accepted)
+			la.fleet.SetLate(la.crew[0], 0)
+			if replaced {
+				end()
+				ow, end = la.own()
+			}
+			// Until it has started, the longest look, and the time to stop.
+			time.Sleep(3*time.Second + idleWait + lookGrace + ow.Limits.StopTime)
+			la.assertRunning(0)
+		})
+	}
+}
--- /dev/null
+++ b/internal/transport/transport.go
@@ -0,0 +1,143 @@
+// Package transport has the HTTP client of an entry host towards everything
+// outside: other hosts, the platform's store, workers.
+//
+// Connections may go silent for good, without a reset, while new ones work. A
+// request on such a connection shows it by its deadline; but there may be others
+// beside it, idle ones of the same time, and each would cost the next request its
+// deadline too. So when a request to an address runs into its deadline, the idle
+// connections to that address are closed. Those with a request under way have a
+// deadline of their own.
+package transport
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Times of connections.
+const (
+	// dialTimeout bounds opening a connection: some 3 ms at most where nothing is
+	// wrong.
+	dialTimeout = 400 * time.Millisecond
+	// idleTimeout is how long a connection is kept that nothing uses.
+	idleTimeout = 30 * time.Second
+)
+
+// NewClient returns a client that keeps up to idle connections to each address.
+func NewClient(idle int) *http.Client {
+	ro := &roundTripper{byAddr: map[string]map[*conn]bool{}}
+	di := &net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
+	ro.Transport = &http.Transport{
+		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			nc, err := di.DialContext(ctx, network, addr)
+			if err != nil {
+				return nil, err
+			}
+			return ro.track(nc, addr), nil
+		},
+		MaxIdleConnsPerHost: idle, IdleConnTimeout: idleTimeout, DisableCompression: true,
+	}
+	return &http.Client{Transport: ro}
+}
+
+// roundTripper is a transport that knows its connections.
+type roundTripper struct {
+	*http.Transport
+
+	mu     sync.Mutex
+	byAddr map[string]map[*conn]bool
+}
+
+// RoundTrip implements http.RoundTripper.
+func (ro *roundTripper) RoundTrip(req *http.Request) (*http.Response, error) {
+	resp, err := ro.Transport.RoundTrip(req)
+	if err != nil && errors.Is(req.Context().Err(), context.DeadlineExceeded) {
+		ro.closeIdle(req.URL.Host)
+	}
+	return resp, err
+}
+
+func (ro *roundTripper) track(nc net.Conn, addr string) net.Conn {
+	co := &conn{Conn: nc, ro: ro, addr: addr}
+	ro.mu.Lock()
+	defer ro.mu.Unlock()
+	if ro.byAddr[addr] == nil {
+		ro.byAddr[addr] = map[*conn]bool{}
+	}
+	ro.byAddr[addr][co] = true
+	return co
+}
+
+func (ro *roundTripper) forget(co *conn) {
+	ro.mu.Lock()
+	defer ro.mu.Unlock()
+	delete(ro.byAddr[co.addr], co)
+	if len(ro.byAddr[co.addr]) == 0 {
+		delete(ro.byAddr, co.addr)
+	}
+}
+
+// closeIdle closes the idle connections to an address.
+func (ro *roundTripper) closeIdle(addr string) {
+	ro.mu.Lock()
+	var idle []*conn
+	for co := range ro.byAddr[addr] {
+		if co.idle() {
+			idle = append(idle, co)
+		}
+	}
+	ro.mu.Unlock()
+	for _, co := range idle {
+		_ = co.Close()
+	}
+}
+
+// conn is a connection that knows whether it waits for an answer.
+type conn struct {
+	net.Conn
+
+	ro   *roundTripper
+	addr string
+
+	mu sync.Mutex
+	// answered is set while the last thing that happened was a read: then no
+	// request is under way, or its answer comes.
+	answered bool
+}
+
+func (co *conn) idle() bool {
+	co.mu.Lock()
+	defer co.mu.Unlock()
+	return co.answered
+}
+
+func (co *conn) note(answered bool) {
+	co.mu.Lock()
+	defer co.mu.Unlock()
+	co.answered = answered
+}
+
+// Read implements net.Conn.
+func (co *conn) Read(data []byte) (int, error) {
+	n, err := co.Conn.Read(data)
+	if n > 0 {
+		co.note(true)
+	}
+	return n, err
+}
+
+// Write implements net.Conn.
+func (co *conn) Write(data []byte) (int, error) {
+	co.note(false)
+	return co.Conn.Write(data)
+}
+
+// Close implements net.Conn.
+func (co *conn) Close() error {
+	co.ro.forget(co)
+	return co.Conn.Close()
+}
