Have the start after the cancellation really happen in its test

The test still fails at this commit, in its half with another owner: a worker that has heard of the next owner obeys no order of the former.

--- a/internal/sched/late_test.go
+++ b/internal/sched/late_test.go
@@ -90,13 +90,15 @@
 			ve, err := ow.Cancel(t.Context(), jobID(1))
 			qt.Assert(t, err, qt.IsNil)
 			qt.Assert(t, ve.Outcome, qt.Equals, Accepted)
-			la.fleet.SetLate(la.crew[0], 0)
 			if replaced {
 				end()
 				ow, end = la.own()
 			}
-			// Until it has started, the longest look, and the time to stop.
-			time.Sleep(3*time.Second + idleWait + lookGrace + ow.Limits.StopTime)
+			time.Sleep(2700 * time.Millisecond)
+			// Orders to stop it that were sent before were late too.
+			la.fleet.SetLate(la.crew[0], 0)
+			time.Sleep(idleWait + lookGrace + ow.Limits.StopTime)
+			qt.Assert(t, len(la.fleet.Runs()), qt.Equals, 1)
 			la.assertRunning(0)
 		})
 	}
