--- a/internal/relay/plan_test.go
+++ b/internal/relay/plan_test.go
@@ -19,10 +19,10 @@
 	return pl
 }
 
-// assignAll assigns so many workers of a data centre.
-func assignAll(pl *plan, dataCentre string, n int) {
+// assignAll assigns so many workers of data centre a.
+func assignAll(pl *plan, n int) {
 	for i := range n {
-		pl.assign(fmt.Sprint(dataCentre, i), dataCentre)
+		pl.assign(fmt.Sprint("a", i), "a")
 	}
 }
 
@@ -41,32 +41,32 @@
 	})
 	t.Run("large hosts of the data centre first, filled one after the other", func(t *testing.T) {
 		pl := newPlan(large, small, away, large, large)
-		assignAll(pl, "a", 121)
+		assignAll(pl, 121)
 		qt.Assert(t, pl.load, qt.DeepEquals, map[string]int{"h3": 120, "h4": 1})
 	})
 	t.Run("those of another data centre before full ones", func(t *testing.T) {
 		pl := newPlan(large, small, away)
-		assignAll(pl, "a", 31)
+		assignAll(pl, 31)
 		qt.Assert(t, pl.load, qt.DeepEquals, map[string]int{"h1": 30, "h2": 1})
 	})
 	t.Run("where all are full the load is shared by what they have", func(t *testing.T) {
 		pl := newPlan(large, small, away)
-		assignAll(pl, "a", 300)
+		assignAll(pl, 300)
 		qt.Assert(t, pl.load, qt.DeepEquals, map[string]int{"h1": 60, "h2": 240})
 	})
 	t.Run("a lost relay's workers go elsewhere, and stay there", func(t *testing.T) {
 		pl := newPlan(large, large, large)
-		assignAll(pl, "a", 10)
+		assignAll(pl, 10)
 		pl.lost["h1"] = true
-		assignAll(pl, "a", 10)
+		assignAll(pl, 10)
 		qt.Assert(t, pl.load, qt.DeepEquals, map[string]int{"h1": 0, "h2": 10})
 		delete(pl.lost, "h1")
-		assignAll(pl, "a", 10)
+		assignAll(pl, 10)
 		qt.Assert(t, pl.load["h2"], qt.Equals, 10)
 	})
 	t.Run("a worker that is gone leaves room", func(t *testing.T) {
 		pl := newPlan(large, large)
-		assignAll(pl, "a", 2)
+		assignAll(pl, 2)
 		pl.release("a0")
 		pl.release("a0")
 		qt.Assert(t, pl.load["h1"], qt.Equals, 1)
--- a/internal/relay/stream_test.go
+++ b/internal/relay/stream_test.go
@@ -97,10 +97,10 @@
 	return err
 }
 
-func (nt *network) look(ad worker.Addr, seen int64) (worker.Sight, error) {
+func (nt *network) look(ad worker.Addr) (worker.Sight, error) {
 	ctx, cancel := within()
 	defer cancel()
-	return nt.pool.Agent().LookFunc(ctx, ad, worker.Look{Fence: 7, Seen: seen, LeaseUntilMS: 1 << 40})
+	return nt.pool.Agent().LookFunc(ctx, ad, worker.Look{Fence: 7, LeaseUntilMS: 1 << 40})
 }
 
 func TestOrdersThroughARelay(t *testing.T) {
@@ -132,7 +132,7 @@
 		qt.Assert(t, nt.fleet.Runs()[4].Payload, qt.Equals, payload)
 	})
 	t.Run("looks see what runs and what ended", func(t *testing.T) {
-		si, err := nt.look(ad, 0)
+		si, err := nt.look(ad)
 		qt.Assert(t, err, qt.IsNil)
 		qt.Assert(t, si.Running, qt.HasLen, 5)
 		ctx, cancel := within()
@@ -143,7 +143,7 @@
 		ack, err := nt.pool.Agent().HaltFunc(ctx, ad, worker.Halt{Attempt: at, Fence: 7})
 		qt.Assert(t, err, qt.IsNil)
 		qt.Assert(t, ack.ClockMS > 0, qt.IsTrue)
-		si, err = nt.look(ad, 0)
+		si, err = nt.look(ad)
 		qt.Assert(t, err, qt.IsNil)
 		qt.Assert(t, si.Running, qt.HasLen, 4)
 		qt.Assert(t, si.Ended, qt.HasLen, 1)
@@ -157,7 +157,7 @@
 		qt.Assert(t, errors.Is(err, worker.ErrFenced), qt.IsTrue, qt.Commentf("%v", err))
 		other := ad
 		other.Incarnation = "i-9"
-		_, err = nt.look(other, 0)
+		_, err = nt.look(other)
 		qt.Assert(t, errors.Is(err, worker.ErrOtherLife), qt.IsTrue, qt.Commentf("%v", err))
 	})
 }
@@ -166,7 +166,7 @@
 	nt := newNetwork(t, 2)
 	nt.fleet.RunFunc = func(worker.Attempt) (time.Duration, string) { return -1, "" }
 	ad := nt.add()
-	_, err := nt.look(ad, 0)
+	_, err := nt.look(ad)
 	qt.Assert(t, err, qt.IsNil)
 	used := int(ad.Via[1] - '0')
 
@@ -183,7 +183,7 @@
 	})
 	t.Run("the other relay serves", func(t *testing.T) {
 		ad.Via = nt.pool.Via("i-0", "a")
-		si, err := nt.look(ad, 0)
+		si, err := nt.look(ad)
 		qt.Assert(t, err, qt.IsNil)
 		qt.Assert(t, si.Running, qt.HasLen, 0)
 	})
--- a/internal/standin/line.go
+++ b/internal/standin/line.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"context"
 	"io"
 	"net"
 	"sync"
@@ -26,7 +27,8 @@
 
 // NewLine returns a line to an address, which listens until it is closed.
 func NewLine(to string) (*Line, error) {
-	li, err := net.Listen("tcp", "127.0.0.1:0")
+	var lc net.ListenConfig
+	li, err := lc.Listen(context.Background(), "tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
@@ -44,7 +46,8 @@
 		if err != nil {
 			return
 		}
-		far, err := net.Dial("tcp", ln.to)
+		var di net.Dialer
+		far, err := di.DialContext(context.Background(), "tcp", ln.to)
 		if err != nil {
 			_ = near.Close()
 			continue
