--- a/internal/jobhost/host.go
+++ b/internal/jobhost/host.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"log/slog"
 	"net"
 	"net/http"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -200,93 +198,3 @@
 		ho.log.Info("configuration in force", "config", co.Version, "row_version", row.Version)
 	}
 }
-
-// member is this host as the list of entry hosts has it.
-func (ho *Host) member() registry.Member {
-	se := ho.se.Load()
-	return registry.Member{Name: se.Name, Process: ho.keeper.Process, Addr: se.PeerAddr(), DataCentre: se.DataCentre, Cores: se.Processor()}
-}
-
-// serveCell runs the cell during a tenure.
-func (ho *Host) serveCell(ctx context.Context, te tenure.Tenure) (map[string]int64, error) {
-	se := ho.se.Load()
-	po := &relay.Pool{
-		Self: se.Name, Cores: se.Processor(), Epoch: te.Epoch, HTTP: ho.streams, Direct: platform.NewAgent(ho.workers),
-		Metrics: ho.metrics, Log: ho.log,
-	}
-	ow := sched.New(&sched.Owner{
-		Cell: cellName, Tenure: te, Table: ho.table, Agent: po.Agent(), Without: ho.Without, Metrics: ho.metrics, Log: ho.log,
-		ViaFunc:     func(li sched.Listed) string { return po.Via(li.Incarnation, li.DataCentre) },
-		DroppedFunc: po.Drop,
-		Limits:      sched.Limits{MaxLease: millis(se.MaxLeaseMS), StopTime: millis(se.StopMS), HarmAfter: millis(se.HarmMS), KeepEnded: seconds(se.KeepEndedS)},
-	})
-	po.ChangedFunc = ow.Reroute
-	wctx, end := context.WithCancel(ctx)
-	defer end()
-	go po.Run(wctx)
-	loaded := func() {
-		ho.owner.Store(ow)
-		ho.watchCell(wctx, ow, po)
-	}
-	defer ho.owner.Store(nil)
-	err := ow.Run(ctx, loaded)
-	if errors.Is(err, context.Canceled) {
-		err = nil
-	}
-	return ow.Handover(), err
-}
-
-// watchCell hands the owner the lists of workers and of entry hosts, and what
-// other hosts took in.
-func (ho *Host) watchCell(ctx context.Context, ow *sched.Owner, po *relay.Pool) {
-	hosts := watch.Watch{Table: ho.table, Name: registry.Table, Under: registry.Prefix, Log: ho.log,
-		OnRows: func(rows []store.FeedRow, whole bool) { ho.onMembers(po, rows, whole) }}
-	go hosts.Run(ctx)
-	workers := watch.Watch{Table: ho.table, Name: platform.WorkerTable, Under: platform.WorkerPrefix, Log: ho.log,
-		OnRows: func(rows []store.FeedRow, whole bool) { ho.onWorkers(ow, po, rows, whole) }}
-	intake := watch.Watch{Table: ho.table, Name: sched.IntakeTable, Under: sched.IntakePrefix(cellName), Log: ho.log,
-		OnRows: func(rows []store.FeedRow, _ bool) { ow.Import(rows) }}
-	go workers.Run(ctx)
-	go intake.Run(ctx)
-}
-
-func (ho *Host) onMembers(po *relay.Pool, rows []store.FeedRow, whole bool) {
-	var listed []registry.Member
-	var gone []string
-	for _, row := range rows {
-		if row.Gone {
-			gone = append(gone, strings.TrimPrefix(row.Key, registry.Prefix))
-			continue
-		}
-		me, err := registry.Decode(row.Row)
-		if err != nil {
-			ho.log.Error("entry host's row cannot be read", "err", err)
-			continue
-		}
-		listed = append(listed, me)
-	}
-	po.SetMembers(listed, gone, whole)
-}
-
-func (ho *Host) onWorkers(ow *sched.Owner, po *relay.Pool, rows []store.FeedRow, whole bool) {
-	var listed []sched.Listed
-	var gone []string
-	for _, row := range rows {
-		if row.Gone {
-			gone = append(gone, platform.WorkerID(row.Key))
-			continue
-		}
-		li, err := platform.DecodeWorker(row.Row)
-		if err != nil {
-			ho.log.Error("worker's row cannot be read", "err", err)
-			continue
-		}
-		listed = append(listed, li)
-	}
-	names := make([]string, len(listed))
-	for i, li := range listed {
-		names[i] = li.Incarnation
-	}
-	po.SetWorkers(names, gone, whole)
-	ow.SetWorkers(listed, gone, whole)
-}
--- a/internal/relay/plan.go
+++ b/internal/relay/plan.go
@@ -2,8 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
-	"slices"
 	"strings"
 
 	"github.com/pepperhatch/pepperhatch/internal/registry"
@@ -53,7 +51,7 @@
 // assign returns the relay of a worker in a data centre, or "" if there is none.
 func (pl *plan) assign(incarnation, dataCentre string) string {
 	if via, ok := pl.assigned[incarnation]; ok {
-		if pl.usable(via) {
+		if pl.usable(via) && !pl.canRelieve(via, dataCentre) {
 			return via
 		}
 		pl.release(incarnation)
@@ -70,6 +68,17 @@
 	return via
 }
 
+// canRelieve reports whether a relay has more workers than it should, and another
+// host has room: the first owner of a deployment assigns workers before most hosts
+// have entered the list.
+func (pl *plan) canRelieve(via, dataCentre string) bool {
+	if pl.load[via] <= capacity(pl.members[via]) {
+		return false
+	}
+	other := pl.pick(dataCentre)
+	return other != via && pl.load[other] < capacity(pl.members[other])
+}
+
 // release takes a worker off its relay.
 func (pl *plan) release(incarnation string) {
 	if via, ok := pl.assigned[incarnation]; ok {
@@ -83,7 +92,7 @@
 // with most processor otherwise. If none has room, it is the least loaded.
 func (pl *plan) pick(dataCentre string) string {
 	best := ""
-	for _, name := range slices.Sorted(maps.Keys(pl.members)) {
+	for name := range pl.members {
 		if pl.usable(name) && (best == "" || pl.compare(name, best, dataCentre) < 0) {
 			best = name
 		}
--- a/internal/relay/plan_test.go
+++ b/internal/relay/plan_test.go
@@ -64,6 +64,14 @@
 		assignAll(pl, 10)
 		qt.Assert(t, pl.load["h2"], qt.Equals, 10)
 	})
+	t.Run("a relay with too many workers is relieved once others come", func(t *testing.T) {
+		pl := newPlan(large, small)
+		assignAll(pl, 100)
+		qt.Assert(t, pl.load["h1"], qt.Equals, 100)
+		pl.members["h2"] = registry.Member{Name: "h2", DataCentre: "a", Cores: 0.8}
+		assignAll(pl, 100)
+		qt.Assert(t, pl.load, qt.DeepEquals, map[string]int{"h1": 30, "h2": 70})
+	})
 	t.Run("a worker that is gone leaves room", func(t *testing.T) {
 		pl := newPlan(large, large)
 		assignAll(pl, 2)
