Say why a cell is not loaded, and end the tenure over a row that can't be read

Cause, found by reading: reading a cell was tried again and again without a line, also where the row would say the same each time. Rows of progress have a new form in this version, so an upgrade without an empty cell would have shown as a silent owner. Test: TestRowsOfAnotherForm; without the change it does not end (stopped after 10 s).

--- a/internal/sched/load.go
+++ b/internal/sched/load.go
@@ -20,7 +20,11 @@
 	read := func() (struct{}, error) {
 		lctx, cancel := context.WithTimeout(ctx, loadTimeout)
 		defer cancel()
-		return struct{}{}, ow.loadOnce(lctx)
+		err := ow.loadOnce(lctx)
+		if err != nil {
+			ow.Log.Warn("cell not loaded yet", "cell", ow.Cell, "epoch", ow.Tenure.Epoch, "err", err)
+		}
+		return struct{}{}, err
 	}
 	bo := backoff.NewExponentialBackOff()
 	bo.InitialInterval, bo.MaxInterval = rewriteFirst, rewriteMost
@@ -50,7 +54,8 @@
 		id := lastPart(row.Key)
 		jo, err := job.Restore(id, byID[id].Value, row.Value)
 		if err != nil {
-			return err
+			// Reading it again would say the same.
+			return backoff.Permanent(err)
 		}
 		ow.restore(jo, row.Version).specKept = byID[id].Version > 0
 	}
