--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"log/slog"
-	"maps"
 	"net/http"
 	"sync"
 	"time"
@@ -143,13 +142,6 @@
 	po.plan.release(incarnation)
 }
 
-// Loads returns how many workers each relay has.
-func (po *Pool) Loads() map[string]int {
-	po.mu.Lock()
-	defer po.mu.Unlock()
-	return maps.Clone(po.plan.load)
-}
-
 // stream returns the open stream to a host, and opens one if there is none.
 func (po *Pool) stream(ctx context.Context, via string) (*stream, error) {
 	li := po.link(via)
