--- a/internal/sched/lab_test.go
+++ b/internal/sched/lab_test.go
@@ -187,67 +187,22 @@
 	}
 }
 
-// history is what is known of the ends of tasks, by their names.
-type history struct {
-	byTask map[string][]standin.FleetRun
-	// doneAt is when a task was done, notedAt the same if its owner acknowledged
-	// that before leases lapsed, and knownAt when its owner acknowledged it, whatever
-	// became of leases.
-	doneAt, notedAt, knownAt map[string]time.Time
-}
-
-// history sums all runs up.
-func (la *lab) history() history {
-	hi := history{byTask: map[string][]standin.FleetRun{}, doneAt: map[string]time.Time{}, notedAt: map[string]time.Time{}, knownAt: map[string]time.Time{}}
-	for _, ru := range la.fleet.Runs() {
-		hi.byTask[ru.Task] = append(hi.byTask[ru.Task], ru)
-		if ru.How != "done" {
-			continue
-		}
-		hi.doneAt[ru.Task] = ru.Until
-		// An end that was lost with its worker is not known to anybody.
-		if ru.Seen {
-			hi.notedAt[ru.Task] = ru.Until
-		}
-		if !ru.Noted.IsZero() {
-			hi.knownAt[ru.Task] = ru.Noted
-		}
-	}
-	return hi
-}
-
 // problems lists what of that was not so.
 func (la *lab) problems() []string {
-	var list []string
-	hi := la.history()
-	for task, runs := range hi.byTask {
-		for i, ru := range runs {
-			if i > 0 && (runs[i-1].Until.IsZero() || runs[i-1].Until.After(ru.From)) {
-				list = append(list, fmt.Sprintf("task %s: attempt %d at %s began while attempt %d ran at %s", task, ru.Number, ru.Worker, runs[i-1].Number, runs[i-1].Worker))
-			}
-			list = append(list, hi.afterItsEnd(ru)...)
-			list = append(list, la.outOfOrder(ru, hi.doneAt)...)
+	runs := la.fleet.Runs()
+	list := standin.RunProblems(runs)
+	doneAt := map[string]time.Time{}
+	for _, ru := range runs {
+		if ru.How == "done" {
+			doneAt[ru.Task] = ru.Until
 		}
 	}
-	return list
-}
-
-// afterItsEnd lists a run that began after its task was known to be done.
-func (hi history) afterItsEnd(ru standin.FleetRun) []string {
-	var list []string
-	if at, ok := hi.notedAt[ru.Task]; ok && ru.From.After(at) {
-		list = append(list, fmt.Sprintf("task %s: attempt %d began after it was done", ru.Task, ru.Number))
-	}
-	if at, ok := hi.knownAt[ru.Task]; ok && ru.From.Sub(at) > knownFor {
-		list = append(list, fmt.Sprintf("task %s: attempt %d began %v after its end was acknowledged", ru.Task, ru.Number, ru.From.Sub(at)))
+	for _, ru := range runs {
+		list = append(list, la.outOfOrder(ru, doneAt)...)
 	}
 	return list
 }
 
-// knownFor is how long after an end was acknowledged a start may still be on its
-// way that was ordered before.
-const knownFor = time.Second
-
 func (la *lab) outOfOrder(ru standin.FleetRun, doneAt map[string]time.Time) []string {
 	var list []string
 	id, ref, _ := job.ParseTaskID(ru.Task)
