--- a/internal/door/narrow_test.go
+++ b/internal/door/narrow_test.go
@@ -80,11 +80,11 @@
 	name string
 	// out and in are its link.
 	out, in *pipe
-	keeper  *tenure.Keeper
-	door    *Door
-	owner   atomic.Pointer[sched.Owner]
-	end     context.CancelFunc
-	lives   int
+	// door is that of its process now.
+	door  atomic.Pointer[Door]
+	owner atomic.Pointer[sched.Owner]
+	end   context.CancelFunc
+	lives int
 }
 
 // plain is a deployment of such hosts.
@@ -195,7 +195,7 @@
 	return carry(req.Context(), st, sizeRequest+len(body), func(ctx context.Context) (*http.Response, error) {
 		other.in.pass(sizeRequest + len(body))
 		rec := httptest.NewRecorder()
-		other.door.Handler().ServeHTTP(rec, httptest.NewRequest(req.Method, req.URL.Path, bytes.NewReader(body)).WithContext(ctx))
+		other.door.Load().Handler().ServeHTTP(rec, httptest.NewRequest(req.Method, req.URL.Path, bytes.NewReader(body)).WithContext(ctx))
 		other.out.pass(sizeRequest + rec.Body.Len())
 		return rec.Result(), nil
 	}, func(*http.Response) int { return sizeRequest })
@@ -207,15 +207,16 @@
 	ctx, end := context.WithCancel(context.Background())
 	st.end = end
 	st.owner.Store(nil)
-	st.keeper = &tenure.Keeper{
+	ke := &tenure.Keeper{
 		Cell: "c0", Self: st.name, Process: fmt.Sprint(st.name, "-", st.lives), Addr: st.name, Table: st.table(), Serve: st.serve, Log: st.to.log,
 	}
-	st.door = &Door{
-		Cell: "c0", Table: st.table(), Keeper: st.keeper, Peers: &http.Client{Transport: st}, Local: st.owner.Load,
+	do := &Door{
+		Cell: "c0", Table: st.table(), Keeper: ke, Peers: &http.Client{Transport: st}, Local: st.owner.Load,
 		ConfigFunc: func() *queue.Config { return nil }, Log: st.to.log,
 	}
-	st.keeper.AskFunc = st.door.Ask
-	go st.keeper.Run(ctx)
+	ke.AskFunc = do.Ask
+	st.door.Store(do)
+	go ke.Run(ctx)
 }
 
 // serve runs the cell during a tenure.
@@ -271,7 +272,7 @@
 	pl.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 	defer cancel()
-	return st.door.Submit(ctx, id, job.Terms{Queue: "q", Service: "routedesk", MaxFailures: 3}, sp).Outcome
+	return st.door.Load().Submit(ctx, id, job.Terms{Queue: "q", Service: "routedesk", MaxFailures: 3}, sp).Outcome
 }
 
 // Rates of links in bytes a second: narrowLeast is a twentieth of what the load of the
@@ -331,7 +332,7 @@
 
 // check checks what became of a job.
 func (pl *plain) check(rt *rapid.T, id string, outcome sched.Outcome) {
-	state, known, err := pl.stations[0].door.State(context.Background(), id)
+	state, known, err := pl.stations[0].door.Load().State(context.Background(), id)
 	switch {
 	case err != nil:
 		rt.Errorf("state of %s: %v", id, err)
