Tell of relays whose stream is being opened, and of those that do not answer

The owner's log had a line when a stream was open and when it was lost. A stream that did neither left no trace but workers that do not answer, so hypotheses could not be told apart. Now a line says that a stream is being opened, with how many workers, and one that orders wait for it in vain, with the time since.

--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -63,6 +63,10 @@
 	// st is its stream, ready is closed once that is open or has failed.
 	st    *stream
 	ready chan struct{}
+	// began is when it was begun to open, told is set once a line has said that
+	// orders waited for that in vain.
+	began time.Time
+	told  bool
 	bo    *backoff.ExponentialBackOff
 }
 
@@ -154,11 +158,23 @@
 	case <-li.ready:
 		return li.st, nil
 	case <-ti.C:
+		po.tellUnopened(li)
 	case <-ctx.Done():
 	}
 	return nil, worker.ErrNotSent
 }
 
+// tellUnopened tells once of a stream that an order has waited for in vain.
+func (po *Pool) tellUnopened(li *link) {
+	po.mu.Lock()
+	defer po.mu.Unlock()
+	if li.told || li.st == nil {
+		return
+	}
+	li.told = true
+	po.Log.Warn("relay does not answer", "relay", li.name, "workers", po.plan.load[li.name], "for", time.Since(li.began))
+}
+
 // link returns the link to a host, or nil if it is not to be used.
 func (po *Pool) link(via string) *link {
 	po.mu.Lock()
@@ -187,7 +203,8 @@
 func (po *Pool) open(li *link, me registry.Member) {
 	st := newStream(li.name, po.Self, po.Epoch, po.Log)
 	ready := make(chan struct{})
-	li.st, li.ready = st, ready
+	li.st, li.ready, li.began, li.told = st, ready, time.Now(), false
+	po.Log.Info("opening a stream to a relay", "relay", li.name, "addr", me.Addr, "data_centre", me.DataCentre, "workers", po.plan.load[li.name])
 	st.onLeaving = func() { po.lose(li, st, errLeaving) }
 	go func() {
 		began := time.Now()
