--- a/internal/relay/stream_test.go
+++ b/internal/relay/stream_test.go
@@ -85,6 +85,9 @@
 	return ad
 }
 
+// endless has attempts run until they are stopped.
+func endless(worker.Attempt) (time.Duration, string) { return -1, "" }
+
 func within() (context.Context, context.CancelFunc) {
 	return context.WithTimeout(context.Background(), 2*time.Second)
 }
@@ -105,7 +108,7 @@
 
 func TestOrdersThroughARelay(t *testing.T) {
 	nt := newNetwork(t, 1)
-	nt.fleet.RunFunc = func(worker.Attempt) (time.Duration, string) { return -1, "" }
+	nt.fleet.RunFunc = endless
 	ad := nt.add()
 	payload := strings.Repeat("load the vans ", 50)
 	t.Run("launches carry their payload, also when it was sent before", func(t *testing.T) {
@@ -164,7 +167,7 @@
 
 func TestRelayIsLost(t *testing.T) {
 	nt := newNetwork(t, 2)
-	nt.fleet.RunFunc = func(worker.Attempt) (time.Duration, string) { return -1, "" }
+	nt.fleet.RunFunc = endless
 	ad := nt.add()
 	_, err := nt.look(ad)
 	qt.Assert(t, err, qt.IsNil)
--- a/internal/standin/line.go
+++ b/internal/standin/line.go
@@ -15,10 +15,13 @@
 
 	mu    sync.Mutex
 	conns []*lineConn
+	// thawed is closed when the line is no longer frozen; nil while it is not.
+	thawed chan struct{}
 }
 
 // lineConn is one connection through a line, both ends.
 type lineConn struct {
+	ln        *Line
 	near, far net.Conn
 
 	mu     sync.Mutex
@@ -46,13 +49,14 @@
 		if err != nil {
 			return
 		}
+		ln.awaitThaw()
 		var di net.Dialer
 		far, err := di.DialContext(context.Background(), "tcp", ln.to)
 		if err != nil {
 			_ = near.Close()
 			continue
 		}
-		lc := &lineConn{near: near, far: far}
+		lc := &lineConn{ln: ln, near: near, far: far}
 		ln.mu.Lock()
 		ln.conns = append(ln.conns, lc)
 		ln.mu.Unlock()
@@ -67,6 +71,7 @@
 	buf := make([]byte, 16<<10)
 	for {
 		n, err := from.Read(buf)
+		lc.ln.awaitThaw()
 		lc.mu.Lock()
 		silent := lc.silent
 		lc.mu.Unlock()
@@ -98,6 +103,36 @@
 	return n
 }
 
+// Freeze has the host behind the line stand still until [Line.Thaw], as a machine
+// does whose kernel goes on: connections can be opened, and what is sent waits.
+func (ln *Line) Freeze() {
+	ln.mu.Lock()
+	defer ln.mu.Unlock()
+	if ln.thawed == nil {
+		ln.thawed = make(chan struct{})
+	}
+}
+
+// Thaw has the host behind the line go on.
+func (ln *Line) Thaw() {
+	ln.mu.Lock()
+	defer ln.mu.Unlock()
+	if ln.thawed != nil {
+		close(ln.thawed)
+		ln.thawed = nil
+	}
+}
+
+// awaitThaw returns once the line is not frozen.
+func (ln *Line) awaitThaw() {
+	ln.mu.Lock()
+	thawed := ln.thawed
+	ln.mu.Unlock()
+	if thawed != nil {
+		<-thawed
+	}
+}
+
 // Close ends the line; open connections stay until their ends close them.
 func (ln *Line) Close() error { return ln.li.Close() }
 
