Use a host as a relay only once it answers, if it was lost or just replaced

Now such a host is used once a stream to it has opened, and an order keeps the stream that it waited for. A stream that fails to open tells at once who waits. Errors of orders that were not sent name the relay.

Tests: TestReplacedOwnerIsNoRelay fails with suspect switched off, TestOrdersWhileARelayComesAndGoes ends with a nil pointer or a race on the former pool. Ruled out: asking for the former owner's end as tenure does, as a host can be silent for other reasons too.

--- a/internal/jobhost/cell.go
+++ b/internal/jobhost/cell.go
@@ -25,7 +25,7 @@
 	se := ho.se.Load()
 	po := &relay.Pool{
 		Self: se.Name, Cores: se.Processor(), Epoch: te.Epoch, HTTP: ho.streams, Direct: platform.NewAgent(ho.workers),
-		Metrics: ho.metrics, Log: ho.log,
+		Former: te.Former.Owner, FormerProcess: te.Former.Process, Metrics: ho.metrics, Log: ho.log,
 	}
 	ow := sched.New(&sched.Owner{
 		Cell: cellName, Tenure: te, Table: ho.table, Agent: po.Agent(), Without: ho.Without, Metrics: ho.metrics, Log: ho.log,
--- a/internal/relay/plan.go
+++ b/internal/relay/plan.go
@@ -48,6 +48,14 @@
 	return ok && name != pl.self && !pl.lost[name]
 }
 
+// avoid has a host not used.
+func (pl *plan) avoid(name string) {
+	if pl.lost == nil {
+		pl.lost = map[string]bool{}
+	}
+	pl.lost[name] = true
+}
+
 // assign returns the relay of a worker in a data centre, or "" if there is none.
 func (pl *plan) assign(incarnation, dataCentre string) string {
 	if via, ok := pl.assigned[incarnation]; ok {
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"net/http"
 	"sync"
@@ -21,8 +22,8 @@
 	// openFor is how long an order waits for a stream to open: it is to another
 	// entry host, some 3 ms away.
 	openFor = 250 * time.Millisecond
-	// awayFirst and awayMost are how long a host is not used after its stream
-	// ended, twice as long each time.
+	// awayFirst and awayMost are how long no stream is opened to a host after one
+	// ended, longer each time.
 	awayFirst = 2 * time.Second
 	awayMost  = 30 * time.Second
 	// provedAfter is how long a stream must have been open for the next pause to
@@ -38,6 +39,9 @@
 	Cores float64
 	// Epoch is the owner's.
 	Epoch int64
+	// Former and FormerProcess name the host that was replaced as an owner, and its
+	// process; they are empty if it gave the cell up.
+	Former, FormerProcess string
 	// HTTP is the client for other entry hosts, which must not limit the time of a
 	// request.
 	HTTP *http.Client
@@ -75,6 +79,9 @@
 	po.mu.Lock()
 	po.ctx = ctx
 	po.plan.self, po.plan.cores = po.Self, po.Cores
+	for name := range po.plan.lost {
+		go po.regain(name, 0)
+	}
 	po.mu.Unlock()
 	<-ctx.Done()
 }
@@ -92,6 +99,7 @@
 		po.plan.members[me.Name] = me
 		if was.Process != me.Process {
 			delete(po.plan.lost, me.Name)
+			po.suspect(me)
 		}
 	}
 	for _, name := range gone {
@@ -100,6 +108,18 @@
 	po.changed()
 }
 
+// suspect keeps a host from being used until it answers, if it was just replaced as
+// an owner: mostly for its silence, and the list still has it.
+func (po *Pool) suspect(me registry.Member) {
+	if me.Name != po.Former || me.Process != po.FormerProcess {
+		return
+	}
+	po.plan.avoid(me.Name)
+	if po.ctx != nil {
+		go po.regain(me.Name, 0)
+	}
+}
+
 // SetWorkers takes in the incarnations of workers that were listed, and of those
 // that are no longer. If whole is set the listed ones are all there are.
 func (po *Pool) SetWorkers(listed, gone []string, whole bool) {
@@ -148,39 +168,53 @@
 
 // stream returns the open stream to a host, and opens one if there is none.
 func (po *Pool) stream(ctx context.Context, via string) (*stream, error) {
-	li := po.link(via)
-	if li == nil {
-		return nil, worker.ErrNotSent
+	st, ready := po.opening(via)
+	if st == nil {
+		return nil, fmt.Errorf("through %s, which is not used now: %w", via, worker.ErrNotSent)
 	}
 	ti := time.NewTimer(openFor)
 	defer ti.Stop()
 	select {
-	case <-li.ready:
-		return li.st, nil
+	case <-ready:
+		return st, nil
 	case <-ti.C:
-		po.tellUnopened(li)
+		po.tellUnopened(via)
 	case <-ctx.Done():
 	}
-	return nil, worker.ErrNotSent
+	return nil, fmt.Errorf("through %s, which does not answer: %w", via, worker.ErrNotSent)
 }
 
 // tellUnopened tells once of a stream that an order has waited for in vain.
-func (po *Pool) tellUnopened(li *link) {
+func (po *Pool) tellUnopened(via string) {
 	po.mu.Lock()
 	defer po.mu.Unlock()
+	li := po.links[via]
 	if li.told || li.st == nil {
 		return
 	}
 	li.told = true
-	po.Log.Warn("relay does not answer", "relay", li.name, "workers", po.plan.load[li.name], "for", time.Since(li.began))
+	po.Log.Warn("relay does not answer", "relay", via, "workers", po.plan.load[via], "for", time.Since(li.began))
 }
 
-// link returns the link to a host, or nil if it is not to be used.
-func (po *Pool) link(via string) *link {
+// opening returns the stream to a host, and what is closed once that is open or has
+// failed. It returns nil if the host is not to be used.
+func (po *Pool) opening(via string) (*stream, <-chan struct{}) {
 	po.mu.Lock()
 	defer po.mu.Unlock()
+	if po.plan.lost[via] {
+		return nil, nil
+	}
+	li := po.open(via)
+	if li == nil {
+		return nil, nil
+	}
+	return li.st, li.ready
+}
+
+// open returns the link to a host, with a stream, or nil if there is no such host.
+func (po *Pool) open(via string) *link {
 	me, ok := po.plan.members[via]
-	if !ok || po.plan.lost[via] || po.ctx == nil {
+	if !ok || po.ctx == nil || po.ctx.Err() != nil {
 		return nil
 	}
 	li := po.links[via]
@@ -194,35 +228,50 @@
 		po.links[via] = li
 	}
 	if li.st == nil {
-		po.open(li, me)
+		po.dial(li, me)
 	}
 	return li
 }
 
-// open opens a link's stream.
-func (po *Pool) open(li *link, me registry.Member) {
+// dial begins to open a link's stream.
+func (po *Pool) dial(li *link, me registry.Member) {
 	st := newStream(li.name, po.Self, po.Epoch, po.Log)
 	ready := make(chan struct{})
 	li.st, li.ready, li.began, li.told = st, ready, time.Now(), false
 	po.Log.Info("opening a stream to a relay", "relay", li.name, "addr", me.Addr, "data_centre", me.DataCentre, "workers", po.plan.load[li.name])
 	st.onLeaving = func() { po.lose(li, st, errLeaving) }
-	go func() {
-		began := time.Now()
-		err := st.run(po.ctx, po.HTTP, me.Addr, func() {
-			po.Log.Info("relay answers", "relay", me.Name, "data_centre", me.DataCentre, "cores", me.Cores, "took", time.Since(began))
-			close(ready)
-		})
-		if time.Since(began) > provedAfter {
-			li.bo.Reset()
-		}
-		po.lose(li, st, err)
-	}()
+	go po.serve(li, st, me, ready)
+}
+
+// serve serves a link's stream until that ends. It closes ready once the stream is
+// open or has failed.
+func (po *Pool) serve(li *link, st *stream, me registry.Member, ready chan<- struct{}) {
+	began, answered := time.Now(), false
+	err := st.run(po.ctx, po.HTTP, me.Addr, func() {
+		answered = true
+		po.Log.Info("relay answers", "relay", me.Name, "data_centre", me.DataCentre, "cores", me.Cores, "took", time.Since(began))
+		po.answered(li, st)
+		close(ready)
+	})
+	po.lose(li, st, err)
+	if !answered {
+		close(ready)
+	}
+}
+
+// answered lets a host be used whose stream has opened.
+func (po *Pool) answered(li *link, st *stream) {
+	po.mu.Lock()
+	defer po.mu.Unlock()
+	if li.st == st {
+		delete(po.plan.lost, li.name)
+	}
 }
 
 // errLeaving: the relay's host is about to stop.
 var errLeaving = errors.New("relay's host stops")
 
-// lose takes a host out of use for a while.
+// lose takes a host out of use until it answers again.
 func (po *Pool) lose(li *link, st *stream, why error) {
 	po.mu.Lock()
 	defer po.mu.Unlock()
@@ -230,25 +279,28 @@
 		return
 	}
 	li.st = nil
+	if time.Since(li.began) > provedAfter {
+		li.bo.Reset()
+	}
 	away := li.bo.NextBackOff()
 	po.Log.Warn("relay not used for a while", "relay", li.name, "workers", po.plan.load[li.name], "away", away, "why", why)
 	po.Metrics.Add(telemetry.RelaysLost, 1)
-	if po.plan.lost == nil {
-		po.plan.lost = map[string]bool{}
-	}
-	po.plan.lost[li.name] = true
+	po.plan.avoid(li.name)
 	po.changed()
 	go po.regain(li.name, away)
 }
 
-// regain lets a host be used again.
+// regain opens the stream to a host that is not used, so that it is used again once it
+// has answered, and no worker waits for that.
 func (po *Pool) regain(name string, after time.Duration) {
 	if !clock.Sleep(po.ctx, after) {
 		return
 	}
 	po.mu.Lock()
 	defer po.mu.Unlock()
-	delete(po.plan.lost, name)
+	if po.plan.lost[name] {
+		po.open(name)
+	}
 }
 
 // Agent reaches workers the way that their addresses say.
--- a/internal/relay/silent_test.go
+++ b/internal/relay/silent_test.go
@@ -2,6 +2,10 @@
 
 import (
 	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"sync"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -39,3 +43,74 @@
 	_, err = nt.look(ad)
 	qt.Assert(t, err, qt.IsNil)
 }
+
+// TestReplacedOwnerIsNoRelay: the host of an owner that was replaced for its silence
+// still stands in the list, and was the first choice as a relay of the workers near it.
+func TestReplacedOwnerIsNoRelay(t *testing.T) {
+	nt := newNetwork(t, 2)
+	nt.lines[0].Freeze()
+	nt.pool.Former, nt.pool.FormerProcess = "r0", "p"
+	nt.pool.SetMembers(nt.members, nil, true)
+	qt.Assert(t, nt.pool.Via("i-0", "a"), qt.Equals, "r1")
+	nt.lines[0].Thaw()
+	nt.eventually("it is used again", func() bool { return nt.usable("r0") })
+}
+
+// TestRelayThatIsNoHost has hosts that refuse a stream in other ways than by silence.
+func TestRelayThatIsNoHost(t *testing.T) {
+	answer := func(ha http.HandlerFunc) string {
+		hs := httptest.NewServer(ha)
+		t.Cleanup(hs.Close)
+		return hs.Listener.Addr().String()
+	}
+	gone := httptest.NewServer(http.NotFoundHandler())
+	gone.Close()
+	for name, addr := range map[string]string{
+		"its port refuses connections":    gone.Listener.Addr().String(),
+		"it knows no streams":             answer(http.NotFound),
+		"it closes the connection":        answer(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }),
+		"its answer ends before a frame":  answer(func(http.ResponseWriter, *http.Request) {}),
+		"its answer is no frame":          answer(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("<html>")) }),
+		"it reads, and does not answer":   answer(func(_ http.ResponseWriter, r *http.Request) { _, _ = io.Copy(io.Discard, r.Body) }),
+		"nothing but zeros comes from it": answer(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(make([]byte, 100)) }),
+	} {
+		t.Run(name, func(t *testing.T) {
+			nt := newNetwork(t, 2)
+			ad := nt.add()
+			used := int(ad.Via[1] - '0')
+			nt.members[used].Addr = addr
+			nt.pool.SetMembers(nt.members, nil, true)
+			qt.Assert(t, nt.launch(ad, "a", "x"), qt.IsNotNil)
+			nt.eventually("another relay is wanted", func() bool { return nt.pool.Via("i-0", "a") != ad.Via })
+			ad.Via = nt.pool.Via("i-0", "a")
+			qt.Assert(t, nt.launch(ad, "a", "x"), qt.IsNil)
+		})
+	}
+}
+
+// TestOrdersWhileARelayComesAndGoes: an order that had waited for a stream to open used
+// to take it from the link afterwards, where there was none if it had been lost meanwhile,
+// and the owner's process ended.
+func TestOrdersWhileARelayComesAndGoes(t *testing.T) {
+	nt := newNetwork(t, 1)
+	ad := nt.add()
+	done := make(chan struct{})
+	var wg sync.WaitGroup
+	for range 8 {
+		wg.Go(func() {
+			for {
+				select {
+				case <-done:
+					return
+				default:
+					_, _ = nt.look(ad)
+				}
+			}
+		})
+	}
+	for range 300 {
+		nt.drop("r0")
+	}
+	close(done)
+	wg.Wait()
+}
--- a/internal/relay/stream_test.go
+++ b/internal/relay/stream_test.go
@@ -25,8 +25,9 @@
 	fleet standin.Fleet
 	pool  *Pool
 	// relays are the hosts, and lines the ways to them.
-	relays []*Server
-	lines  []*standin.Line
+	relays  []*Server
+	lines   []*standin.Line
+	members []registry.Member
 
 	mu      sync.Mutex
 	changes int
@@ -41,7 +42,6 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go nt.pool.Run(ctx)
-	var members []registry.Member
 	for i := range relays {
 		sv := &Server{Agent: nt.fleet.Agent(), Log: log}
 		mux := http.NewServeMux()
@@ -52,9 +52,9 @@
 		qt.Assert(t, err, qt.IsNil)
 		t.Cleanup(func() { _ = ln.Close() })
 		nt.relays, nt.lines = append(nt.relays, sv), append(nt.lines, ln)
-		members = append(members, registry.Member{Name: fmt.Sprint("r", i), Process: "p", Addr: ln.Addr(), Cores: 1})
+		nt.members = append(nt.members, registry.Member{Name: fmt.Sprint("r", i), Process: "p", Addr: ln.Addr(), Cores: 1})
 	}
-	nt.pool.SetMembers(members, nil, true)
+	nt.pool.SetMembers(nt.members, nil, true)
 	nt.pool.SetWorkers([]string{"i-0", "i-1"}, nil, true)
 	nt.eventually("running", func() bool { return nt.pool.Via("i-0", "a") != "" })
 	return nt
@@ -85,6 +85,30 @@
 	return ad
 }
 
+// usable reports whether a host may relay.
+func (nt *network) usable(name string) bool {
+	nt.pool.mu.Lock()
+	defer nt.pool.mu.Unlock()
+	return nt.pool.plan.usable(name)
+}
+
+// drop loses the stream to a host, if there is one, and lets the host be used at once.
+func (nt *network) drop(name string) {
+	nt.pool.mu.Lock()
+	li := nt.pool.links[name]
+	var st *stream
+	if li != nil {
+		st = li.st
+	}
+	nt.pool.mu.Unlock()
+	if st != nil {
+		nt.pool.lose(li, st, errLeaving)
+	}
+	nt.pool.mu.Lock()
+	defer nt.pool.mu.Unlock()
+	delete(nt.pool.plan.lost, name)
+}
+
 // endless has attempts run until they are stopped.
 func endless(worker.Attempt) (time.Duration, string) { return -1, "" }
 
