Let rare log lines through behind frequent ones

One budget of 3,000 lines a second was for all kinds of lines, so the few that would have told of the incident came too late in their second. Kinds (texts of messages) with at most 20 lines in a second now have a reserve of 500 lines behind the budget, and of 64 KiB behind the buffer's bound; the total stays bounded, and so do the kinds told apart. The line on what was dropped comes once a second, not with each write, and names the kinds of which most were.

The decision moved from Enabled, which does not know the message, to Handle: lines left out are still not put together, but slog makes their record. To tell kinds apart in Enabled by the place of the call was not tried.

--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -1,7 +1,8 @@
 // Package logs writes log lines without ever holding up who logs: lines wait
 // in a bounded buffer, and those that find it full, or are over the budget of
 // lines a second, are dropped and counted. Whoever reads the output slowly, or
-// not at all, costs lines and nothing else.
+// not at all, costs lines and nothing else. Lines of kinds that are rare come
+// through behind those of frequent ones.
 package logs
 
 import (
@@ -14,8 +15,10 @@
 
 // Bounds on what is written.
 const (
-	// waitMost is how many bytes of lines wait to be written.
-	waitMost = 512 << 10
+	// waitMost is how many bytes of lines wait to be written, and waitReserve how
+	// many more may be of rare kinds.
+	waitMost    = 512 << 10
+	waitReserve = 64 << 10
 	// perSecondMost is the budget of lines a second: a busy owner writes four
 	// for each attempt, some 1,200 a second.
 	perSecondMost = 3000
@@ -23,6 +26,8 @@
 	flushEvery = 50 * time.Millisecond
 	// closeWait bounds the wait for the last lines at the end.
 	closeWait = 500 * time.Millisecond
+	// tellEvery is the least time between lines on what was dropped.
+	tellEvery = time.Second
 )
 
 // Writer is an [io.Writer] of lines. Make one with [New].
@@ -33,10 +38,10 @@
 
 	mu      sync.Mutex
 	waiting bytes.Buffer
-	second  int64
-	lines   int
+	budget  budget
 	dropped int64
 	told    int64
+	toldAt  time.Time
 	closed  bool
 }
 
@@ -47,16 +52,39 @@
 	return wr
 }
 
-// Write takes one line in. It never blocks and never fails.
+// Write takes one line in, of no kind. It never blocks and never fails.
 func (wr *Writer) Write(line []byte) (int, error) {
+	if !wr.admit(otherKind) {
+		return len(line), nil
+	}
+	return wr.put(line)
+}
+
+// admit reports whether a line of a kind is to be made and [Writer.put], and counts
+// it as dropped if not.
+func (wr *Writer) admit(name string) bool {
 	wr.mu.Lock()
 	defer wr.mu.Unlock()
-	if now := time.Now().Unix(); now != wr.second {
-		wr.second, wr.lines = now, 0
+	ki := wr.budget.kind(name)
+	ok := wr.budget.spend(ki, time.Now().Unix())
+	room := waitMost
+	if ki.rare() {
+		room += waitReserve
 	}
-	wr.lines++
-	if wr.closed || wr.lines > perSecondMost || wr.waiting.Len()+len(line) > waitMost {
-		wr.dropped++
+	if !ok || wr.closed || wr.waiting.Len() >= room {
+		wr.drop(ki)
+		return false
+	}
+	return true
+}
+
+// put takes in a line that was admitted. What was admitted meanwhile may have
+// filled the buffer.
+func (wr *Writer) put(line []byte) (int, error) {
+	wr.mu.Lock()
+	defer wr.mu.Unlock()
+	if wr.closed || wr.waiting.Len()+len(line) > waitMost+waitReserve {
+		wr.drop(wr.budget.kind(otherKind))
 		return len(line), nil
 	}
 	wr.waiting.Write(line)
@@ -64,16 +92,9 @@
 	return len(line), nil
 }
 
-// spent reports whether the budget of this second is spent, and counts a line that
-// is not written if it is.
-func (wr *Writer) spent() bool {
-	wr.mu.Lock()
-	defer wr.mu.Unlock()
-	if wr.lines < perSecondMost || time.Now().Unix() != wr.second {
-		return false
-	}
+func (wr *Writer) drop(ki *kind) {
 	wr.dropped++
-	return true
+	ki.dropped++
 }
 
 func (wr *Writer) nudge() {
@@ -123,9 +144,9 @@
 	defer wr.mu.Unlock()
 	chunk = append(chunk, wr.waiting.Bytes()...)
 	wr.waiting.Reset()
-	if wr.dropped > wr.told {
-		chunk = fmt.Appendf(chunk, "level=WARN msg=\"log lines dropped\" lines=%d total=%d\n", wr.dropped-wr.told, wr.dropped)
-		wr.told = wr.dropped
+	if wr.dropped > wr.told && (wr.closed || time.Since(wr.toldAt) >= tellEvery) {
+		chunk = fmt.Appendf(chunk, "level=WARN msg=\"log lines dropped\" lines=%d total=%d most=%q\n", wr.dropped-wr.told, wr.dropped, wr.budget.most())
+		wr.told, wr.toldAt = wr.dropped, time.Now()
 	}
 	return chunk, wr.closed
 }
