--- a/internal/sched/lab_test.go
+++ b/internal/sched/lab_test.go
@@ -38,6 +38,8 @@
 	throughFunc func(worker.Agent) worker.Agent
 	// via is the entry host through which workers are reached, if any.
 	via atomic.Pointer[string]
+	// viaOf has the entry hosts of workers with one of their own, by incarnation.
+	viaOf map[string]string
 	// formerKnown has owners know that the one before has ceased to act.
 	formerKnown bool
 }
@@ -72,7 +74,10 @@
 	return la.fleet.Agent()
 }
 
-func (la *lab) viaNow(Listed) string {
+func (la *lab) viaNow(li Listed) string {
+	if via, ok := la.viaOf[li.Incarnation]; ok {
+		return via
+	}
 	if via := la.via.Load(); via != nil {
 		return *via
 	}
