Tell how many workers get no orders, and through which relay

The owner now counts its workers by answering, silent and unsettled in the gauge pepperhatch_workers, and has a line at most once a second while any have had no orders for longer than a second: how many of how many, the attempts they hold, the longest silence, and the relay and data centre that most of them have in common, with how many of its workers those are; and one line when all get orders again.

A worker whose look neither ends nor fails counts as silent too, after 4.1 s: such a wait was the cause of the incident one layer below. Workers that the list no longer has are left out: they have lines of their own.

--- a/docs/docs_test.go
+++ b/docs/docs_test.go
@@ -60,6 +60,9 @@
 	for _, en := range telemetry.Counters {
 		rows = append(rows, fmt.Sprintf("| `%s_total` | %s | %s | %s |", en.Name, en.Labels, en.Means, en.Do))
 	}
+	for _, en := range telemetry.Gauges {
+		rows = append(rows, fmt.Sprintf("| `%s` | %s | %s | %s |", en.Name, en.Labels, en.Means, en.Do))
+	}
 	rows = append(rows, fmt.Sprintf("| `%s` | class | histogram of the time from arrival to answer or refusal | the p99 of latency-critical is what callers feel |", telemetry.Duration))
 	return table("| metric | labels | counts | what to do |", rows)
 }
--- a/internal/jobhost/host.go
+++ b/internal/jobhost/host.go
@@ -75,6 +75,7 @@
 	if err != nil {
 		return nil, err
 	}
+	sched.GaugeNoWorkers(me)
 	ho := &Host{log: log, metrics: me, scrape: scrape, workers: transport.NewClient(workerConns)}
 	ho.se.Store(&se)
 	ho.table = platform.NewTable(platform.Client{
--- a/internal/sched/host.go
+++ b/internal/sched/host.go
@@ -60,6 +60,8 @@
 	// seen is when a look last succeeded, failing since when looks fail.
 	seen    time.Time
 	failing time.Time
+	// quiet is since when it is silent or unsettled, or zero.
+	quiet time.Time
 	// handled is the last end taken in, acked the last one that is durable.
 	handled, acked int64
 	// undurable counts ends that are not durable yet.
--- a/internal/sched/lab_test.go
+++ b/internal/sched/lab_test.go
@@ -14,6 +14,7 @@
 	"github.com/pepperhatch/pepperhatch/internal/job"
 	"github.com/pepperhatch/pepperhatch/internal/standin"
 	"github.com/pepperhatch/pepperhatch/internal/store"
+	"github.com/pepperhatch/pepperhatch/internal/telemetry"
 	"github.com/pepperhatch/pepperhatch/internal/tenure"
 	"github.com/pepperhatch/pepperhatch/internal/worker"
 )
@@ -32,6 +33,8 @@
 	mu    sync.Mutex
 	specs map[string]job.Spec
 	log   *slog.Logger
+	// metrics counts, if set.
+	metrics *telemetry.Metrics
 	// handover is what the last owner left.
 	handover map[string]int64
 	// throughFunc changes the client of workers, if set.
@@ -133,7 +136,7 @@
 	te := la.claim()
 	te.Renounce = func(error) { cancel() }
 	ow := New(&Owner{
-		Cell: "c0", Tenure: te, Table: la.table.Client(), Agent: la.agent(), Log: la.log,
+		Cell: "c0", Tenure: te, Table: la.table.Client(), Agent: la.agent(), Metrics: la.metrics, Log: la.log,
 		ViaFunc: la.viaNow,
 		Limits:  Limits{MaxLease: 6 * time.Second, StopTime: 900 * time.Millisecond, HarmAfter: 4 * time.Second, KeepEnded: 2 * time.Minute},
 	})
--- a/internal/sched/owner.go
+++ b/internal/sched/owner.go
@@ -110,6 +110,8 @@
 	// saved is when what was learnt was last written, saving is set while it is.
 	saved  time.Time
 	saving bool
+	// outage has what was told of workers that get no orders.
+	outage outage
 }
 
 // Times of the loop.
@@ -141,6 +143,7 @@
 // Run reads the state of the cell, calls loaded, and serves it until ctx ends.
 func (ow *Owner) Run(ctx context.Context, loaded func()) error {
 	defer close(ow.ended)
+	defer GaugeNoWorkers(ow.Metrics)
 	ow.ctx = ctx
 	ow.opened = time.Now()
 	if err := ow.load(ctx); err != nil {
@@ -203,6 +206,7 @@
 		ho.tick(now)
 	}
 	ow.noteSilent(now)
+	ow.noteReach(now)
 	ow.account(now)
 	ow.sortActive(now)
 	ow.moveHeld(now)
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -48,6 +48,9 @@
 	RelaysLost   Name = "pepperhatch_relays_lost"
 )
 
+// Workers is the gauge of an owner's workers.
+const Workers Name = "pepperhatch_workers"
+
 // Duration is the histogram of request times.
 const Duration Name = "pepperhatch_request_seconds"
 
@@ -88,9 +91,15 @@
 	{TaskEvents, "event", "tasks started, done, failed, evicted, throttled", "evictions: see place.eviction-budget"},
 }
 
+// Gauges documents the gauges.
+var Gauges = []Entry{
+	{Workers, "state", "workers of the cell on its owner, 0 elsewhere: answering, silent, or unsettled (not reached yet by this owner)", "silent or unsettled for more than a second: see \"Workers get no orders\""},
+}
+
 // Metrics counts. Make one with [New]; nil counts nothing.
 type Metrics struct {
 	counters map[Name]metric.Int64Counter
+	gauges   map[Name]metric.Int64Gauge
 	duration metric.Float64Histogram
 }
 
@@ -102,13 +111,19 @@
 		return nil, nil, fmt.Errorf("metrics exporter: %w", err)
 	}
 	meter := sdkmetric.NewMeterProvider(sdkmetric.WithReader(exp)).Meter("pepperhatch")
-	me := &Metrics{counters: map[Name]metric.Int64Counter{}}
+	me := &Metrics{counters: map[Name]metric.Int64Counter{}, gauges: map[Name]metric.Int64Gauge{}}
 	for _, en := range Counters {
 		me.counters[en.Name], err = meter.Int64Counter(string(en.Name), metric.WithDescription(en.Means))
 		if err != nil {
 			return nil, nil, fmt.Errorf("counter %s: %w", en.Name, err)
 		}
 	}
+	for _, en := range Gauges {
+		me.gauges[en.Name], err = meter.Int64Gauge(string(en.Name), metric.WithDescription(en.Means))
+		if err != nil {
+			return nil, nil, fmt.Errorf("gauge %s: %w", en.Name, err)
+		}
+	}
 	me.duration, err = meter.Float64Histogram(string(Duration),
 		metric.WithDescription("time from arrival to answer or refusal"),
 		metric.WithExplicitBucketBoundaries(.001, .002, .005, .01, .02, .05, .1, .2, .5, 1, 2, 5, 10))
@@ -123,11 +138,25 @@
 	if me == nil {
 		return
 	}
+	me.counters[name].Add(context.Background(), n, attributes(labels))
+}
+
+// Set sets a gauge, which is told until it is set anew; labels are pairs of name and
+// value.
+func (me *Metrics) Set(name Name, n int64, labels ...string) {
+	if me == nil {
+		return
+	}
+	me.gauges[name].Record(context.Background(), n, attributes(labels))
+}
+
+// attributes are those of pairs of name and value.
+func attributes(labels []string) metric.MeasurementOption {
 	kvs := make([]attribute.KeyValue, 0, len(labels)/2)
 	for i := 0; i+1 < len(labels); i += 2 {
 		kvs = append(kvs, attribute.String(labels[i], labels[i+1]))
 	}
-	me.counters[name].Add(context.Background(), n, metric.WithAttributes(kvs...))
+	return metric.WithAttributes(kvs...)
 }
 
 // Ended counts one request that ended, with its time.
