Show that tasks of services wait without a line

Whoever searches for the id of a service that does not run finds that its leases have lapsed, and nothing after that: "job waits" is written for jobs that end, not for those that last.

--- a/internal/sched/spent_test.go
+++ b/internal/sched/spent_test.go
@@ -95,3 +95,33 @@
 		qt.Assert(t, len(told) >= 3 && len(told) <= 5, qt.IsTrue, qt.Commentf("%d lines", len(told)))
 	})
 }
+
+// TestLastingTasksThatWaitAreTold is the story of services for whose silence the log
+// had no reason.
+//
+// Users saw services that do not run. Order of events: workers fall silent; leases
+// there lapse; the workers that answer have no room. A search for a service's id ends
+// at "attempt ended .. its leases have lapsed": jobs that are over some day have lines
+// while their tasks wait, those that last had none.
+//
+// Evidence: the lab's log of these events had 64 such ends, and no line with the job's
+// id after them.
+func TestLastingTasksThatWaitAreTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		la, li, mu := relayedLab(t)
+		la.fleet.RunFunc = endless
+		ow, end := la.own()
+		defer end()
+		time.Sleep(time.Second)
+		la.submit(ow, 1, lasting(6*16))
+		time.Sleep(time.Second)
+		mu.on.Store(true)
+		time.Sleep(30 * time.Second)
+		qt.Assert(t, li.with("end=lapsed", "job="+jobID(1)), qt.HasLen, 4*16)
+		told := li.with(`msg="lasting tasks wait"`, "job="+jobID(1), "for=room", "tasks=64")
+		qt.Assert(t, len(told) >= 3 && len(told) <= 5, qt.IsTrue, qt.Commentf("%d lines", len(told)))
+		mu.on.Store(false)
+		time.Sleep(10 * time.Second)
+		la.assertRunning(6 * 16)
+	})
+}
