Tell that tasks of services wait, and for what

"job waits" was for jobs that end, as it carries their times and "pepperhatch account" sums those up. Jobs that last have "lasting tasks wait" now, at the same growing distances, with what they wait for and how many they are: the line between a service's id and "workers without orders". Their times stay unsummed.

--- a/internal/sched/spent.go
+++ b/internal/sched/spent.go
@@ -62,14 +62,17 @@
 }
 
 // account adds the time since the last look to what jobs that are not over spend
-// it on.
+// it on, and tells of those that wait. The time of jobs that last is not added up.
 func (ow *Owner) account(now time.Time) {
 	down := ow.storeDown()
 	for _, en := range ow.entries {
-		if en.endedAt.IsZero() && !en.jo.Endless() {
+		if !en.endedAt.IsZero() {
+			continue
+		}
+		if !en.jo.Endless() {
 			en.spend(en.cause(down), now)
-			ow.tellWait(en, now)
 		}
+		ow.tellWait(en, now)
 	}
 }
 
@@ -126,7 +129,12 @@
 		return
 	}
 	en.spent.tell = 2 * wait
-	ow.logTime("job waits", en, now, slog.String("for", en.cause(ow.storeDown()).String()), slog.Duration("wait", wait), slog.Int("tasks", en.waiting))
+	lack := en.cause(ow.storeDown()).String()
+	if en.jo.Endless() {
+		ow.Log.Info("lasting tasks wait", "job", en.jo.ID, "queue", en.jo.Terms.Queue, "for", lack, "wait", wait, "tasks", en.waiting)
+		return
+	}
+	ow.logTime("job waits", en, now, slog.String("for", lack), slog.Duration("wait", wait), slog.Int("tasks", en.waiting))
 }
 
 // tellTime writes a line on what the time of a job that is over went to, and
