--- a/internal/sched/lab_test.go
+++ b/internal/sched/lab_test.go
@@ -14,6 +14,7 @@
 	"github.com/pepperhatch/pepperhatch/internal/job"
 	"github.com/pepperhatch/pepperhatch/internal/standin"
 	"github.com/pepperhatch/pepperhatch/internal/store"
+	"github.com/pepperhatch/pepperhatch/internal/telemetry"
 	"github.com/pepperhatch/pepperhatch/internal/tenure"
 	"github.com/pepperhatch/pepperhatch/internal/worker"
 )
@@ -32,12 +33,16 @@
 	mu    sync.Mutex
 	specs map[string]job.Spec
 	log   *slog.Logger
+	// metrics counts, if set.
+	metrics *telemetry.Metrics
 	// handover is what the last owner left.
 	handover map[string]int64
 	// throughFunc changes the client of workers, if set.
 	throughFunc func(worker.Agent) worker.Agent
 	// via is the entry host through which workers are reached, if any.
 	via atomic.Pointer[string]
+	// viaOf has the entry hosts of workers with one of their own, by incarnation.
+	viaOf map[string]string
 	// formerKnown has owners know that the one before has ceased to act.
 	formerKnown bool
 }
@@ -72,7 +77,10 @@
 	return la.fleet.Agent()
 }
 
-func (la *lab) viaNow(Listed) string {
+func (la *lab) viaNow(li Listed) string {
+	if via, ok := la.viaOf[li.Incarnation]; ok {
+		return via
+	}
 	if via := la.via.Load(); via != nil {
 		return *via
 	}
@@ -128,7 +136,7 @@
 	te := la.claim()
 	te.Renounce = func(error) { cancel() }
 	ow := New(&Owner{
-		Cell: "c0", Tenure: te, Table: la.table.Client(), Agent: la.agent(), Log: la.log,
+		Cell: "c0", Tenure: te, Table: la.table.Client(), Agent: la.agent(), Metrics: la.metrics, Log: la.log,
 		ViaFunc: la.viaNow,
 		Limits:  Limits{MaxLease: 6 * time.Second, StopTime: 900 * time.Millisecond, HarmAfter: 4 * time.Second, KeepEnded: 2 * time.Minute},
 	})
