--- /dev/null
+++ b/internal/relay/again_test.go
@@ -0,0 +1,103 @@
+package relay
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"runtime"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// TestStreamsThatEndLeaveNothing: a stream that ended by its relay's doing left the
+// goroutine that writes the request, which waits for a pipe that nobody closes, and the
+// connection with it; an owner for long would run out of both.
+func TestStreamsThatEndLeaveNothing(t *testing.T) {
+	hs := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		rc := http.NewResponseController(w)
+		qt.Check(t, rc.EnableFullDuplex(), qt.IsNil)
+		_, _ = w.Write([]byte("<html>"))
+		qt.Check(t, rc.Flush(), qt.IsNil)
+	}))
+	t.Cleanup(hs.Close)
+	nt := newNetwork(t, 1)
+	for range 20 {
+		st := newStream("r0", "self", 1, nt.pool.Log)
+		qt.Assert(t, st.run(t.Context(), &http.Client{Transport: &http.Transport{}}, hs.Listener.Addr().String(), func() {}), qt.IsNotNil)
+	}
+	nt.eventually("nobody waits for a pipe", func() bool { return !strings.Contains(stacks(), "io.(*pipe).read(") })
+}
+
+// stacks are those of all goroutines.
+func stacks() string {
+	buf := make([]byte, 4<<20)
+	return string(buf[:runtime.Stack(buf, true)])
+}
+
+// TestListIsReadAgain: the store forgets its history, and the list of entry hosts is read
+// as a whole again. Then hosts counted as new: one that stands still was chosen again at
+// once, and a former owner's was not used any more although its stream was open.
+func TestListIsReadAgain(t *testing.T) {
+	t.Run("a host that does not answer is not used", func(t *testing.T) {
+		nt := newNetwork(t, 2)
+		ad := nt.add()
+		used := int(ad.Via[1] - '0')
+		nt.lines[used].Freeze()
+		t.Cleanup(nt.lines[used].Thaw)
+		qt.Assert(t, nt.launch(ad, "a", "x"), qt.IsNotNil)
+		nt.eventually("it is not used", func() bool { return !nt.usable(ad.Via) })
+		nt.pool.SetMembers(nt.members, nil, true)
+		qt.Assert(t, nt.usable(ad.Via), qt.IsFalse)
+	})
+	t.Run("a replaced owner's host that answers is used", func(t *testing.T) {
+		nt := newNetwork(t, 0)
+		nt.addRelays(2)
+		nt.pool.Former, nt.pool.FormerProcess = "r0", "p"
+		nt.pool.SetMembers(nt.members, nil, true)
+		nt.eventually("it is used", func() bool { return nt.usable("r0") })
+		nt.pool.SetMembers(nt.members, nil, true)
+		qt.Assert(t, nt.usable("r0"), qt.IsTrue)
+	})
+}
+
+// TestRelayIsBack: with no relay left workers are reached directly; they stayed so when
+// a host answered again, as nobody was told.
+func TestRelayIsBack(t *testing.T) {
+	nt := newNetwork(t, 1)
+	ad := nt.add()
+	qt.Assert(t, nt.launch(ad, "a", "x"), qt.IsNil)
+	nt.lines[0].Silence()
+	nt.eventually("there is none", func() bool { return nt.pool.Via("i-0", "a") == "" })
+	before := nt.told()
+	nt.eventually("the owner is told", func() bool { return nt.usable("r0") && nt.told() > before })
+	qt.Assert(t, nt.pool.Via("i-0", "a"), qt.Equals, "r0")
+}
+
+// TestHostThatStaysAway: a host that was lost is asked again and again; that is no news
+// to the owner, which would look at the ways to all its workers each time.
+func TestHostThatStaysAway(t *testing.T) {
+	nt := newNetwork(t, 2)
+	ad := nt.add()
+	used := int(ad.Via[1] - '0')
+	nt.lines[used].Freeze()
+	t.Cleanup(nt.lines[used].Thaw)
+	qt.Assert(t, nt.launch(ad, "a", "x"), qt.IsNotNil)
+	nt.eventually("it is not used", func() bool { return !nt.usable(ad.Via) })
+	before := nt.told()
+	nt.eventually("it is asked again", func() bool { return nt.opened(ad.Via) >= 3 })
+	qt.Assert(t, nt.told(), qt.Equals, before)
+}
+
+// TestHostThatLeaves: one that is about to stop takes no new streams.
+func TestHostThatLeaves(t *testing.T) {
+	nt := newNetwork(t, 2)
+	ad := nt.add()
+	qt.Assert(t, nt.launch(ad, "a", "x"), qt.IsNil)
+	nt.relays[ad.Via[1]-'0'].Leave()
+	nt.eventually("it is not used", func() bool { return !nt.usable(ad.Via) })
+	nt.eventually("it is asked again", func() bool {
+		qt.Check(t, nt.usable(ad.Via), qt.IsFalse)
+		return nt.opened(ad.Via) >= 2
+	})
+}
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -91,13 +91,14 @@
 func (po *Pool) SetMembers(listed []registry.Member, gone []string, whole bool) {
 	po.mu.Lock()
 	defer po.mu.Unlock()
-	if whole || po.plan.members == nil {
+	known := po.plan.members
+	if whole || known == nil {
 		po.plan.members = map[string]registry.Member{}
 	}
 	for _, me := range listed {
-		was := po.plan.members[me.Name]
+		was, ok := known[me.Name]
 		po.plan.members[me.Name] = me
-		if was.Process != me.Process {
+		if !ok || was.Process != me.Process {
 			delete(po.plan.lost, me.Name)
 			po.suspect(me)
 		}
@@ -263,9 +264,11 @@
 func (po *Pool) answered(li *link, st *stream) {
 	po.mu.Lock()
 	defer po.mu.Unlock()
-	if li.st == st {
-		delete(po.plan.lost, li.name)
+	if li.st != st || !po.plan.lost[li.name] {
+		return
 	}
+	delete(po.plan.lost, li.name)
+	po.changed()
 }
 
 // errLeaving: the relay's host is about to stop.
@@ -283,11 +286,15 @@
 		li.bo.Reset()
 	}
 	away := li.bo.NextBackOff()
+	go po.regain(li.name, away)
+	if po.plan.lost[li.name] {
+		po.Log.Info("relay still not used", "relay", li.name, "away", away, "why", why)
+		return
+	}
 	po.Log.Warn("relay not used for a while", "relay", li.name, "workers", po.plan.load[li.name], "away", away, "why", why)
 	po.Metrics.Add(telemetry.RelaysLost, 1)
 	po.plan.avoid(li.name)
 	po.changed()
-	go po.regain(li.name, away)
 }
 
 // regain opens the stream to a host that is not used, so that it is used again once it
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -78,6 +78,10 @@
 
 // ServeHTTP implements http.Handler: it serves one stream until that ends.
 func (sv *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if sv.leaving.Load() {
+		http.Error(w, "this host is about to stop", http.StatusServiceUnavailable)
+		return
+	}
 	rc := http.NewResponseController(w)
 	if err := errors.Join(rc.EnableFullDuplex(), rc.SetReadDeadline(time.Now().Add(silentMost))); err != nil {
 		http.Error(w, err.Error(), http.StatusInternalServerError)
--- a/internal/relay/silent_test.go
+++ b/internal/relay/silent_test.go
@@ -47,7 +47,8 @@
 // TestReplacedOwnerIsNoRelay: the host of an owner that was replaced for its silence
 // still stands in the list, and was the first choice as a relay of the workers near it.
 func TestReplacedOwnerIsNoRelay(t *testing.T) {
-	nt := newNetwork(t, 2)
+	nt := newNetwork(t, 0)
+	nt.addRelays(2)
 	nt.lines[0].Freeze()
 	nt.pool.Former, nt.pool.FormerProcess = "r0", "p"
 	nt.pool.SetMembers(nt.members, nil, true)
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -87,8 +87,10 @@
 	defer watchdog.Stop()
 	body, in := io.Pipe()
 	// The client returns only once the request is written to its end, so the context
-	// has to end the body: a stream to a host that never answers would not end else.
+	// has to end the body: a stream to a host that never answers would not end else. And
+	// once it has returned, its goroutine that writes still waits for that end.
 	closing := context.AfterFunc(ctx, func() { _ = in.Close() })
+	defer func() { _ = in.Close() }()
 	defer closing()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+Path, body)
 	if err != nil {
--- a/internal/relay/stream_test.go
+++ b/internal/relay/stream_test.go
@@ -31,33 +31,76 @@
 
 	mu      sync.Mutex
 	changes int
+	// streams counts those that were begun to open, by host.
+	streams map[string]int
+}
+
+// countStreams counts the lines that say so.
+type countStreams struct {
+	slog.Handler
+
+	nt *network
+}
+
+func (cs countStreams) Enabled(context.Context, slog.Level) bool { return true }
+
+func (cs countStreams) Handle(_ context.Context, rec slog.Record) error {
+	if rec.Message != "opening a stream to a relay" {
+		return nil
+	}
+	rec.Attrs(func(at slog.Attr) bool {
+		cs.nt.mu.Lock()
+		defer cs.nt.mu.Unlock()
+		cs.nt.streams[at.Value.String()]++
+		return false
+	})
+	return nil
 }
 
 // newNetwork returns an owner with so many relays, each with room for all workers.
 func newNetwork(t *testing.T, relays int) *network {
 	t.Helper()
-	nt := &network{t: t}
-	log := slog.New(slog.DiscardHandler)
+	nt := &network{t: t, streams: map[string]int{}}
+	log := slog.New(countStreams{slog.DiscardHandler, nt})
 	nt.pool = &Pool{Self: "self", Cores: 0.001, Epoch: 1, HTTP: &http.Client{}, Direct: nt.fleet.Agent(), Log: log, ChangedFunc: nt.changed}
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go nt.pool.Run(ctx)
-	for i := range relays {
-		sv := &Server{Agent: nt.fleet.Agent(), Log: log}
+	nt.addRelays(relays)
+	nt.pool.SetMembers(nt.members, nil, true)
+	nt.pool.SetWorkers([]string{"i-0", "i-1"}, nil, true)
+	nt.eventually("running", func() bool { return relays == 0 || nt.pool.Via("i-0", "a") != "" })
+	return nt
+}
+
+// addRelays adds relays that the pool does not know yet.
+func (nt *network) addRelays(n int) {
+	for range n {
+		i, sv := len(nt.relays), &Server{Agent: nt.fleet.Agent(), Log: nt.pool.Log}
 		mux := http.NewServeMux()
 		mux.Handle(Path, sv)
 		hs := httptest.NewServer(mux)
-		t.Cleanup(func() { hs.CloseClientConnections(); hs.Close() })
+		nt.t.Cleanup(func() { hs.CloseClientConnections(); hs.Close() })
 		ln, err := standin.NewLine(hs.Listener.Addr().String())
-		qt.Assert(t, err, qt.IsNil)
-		t.Cleanup(func() { _ = ln.Close() })
+		qt.Assert(nt.t, err, qt.IsNil)
+		nt.t.Cleanup(func() { _ = ln.Close() })
 		nt.relays, nt.lines = append(nt.relays, sv), append(nt.lines, ln)
 		nt.members = append(nt.members, registry.Member{Name: fmt.Sprint("r", i), Process: "p", Addr: ln.Addr(), Cores: 1})
 	}
-	nt.pool.SetMembers(nt.members, nil, true)
-	nt.pool.SetWorkers([]string{"i-0", "i-1"}, nil, true)
-	nt.eventually("running", func() bool { return nt.pool.Via("i-0", "a") != "" })
-	return nt
+}
+
+// told is how often the owner was told of changes.
+func (nt *network) told() int {
+	nt.mu.Lock()
+	defer nt.mu.Unlock()
+	return nt.changes
+}
+
+// opened is how many streams to a host were begun to open.
+func (nt *network) opened(name string) int {
+	nt.mu.Lock()
+	defer nt.mu.Unlock()
+	return nt.streams[name]
 }
 
 func (nt *network) changed() {
