Extend leases sooner after a takeover, and keep a former owner's wait

What runs bears some 6 s without an owner, and three steps took more of that than they must, or gave less than they should: - The second look of a new owner, the first that can extend a lease, waited up to 0.5 s until the ends that the first had listed were written (TestFirstExtension: 400 ms at a store that takes that long, now 0). - A worker with a new way was looked at only after the pause of a look that had failed, up to 0.25 s (TestLooksFollowANewWay: 125 ms, now 0). - An owner that gives a cell up says until when leases may last on workers that it did not reach. The next one took the shorter of that and of its own reckoning from an owner that has ceased to act, which knows nothing of the one before (TestWaitOfAFormerOwnerIsKept: 6.34 s where 12 s were listed). Each test failed before. By the constants the longest silence after a takeover through a relay that stands still is 5.0 s instead of 5.75 s.

--- a/internal/sched/host.go
+++ b/internal/sched/host.go
@@ -66,8 +66,9 @@
 	handled, acked int64
 	// undurable counts ends that are not durable yet.
 	undurable int
-	// release lets the next look go ahead.
-	release chan struct{}
+	// release lets the next look go ahead, rerouted that after one that failed.
+	release  chan struct{}
+	rerouted chan struct{}
 	// attempts are those that run here, or may.
 	attempts map[*attempt]bool
 	// services are those of them that serve within a target.
@@ -134,7 +135,7 @@
 		"millicores", li.Holds.MilliCores, "mem_mb", li.Holds.MemMB, "draining", li.Draining)
 	ctx, stop := context.WithCancel(ow.ctx)
 	ho := &host{
-		Listed: li, ow: ow, incarnation: li.Incarnation, stop: stop, release: make(chan struct{}, 1),
+		Listed: li, ow: ow, incarnation: li.Incarnation, stop: stop, release: make(chan struct{}, 1), rerouted: make(chan struct{}, 1),
 		attempts: map[*attempt]bool{}, failedJobs: map[string]bool{},
 	}
 	ho.leaves = time.Now().Add(li.Remaining)
@@ -288,21 +289,19 @@
 }
 
 // orphansUntil returns when such attempts have ended at the latest: when the
-// former owner said so as it released the cell, or once leases have lapsed since
-// the last moment at which it can have extended them.
+// former owner said so as it released the cell, also if that is later than by its own
+// leases, or once leases have lapsed since the last moment at which it can have
+// extended them.
 func (ow *Owner) orphansUntil(incarnation string) time.Time {
+	if ms, ok := ow.Tenure.Former.SilentMS[incarnation]; ok {
+		return ow.opened.Add(time.Duration(ms)*time.Millisecond + lapseMargin)
+	}
 	last := ow.opened.Add(tenure.ExtendFor)
 	if ended := ow.Tenure.FormerEnded(); !ended.IsZero() && ended.Before(last) {
 		last = ended
 	}
 	lease := time.Duration(float64(ow.Limits.MaxLease) * (1 + 2*clockDrift))
-	until := last.Add(lease + lapseMargin)
-	if ms, ok := ow.Tenure.Former.SilentMS[incarnation]; ok {
-		if known := ow.opened.Add(time.Duration(ms)*time.Millisecond + lapseMargin); known.Before(until) {
-			return known
-		}
-	}
-	return until
+	return last.Add(lease + lapseMargin)
 }
 
 // sortedHosts returns the workers in an order that does not change.
--- /dev/null
+++ b/internal/sched/lapse_test.go
@@ -0,0 +1,128 @@
+package sched
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/pepperhatch/pepperhatch/internal/job"
+	"github.com/pepperhatch/pepperhatch/internal/standin"
+	"github.com/pepperhatch/pepperhatch/internal/tenure"
+	"github.com/pepperhatch/pepperhatch/internal/worker"
+)
+
+// TestWaitOfAFormerOwnerIsKept: an owner that is cut off goes on extending leases for a
+// while. The next one knew how long, and gave the cell up with a note of it; the third
+// took the shorter wait for an owner that has ceased to act, that of the second one, and
+// could have started tasks elsewhere that still ran.
+func TestWaitOfAFormerOwnerIsKept(t *testing.T) {
+	now := time.Now()
+	for _, listed := range []time.Duration{time.Second, 12 * time.Second} {
+		ow := &Owner{Limits: Limits{MaxLease: 6 * time.Second}, opened: now}
+		ow.Tenure.Former = tenure.OwnerRow{SilentMS: map[string]int64{"i-0": listed.Milliseconds()}}
+		ow.Tenure.FormerEnded = func() time.Time { return now }
+		qt.Check(t, ow.orphansUntil("i-0").Sub(now), qt.Equals, listed+lapseMargin)
+	}
+}
+
+// looksSeen notes looks, and has those fail whose relay is not of use.
+type looksSeen struct {
+	mu sync.Mutex
+	// down is the relay that is not of use.
+	down string
+	// done has when looks came to a worker, and extended when the first came that
+	// extends its leases.
+	done     []time.Time
+	extended time.Time
+}
+
+var errNoRelay = errors.New("no such relay")
+
+func (ls *looksSeen) through(ag worker.Agent) worker.Agent {
+	look := ag.LookFunc
+	ag.LookFunc = func(ctx context.Context, ad worker.Addr, lo worker.Look) (worker.Sight, error) {
+		if err := ls.note(ad, lo); err != nil {
+			return worker.Sight{}, err
+		}
+		return look(ctx, ad, lo)
+	}
+	return ag
+}
+
+func (ls *looksSeen) note(ad worker.Addr, lo worker.Look) error {
+	ls.mu.Lock()
+	defer ls.mu.Unlock()
+	if ad.Via != "" && ad.Via == ls.down {
+		return fmt.Errorf("%w: %w", worker.ErrNotSent, errNoRelay)
+	}
+	ls.done = append(ls.done, time.Now())
+	if ls.extended.IsZero() && lo.LeaseUntilMS > 0 {
+		ls.extended = time.Now()
+	}
+	return nil
+}
+
+// firstAfter is the first look that came after a moment.
+func (ls *looksSeen) firstAfter(when time.Time) time.Time {
+	ls.mu.Lock()
+	defer ls.mu.Unlock()
+	for _, at := range ls.done {
+		if !at.Before(when) {
+			return at
+		}
+	}
+	return time.Time{}
+}
+
+// TestLooksFollowANewWay: a worker whose relay is lost is looked at once it has another
+// way, not after the usual pause: its leases run meanwhile.
+func TestLooksFollowANewWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		la := newLab(t, 1)
+		ls := looksSeen{down: "r0"}
+		la.throughFunc = ls.through
+		via := ls.down
+		la.via.Store(&via)
+		ow, end := la.own()
+		defer end()
+		// In the midst of a pause.
+		time.Sleep(3*time.Second + lookRetry/2)
+		other := "r1"
+		la.via.Store(&other)
+		moved := time.Now()
+		ow.Reroute()
+		time.Sleep(time.Second)
+		qt.Assert(t, ls.firstAfter(moved), qt.Equals, moved)
+	})
+}
+
+// TestFirstExtension: a new owner can extend no lease before a first look has told it the
+// worker's clock. The second look waited until the ends that the first had listed were
+// written, while all the worker's leases ran.
+func TestFirstExtension(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		la := newLab(t, 1)
+		ow, end := la.own()
+		time.Sleep(time.Second)
+		qt.Assert(t, la.submit(ow, 1, batch(1, 4)).Outcome, qt.Equals, Accepted)
+		time.Sleep(100 * time.Millisecond)
+		end()
+		// The tasks end with nobody to take note of it.
+		time.Sleep(2 * time.Second)
+		var ls looksSeen
+		la.throughFunc = ls.through
+		opened := time.Now()
+		ow, end = la.own()
+		defer end()
+		la.table.Gate.Set(standin.Fault{Mode: standin.ModeSlow, DelayMS: 400})
+		time.Sleep(5 * time.Second)
+		qt.Assert(t, la.state(ow, 1), qt.Equals, job.Succeeded)
+		qt.Assert(t, ls.extended.Sub(opened), qt.Equals, ls.firstAfter(opened).Sub(opened))
+	})
+}
--- a/internal/sched/looks.go
+++ b/internal/sched/looks.go
@@ -5,7 +5,6 @@
 	"errors"
 	"time"
 
-	"github.com/pepperhatch/pepperhatch/internal/clock"
 	"github.com/pepperhatch/pepperhatch/internal/job"
 	"github.com/pepperhatch/pepperhatch/internal/telemetry"
 	"github.com/pepperhatch/pepperhatch/internal/worker"
@@ -46,6 +45,7 @@
 		}
 		sent := time.Now()
 		lctx, cancel := context.WithTimeout(ctx, lo.Wait+lookGrace)
+		forget(ho.rerouted)
 		wa := ho.wayNow()
 		lo.Fence = wa.fence
 		si, err := ho.ow.Agent.LookFunc(lctx, wa.addr, lo)
@@ -62,21 +62,37 @@
 }
 
 // pause waits until the next look is due: until the ends just seen are
-// durable, but not for long.
+// durable, or until there is another way after one that failed, but not for long.
 func (ho *host) pause(ctx context.Context, err error) {
+	due, most := ho.release, undurableWait
 	if err != nil {
-		clock.Sleep(ctx, lookRetry)
-		return
+		due, most = ho.rerouted, lookRetry
 	}
-	ti := time.NewTimer(undurableWait)
+	ti := time.NewTimer(most)
 	defer ti.Stop()
 	select {
-	case <-ho.release:
+	case <-due:
 	case <-ti.C:
 	case <-ctx.Done():
 	}
 }
 
+// nudge wakes who waits for a channel, now or next.
+func nudge(ch chan<- struct{}) {
+	select {
+	case ch <- struct{}{}:
+	default:
+	}
+}
+
+// forget takes a nudge back.
+func forget(ch <-chan struct{}) {
+	select {
+	case <-ch:
+	default:
+	}
+}
+
 // nextLook is what to ask now.
 func (ho *host) nextLook() worker.Look {
 	now := time.Now()
@@ -129,6 +145,9 @@
 		if !ho.settled {
 			ho.settled = true
 			ho.ow.Log.Info("worker settled", "worker", ho.incarnation, "running", len(si.Running), "ended", len(si.Ended))
+			// Only now can its leases be extended, which a write may not hold up: a
+			// takeover has used most of what is left of them.
+			nudge(ho.release)
 		}
 	}
 	ho.measure(got)
@@ -217,10 +236,7 @@
 		return
 	}
 	ho.acked = ho.handled
-	select {
-	case ho.release <- struct{}{}:
-	default:
-	}
+	nudge(ho.release)
 }
 
 // takeRunning takes in what runs. What should not is stopped.
--- a/internal/sched/way.go
+++ b/internal/sched/way.go
@@ -65,5 +65,6 @@
 	now := &way{addr: was.addr, fence: ho.ow.nextFence()}
 	now.addr.Via = via
 	ho.way.Store(now)
+	nudge(ho.rerouted)
 	ho.ow.Log.Info("worker reached another way", "worker", ho.incarnation, "via", via, "was", was.addr.Via, "fence", now.fence)
 }
