--- a/e2e/cluster_test.go
+++ b/e2e/cluster_test.go
@@ -73,10 +73,13 @@
 var nextPort = 20000 + os.Getpid()%10000
 
 // freeAddr returns a loopback address on which nobody listens.
-func freeAddr(c *qt.C) string {
+func freeAddr(c *qt.C) string { return freeAddrAt(c, "127.0.0.1") }
+
+// freeAddrAt returns an address at a loopback IP number on which nobody listens.
+func freeAddrAt(c *qt.C, ip string) string {
 	for {
 		nextPort++
-		addr := fmt.Sprintf("127.0.0.1:%d", nextPort)
+		addr := fmt.Sprintf("%s:%d", ip, nextPort)
 		ln, err := net.Listen("tcp", addr)
 		if err == nil {
 			c.Assert(ln.Close(), qt.IsNil)
--- a/internal/proptest/proptest.go
+++ b/internal/proptest/proptest.go
@@ -23,14 +23,25 @@
 	Steps  int
 }
 
+// Seed returns the seed, for tests that are too slow to be tried again and again on
+// smaller inputs, as [Check] does with what fails.
+func Seed(t *testing.T) uint64 {
+	t.Helper()
+	text := os.Getenv("PEPPERHATCH_SEED")
+	if text == "" {
+		text = defaultSeed
+	}
+	seed, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		t.Fatalf("PEPPERHATCH_SEED: %v", err)
+	}
+	return seed
+}
+
 // Check runs a property.
 func Check(t *testing.T, si Size, prop func(*rapid.T)) {
 	t.Helper()
-	seed := os.Getenv("PEPPERHATCH_SEED")
-	if seed == "" {
-		seed = defaultSeed
-	}
-	set(t, "rapid.seed", seed)
+	set(t, "rapid.seed", strconv.FormatUint(Seed(t), 10))
 	set(t, "rapid.nofailfile", "true")
 	if si.Checks > 0 {
 		set(t, "rapid.checks", strconv.Itoa(si.Checks))
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -138,6 +138,18 @@
 	return runs
 }
 
+// Fences returns the highest fencing token of the orders that each worker has had,
+// by incarnation.
+func (fl *Fleet) Fences() map[string]int64 {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	fences := map[string]int64{}
+	for _, fw := range fl.workers {
+		fences[fw.Addr.Incarnation] = fw.fence
+	}
+	return fences
+}
+
 // Agent returns a client of the workers.
 func (fl *Fleet) Agent() worker.Agent {
 	return worker.Agent{
