Freeze hosts at random, as processes, under endless tasks

One host or two at a time, the owner more often than others, stand still for 0.5 to 5 s during some 20 s; then all tasks must run for longer than a lease, nothing may have run twice at once, and every process must answer. PEPPERHATCH_SEED draws other freezes. It uses no rapid search for a smaller input: that would play the half minute again and again.

Ruled out: freezing more than two of five at once, which the users don't name.

The file also gets shorter where it said things twice.

--- a/e2e/freeze_test.go
+++ b/e2e/freeze_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"maps"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -14,6 +15,7 @@
 	"path/filepath"
 	"regexp"
 	"slices"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -23,6 +25,7 @@
 	"github.com/pepperhatch/pepperhatch/internal/job"
 	"github.com/pepperhatch/pepperhatch/internal/jobapi"
 	"github.com/pepperhatch/pepperhatch/internal/jobhost"
+	"github.com/pepperhatch/pepperhatch/internal/proptest"
 	"github.com/pepperhatch/pepperhatch/internal/registry"
 	"github.com/pepperhatch/pepperhatch/internal/sched"
 	"github.com/pepperhatch/pepperhatch/internal/standin"
@@ -41,15 +44,12 @@
 	// loses has no room elsewhere.
 	endlessTasks = 3 * fleetWorkers
 	endlessCores = 10_000
-	// maxLease is the longest lease.
-	maxLease = 6 * time.Second
+	maxLease     = 6 * time.Second
 	// frozenFor outlasts the owner's replacement, the opening of streams, and the
 	// time after which a silent one is given up.
 	frozenFor = 5 * time.Second
-	// metricsPort is the same on each host, which is why each has an IP number of
-	// its own.
+	// metricsPort is the same on each host: that is why each has its own IP number.
 	metricsPort = "9464"
-	endlessID   = "0123456789abcdef"
 )
 
 // jobCluster is a set of entry hosts as processes, with store and workers in the
@@ -72,10 +72,8 @@
 	end, err := platformtest.Fleet(&cl.fleet, &cl.table, fleetWorkers, "routedesk", dcs...)
 	c.Cleanup(end)
 	c.Assert(err, qt.IsNil)
-	err = platformtest.Put(&cl.table, "op//config", map[string]any{
-		"version": 1, "routes": []any{map[string]any{"name": "q", "host": "depot", "path-prefix": "/depot/", "service": "routedesk", "max-attempts": 2}},
-	})
-	c.Assert(err, qt.IsNil)
+	queue := map[string]any{"name": "q", "host": "depot", "path-prefix": "/depot/", "service": "routedesk", "max-attempts": 2}
+	c.Assert(platformtest.Put(&cl.table, "op//config", map[string]any{"version": 1, "routes": []any{queue}}), qt.IsNil)
 	for i := range jobHosts {
 		cl.hosts = append(cl.hosts, cl.startHost(fmt.Sprintf("e%d", i+1), dcs[i*len(dcs)/jobHosts], st.Listener.Addr().String()))
 	}
@@ -128,8 +126,7 @@
 	}
 }
 
-// decisive are the lines of processes that end, of owners that change and of relays
-// that do not answer.
+// decisive are log lines of processes that end, owners that change, and relays.
 var decisive = regexp.MustCompile(`^panic:|msg="(owning the cell|tenure ended|told of a new owner|opening a stream|relay |no longer relaying|worker reached another way)`)
 
 // tell prints the decisive lines of a host's log if the test failed.
@@ -163,7 +160,7 @@
 
 // submit hands the endless job in, with the same id until it is taken.
 func (cl *jobCluster) submit() {
-	su := jobapi.Submission{ID: endlessID, Queue: "q", Spec: job.Spec{Payload: "serve", Steps: []job.Step{{
+	su := jobapi.Submission{ID: "0123456789abcdef", Queue: "q", Spec: job.Spec{Payload: "serve", Steps: []job.Step{{
 		Tasks: endlessTasks, Each: worker.Resources{MilliCores: endlessCores, MemMB: 1000}, Endless: true,
 	}}}}
 	api := jobapi.Client{HTTP: cl.web, Addr: cl.hosts[0].addrs[1]}
@@ -251,6 +248,48 @@
 	cl.assertWhole()
 }
 
+// freezesFor is how long hosts go on freezing at random.
+const freezesFor = 20 * time.Second
+
+// TestHostsFreezeAtRandom has one or two hosts at a time stand still for 0.5 to 5 s
+// at random moments, the owner more often than others. PEPPERHATCH_SEED draws other
+// freezes.
+func TestHostsFreezeAtRandom(t *testing.T) {
+	c := qt.New(t)
+	cl := startJobCluster(c)
+	seed := proptest.Seed(t)
+	c.Logf("seed %d", seed)
+	rn := rand.New(rand.NewPCG(seed, 0))
+	for begun := time.Now(); time.Since(begun) < freezesFor; {
+		cl.freezeSome(rn, begun)
+	}
+	cl.assertWhole()
+}
+
+// freezeSome freezes one host or two for a while. What it draws depends on rn alone.
+func (cl *jobCluster) freezeSome(rn *rand.Rand, begun time.Time) {
+	one, two := cl.hosts[rn.IntN(jobHosts)], cl.hosts[rn.IntN(jobHosts)]
+	if rn.IntN(2) == 0 {
+		one = cl.owner()
+	}
+	alone := rn.IntN(2) == 0
+	after, pause := between(rn, 0, 2*time.Second), between(rn, 0, time.Second)
+	oneFor, twoFor := between(rn, 500*time.Millisecond, frozenFor), between(rn, 500*time.Millisecond, frozenFor)
+	var wg sync.WaitGroup
+	wg.Go(func() { cl.freeze(one, oneFor, begun) })
+	if !alone && two != one {
+		time.Sleep(after)
+		wg.Go(func() { cl.freeze(two, twoFor, begun) })
+	}
+	wg.Wait()
+	time.Sleep(pause)
+}
+
+// between draws a time.
+func between(rn *rand.Rand, least, most time.Duration) time.Duration {
+	return least + time.Duration(rn.Int64N(int64(most-least)))
+}
+
 // freeze has a host stand still.
 func (cl *jobCluster) freeze(pr *process, lasts time.Duration, begun time.Time) {
 	cl.c.Logf("%v: %s freezes for %v", time.Since(begun), pr.name, lasts)
