Have peers stand still in each state of a connection

The stand-in's line knew two faults: connections that go silent once open, and a host that is frozen from the start. A peer can stand still in more states: it does not accept (the kernel's queue is full, so dialling hangs), takes the request and never answers, stops within the header or the body of an answer, or is silent one way only. They are one table now, with a test of what gets through in each, and package linetest ranges over it: a call ends with an error by its own deadline, and the next one works once the peer goes on, with and without a connection that was kept.

--- /dev/null
+++ b/internal/session/stall_test.go
@@ -0,0 +1,60 @@
+package session
+
+import (
+	"context"
+	"errors"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/pepperhatch/pepperhatch/internal/runner"
+	"github.com/pepperhatch/pepperhatch/internal/standin"
+	"github.com/pepperhatch/pepperhatch/internal/standin/linetest"
+	"github.com/pepperhatch/pepperhatch/internal/store"
+	"github.com/pepperhatch/pepperhatch/internal/upstream"
+)
+
+// eventsEnough is after how many events a stream goes on.
+const eventsEnough = 50
+
+// TestRunnerThatStandsStill has the runner of a session stall while its stream is
+// open: the session goes on with another one, or with the same if its events come.
+func TestRunnerThatStandsStill(t *testing.T) {
+	for _, st := range standin.Stalls {
+		t.Run(string(st), func(t *testing.T) {
+			t.Parallel()
+			var list []upstream.Runner
+			lines := map[string]*standin.Line{}
+			for _, id := range []string{"a", "b"} {
+				hs := httptest.NewServer(standin.NewRunner(standin.RunnerSettings{ID: id, Tick: 10 * time.Millisecond}).Handler())
+				t.Cleanup(func() { hs.CloseClientConnections(); hs.Close() })
+				lines[id] = linetest.NewLine(t, hs.Listener.Addr().String())
+				list = append(list, upstream.Runner{Host: store.Host{ID: id, Addr: lines[id].Addr(), Service: "s"}, State: upstream.Live})
+			}
+			re := &Relay{
+				Runners: runner.NewClient(runner.Limits{}), List: func() []upstream.Runner { return list },
+				MaxSessions: 2, PerRunner: 2, Patience: linetest.EndsWithin,
+			}
+			used := ""
+			linetest.Ends(t, "session", func() {
+				err := re.Serve(context.Background(), Request{Service: "s", Topic: "t"}, func(ev Event) error {
+					po, err := parseToken(ev.Token)
+					switch {
+					case err != nil:
+						return err
+					case used == "":
+						used = po.Runner
+						return lines[used].Stall(st)
+					case po.Runner != used, st == standin.LoseRequests && ev.Seq > eventsEnough:
+						return errEnough
+					}
+					return nil
+				})
+				var caller *callerError
+				qt.Check(t, errors.As(err, &caller) && errors.Is(caller.err, errEnough), qt.IsTrue, qt.Commentf("%v", err))
+			})
+		})
+	}
+}
--- a/internal/standin/line.go
+++ b/internal/standin/line.go
@@ -15,7 +15,11 @@
 
 	mu    sync.Mutex
 	conns []*lineConn
-	// thawed is closed when the line is no longer frozen; nil while it is not.
+	// queued fill the kernel's queue of connections during [StallDial].
+	queued []net.Conn
+	// stall is what the peer does, thawed is closed at its end; both are zero while
+	// the peer answers.
+	stall  Stall
 	thawed chan struct{}
 }
 
@@ -49,7 +53,9 @@
 		if err != nil {
 			return
 		}
-		ln.awaitThaw()
+		if st, thawed := ln.stalled(); st == StallDial || st == StallAccept {
+			<-thawed
+		}
 		var di net.Dialer
 		far, err := di.DialContext(context.Background(), "tcp", ln.to)
 		if err != nil {
@@ -60,34 +66,63 @@
 		ln.mu.Lock()
 		ln.conns = append(ln.conns, lc)
 		ln.mu.Unlock()
-		go lc.pass(near, far)
-		go lc.pass(far, near)
+		go lc.pass(near, far, false)
+		go lc.pass(far, near, true)
 	}
 }
 
 // pass passes bytes on until either end closes; those of a silent connection are
 // taken and lost, and so is its end.
-func (lc *lineConn) pass(from, to net.Conn) {
+func (lc *lineConn) pass(from, to net.Conn, answers bool) {
 	buf := make([]byte, 16<<10)
 	for {
 		n, err := from.Read(buf)
-		lc.ln.awaitThaw()
-		lc.mu.Lock()
-		silent := lc.silent
-		lc.mu.Unlock()
-		if silent {
+		werr := lc.through(buf[:n], to, answers)
+		if lc.isSilent() {
 			if err != nil {
 				return
 			}
 			continue
 		}
-		if _, werr := to.Write(buf[:n]); werr != nil || err != nil {
+		if err != nil || werr != nil {
 			_, _ = lc.near.Close(), lc.far.Close()
 			return
 		}
 	}
 }
 
+// through passes data on as far as the line's stall lets it. The rest is lost, or
+// waits until the stall is over, and so does the end of the connection.
+func (lc *lineConn) through(data []byte, to net.Conn, answers bool) error {
+	st, thawed := lc.ln.stalled()
+	n := st.lets(data, answers)
+	if n < 0 {
+		return lc.write(to, data)
+	}
+	if err := lc.write(to, data[:n]); err != nil {
+		return err
+	}
+	if st.loses() && len(data) > 0 {
+		return nil
+	}
+	<-thawed
+	return lc.write(to, data[n:])
+}
+
+func (lc *lineConn) write(to net.Conn, data []byte) error {
+	if len(data) == 0 || lc.isSilent() {
+		return nil
+	}
+	_, err := to.Write(data)
+	return err
+}
+
+func (lc *lineConn) isSilent() bool {
+	lc.mu.Lock()
+	defer lc.mu.Unlock()
+	return lc.silent
+}
+
 // Silence has the connections that are open now go silent for good, without a
 // reset; new ones work. It returns how many there were.
 func (ln *Line) Silence() int {
@@ -108,6 +143,12 @@
 func (ln *Line) Freeze() {
 	ln.mu.Lock()
 	defer ln.mu.Unlock()
+	ln.stop(StallAccept)
+}
+
+// stop begins a stall; ln.mu is held.
+func (ln *Line) stop(st Stall) {
+	ln.stall = st
 	if ln.thawed == nil {
 		ln.thawed = make(chan struct{})
 	}
@@ -117,20 +158,21 @@
 func (ln *Line) Thaw() {
 	ln.mu.Lock()
 	defer ln.mu.Unlock()
-	if ln.thawed != nil {
-		close(ln.thawed)
-		ln.thawed = nil
+	if ln.thawed == nil {
+		return
+	}
+	if ln.stall == StallDial {
+		ln.reopen()
 	}
+	close(ln.thawed)
+	ln.stall, ln.thawed = "", nil
 }
 
-// awaitThaw returns once the line is not frozen.
-func (ln *Line) awaitThaw() {
+// stalled returns the line's stall, if there is one, and what is closed at its end.
+func (ln *Line) stalled() (Stall, <-chan struct{}) {
 	ln.mu.Lock()
-	thawed := ln.thawed
-	ln.mu.Unlock()
-	if thawed != nil {
-		<-thawed
-	}
+	defer ln.mu.Unlock()
+	return ln.stall, ln.thawed
 }
 
 // Close ends the line; open connections stay until their ends close them.
