Show that silent connections outlive an answer that stops halfway

The transport closes the idle connections to an address when a request to it runs into its deadline, since connections go silent together. It does so only if the deadline comes before the answer's header: the body is read after the round trip, and nobody looked at that deadline.

--- a/internal/transport/stall_test.go
+++ b/internal/transport/stall_test.go
@@ -6,6 +6,9 @@
 	"net/http"
 	"net/http/httptest"
 	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
 
 	"github.com/pepperhatch/pepperhatch/internal/standin/linetest"
 )
@@ -33,3 +36,32 @@
 	_, err = io.ReadAll(resp.Body)
 	return err
 }
+
+// TestConnectionsBesideAnAnswerThatStops is the story of connections that go silent
+// together while one of them has half an answer.
+//
+// What a user would see: after a cut, each call of an entry host to its store runs
+// into its deadline, once for each connection that was kept. Order of events: four
+// connections are kept; an answer has begun on one; all go silent. The request's
+// deadline ends the reading of its body, of which the transport knew nothing: it
+// closed idle connections only if the deadline came before the header. So the next
+// request took an idle connection that was as silent.
+//
+// Evidence: the second request below runs into its deadline too.
+func TestConnectionsBesideAnAnswerThatStops(t *testing.T) {
+	wy := newWay(t)
+	wy.warm()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+wy.line.Addr()+"/half", nil)
+	qt.Assert(t, err, qt.IsNil)
+	resp, err := wy.hc.Do(req)
+	qt.Assert(t, err, qt.IsNil)
+	defer func() { _ = resp.Body.Close() }()
+	qt.Assert(t, wy.line.Silence(), qt.Equals, idleConns)
+	_, err = io.ReadAll(resp.Body)
+	qt.Assert(t, err, qt.IsNotNil)
+	// The next one finds none of the others.
+	qt.Assert(t, wy.get("/", 2*time.Second), qt.IsNil)
+	qt.Assert(t, wy.line.Silence(), qt.Equals, 1)
+}
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -30,6 +30,11 @@
 	wy := &way{t: t, hc: NewClient(idleConns), hold: make(chan struct{})}
 	mux := http.NewServeMux()
 	mux.HandleFunc("/", func(http.ResponseWriter, *http.Request) {})
+	mux.HandleFunc("/half", func(w http.ResponseWriter, r *http.Request) {
+		_, _ = w.Write([]byte("half"))
+		_ = http.NewResponseController(w).Flush()
+		<-r.Context().Done()
+	})
 	mux.HandleFunc("/hold", func(http.ResponseWriter, *http.Request) { <-wy.hold })
 	hs := httptest.NewServer(mux)
 	t.Cleanup(hs.Close)
