Close silent connections also if an answer stops halfway

Cause: only the round trip's error was looked at, and a deadline that comes while the body is read is not one. The body now tells the transport too.

Left as it was: a connection whose answer has begun counts as idle, so another request's deadline closes it, as the package's comment says.

--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -5,13 +5,14 @@
 // request on such a connection shows it by its deadline; but there may be others
 // beside it, idle ones of the same time, and each would cost the next request its
 // deadline too. So when a request to an address runs into its deadline, the idle
-// connections to that address are closed. Those with a request under way have a
-// deadline of their own.
+// connections to that address are closed, whether the answer had begun or not.
+// Those with a request under way have a deadline of their own.
 package transport
 
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -55,10 +56,37 @@
 // RoundTrip implements http.RoundTripper.
 func (ro *roundTripper) RoundTrip(req *http.Request) (*http.Response, error) {
 	resp, err := ro.Transport.RoundTrip(req)
-	if err != nil && errors.Is(req.Context().Err(), context.DeadlineExceeded) {
+	if err != nil {
+		ro.failed(req)
+		return resp, err
+	}
+	resp.Body = &body{ReadCloser: resp.Body, ro: ro, req: req}
+	return resp, nil
+}
+
+// failed notes that there is no whole answer to a request.
+func (ro *roundTripper) failed(req *http.Request) {
+	if errors.Is(req.Context().Err(), context.DeadlineExceeded) {
 		ro.closeIdle(req.URL.Host)
 	}
-	return resp, err
+}
+
+// body is an answer's body, which may run into the request's deadline as well as
+// its header.
+type body struct {
+	io.ReadCloser
+
+	ro  *roundTripper
+	req *http.Request
+}
+
+// Read implements io.Reader.
+func (bo *body) Read(data []byte) (int, error) {
+	n, err := bo.ReadCloser.Read(data)
+	if err != nil && !errors.Is(err, io.EOF) {
+		bo.ro.failed(bo.req)
+	}
+	return n, err
 }
 
 func (ro *roundTripper) track(nc net.Conn, addr string) net.Conn {
