End the reading of a stream that its relay gave up

Cause: the end of a stream waits for the reader, and the reader for the next frame, whatever became of the stream's context. The writer, which ends with the context, now ends that wait by a deadline that is over; the reader looks at the context after each deadline that it sets itself, so that it can't put that one off. Besides, an answer that a payload is missing counts as one too many like any other, and the line of it comes once a stream (or a few times, if answers meet), not once for each further answer.

--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -95,10 +96,11 @@
 	defer writer.Wait()
 	defer cancel()
 	writer.Go(func() {
-		defer cancel()
 		if err := se.write(w, rc); err != nil {
 			sv.Log.Info("stream of an owner cannot be written", "owner", owner, "err", err)
 		}
+		cancel()
+		se.stopReading(rc)
 	})
 	err := se.read(r.Body, rc)
 	sv.Log.Info("no longer relaying for an owner", "owner", owner, "epoch", epoch, "workers", len(se.workers), "err", err)
@@ -134,7 +136,15 @@
 	})
 }
 
-// read takes orders until the stream ends.
+// stopReading ends the wait for the next frame. The context must have ended.
+func (se *serving) stopReading(rc *http.ResponseController) {
+	if err := rc.SetReadDeadline(time.Now()); err != nil && !errors.Is(err, net.ErrClosed) {
+		se.sv.Log.Warn("wait for a frame cannot be ended", "err", err)
+	}
+}
+
+// read takes orders until the stream ends. It looks at the context after each change
+// of the deadline, lest it put off the one that [serving.stopReading] sets.
 func (se *serving) read(body io.Reader, rc *http.ResponseController) error {
 	dec := json.NewDecoder(body)
 	for {
@@ -145,6 +155,9 @@
 		if err := rc.SetReadDeadline(time.Now().Add(silentMost)); err != nil {
 			return fmt.Errorf("read frame: %w", err)
 		}
+		if err := se.ctx.Err(); err != nil {
+			return fmt.Errorf("stream was given up: %w", err)
+		}
 		for _, or := range fr.Orders {
 			se.take(or)
 		}
@@ -163,7 +176,7 @@
 	}
 	re.fence = or.Fence
 	if or.Kind == kindLaunch && !se.fill(&or) {
-		se.out.put(answer{N: or.N, Code: codeNoPayload})
+		se.put(answer{N: or.N, Code: codeNoPayload})
 		return
 	}
 	go se.carryOut(re, or)
@@ -228,9 +241,15 @@
 	if err != nil {
 		an.Code, an.Text = codeOf(err), err.Error()
 	}
-	if !se.out.put(an) {
-		// What follows would be differences to what the owner never had.
-		se.sv.Log.Warn("ending the stream of an owner, as too many answers wait", "order", an.N)
-		se.end()
+	se.put(an)
+}
+
+// put has an answer be sent. If too many wait it ends the stream: what follows would
+// be differences to what the owner never had.
+func (se *serving) put(an answer) {
+	if se.out.put(an) || se.ctx.Err() != nil {
+		return
 	}
+	se.sv.Log.Warn("ending the stream of an owner, as too many answers wait", "order", an.N)
+	se.end()
 }
--- a/internal/relay/server_test.go
+++ b/internal/relay/server_test.go
@@ -14,6 +14,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/pepperhatch/pepperhatch/internal/standin"
 	"github.com/pepperhatch/pepperhatch/internal/standin/linetest"
 )
 
@@ -72,8 +73,7 @@
 	}
 }
 
-// given reports whether the relay has given the stream up, and gone whether it no
-// longer serves it.
+// given reports whether the relay has given the stream up.
 func (ow *slowOwner) given() bool {
 	ow.relay.mu.Lock()
 	defer ow.relay.mu.Unlock()
@@ -83,12 +83,6 @@
 	return true
 }
 
-func (ow *slowOwner) gone() bool {
-	ow.relay.mu.Lock()
-	defer ow.relay.mu.Unlock()
-	return len(ow.relay.open) == 0
-}
-
 // TestStreamGivenUp is the story of a relay that gives a stream up, and goes on with it.
 //
 // What a user would see: workers obey an owner's orders, and no answer to any of them
@@ -103,5 +97,34 @@
 	ow.flood()
 	linetest.Ends(t, "waiting until the stream is given up", func() { ow.sendUntil(ow.given) })
 	go func() { _, _ = io.Copy(io.Discard, ow.conn) }()
-	linetest.Ends(t, "stream", func() { ow.sendUntil(ow.gone) })
+	linetest.Ends(t, "stream", func() { ow.sendUntil(func() bool { return !serves(ow.relay) }) })
+}
+
+// TestOpenStreamsThatStall has the way to a relay stall while a stream is open: both
+// sides give it up, and the workers have another way.
+func TestOpenStreamsThatStall(t *testing.T) {
+	for _, st := range standin.Stalls {
+		t.Run(string(st), func(t *testing.T) {
+			t.Parallel()
+			nt := newNetwork(t, 2)
+			ad := nt.add()
+			_, err := nt.look(ad)
+			qt.Assert(t, err, qt.IsNil)
+			used := int(ad.Via[1] - '0')
+			qt.Assert(t, nt.lines[used].Stall(st), qt.IsNil)
+			t.Cleanup(nt.lines[used].Thaw)
+			nt.eventually("another relay is wanted", func() bool { return nt.pool.Via("i-0", "a") != ad.Via })
+			nt.eventually("the relay serves no stream", func() bool { return !serves(nt.relays[used]) })
+			ad.Via = nt.pool.Via("i-0", "a")
+			_, err = nt.look(ad)
+			qt.Assert(t, err, qt.IsNil)
+		})
+	}
+}
+
+// serves reports whether a relay serves a stream.
+func serves(sv *Server) bool {
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	return len(sv.open) > 0
 }
