Bound the time that a request's body takes, also for jobs

Cause: the servers of an entry host that runs jobs had no deadline for bodies. Package port has what it takes, for the ports of the other line; it is its own function now, and the callers, the other entry hosts and the command line are served by it. A relay's stream has deadlines of its own. A request without a body gets no deadline any more: there is nothing to read, and nothing lifted it.

The test town's callers are now served as the host serves them.

--- a/internal/jobhost/host.go
+++ b/internal/jobhost/host.go
@@ -15,6 +15,7 @@
 	"github.com/pepperhatch/pepperhatch/internal/clock"
 	"github.com/pepperhatch/pepperhatch/internal/door"
 	"github.com/pepperhatch/pepperhatch/internal/jobapi"
+	"github.com/pepperhatch/pepperhatch/internal/port"
 	"github.com/pepperhatch/pepperhatch/internal/queue"
 	"github.com/pepperhatch/pepperhatch/internal/registry"
 	"github.com/pepperhatch/pepperhatch/internal/relay"
@@ -43,6 +44,9 @@
 	headerMost = 16 << 10
 	idleMost   = 15 * time.Second
 	headerWait = 3 * time.Second
+	// bodyWait is how long a request's body may take: the 3 s that callers wait for
+	// their answer, and some for a link that is full.
+	bodyWait = 5 * time.Second
 	// metricsPort is where the deploy file says metrics are.
 	metricsPort = 9464
 )
@@ -110,11 +114,14 @@
 	}}
 }
 
+// callers serves callers.
+func (ho *Host) callers() http.Handler { return port.Timed(platform.Front{Door: ho.door}, bodyWait) }
+
 // peers serves other entry hosts, and the product's own interface.
 func (ho *Host) peers() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle("/cell/", ho.door.Handler())
-	mux.Handle("/jobs/", jobapi.Handler(ho.door))
+	mux.Handle("/cell/", port.Timed(ho.door.Handler(), bodyWait))
+	mux.Handle("/jobs/", port.Timed(jobapi.Handler(ho.door), bodyWait))
 	mux.Handle(relay.Path, ho.relay)
 	return mux
 }
@@ -123,7 +130,7 @@
 func (ho *Host) Run(ctx context.Context) error {
 	se := ho.se.Load()
 	servers := []server{
-		newServer(se.CallerAddr, platform.Front{Door: ho.door}),
+		newServer(se.CallerAddr, ho.callers()),
 		newServer(se.ReadyAddr, platform.Readiness(ho.ready)),
 		newServer(se.PeerAddr(), ho.peers()),
 		newServer(net.JoinHostPort(se.IP, fmt.Sprint(metricsPort)), ho.scrape),
--- a/internal/jobhost/path_test.go
+++ b/internal/jobhost/path_test.go
@@ -18,7 +18,6 @@
 
 	"github.com/pepperhatch/pepperhatch/internal/standin"
 	"github.com/pepperhatch/pepperhatch/internal/worker"
-	"github.com/pepperhatch/pepperhatch/platform"
 	"github.com/pepperhatch/pepperhatch/platform/platformtest"
 )
 
@@ -47,7 +46,7 @@
 	tb.Cleanup(cancel)
 	go to.host.watchConfig(ctx)
 	go to.host.keeper.Run(ctx)
-	callers := httptest.NewServer(platform.Front{Door: to.host.door})
+	callers := httptest.NewServer(to.host.callers())
 	tb.Cleanup(func() { callers.CloseClientConnections(); callers.Close() })
 	to.url = callers.URL
 	return to
--- a/internal/port/port.go
+++ b/internal/port/port.go
@@ -105,6 +105,7 @@
 // bound puts the limits before a handler.
 func bound(h http.Handler, lim Limits) http.Handler {
 	slots := make(chan struct{}, lim.InFlight)
+	timed := Timed(h, lim.Read)
 	refuse := lim.Refuse
 	if refuse == nil {
 		refuse = func(w http.ResponseWriter, _ *http.Request, err *wire.Error) { wire.WriteError(w, err) }
@@ -127,9 +128,21 @@
 			})
 			return
 		}
-		rc := http.NewResponseController(w)
-		_ = rc.SetReadDeadline(time.Now().Add(lim.Read))
-		r.Body = &timedBody{ReadCloser: http.MaxBytesReader(w, r.Body, lim.Body), rc: rc}
+		if r.Body != http.NoBody {
+			r.Body = http.MaxBytesReader(w, r.Body, lim.Body)
+		}
+		timed.ServeHTTP(w, r)
+	})
+}
+
+// Timed bounds the time to receive a request's body.
+func Timed(h http.Handler, most time.Duration) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Body != http.NoBody {
+			rc := http.NewResponseController(w)
+			_ = rc.SetReadDeadline(time.Now().Add(most))
+			r.Body = &timedBody{ReadCloser: r.Body, rc: rc}
+		}
 		h.ServeHTTP(w, r)
 	})
 }
