Show that an answer which nobody takes is waited for without end

A caller that freezes while its session is served holds the session: its next event's write waits until the caller's kernel takes it. The places of the session and of the request are kept, the host's planned stop waits for them as long as it may, and the session hears neither of the stop nor of its runner.

--- a/internal/port/port.go
+++ b/internal/port/port.go
@@ -28,6 +28,8 @@
 	Body int64
 	// Read bounds the time to receive a request.
 	Read time.Duration
+	// Write bounds the time in which a caller takes a part of an answer.
+	Write time.Duration
 	// Refuse answers a request that is over a bound, in the form that the
 	// port's callers understand; nil answers as package wire does.
 	Refuse func(w http.ResponseWriter, r *http.Request, err *wire.Error)
--- a/internal/port/port_test.go
+++ b/internal/port/port_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/pepperhatch/pepperhatch/internal/standin/linetest"
 )
 
 // open serves a handler on a port with limits and returns its URL.
@@ -102,3 +104,33 @@
 	c.Assert(<-done, qt.Equals, http.StatusOK)
 	c.Assert(<-stopped, qt.IsNil)
 }
+
+// TestAnswerThatNobodyTakes is the story of callers that freeze while they are
+// answered.
+//
+// What a user would see: sessions are refused for their limit, while few callers have
+// one, and a planned stop takes all its time. Order of events: a caller freezes; its
+// kernel takes what it has room for; the write of the session's next event waits, and
+// with it the session, its place, and its place in flight. Nothing that the session
+// heeds, the host's stop or its runner's silence, ends a write.
+//
+// Evidence: the handler below doesn't end.
+func TestAnswerThatNobodyTakes(t *testing.T) {
+	c := qt.New(t)
+	lim := Limits{Conns: 10, InFlight: 10, Body: 10, Read: time.Second, Write: 200 * time.Millisecond}
+	ended := make(chan struct{})
+	url := open(c, func(w http.ResponseWriter, _ *http.Request) {
+		defer close(ended)
+		for {
+			if _, err := w.Write(make([]byte, 1<<20)); err != nil {
+				return
+			}
+		}
+	}, lim)
+	conn, err := net.Dial("tcp", strings.TrimPrefix(url, "http://"))
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = conn.Close() }()
+	_, err = conn.Write([]byte("GET / HTTP/1.1\r\nHost: x\r\n\r\n"))
+	c.Assert(err, qt.IsNil)
+	linetest.Ends(t, "answer", func() { <-ended })
+}
