Bound the time in which a caller takes a part of an answer

Cause: no write to a caller had a deadline, so whatever sends one ended only after the caller took it. Each part that a handler writes, and what is sent once it has returned, now has 30 s; between parts there is no deadline, as HTTP/2 ends a stream by one that passes while it is quiet, and a deadline that is over ends the next part. Both lines of the product have it: package port sets it, the servers for jobs take it from there. A relay's stream has deadlines of its own.

Ruled out as a mend, by a run that failed: to leave the deadline standing after a part (an answer that was quiet at its end broke off over HTTP/1).

--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -124,23 +124,24 @@
 
 func (ho *Host) callerLimits() port.Limits {
 	return port.Limits{
-		Conns: ho.set.MaxConns, InFlight: ho.set.MaxInFlight, Body: ho.set.MaxBody, Read: bodyTime,
+		Conns: ho.set.MaxConns, InFlight: ho.set.MaxInFlight, Body: ho.set.MaxBody, Read: bodyTime, Write: answerTime,
 		Refuse: ho.refuseCaller,
 	}
 }
 
 func (ho *Host) peerLimits() port.Limits {
 	// A peer's message has the body in base64 and some words around it.
-	return port.Limits{Conns: ho.set.MaxConns, InFlight: ho.set.MaxInFlight, Body: 2*ho.set.MaxBody + peerBody, Read: bodyTime}
+	return port.Limits{Conns: ho.set.MaxConns, InFlight: ho.set.MaxInFlight, Body: 2*ho.set.MaxBody + peerBody, Read: bodyTime, Write: answerTime}
 }
 
 func (ho *Host) adminLimits() port.Limits {
-	return port.Limits{Conns: adminConns, InFlight: adminInFlight, Body: adminBody, Read: bodyTime}
+	return port.Limits{Conns: adminConns, InFlight: adminInFlight, Body: adminBody, Read: bodyTime, Write: answerTime}
 }
 
 // Bounds of the ports that are not settings.
 const (
 	bodyTime      = 10 * time.Second
+	answerTime    = 30 * time.Second
 	peerBody      = 8 << 20
 	adminConns    = 200
 	adminInFlight = 100
--- a/internal/jobhost/host.go
+++ b/internal/jobhost/host.go
@@ -47,6 +47,9 @@
 	// bodyWait is how long a request's body may take: the 3 s that callers wait for
 	// their answer, and some for a link that is full.
 	bodyWait = 5 * time.Second
+	// answerWait is how long a part of an answer may wait to be taken: a list of all
+	// jobs is 2 MB, and a link that is full takes 100 kB a second.
+	answerWait = 30 * time.Second
 	// metricsPort is where the deploy file says metrics are.
 	metricsPort = 9464
 )
@@ -115,13 +118,15 @@
 }
 
 // callers serves callers.
-func (ho *Host) callers() http.Handler { return port.Timed(platform.Front{Door: ho.door}, bodyWait) }
+func (ho *Host) callers() http.Handler {
+	return port.Timed(platform.Front{Door: ho.door}, bodyWait, answerWait)
+}
 
 // peers serves other entry hosts, and the product's own interface.
 func (ho *Host) peers() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle("/cell/", port.Timed(ho.door.Handler(), bodyWait))
-	mux.Handle("/jobs/", port.Timed(jobapi.Handler(ho.door), bodyWait))
+	mux.Handle("/cell/", port.Timed(ho.door.Handler(), bodyWait, answerWait))
+	mux.Handle("/jobs/", port.Timed(jobapi.Handler(ho.door), bodyWait, answerWait))
 	mux.Handle(relay.Path, ho.relay)
 	return mux
 }
--- a/internal/port/port.go
+++ b/internal/port/port.go
@@ -107,7 +107,7 @@
 // bound puts the limits before a handler.
 func bound(h http.Handler, lim Limits) http.Handler {
 	slots := make(chan struct{}, lim.InFlight)
-	timed := Timed(h, lim.Read)
+	timed := Timed(h, lim.Read, lim.Write)
 	refuse := lim.Refuse
 	if refuse == nil {
 		refuse = func(w http.ResponseWriter, _ *http.Request, err *wire.Error) { wire.WriteError(w, err) }
@@ -137,18 +137,56 @@
 	})
 }
 
-// Timed bounds the time to receive a request's body.
-func Timed(h http.Handler, most time.Duration) http.Handler {
+// Timed bounds the time to receive a request's body, and the time in which a caller
+// takes a part of the answer. Zero bounds nothing.
+func Timed(h http.Handler, read, write time.Duration) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.Body != http.NoBody {
-			rc := http.NewResponseController(w)
-			_ = rc.SetReadDeadline(time.Now().Add(most))
+		rc := http.NewResponseController(w)
+		if read > 0 && r.Body != http.NoBody {
+			_ = rc.SetReadDeadline(time.Now().Add(read))
 			r.Body = &timedBody{ReadCloser: r.Body, rc: rc}
 		}
+		if write > 0 {
+			w = &timedAnswer{ResponseWriter: w, rc: rc, most: write}
+			// What is left is sent once the handler has returned.
+			defer func() { _ = rc.SetWriteDeadline(time.Now().Add(write)) }()
+		}
 		h.ServeHTTP(w, r)
 	})
 }
 
+// timedAnswer has each part of an answer be taken in time. A long answer has no
+// deadline as a whole.
+type timedAnswer struct {
+	http.ResponseWriter
+
+	rc   *http.ResponseController
+	most time.Duration
+}
+
+// Unwrap is for [http.ResponseController].
+func (ta *timedAnswer) Unwrap() http.ResponseWriter { return ta.ResponseWriter }
+
+// Write implements http.ResponseWriter.
+func (ta *timedAnswer) Write(data []byte) (int, error) {
+	defer ta.limit()()
+	return ta.ResponseWriter.Write(data)
+}
+
+// Flush implements http.Flusher. That its error is lost is the interface's: what
+// follows fails too.
+func (ta *timedAnswer) Flush() {
+	defer ta.limit()()
+	_ = ta.rc.Flush()
+}
+
+// limit sets the deadline of one part, and returns what lifts it: one that is over
+// would end the next part, and in HTTP/2 also an answer that is quiet.
+func (ta *timedAnswer) limit() (lift func()) {
+	_ = ta.rc.SetWriteDeadline(time.Now().Add(ta.most))
+	return func() { _ = ta.rc.SetWriteDeadline(time.Time{}) }
+}
+
 // timedBody lifts the read deadline once the body is read, since it would end
 // a long answer too.
 type timedBody struct {
--- a/internal/port/port_test.go
+++ b/internal/port/port_test.go
@@ -105,6 +105,9 @@
 	c.Assert(<-stopped, qt.IsNil)
 }
 
+// answerLimits bound the parts of an answer.
+var answerLimits = Limits{Conns: 10, InFlight: 10, Body: 10, Read: time.Second, Write: 200 * time.Millisecond}
+
 // TestAnswerThatNobodyTakes is the story of callers that freeze while they are
 // answered.
 //
@@ -117,7 +120,6 @@
 // Evidence: the handler below doesn't end.
 func TestAnswerThatNobodyTakes(t *testing.T) {
 	c := qt.New(t)
-	lim := Limits{Conns: 10, InFlight: 10, Body: 10, Read: time.Second, Write: 200 * time.Millisecond}
 	ended := make(chan struct{})
 	url := open(c, func(w http.ResponseWriter, _ *http.Request) {
 		defer close(ended)
@@ -126,7 +128,7 @@
 				return
 			}
 		}
-	}, lim)
+	}, answerLimits)
 	conn, err := net.Dial("tcp", strings.TrimPrefix(url, "http://"))
 	c.Assert(err, qt.IsNil)
 	defer func() { _ = conn.Close() }()
@@ -134,3 +136,50 @@
 	c.Assert(err, qt.IsNil)
 	linetest.Ends(t, "answer", func() { <-ended })
 }
+
+// TestAnswersOverEachProtocol has an answer be quiet for longer than one of its parts
+// may wait, and one that nobody reads.
+func TestAnswersOverEachProtocol(t *testing.T) {
+	for _, name := range []string{"HTTP/1", "HTTP/2"} {
+		protocols := &http.Protocols{}
+		protocols.SetHTTP1(name == "HTTP/1")
+		protocols.SetUnencryptedHTTP2(name == "HTTP/2")
+		t.Run(name+", quiet", func(t *testing.T) {
+			c := qt.New(t)
+			url := open(c, func(w http.ResponseWriter, _ *http.Request) {
+				for range 2 {
+					_, _ = w.Write([]byte("part"))
+					_ = http.NewResponseController(w).Flush()
+					time.Sleep(2 * answerLimits.Write)
+				}
+			}, answerLimits)
+			data, err := io.ReadAll(get(c, protocols, url))
+			c.Assert(err, qt.IsNil)
+			c.Assert(string(data), qt.Equals, "partpart")
+		})
+		t.Run(name+", not read", func(t *testing.T) {
+			c := qt.New(t)
+			ended := make(chan struct{})
+			url := open(c, func(w http.ResponseWriter, _ *http.Request) {
+				defer close(ended)
+				for {
+					if _, err := w.Write(make([]byte, 1<<20)); err != nil {
+						return
+					}
+				}
+			}, answerLimits)
+			get(c, protocols, url)
+			linetest.Ends(t, "answer", func() { <-ended })
+		})
+	}
+}
+
+// get returns an answer over one protocol whose body is not read yet.
+func get(c *qt.C, protocols *http.Protocols, url string) io.Reader {
+	tr := &http.Transport{Protocols: protocols}
+	c.Cleanup(tr.CloseIdleConnections)
+	resp, err := (&http.Client{Transport: tr}).Get(url)
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { _ = resp.Body.Close() })
+	return resp.Body
+}
