End calls to entry hosts that freeze

Cause: the client had no deadline of its own. A call now ends 5 s after the request's deadline at the latest, or after the longest one that an entry host takes, if the request states none; that number has one place now, in the client, which the entry host uses.

Before: the test's hour passes, both ways.

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -21,6 +21,15 @@
 	"github.com/pepperhatch/pepperhatch/internal/clock"
 )
 
+// Deadlines of requests.
+const (
+	// DeadlineMost is the longest that an entry host takes.
+	DeadlineMost = 10 * time.Minute
+	// answerGrace is how much later the answer may come: an entry host that lives
+	// says at the deadline that it has passed.
+	answerGrace = 5 * time.Second
+)
+
 // Client calls entry hosts in turn.
 type Client struct {
 	hosts []pepperhatchv1connect.CallerServiceClient
@@ -41,8 +50,15 @@
 	return cl.CallVia(ctx, int(cl.next.Add(1)), req)
 }
 
-// CallVia sends one request to the n-th entry host, counted round.
+// CallVia sends one request to the n-th entry host, counted round. It ends soon after
+// the request's deadline at the latest, or after the longest one if it states none.
 func (cl *Client) CallVia(ctx context.Context, n int, req *pb.CallRequest) (*pb.CallResponse, error) {
+	deadline := time.Duration(req.GetDeadlineMs()) * time.Millisecond
+	if deadline == 0 {
+		deadline = DeadlineMost
+	}
+	ctx, cancel := context.WithTimeout(ctx, deadline+answerGrace)
+	defer cancel()
 	resp, err := cl.hosts[n%len(cl.hosts)].Call(ctx, connect.NewRequest(req))
 	if err != nil {
 		return nil, fmt.Errorf("call: %w", err)
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -12,6 +12,7 @@
 
 	pb "github.com/pepperhatch/pepperhatch/gen/pepperhatch/v1"
 	"github.com/pepperhatch/pepperhatch/gen/pepperhatch/v1/pepperhatchv1connect"
+	"github.com/pepperhatch/pepperhatch/internal/caller"
 	"github.com/pepperhatch/pepperhatch/internal/config"
 	"github.com/pepperhatch/pepperhatch/internal/reason"
 	"github.com/pepperhatch/pepperhatch/internal/route"
@@ -22,10 +23,9 @@
 
 // Bounds on fields of a request.
 const (
-	maxID       = 128
-	maxName     = 100
-	maxDeadline = 10 * time.Minute
-	readyRetry  = time.Second
+	maxID      = 128
+	maxName    = 100
+	readyRetry = time.Second
 )
 
 func (ho *Host) callerHandler() http.Handler {
@@ -100,7 +100,7 @@
 	case !ok:
 		return route.NotRunResult(reason.NotReady, readyRetry)
 	case len(id) > maxID, msg.GetService() == "", len(msg.GetService()) > maxName, len(msg.GetMethod()) > maxName,
-		time.Duration(msg.GetDeadlineMs())*time.Millisecond > maxDeadline:
+		time.Duration(msg.GetDeadlineMs())*time.Millisecond > caller.DeadlineMost:
 		return route.NotRunResult(reason.Malformed, 0)
 	}
 	left := time.Duration(msg.GetDeadlineMs()) * time.Millisecond
