--- a/internal/door/stall_test.go
+++ b/internal/door/stall_test.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"net/http/httptest"
 	"testing"
-	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -96,12 +95,8 @@
 	ctx, end := context.WithCancel(context.Background())
 	t.Cleanup(end)
 	go ke.Run(ctx)
-	linetest.Ends(t, "looking for the owner", func() {
-		for {
-			if _, ok := ke.Current(); ok {
-				return
-			}
-			time.Sleep(5 * time.Millisecond)
-		}
+	linetest.Eventually(t, "owner known", func() bool {
+		_, ok := ke.Current()
+		return ok
 	})
 }
--- a/internal/standin/linetest/linetest.go
+++ b/internal/standin/linetest/linetest.go
@@ -91,3 +91,17 @@
 		t.Fatalf("%s does not end", what)
 	}
 }
+
+// lookEvery is the time between looks of [Eventually].
+const lookEvery = 5 * time.Millisecond
+
+// Eventually fails the test if something never is so.
+func Eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(EndsWithin); time.Now().Before(end); time.Sleep(lookEvery) {
+		if ok() {
+			return
+		}
+	}
+	t.Fatalf("never so: %s", what)
+}
--- a/internal/watch/stall_test.go
+++ b/internal/watch/stall_test.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"net/http/httptest"
 	"testing"
-	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -36,12 +35,12 @@
 				mi.watch.Run(ctx)
 			}()
 			mi.write("op/c0/a", 1)
-			mi.eventually("told", func() bool { return mi.row("op/c0/a") == "1" })
+			linetest.Eventually(t, "told", func() bool { return mi.row("op/c0/a") == "1" })
 			qt.Assert(t, ln.Stall(st), qt.IsNil)
 			mi.write("op/c0/a", 2)
-			mi.eventually("no answer", func() bool { return !mi.watch.Answering() })
+			linetest.Eventually(t, "no answer", func() bool { return !mi.watch.Answering() })
 			ln.Thaw()
-			mi.eventually("told again", func() bool { return mi.watch.Answering() && mi.row("op/c0/a") == "2" })
+			linetest.Eventually(t, "told again", func() bool { return mi.watch.Answering() && mi.row("op/c0/a") == "2" })
 			qt.Assert(t, ln.Stall(st), qt.IsNil)
 			end()
 			linetest.Ends(t, "watch", func() { <-ended })
@@ -54,12 +53,3 @@
 	defer mi.mu.Unlock()
 	return mi.rows[key]
 }
-
-func (mi *mirror) eventually(what string, ok func() bool) {
-	mi.t.Helper()
-	linetest.Ends(mi.t, "waiting for: "+what, func() {
-		for !ok() {
-			time.Sleep(5 * time.Millisecond)
-		}
-	})
-}
