Have two new tests hold when they are played again and under load

Four runs in a row of the tests of stalls failed in two places, both of the tests' own.

TestStalls, dialling hangs: a connection was opened once. The queue counted as full while its one connection had not been taken by the line yet, which made room later.

TestStopWhileOthersStandStill: from the second run on no host came to own its cell, as an entry host keeps its listening addresses until the process ends and each wants the same port for metrics. The hosts have an address each, whatever the number of runs.

--- a/internal/jobhost/stop_test.go
+++ b/internal/jobhost/stop_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -90,6 +91,16 @@
 	return ln.Addr()
 }
 
+// ips counts the addresses given out.
+var ips atomic.Int32
+
+// nextIP returns an address of loopback that no other host had: each wants the port of
+// metrics for itself, and keeps it until the process ends.
+func nextIP() string {
+	n := ips.Add(1)
+	return fmt.Sprintf("127.7.%d.%d", n/250, n%250+1)
+}
+
 // freePort returns a port that is free.
 func freePort(t *testing.T, ip string) int {
 	t.Helper()
@@ -102,13 +113,11 @@
 // TestStopWhileOthersStandStill has everything that an owner talks to stall, and stops
 // its host: the process ends in time.
 func TestStopWhileOthersStandStill(t *testing.T) {
-	for n, st := range standin.Stalls {
-		for m, relayed := range []bool{false, true} {
+	for _, st := range standin.Stalls {
+		for _, relayed := range []bool{false, true} {
 			t.Run(fmt.Sprintf("%s, relayed %t", st, relayed), func(t *testing.T) {
 				t.Parallel()
-				// Each process wants the port of metrics for itself.
-				ip := fmt.Sprintf("127.7.%d.%d", n, m+1)
-				su := newSurroundings(t, ip, relayed)
+				su := newSurroundings(t, nextIP(), relayed)
 				ctx, stop := context.WithCancel(context.Background())
 				defer stop()
 				ended := make(chan error, 1)
--- a/internal/standin/line.go
+++ b/internal/standin/line.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 )
 
 // Line is a TCP proxy on loopback before one address, which injects faults of the
@@ -12,6 +13,8 @@
 type Line struct {
 	to string
 	li net.Listener
+	// accepted counts connections that the line took.
+	accepted atomic.Int64
 
 	mu    sync.Mutex
 	conns []*lineConn
@@ -53,6 +56,7 @@
 		if err != nil {
 			return
 		}
+		ln.accepted.Add(1)
 		if st, thawed := ln.stalled(); st == StallDial || st == StallAccept {
 			<-thawed
 		}
--- a/internal/standin/stall.go
+++ b/internal/standin/stall.go
@@ -95,32 +95,48 @@
 	queuedMost = 16
 	// hangsAfter is how long opening a connection takes on loopback at the most.
 	hangsAfter = 150 * time.Millisecond
+	// takesMost is how long the line takes to take a connection, if it takes any.
+	takesMost = 2 * time.Second
 )
 
 // errNotFilled: the kernel's queue took more connections than it should.
 var errNotFilled = errors.New("queue of connections does not fill up")
 
 // fill fills the kernel's queue of connections that wait to be accepted; ln.mu is
-// held, so that none is.
+// held, so that the line takes one more at the most.
 func (ln *Line) fill() error {
 	if err := ln.queue(queueLeast); err != nil {
 		return err
 	}
-	di := net.Dialer{Timeout: hangsAfter}
+	before := ln.accepted.Load()
 	for range queuedMost {
-		nc, err := di.DialContext(context.Background(), "tcp", ln.Addr())
-		var ne net.Error
-		if errors.As(err, &ne) && ne.Timeout() {
-			return nil
+		full, err := ln.fillOne()
+		if full || err != nil {
+			return err
 		}
-		if err != nil {
-			return fmt.Errorf("fill queue of connections: %w", err)
+		// A queue that is full before the line has taken its one more has room later.
+		for end := time.Now().Add(takesMost); ln.accepted.Load() == before && time.Now().Before(end); {
+			time.Sleep(time.Millisecond)
 		}
-		ln.queued = append(ln.queued, nc)
 	}
 	return errNotFilled
 }
 
+// fillOne puts one connection into the queue, and reports whether that is full.
+func (ln *Line) fillOne() (full bool, err error) {
+	di := net.Dialer{Timeout: hangsAfter}
+	nc, err := di.DialContext(context.Background(), "tcp", ln.Addr())
+	var ne net.Error
+	if errors.As(err, &ne) && ne.Timeout() {
+		return true, nil
+	}
+	if err != nil {
+		return false, fmt.Errorf("fill queue of connections: %w", err)
+	}
+	ln.queued = append(ln.queued, nc)
+	return false, nil
+}
+
 // queue sets the length of the kernel's queue of connections.
 func (ln *Line) queue(n int) error {
 	li, ok := ln.li.(syscall.Conn)
