--- a/internal/port/port.go
+++ b/internal/port/port.go
@@ -28,6 +28,8 @@
 	Body int64
 	// Read bounds the time to receive a request.
 	Read time.Duration
+	// Write bounds the time in which a caller takes a part of an answer.
+	Write time.Duration
 	// Refuse answers a request that is over a bound, in the form that the
 	// port's callers understand; nil answers as package wire does.
 	Refuse func(w http.ResponseWriter, r *http.Request, err *wire.Error)
@@ -105,6 +107,7 @@
 // bound puts the limits before a handler.
 func bound(h http.Handler, lim Limits) http.Handler {
 	slots := make(chan struct{}, lim.InFlight)
+	timed := Timed(h, lim.Read, lim.Write)
 	refuse := lim.Refuse
 	if refuse == nil {
 		refuse = func(w http.ResponseWriter, _ *http.Request, err *wire.Error) { wire.WriteError(w, err) }
@@ -127,13 +130,63 @@
 			})
 			return
 		}
+		if r.Body != http.NoBody {
+			r.Body = http.MaxBytesReader(w, r.Body, lim.Body)
+		}
+		timed.ServeHTTP(w, r)
+	})
+}
+
+// Timed bounds the time to receive a request's body, and the time in which a caller
+// takes a part of the answer. Zero bounds nothing.
+func Timed(h http.Handler, read, write time.Duration) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		rc := http.NewResponseController(w)
-		_ = rc.SetReadDeadline(time.Now().Add(lim.Read))
-		r.Body = &timedBody{ReadCloser: http.MaxBytesReader(w, r.Body, lim.Body), rc: rc}
+		if read > 0 && r.Body != http.NoBody {
+			_ = rc.SetReadDeadline(time.Now().Add(read))
+			r.Body = &timedBody{ReadCloser: r.Body, rc: rc}
+		}
+		if write > 0 {
+			w = &timedAnswer{ResponseWriter: w, rc: rc, most: write}
+			// What is left is sent once the handler has returned.
+			defer func() { _ = rc.SetWriteDeadline(time.Now().Add(write)) }()
+		}
 		h.ServeHTTP(w, r)
 	})
 }
 
+// timedAnswer has each part of an answer be taken in time. A long answer has no
+// deadline as a whole.
+type timedAnswer struct {
+	http.ResponseWriter
+
+	rc   *http.ResponseController
+	most time.Duration
+}
+
+// Unwrap is for [http.ResponseController].
+func (ta *timedAnswer) Unwrap() http.ResponseWriter { return ta.ResponseWriter }
+
+// Write implements http.ResponseWriter.
+func (ta *timedAnswer) Write(data []byte) (int, error) {
+	defer ta.limit()()
+	return ta.ResponseWriter.Write(data)
+}
+
+// Flush implements http.Flusher. That its error is lost is the interface's: what
+// follows fails too.
+func (ta *timedAnswer) Flush() {
+	defer ta.limit()()
+	_ = ta.rc.Flush()
+}
+
+// limit sets the deadline of one part, and returns what lifts it: one that is over
+// would end the next part, and in HTTP/2 also an answer that is quiet.
+func (ta *timedAnswer) limit() (lift func()) {
+	_ = ta.rc.SetWriteDeadline(time.Now().Add(ta.most))
+	return func() { _ = ta.rc.SetWriteDeadline(time.Time{}) }
+}
+
 // timedBody lifts the read deadline once the body is read, since it would end
 // a long answer too.
 type timedBody struct {
