--- a/internal/sched/lab_test.go
+++ b/internal/sched/lab_test.go
@@ -11,6 +11,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/pepperhatch/pepperhatch/internal/clock"
 	"github.com/pepperhatch/pepperhatch/internal/job"
 	"github.com/pepperhatch/pepperhatch/internal/standin"
 	"github.com/pepperhatch/pepperhatch/internal/store"
@@ -37,6 +38,8 @@
 	metrics *telemetry.Metrics
 	// handover is what the last owner left.
 	handover map[string]int64
+	// readRate is how many bytes a second owners get from the store, if set.
+	readRate int
 	// throughFunc changes the client of workers, if set.
 	throughFunc func(worker.Agent) worker.Agent
 	// via is the entry host through which workers are reached, if any.
@@ -130,26 +133,49 @@
 	return tenure.Tenure{Epoch: la.epoch, Key: key, Version: version, Former: former, FormerEnded: la.formerEnded(time.Now()), Confirmed: time.Now, Renounce: func(error) {}}
 }
 
+// client returns the store as owners reach it.
+func (la *lab) client() store.Table {
+	tbl := la.table.Client()
+	if la.readRate == 0 {
+		return tbl
+	}
+	read := tbl.ReadFunc
+	tbl.ReadFunc = func(ctx context.Context, req store.ReadRequest) (store.ReadReply, error) {
+		reply, err := read(ctx, req)
+		size := 0
+		for _, row := range reply.Rows {
+			size += len(row.Key) + len(row.Value)
+		}
+		if !clock.Sleep(ctx, time.Duration(size)*time.Second/time.Duration(la.readRate)) {
+			return store.ReadReply{}, ctx.Err()
+		}
+		return reply, err
+	}
+	return tbl
+}
+
 // own starts an owner, and returns what ends it.
 func (la *lab) own() (*Owner, context.CancelFunc) {
+	ow, loaded, cancel := la.begin()
+	qt.Assert(la.t, <-loaded, qt.IsNil)
+	ow.SetWorkers(la.listed(), nil, true)
+	return ow, cancel
+}
+
+// begin starts an owner, and returns what says that it has loaded the cell, or why it
+// ended, and what ends it.
+func (la *lab) begin() (*Owner, <-chan error, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(context.Background())
 	te := la.claim()
 	te.Renounce = func(error) { cancel() }
 	ow := New(&Owner{
-		Cell: "c0", Tenure: te, Table: la.table.Client(), Agent: la.agent(), Metrics: la.metrics, Log: la.log,
+		Cell: "c0", Tenure: te, Table: la.client(), Agent: la.agent(), Metrics: la.metrics, Log: la.log,
 		ViaFunc: la.viaNow,
 		Limits:  Limits{MaxLease: 6 * time.Second, StopTime: 900 * time.Millisecond, HarmAfter: 4 * time.Second, KeepEnded: 2 * time.Minute},
 	})
-	loaded := make(chan struct{})
-	done := make(chan error, 1)
-	go func() { done <- ow.Run(ctx, func() { close(loaded) }) }()
-	select {
-	case <-loaded:
-	case err := <-done:
-		la.t.Fatalf("owner ended: %v", err)
-	}
-	ow.SetWorkers(la.listed(), nil, true)
-	return ow, cancel
+	loaded := make(chan error, 2)
+	go func() { loaded <- ow.Run(ctx, func() { loaded <- nil }) }()
+	return ow, loaded, cancel
 }
 
 // batch is a job of steps of like tasks, each after the one before.
