Load a cell in pages that each have a deadline, not the whole

Cause: a new owner had four seconds to read all rows of its cell, and began anew when they did not come in that time. Over a link that they do not fit through in four seconds it never loaded; it kept the cell all the while, as its heartbeats are small, so that no other host took over, leases lapsed and nothing ran.

Ruled out: reading on from the page where the deadline struck would have needed nothing of this at 2 Mbit/s, but a page of 1 MB alone takes four seconds there.

TestListsComeWhole: any pace, any bound of the table.

--- a/internal/sched/load.go
+++ b/internal/sched/load.go
@@ -12,15 +12,11 @@
 	"github.com/pepperhatch/pepperhatch/internal/store"
 )
 
-// loadTimeout bounds one attempt to read the cell.
-const loadTimeout = 4 * time.Second
-
-// load reads all jobs of the cell.
+// load reads all jobs of the cell. It has no time limit as a whole: one that the rows of
+// the cell do not keep to would have the owner begin anew for ever, and keep the cell.
 func (ow *Owner) load(ctx context.Context) error {
 	read := func() (struct{}, error) {
-		lctx, cancel := context.WithTimeout(ctx, loadTimeout)
-		defer cancel()
-		err := ow.loadOnce(lctx)
+		err := ow.loadOnce(ctx)
 		if err != nil {
 			ow.Log.Warn("cell not loaded yet", "cell", ow.Cell, "epoch", ow.Tenure.Epoch, "err", err)
 		}
--- /dev/null
+++ b/internal/store/pages_test.go
@@ -0,0 +1,86 @@
+package store
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/pepperhatch/pepperhatch/internal/clock"
+	"github.com/pepperhatch/pepperhatch/internal/proptest"
+)
+
+// slowTable has rows of one prefix, and takes a time for each row that it returns, up to
+// capped of them.
+func slowTable(rows, capped int, each time.Duration) Table {
+	return Table{ReadFunc: func(ctx context.Context, req ReadRequest) (ReadReply, error) {
+		from := 0
+		if req.After != "" {
+			_, _ = fmt.Sscanf(req.After, "a/%d", &from)
+			from++
+		}
+		to := min(from+min(req.Limit, capped), rows)
+		var reply ReadReply
+		for i := from; i < to; i++ {
+			reply.Rows = append(reply.Rows, Row{Key: fmt.Sprintf("a/%06d", i)})
+		}
+		reply.More = to < rows
+		if !clock.Sleep(ctx, each*time.Duration(to-from)) {
+			return ReadReply{}, ctx.Err()
+		}
+		return reply, nil
+	}}
+}
+
+// TestListsComeWhole: whatever the pace, each row is read once and in order, in a time
+// that goes with the rows.
+func TestListsComeWhole(t *testing.T) {
+	proptest.Check(t, proptest.Size{}, func(rt *rapid.T) {
+		rows, capped := rapid.IntRange(0, 1500).Draw(rt, "rows"), rapid.IntRange(1, 1200).Draw(rt, "capped")
+		each := time.Duration(rapid.IntRange(0, 350).Draw(rt, "ms a row")) * time.Millisecond
+		synctest.Test(t, func(t *testing.T) {
+			began := time.Now()
+			got, _, err := slowTable(rows, capped, each).ListFrom(t.Context(), "a/")
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, got, qt.HasLen, rows)
+			for i, row := range got {
+				qt.Assert(t, row.Key, qt.Equals, fmt.Sprintf("a/%06d", i))
+			}
+			// Shorter pages are tried three times at most.
+			qt.Assert(t, time.Since(began) <= time.Duration(rows)*each+4*pageTimeout, qt.IsTrue, qt.Commentf("%v", time.Since(began)))
+		})
+	})
+}
+
+// TestListsThatDoNotCome: a table that does not answer ends a list with an error.
+func TestListsThatDoNotCome(t *testing.T) {
+	t.Run("no answer", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			began := time.Now()
+			_, _, err := slowTable(10, 10, time.Hour).ListFrom(t.Context(), "a/")
+			qt.Assert(t, errors.Is(err, context.DeadlineExceeded), qt.IsTrue, qt.Commentf("%v", err))
+			qt.Assert(t, time.Since(began) <= 6*pageTimeout, qt.IsTrue, qt.Commentf("%v", time.Since(began)))
+		})
+	})
+	t.Run("an error at once", func(t *testing.T) {
+		tries := 0
+		tbl := Table{ReadFunc: func(context.Context, ReadRequest) (ReadReply, error) { tries++; return ReadReply{}, ErrBusy }}
+		_, err := tbl.List(t.Context(), "a/")
+		qt.Assert(t, errors.Is(err, ErrBusy), qt.IsTrue)
+		qt.Assert(t, tries, qt.Equals, 1)
+	})
+	t.Run("given up", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			defer cancel()
+			_, err := slowTable(10, 10, time.Hour).List(ctx, "a/")
+			qt.Assert(t, errors.Is(err, context.DeadlineExceeded), qt.IsTrue)
+			qt.Assert(t, ctx.Err(), qt.IsNotNil)
+		})
+	})
+}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -261,30 +261,6 @@
 	return rows, err
 }
 
-// ListFrom reads all rows with the prefix, and returns the version of the
-// table from which a feed misses no change.
-func (tbl Table) ListFrom(ctx context.Context, prefix string) ([]Row, int64, error) {
-	var rows []Row
-	var version int64
-	after := ""
-	for {
-		reply, err := tbl.ReadFunc(ctx, ReadRequest{Prefix: prefix, After: after, Limit: listPage})
-		if err != nil {
-			return nil, 0, fmt.Errorf("list rows %s: %w", prefix, err)
-		}
-		if after == "" {
-			version = reply.Version
-		}
-		rows = append(rows, reply.Rows...)
-		if !reply.More && len(reply.Rows) < listPage || len(reply.Rows) == 0 {
-			return rows, version, nil
-		}
-		after = reply.Rows[len(reply.Rows)-1].Key
-	}
-}
-
-const listPage = 1000
-
 // Commit sends the write once.
 func (tbl Table) Commit(ctx context.Context, txn Txn) (int64, error) {
 	reply, err := tbl.CommitFunc(ctx, txn)
