--- a/internal/jobhost/stop_test.go
+++ b/internal/jobhost/stop_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net"
 	"net/http/httptest"
+	"os"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -95,11 +96,12 @@
 // ips counts the addresses given out.
 var ips atomic.Int32
 
-// nextIP returns an address of loopback that no other host had: each wants the port of
-// metrics for itself, and keeps it until the process ends.
+// nextIP returns an address of loopback that no other host had, nor one of another run
+// of this test on the machine: each wants its ports for itself, and keeps that of metrics
+// until the process ends.
 func nextIP() string {
-	n := ips.Add(1)
-	return fmt.Sprintf("127.7.%d.%d", n/250, n%250+1)
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 65+pid>>8&63, pid&255, ips.Add(1))
 }
 
 // TestStopWhileOthersStandStill has everything that an owner talks to stall, and stops
