Read first with the longest pages again, and shorten them more

Pages begin with 1000 rows and 3 s, the limit that the whole of a list had in a watch, and get eight times shorter. TestLoadOverANarrowLink still passes.

--- a/internal/store/pages.go
+++ b/internal/store/pages.go
@@ -8,18 +8,20 @@
 
 // Pages of a list. Rows of a job have up to some 6 kB, as the store writes them.
 const (
-	// pageFirst is how many rows the first page has at most; pageMost and pageLeast
-	// bound the later ones.
-	pageFirst = 100
+	// pageMost and pageLeast bound the rows of a page; the first has the most, as a
+	// store that is slow takes up to 0.5 s for each.
 	pageMost  = 1000
 	pageLeast = 4
-	// pageTimeout bounds one page: an answer takes 4 ms, up to 120 times that in bad
-	// times, and the link may be full of others.
-	pageTimeout = 1500 * time.Millisecond
+	// pageTimeout bounds one page: 4 ms, up to 120 times that in bad times, and what
+	// its bytes take over a link that is full of others.
+	pageTimeout = 3 * time.Second
+	// pageShrinks is how many times fewer rows the next page has after one that did
+	// not come in time: 1 MB, the most that the store answers, takes 4 s at 2 Mbit/s.
+	pageShrinks = 8
 	// pageQuick is the time under which the next page has twice as many rows.
-	pageQuick = 300 * time.Millisecond
+	pageQuick = pageTimeout / 3
 	// pageTries is how often a page of the least size is tried.
-	pageTries = 3
+	pageTries = 2
 )
 
 // pages reads a list page by page. No limit is on the whole: a list that is long, or
@@ -35,7 +37,7 @@
 // ListFrom reads all rows with the prefix, and returns the version of the
 // table from which a feed misses no change. Pages are of different moments.
 func (tbl Table) ListFrom(ctx context.Context, prefix string) ([]Row, int64, error) {
-	pg := pages{tbl: tbl, prefix: prefix, limit: pageFirst}
+	pg := pages{tbl: tbl, prefix: prefix, limit: pageMost}
 	var rows []Row
 	var version int64
 	after := ""
@@ -89,7 +91,7 @@
 // shorten has the next try ask for less, and reports whether there is to be one.
 func (pg *pages) shorten() bool {
 	if pg.limit > pageLeast {
-		pg.limit = max(pg.limit/4, pageLeast)
+		pg.limit = max(pg.limit/pageShrinks, pageLeast)
 		return true
 	}
 	pg.late++
--- a/internal/store/pages_test.go
+++ b/internal/store/pages_test.go
@@ -51,7 +51,7 @@
 			for i, row := range got {
 				qt.Assert(t, row.Key, qt.Equals, fmt.Sprintf("a/%06d", i))
 			}
-			// Shorter pages are tried three times at most.
+			// The first page, and a shorter one each after it, may be tried in vain.
 			qt.Assert(t, time.Since(began) <= time.Duration(rows)*each+4*pageTimeout, qt.IsTrue, qt.Commentf("%v", time.Since(began)))
 		})
 	})
