Show that an owner that is swamped reaches all its workers itself

The test fails: 50 of 50 workers are reached directly by an owner that has room for one, once no relay has answered within 0.6 s.

--- a/internal/relay/again_test.go
+++ b/internal/relay/again_test.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"errors"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"runtime"
@@ -8,6 +10,8 @@
 	"testing"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/pepperhatch/pepperhatch/internal/worker"
 )
 
 // TestStreamsThatEndLeaveNothing: a stream that ended by its relay's doing left the
@@ -101,3 +105,49 @@
 		return nt.opened(ad.Via) >= 2
 	})
 }
+
+// TestOwnerThatIsSwamped: after a takeover the new owner reached none of its workers for
+// twenty seconds, and tasks that were to last did not run, with room for them.
+//
+// Order of events: the new owner's link is full of what it reads; relays take its streams
+// within 0.5 s, but their answers come later than the 0.6 s that it waits; it takes all
+// for lost, and reaches each worker itself, which is what its link can't carry: nothing
+// gets through any more, nor do new streams, which it asks for more and more seldom.
+//
+// Evidence: "relaying for an owner" on five relays, "relay not used for a while" for the
+// same on the owner, and then "workers without orders" with all its workers, an empty
+// via, and "dial .. i/o timeout" for each relay until the end.
+func TestOwnerThatIsSwamped(t *testing.T) {
+	nt := newNetwork(t, 3)
+	var workers []string
+	for i := range 50 {
+		workers = append(workers, fmt.Sprint("i-", i))
+	}
+	nt.pool.SetWorkers(workers, nil, true)
+	ad := nt.add()
+	direct := func() (n int) {
+		for _, incarnation := range workers {
+			if nt.pool.Via(incarnation, "a") == "" {
+				n++
+			}
+		}
+		return n
+	}
+	qt.Assert(t, direct(), qt.Equals, 0)
+	for i, ln := range nt.lines {
+		ln.Freeze()
+		t.Cleanup(ln.Thaw)
+		ad.Via = nt.members[i].Name
+		qt.Assert(t, nt.launch(ad, "a", "x"), qt.IsNotNil)
+	}
+	nt.eventually("no relay is of use", func() bool { return !nt.usable("r0") && !nt.usable("r1") && !nt.usable("r2") })
+	// The owner has a thousandth of a core.
+	qt.Check(t, direct() <= 1, qt.IsTrue, qt.Commentf("%d workers are reached directly", direct()))
+	ad.Via = nt.pool.Via("i-49", "a")
+	err := nt.launch(ad, "b", "x")
+	qt.Check(t, errors.Is(err, worker.ErrNotSent), qt.IsTrue, qt.Commentf("%v", err))
+	for _, ln := range nt.lines {
+		ln.Thaw()
+	}
+	nt.eventually("all go through relays", func() bool { return direct() == 0 && nt.usable(nt.pool.Via("i-49", "a")) })
+}
