Reach few workers directly while no host may relay, and ask hosts again soon

Cause: relays that an owner gave up too early left all workers to the owner itself, as no relay was left. Looks and orders to 120 workers over its own link of 2 Mbit/s let nothing through, also not the new streams to relays, which were asked for after 2 s and more each time. So the owner reached none of its workers for twenty seconds; leases lapsed, and what lasted did not run.

Now as many workers are reached directly as the host would have without relays; the others keep their relay, and orders to them are not sent. While no host may relay all are asked again after 0.4 s, and have 1.5 s to answer, as no order waits for that. A line says so ('no host may relay').

Ruled out: a longer first wait for a stream alone. It would cost 0.9 s more of the longest silence that a lease bears where one relay stands still.

--- a/internal/relay/plan.go
+++ b/internal/relay/plan.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"maps"
+	"slices"
 	"strings"
 
 	"github.com/pepperhatch/pepperhatch/internal/registry"
@@ -33,6 +35,8 @@
 	// each relay has.
 	assigned map[string]string
 	load     map[string]int
+	// direct are workers that are reached directly as no host may relay.
+	direct map[string]bool
 }
 
 // shared reports whether an owner of so many workers uses relays.
@@ -56,26 +60,63 @@
 	pl.lost[name] = true
 }
 
-// assign returns the relay of a worker in a data centre, or "" if there is none.
+// assign returns the relay of a worker in a data centre, or "" if the worker is to be
+// reached directly. If no host may relay, that is so for a few workers only; the others
+// keep their relay, and orders to them are not sent: all of them at once are more than
+// the owner's processor or link can carry, and then nothing gets through.
 func (pl *plan) assign(incarnation, dataCentre string) string {
-	if via, ok := pl.assigned[incarnation]; ok {
-		if pl.usable(via) && !pl.canRelieve(via, dataCentre) {
-			return via
-		}
-		pl.release(incarnation)
+	if pl.assigned == nil {
+		pl.assigned, pl.load, pl.direct = map[string]string{}, map[string]int{}, map[string]bool{}
 	}
+	was, ok := pl.assigned[incarnation]
+	if ok && pl.usable(was) && !pl.canRelieve(was, dataCentre) {
+		return was
+	}
+	pl.release(incarnation)
 	via := pl.pick(dataCentre)
 	if via == "" {
-		return ""
+		via = pl.strand(was)
 	}
-	if pl.assigned == nil {
-		pl.assigned, pl.load = map[string]string{}, map[string]int{}
+	if via == "" {
+		pl.direct[incarnation] = true
+		return ""
 	}
 	pl.assigned[incarnation] = via
 	pl.load[via]++
 	return via
 }
 
+// strand returns the relay that one more worker is left with, or takes up, while none is
+// of use, or "" if it is to be reached directly: if there is no other host, and as long
+// as the owner has room for it.
+func (pl *plan) strand(was string) string {
+	other := pl.first()
+	if other == "" || len(pl.direct) < max(int(directPerCore*pl.cores), 1) {
+		return ""
+	}
+	return cmp.Or(was, other)
+}
+
+// first returns the first of the other hosts, or "" if there is none.
+func (pl *plan) first() string {
+	names := slices.Sorted(maps.Keys(pl.members))
+	names = slices.DeleteFunc(names, func(name string) bool { return name == pl.self })
+	if len(names) == 0 {
+		return ""
+	}
+	return names[0]
+}
+
+// helpless reports whether there are other hosts, and none may relay.
+func (pl *plan) helpless() bool {
+	for name := range pl.members {
+		if pl.usable(name) {
+			return false
+		}
+	}
+	return true
+}
+
 // canRelieve reports whether a relay has more workers than it should, and another
 // host has room: the first owner of a deployment assigns workers before most hosts
 // have entered the list.
@@ -89,6 +130,7 @@
 
 // release takes a worker off its relay.
 func (pl *plan) release(incarnation string) {
+	delete(pl.direct, incarnation)
 	if via, ok := pl.assigned[incarnation]; ok {
 		pl.load[via]--
 		delete(pl.assigned, incarnation)
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -26,6 +26,9 @@
 	// ended, longer each time.
 	awayFirst = 2 * time.Second
 	awayMost  = 30 * time.Second
+	// awayNone takes the place of both while no host may relay: then the owner's own
+	// link is more likely full than all hosts away, and most workers wait.
+	awayNone = 400 * time.Millisecond
 	// provedAfter is how long a stream must have been open for the next pause to
 	// be the first again.
 	provedAfter = 10 * time.Second
@@ -149,7 +152,8 @@
 }
 
 // Via names the entry host through which a worker is to be reached, or is empty
-// if it is to be reached directly.
+// if it is to be reached directly. Orders through a host that may not relay now are not
+// sent.
 func (po *Pool) Via(incarnation, dataCentre string) string {
 	po.mu.Lock()
 	defer po.mu.Unlock()
@@ -241,6 +245,10 @@
 	li.st, li.ready, li.began, li.told = st, ready, time.Now(), false
 	po.Log.Info("opening a stream to a relay", "relay", li.name, "addr", me.Addr, "data_centre", me.DataCentre, "workers", po.plan.load[li.name])
 	st.onLeaving = func() { po.lose(li, st, errLeaving) }
+	if po.plan.lost[li.name] {
+		// No order waits for it, and it may be the owner's link that is slow.
+		st.openMost = silentMost
+	}
 	go po.serve(li, st, me, ready)
 }
 
@@ -286,17 +294,33 @@
 		li.bo.Reset()
 	}
 	away := li.bo.NextBackOff()
-	go po.regain(li.name, away)
 	if po.plan.lost[li.name] {
+		if po.plan.helpless() {
+			away = min(away, awayNone)
+		}
+		go po.regain(li.name, away)
 		po.Log.Info("relay still not used", "relay", li.name, "away", away, "why", why)
 		return
 	}
 	po.Log.Warn("relay not used for a while", "relay", li.name, "workers", po.plan.load[li.name], "away", away, "why", why)
 	po.Metrics.Add(telemetry.RelaysLost, 1)
 	po.plan.avoid(li.name)
+	if po.plan.helpless() {
+		po.regainAll()
+	} else {
+		go po.regain(li.name, away)
+	}
 	po.changed()
 }
 
+// regainAll has streams opened to all hosts that were lost.
+func (po *Pool) regainAll() {
+	po.Log.Warn("no host may relay", "workers", len(po.workers), "hosts", len(po.plan.lost), "asked_after", awayNone)
+	for name := range po.plan.lost {
+		go po.regain(name, awayNone)
+	}
+}
+
 // regain opens the stream to a host that is not used, so that it is used again once it
 // has answered, and no worker waits for that.
 func (po *Pool) regain(name string, after time.Duration) {
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -33,6 +33,8 @@
 	epoch int64
 	log   *slog.Logger
 	out   *outbox[order]
+	// openMost is how long it may take to open.
+	openMost time.Duration
 	// onLeaving is called when the relay's host is about to stop.
 	onLeaving func()
 
@@ -71,7 +73,7 @@
 
 func newStream(via, owner string, epoch int64, log *slog.Logger) *stream {
 	return &stream{
-		via: via, owner: owner, epoch: epoch, log: log, out: newOutbox[order](),
+		via: via, owner: owner, epoch: epoch, log: log, out: newOutbox[order](), openMost: openMost,
 		waiting: map[int64]chan<- result{}, workers: map[worker.Addr]*peer{}, mergers: map[int]*merger{}, payloads: map[uint64]named{},
 	}
 }
@@ -83,7 +85,7 @@
 	defer st.end()
 	// The watchdog ends the stream if it does not open, or if no frame comes, for too
 	// long.
-	watchdog := time.AfterFunc(openMost, cancel)
+	watchdog := time.AfterFunc(st.openMost, cancel)
 	defer watchdog.Stop()
 	body, in := io.Pipe()
 	// The client returns only once the request is written to its end, so the context
