Test what becomes of workers that leave the list and answer

Cause, read in evacuate: workers that left the list without draining are skipped, so that their lasting tasks stay for as long as they answer, and wait for their leases once they stop.

Six tests in virtual time.

Ruled out, as these pass on this code: moves by an outage of the store when the whole list lapses and is back within 2 s (TestListLapsesInAnOutage), waits for leases when a machine comes back with another incarnation at its address (TestListComesBackWithAnotherLife), starts on workers without an entry (TestNothingStartsWithoutAnEntry), stops of what ends by itself (TestWhatEndsByItselfIsLeftTo).

Conclusion: emptying has to take in workers without an entry, without doing so for entries that lapse in an outage.

--- /dev/null
+++ b/internal/sched/unlisted_test.go
@@ -0,0 +1,184 @@
+package sched
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/pepperhatch/pepperhatch/internal/standin"
+	"github.com/pepperhatch/pepperhatch/internal/worker"
+)
+
+// busiest returns the worker with most runs, and how many these are.
+func (la *lab) busiest() (*standin.FleetWorker, int) {
+	most, best := la.crew[0], 0
+	for _, fw := range la.crew {
+		if n := la.running()[fw.Addr.Incarnation]; n > best {
+			most, best = fw, n
+		}
+	}
+	return most, best
+}
+
+// ends counts the runs that ended in each way.
+func (la *lab) ends() map[string]int {
+	counts := map[string]int{}
+	for _, ru := range la.fleet.Runs() {
+		if !ru.Until.IsZero() {
+			counts[ru.How]++
+		}
+	}
+	return counts
+}
+
+// lastingLab is a lab whose owner has so many lasting tasks at work.
+func lastingLab(t *testing.T, workers, tasks int) (*lab, *Owner) {
+	t.Helper()
+	la := newLab(t, workers)
+	la.fleet.RunFunc = endless
+	ow, end := la.own()
+	t.Cleanup(end)
+	time.Sleep(time.Second)
+	la.submit(ow, 1, lasting(tasks))
+	time.Sleep(time.Second)
+	la.assertRunning(tasks)
+	return la, ow
+}
+
+// TestWorkerLeavesTheListWithoutAWord is the story of a machine that is taken out of
+// service and says nothing.
+//
+// Users see services that do not run for the length of a lease, with room for them
+// elsewhere. Order of events: a worker's entry goes, with no trouble of the store and
+// without the worker having said that it drains; the machine runs and answers for half a
+// minute more; then it stops. Cause: only workers that drain were emptied, and none whose
+// entry had gone, so that its lasting tasks stayed to the end and were known to have ended
+// only with their leases. Evidence: runs that end as killed, and nothing runs of them
+// until the leases have lapsed.
+func TestWorkerLeavesTheListWithoutAWord(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		la, ow := lastingLab(t, 3, 12)
+		leaving, _ := la.busiest()
+		ow.SetWorkers(nil, []string{leaving.Addr.Incarnation}, false)
+		time.Sleep(30 * time.Second)
+		qt.Check(t, la.running()[leaving.Addr.Incarnation], qt.Equals, 0)
+		la.fleet.Kill(leaving)
+		time.Sleep(500 * time.Millisecond)
+		la.assertRunning(12)
+		qt.Check(t, la.ends()["killed"], qt.Equals, 0)
+	})
+}
+
+// TestListLapsesInAnOutage has all entries lapse while the store is away, and come back 2 s
+// after it, each at a moment of its own: what runs stays where it is.
+func TestListLapsesInAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		la, ow := lastingLab(t, 4, 24)
+		la.table.Gate.Set(standin.Fault{Mode: standin.ModeDown})
+		// A write under way tells the owner of the outage.
+		la.submit(ow, 2, lasting(1))
+		time.Sleep(8 * time.Second)
+		la.table.Gate.Set(standin.Fault{})
+		ow.SetWorkers(nil, nil, true)
+		for _, li := range la.listed() {
+			time.Sleep(500 * time.Millisecond)
+			ow.SetWorkers([]Listed{li}, nil, false)
+		}
+		time.Sleep(5 * time.Second)
+		qt.Check(t, la.ends(), qt.HasLen, 0)
+		qt.Check(t, la.running()["i-0"]+la.running()["i-1"]+la.running()["i-2"]+la.running()["i-3"] >= 24, qt.IsTrue)
+		la.assertNothingTwice()
+	})
+}
+
+// TestPartOfTheListComesBack has one of four workers stay without an entry after an
+// outage of the store. It is emptied only once its entry could have been back, and gets
+// nothing new.
+func TestPartOfTheListComesBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		la, ow := lastingLab(t, 4, 24)
+		gone, _ := la.busiest()
+		la.table.Gate.Set(standin.Fault{Mode: standin.ModeDown})
+		la.submit(ow, 2, lasting(1))
+		time.Sleep(8 * time.Second)
+		la.table.Gate.Set(standin.Fault{})
+		back := time.Now()
+		ow.SetWorkers(nil, nil, true)
+		time.Sleep(2 * time.Second)
+		for _, li := range la.listed() {
+			if li.Incarnation != gone.Addr.Incarnation {
+				ow.SetWorkers([]Listed{li}, nil, false)
+			}
+		}
+		time.Sleep(6 * time.Second)
+		qt.Check(t, la.running()[gone.Addr.Incarnation], qt.Equals, 0)
+		for _, ru := range la.fleet.Runs() {
+			if !ru.Until.IsZero() {
+				qt.Check(t, ru.Worker, qt.Equals, gone.Addr.Incarnation)
+				qt.Check(t, ru.Until.Sub(back) > 2500*time.Millisecond, qt.IsTrue, qt.Commentf("%v", ru.Until.Sub(back)))
+			}
+			if ru.From.After(back) {
+				qt.Check(t, ru.Worker, qt.Not(qt.Equals), gone.Addr.Incarnation)
+			}
+		}
+		la.assertNothingTwice()
+	})
+}
+
+// TestListComesBackWithAnotherLife has a machine start anew during an outage: its entry
+// comes back with another incarnation at its address, and what it ran starts at once.
+func TestListComesBackWithAnotherLife(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		la, ow := lastingLab(t, 3, 12)
+		was := la.crew[0]
+		la.table.Gate.Set(standin.Fault{Mode: standin.ModeDown})
+		la.submit(ow, 2, lasting(1))
+		time.Sleep(time.Second)
+		la.fleet.Kill(was)
+		now := &standin.FleetWorker{Addr: worker.Addr{HostPort: was.Addr.HostPort, Incarnation: "i-0b"}, Holds: was.Holds}
+		la.fleet.Add(now)
+		la.crew[0] = now
+		time.Sleep(2 * time.Second)
+		la.table.Gate.Set(standin.Fault{})
+		ow.SetWorkers(nil, nil, true)
+		time.Sleep(2 * time.Second)
+		ow.SetWorkers(la.listed(), nil, true)
+		time.Sleep(time.Second)
+		la.assertRunning(13)
+	})
+}
+
+// TestNothingStartsWithoutAnEntry has a job wait while no worker has an entry.
+func TestNothingStartsWithoutAnEntry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		la, ow := lastingLab(t, 3, 6)
+		ow.SetWorkers(nil, nil, true)
+		la.submit(ow, 2, lasting(6))
+		time.Sleep(20 * time.Second)
+		la.assertRunning(6)
+		qt.Check(t, la.ends(), qt.HasLen, 0)
+		ow.SetWorkers(la.listed(), nil, true)
+		time.Sleep(3 * time.Second)
+		la.assertRunning(12)
+	})
+}
+
+// TestWhatEndsByItselfIsLeftTo has a worker leave the list while it runs tasks that end
+// in 8 s.
+func TestWhatEndsByItselfIsLeftTo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		la := newLab(t, 2)
+		la.fleet.RunFunc = func(worker.Attempt) (time.Duration, string) { return 8 * time.Second, "done" }
+		ow, end := la.own()
+		defer end()
+		time.Sleep(time.Second)
+		la.submit(ow, 1, batch(1, 8))
+		time.Sleep(time.Second)
+		ow.SetWorkers(nil, []string{"i-0"}, false)
+		time.Sleep(10 * time.Second)
+		qt.Check(t, la.ends(), qt.DeepEquals, map[string]int{"done": 8})
+		la.assertNothingTwice()
+	})
+}
