Empty workers that have had no entry for long

Cause: evacuate skipped every worker without an entry, so that one that left the list without draining kept its lasting tasks as long as it answered, and they waited for its leases once it stopped.

Mend: a worker whose entry is not back 3 s after it went, and 3 s after the last trouble of the store that the owner saw, is emptied as one that drains: lasting tasks are stopped once another worker has room, six each 0.1 s at most; what ends by itself is left. The owner sees trouble by its writes, its heartbeats and the age of the list of workers, which the watch tells. A list that has less than half of the workers which it had in the last 30 s is doubted and moves nothing meanwhile.

Ruled out: telling an outage by the number of entries that lapse together, as they lapse one by one. Starts on workers without an entry, and moves by an outage alone, did not occur before and do not now.

New: lines "emptying a worker without an entry" and "list of workers doubted" or "believed again", the age of the list in "worker no longer listed", and the counter pepperhatch_attempts_emptied by why.

Conclusion: a machine that goes without a word costs its lasting tasks a move, not a lease, if it answers for some seconds more and there is room.

--- a/internal/jobhost/cell.go
+++ b/internal/jobhost/cell.go
@@ -27,12 +27,15 @@
 		Self: se.Name, Cores: se.Processor(), Epoch: te.Epoch, HTTP: ho.streams, Direct: platform.NewAgent(ho.workers),
 		Former: te.Former.Owner, FormerProcess: te.Former.Process, Metrics: ho.metrics, Log: ho.log,
 	}
+	workers := &watch.Watch{Table: ho.table, Name: platform.WorkerTable, Under: platform.WorkerPrefix, Log: ho.log}
 	ow := sched.New(&sched.Owner{
 		Cell: cellName, Tenure: te, Table: ho.table, Agent: po.Agent(), Without: ho.Without, Metrics: ho.metrics, Log: ho.log,
 		ViaFunc:     func(li sched.Listed) string { return po.Via(li.Incarnation, li.DataCentre) },
 		DroppedFunc: po.Drop,
+		ListFunc:    workers.Contact,
 		Limits:      sched.Limits{MaxLease: millis(se.MaxLeaseMS), StopTime: millis(se.StopMS), HarmAfter: millis(se.HarmMS), KeepEnded: seconds(se.KeepEndedS)},
 	})
+	workers.OnRows = func(rows []store.FeedRow, whole bool) { ho.onWorkers(ow, po, rows, whole) }
 	po.ChangedFunc = ow.Reroute
 	wctx, end := context.WithCancel(ctx)
 	defer end()
@@ -40,6 +43,7 @@
 	loaded := func() {
 		ho.owner.Store(ow)
 		ho.watchCell(wctx, ow, po)
+		go workers.Run(wctx)
 	}
 	defer ho.owner.Store(nil)
 	err := ow.Run(ctx, loaded)
@@ -49,17 +53,14 @@
 	return ow.Handover(), err
 }
 
-// watchCell hands the owner the lists of workers and of entry hosts, and what
-// other hosts took in.
+// watchCell hands the owner's relays the list of entry hosts, and the owner what other
+// hosts took in.
 func (ho *Host) watchCell(ctx context.Context, ow *sched.Owner, po *relay.Pool) {
 	hosts := watch.Watch{Table: ho.table, Name: registry.Table, Under: registry.Prefix, Log: ho.log,
 		OnRows: func(rows []store.FeedRow, whole bool) { ho.onMembers(po, rows, whole) }}
 	go hosts.Run(ctx)
-	workers := watch.Watch{Table: ho.table, Name: platform.WorkerTable, Under: platform.WorkerPrefix, Log: ho.log,
-		OnRows: func(rows []store.FeedRow, whole bool) { ho.onWorkers(ow, po, rows, whole) }}
 	intake := watch.Watch{Table: ho.table, Name: sched.IntakeTable, Under: sched.IntakePrefix(cellName), Log: ho.log,
 		OnRows: func(rows []store.FeedRow, _ bool) { ow.Import(rows) }}
-	go workers.Run(ctx)
 	go intake.Run(ctx)
 }
 
--- a/internal/sched/host.go
+++ b/internal/sched/host.go
@@ -43,8 +43,11 @@
 	incarnation string
 	// leaves is when a draining worker may leave, at the earliest.
 	leaves time.Time
-	// gone is set once the list no longer has it.
-	gone bool
+	// gone is set once the list no longer has it, goneAt is when that was seen; emptied
+	// is set once it was told that it is emptied for that.
+	gone    bool
+	goneAt  time.Time
+	emptied bool
 	// dead is set once its process is known to have ended.
 	dead bool
 	// stop ends its loop of looks.
@@ -125,7 +128,7 @@
 		if li.Draining && !ho.Draining {
 			ho.leaves = time.Now().Add(li.Remaining)
 		}
-		ho.Listed, ho.gone = li, false
+		ho.Listed, ho.gone, ho.emptied = li, false, false
 		return
 	}
 	if former := ow.byAddr[li.HostPort]; former != nil && !former.dead {
@@ -154,8 +157,10 @@
 	if ho == nil || ho.gone {
 		return
 	}
-	ho.gone = true
-	ow.Log.Info("worker no longer listed", "worker", incarnation, "attempts", len(ho.attempts))
+	now := time.Now()
+	ho.gone, ho.goneAt = true, now
+	ow.Log.Info("worker no longer listed", "worker", incarnation, "attempts", len(ho.attempts), "draining", ho.Draining,
+		"list_age", ow.listAge(now), "store_trouble", ow.storeTrouble(now))
 	ow.dropIdle(ho)
 }
 
--- a/internal/sched/lab_test.go
+++ b/internal/sched/lab_test.go
@@ -43,6 +43,10 @@
 	via atomic.Pointer[string]
 	// viaOf has the entry hosts of workers with one of their own, by incarnation.
 	viaOf map[string]string
+	// listFunc and confirmedFunc are what owners know of the age of the list of workers,
+	// and of when the store confirmed their tenure, if set.
+	listFunc      func() (last, since time.Time)
+	confirmedFunc func() time.Time
 	// formerKnown has owners know that the one before has ceased to act.
 	formerKnown bool
 }
@@ -135,10 +139,13 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	te := la.claim()
 	te.Renounce = func(error) { cancel() }
+	if la.confirmedFunc != nil {
+		te.Confirmed = la.confirmedFunc
+	}
 	ow := New(&Owner{
 		Cell: "c0", Tenure: te, Table: la.table.Client(), Agent: la.agent(), Metrics: la.metrics, Log: la.log,
-		ViaFunc: la.viaNow,
-		Limits:  Limits{MaxLease: 6 * time.Second, StopTime: 900 * time.Millisecond, HarmAfter: 4 * time.Second, KeepEnded: 2 * time.Minute},
+		ViaFunc: la.viaNow, ListFunc: la.listFunc,
+		Limits: Limits{MaxLease: 6 * time.Second, StopTime: 900 * time.Millisecond, HarmAfter: 4 * time.Second, KeepEnded: 2 * time.Minute},
 	})
 	loaded := make(chan struct{})
 	done := make(chan error, 1)
--- a/internal/sched/owner.go
+++ b/internal/sched/owner.go
@@ -62,6 +62,9 @@
 	// Both may be nil.
 	ViaFunc     func(Listed) string
 	DroppedFunc func(incarnation string)
+	// ListFunc returns when the list of workers was last known to be true, and since
+	// when it has been read without an error. If nil it always is.
+	ListFunc func() (last, since time.Time)
 	// Without has the mechanisms that are switched off.
 	Without Mechanism
 	// Metrics counts.
@@ -110,6 +113,8 @@
 	// saved is when what was learnt was last written, saving is set while it is.
 	saved  time.Time
 	saving bool
+	// roll follows how far the list of workers can be believed.
+	roll roll
 	// outage has what was told of workers that get no orders.
 	outage outage
 }
@@ -146,6 +151,7 @@
 	defer GaugeNoWorkers(ow.Metrics)
 	ow.ctx = ctx
 	ow.opened = time.Now()
+	ow.roll.trouble = ow.opened
 	if err := ow.load(ctx); err != nil {
 		return err
 	}
@@ -210,6 +216,7 @@
 	ow.account(now)
 	ow.sortActive(now)
 	ow.moveHeld(now)
+	ow.noteList(now)
 	ow.evacuate(now)
 	ow.tickOrphans(now)
 	ow.forgetEnded(now)
--- a/internal/sched/unlisted_test.go
+++ b/internal/sched/unlisted_test.go
@@ -1,6 +1,9 @@
 package sched
 
 import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -8,6 +11,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/pepperhatch/pepperhatch/internal/standin"
+	"github.com/pepperhatch/pepperhatch/internal/telemetry"
 	"github.com/pepperhatch/pepperhatch/internal/worker"
 )
 
@@ -37,14 +41,20 @@
 func lastingLab(t *testing.T, workers, tasks int) (*lab, *Owner) {
 	t.Helper()
 	la := newLab(t, workers)
+	return la, la.withLasting(tasks)
+}
+
+// withLasting starts an owner with so many lasting tasks at work.
+func (la *lab) withLasting(tasks int) *Owner {
+	la.t.Helper()
 	la.fleet.RunFunc = endless
 	ow, end := la.own()
-	t.Cleanup(end)
+	la.t.Cleanup(end)
 	time.Sleep(time.Second)
 	la.submit(ow, 1, lasting(tasks))
 	time.Sleep(time.Second)
 	la.assertRunning(tasks)
-	return la, ow
+	return ow
 }
 
 // TestWorkerLeavesTheListWithoutAWord is the story of a machine that is taken out of
@@ -182,3 +192,75 @@
 		la.assertNothingTwice()
 	})
 }
+
+// TestEmptyingIsTold has the reason of moves in the log and among the counters.
+func TestEmptyingIsTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		la, li := loggedLab(t, 2)
+		me, page, err := telemetry.New()
+		qt.Assert(t, err, qt.IsNil)
+		la.metrics = me
+		ow := la.withLasting(2)
+		leaving, n := la.busiest()
+		ow.SetWorkers(nil, []string{leaving.Addr.Incarnation}, false)
+		time.Sleep(10 * time.Second)
+		worker := "worker=" + leaving.Addr.Incarnation
+		qt.Check(t, li.with(`msg="worker no longer listed"`, worker, "list_age=0s", "store_trouble=false"), qt.HasLen, 1)
+		qt.Check(t, li.with(`msg="emptying a worker without an entry"`, worker, fmt.Sprintf("attempts=%d ", n), "list_age=0s"), qt.HasLen, 1)
+		qt.Check(t, li.with(`msg="stopping attempt"`, worker, "has no entry"), qt.HasLen, n)
+		re := httptest.NewRecorder()
+		page.ServeHTTP(re, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+		qt.Check(t, re.Body.String(), qt.Contains, fmt.Sprintf("pepperhatch_attempts_emptied_total{why=%q} %d\n", "unlisted", n))
+	})
+}
+
+// TestMostOfTheListIsGone has three of four workers lose their entries with no trouble of
+// the store to be seen: the list may have been read in part, or the workers may not reach
+// the store. Nothing is moved before the list is believed.
+func TestMostOfTheListIsGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		la, li := loggedLab(t, 4)
+		ow := la.withLasting(24)
+		ow.SetWorkers(la.listed()[3:], nil, true)
+		time.Sleep(doubtFor - time.Second)
+		qt.Check(t, la.ends(), qt.HasLen, 0)
+		qt.Check(t, li.with("list of workers doubted", "listed=1", "most=4"), qt.HasLen, 1)
+		time.Sleep(5 * time.Second)
+		qt.Check(t, la.running()["i-3"], qt.Equals, 16)
+		la.assertRunning(24)
+	})
+}
+
+// TestOutagesThatOnlyThePulseTells has entries lapse while the store does not serve an
+// owner that writes nothing else: its list of workers is not read, or its heartbeats are
+// not taken. What runs stays until the store has served for long enough.
+func TestOutagesThatOnlyThePulseTells(t *testing.T) {
+	for _, by := range []string{"list", "heartbeat"} {
+		synctest.Test(t, func(t *testing.T) {
+			la := newLab(t, 4)
+			var since, until time.Time
+			stuck := func() time.Time {
+				if now := time.Now(); since.IsZero() || now.Before(since) || now.After(until) {
+					return now
+				}
+				return since
+			}
+			if by == "list" {
+				la.listFunc = func() (last, began time.Time) { return stuck(), time.Time{} }
+			} else {
+				la.confirmedFunc = stuck
+			}
+			since = time.Now().Add(2 * time.Second)
+			until = since.Add(12 * time.Second)
+			ow := la.withLasting(24)
+			leaving, n := la.busiest()
+			time.Sleep(5 * time.Second)
+			ow.SetWorkers(nil, []string{leaving.Addr.Incarnation}, false)
+			time.Sleep(time.Until(until.Add(2500 * time.Millisecond)))
+			qt.Check(t, la.ends(), qt.HasLen, 0)
+			time.Sleep(2 * time.Second)
+			qt.Check(t, la.ends(), qt.DeepEquals, map[string]int{"stopped": n})
+			la.assertRunning(24)
+		})
+	}
+}
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -44,6 +44,7 @@
 	Looks        Name = "pepperhatch_looks"
 	PlaceRounds  Name = "pepperhatch_placement_rounds"
 	Stalls       Name = "pepperhatch_attempts_stalled"
+	Emptied      Name = "pepperhatch_attempts_emptied"
 	JobTime      Name = "pepperhatch_job_milliseconds"
 	RelaysLost   Name = "pepperhatch_relays_lost"
 )
@@ -86,6 +87,7 @@
 	{Looks, "outcome", "looks at workers that failed", "growth: workers are away"},
 	{PlaceRounds, "", "rounds of placement of a cell, each over all its workers", "many a second: the owner's processor is short, see CAPACITY.md"},
 	{Stalls, "", "attempts that were stopped as they made no progress", "look for the workers in the log: \"attempts stand still\""},
+	{Emptied, "why", "lasting tasks that were stopped to go on elsewhere, as their worker drains or has had no entry for long (unlisted)", "unlisted: look for \"emptying a worker without an entry\" in the log"},
 	{JobTime, "cause", "time of jobs that are over, in milliseconds, by what it went to", "much of room or place: too little room; of store or order: the store or the owner is slow"},
 	{RelaysLost, "", "streams of an owner to other entry hosts that ended", "look for \"relay not used for a while\" in the owner's log"},
 	{TaskEvents, "event", "tasks started, done, failed, evicted, throttled", "evictions: see place.eviction-budget"},
