Test a draining worker whose entry goes before it does

Cause, read in evacuate: emptying of a worker that drains ends with its entry. It begins again only 3 s later, by the rule for workers without a word, and that one does not stop what is left shortly before the worker leaves.

Ruled out: lack of room. The third worker has room for all of them.

Conclusion: what a worker said of its leaving holds without its entry too.

--- a/internal/sched/unlisted_test.go
+++ b/internal/sched/unlisted_test.go
@@ -264,3 +264,29 @@
 		})
 	}
 }
+
+// TestDrainingWorkerLosesItsEntry is the story of a worker that says that it leaves and
+// whose entry goes before it does.
+//
+// Users see the same as of one that leaves without a word. Order of events: a worker
+// drains while there is no room elsewhere; its entry goes; room comes; it leaves at the
+// time that it told. Cause: emptying ended with the entry. Evidence: as above.
+func TestDrainingWorkerLosesItsEntry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		la, ow := lastingLab(t, 2, 2*16)
+		leaving := la.crew[0]
+		list := la.listed()
+		list[0].Draining, list[0].Remaining = true, 4*time.Second
+		ow.SetWorkers(list, nil, true)
+		time.Sleep(time.Second)
+		ow.SetWorkers(nil, []string{leaving.Addr.Incarnation}, false)
+		time.Sleep(time.Second)
+		la.addWorker(2)
+		ow.SetWorkers(la.listed()[2:], nil, false)
+		time.Sleep(2 * time.Second)
+		la.fleet.Kill(leaving)
+		time.Sleep(500 * time.Millisecond)
+		la.assertRunning(2 * 16)
+		qt.Check(t, la.ends()["killed"], qt.Equals, 0)
+	})
+}
