Go on emptying a draining worker without its entry

Cause: emptying by the worker's own word ended as its entry went, be it by an outage of the store or as it left the list before its process ended.

Ruled out: that an outage alone moves something by this, as only the worker itself says that it drains.

Conclusion: a draining worker is emptied the same with an entry or without.

--- a/internal/sched/drain.go
+++ b/internal/sched/drain.go
@@ -28,7 +28,8 @@
 	for _, ho := range ow.sortedHosts() {
 		switch {
 		case ho.dead || !ho.failing.IsZero():
-		case ho.Draining && !ho.gone:
+		case ho.Draining:
+			// It said so itself, and its entry may go before it does.
 			ev.leave(ho)
 		case ho.goneForGood(now):
 			// Its machine may stop at any moment, and nobody can tell when.
