Keep room for what stops, and send lost stops again

Cause: as a worker is emptied each look counted the room of the others without what the tasks told to stop before were to take, so that for one place a task was stopped at each look until the first had stopped; and a task told to stop once was not told again.

Mend: room is kept for tasks that are being stopped and for up to 100 endless tasks that wait before it is counted; an order to stop that had no effect after the time to stop and 0.7 s is sent again. A step without room is not searched for again in the same look, as workers without an entry may be there for long.

Ruled out: that placement gives the room away; it did so rightly, to one task.

--- a/internal/sched/drain.go
+++ b/internal/sched/drain.go
@@ -15,6 +15,9 @@
 	// evacuationsPerTick bounds the moves of endless tasks at one look, so that
 	// a step is not away as a whole.
 	evacuationsPerTick = 6
+	// waitingMost bounds the waiting tasks for which room is kept, each a search of all
+	// workers at worst.
+	waitingMost = 100
 )
 
 // evacuate empties workers that leave, by their own word or as their entry is gone for
@@ -24,73 +27,142 @@
 	if ow.storeDown() {
 		return
 	}
-	ev := evacuation{ow: ow, now: now}
+	ev := evacuation{ow: ow, now: now, full: map[*job.Step]bool{}}
 	for _, ho := range ow.sortedHosts() {
-		switch {
-		case ho.dead || !ho.failing.IsZero():
-		case ho.Draining:
-			// It said so itself, and its entry may go before it does.
-			ev.leave(ho)
-		case ho.goneForGood(now):
-			// Its machine may stop at any moment, and nobody can tell when.
-			ho.tellEmptied(now)
-			ev.empty(ho, whyUnlisted, "its worker has no entry and another has room")
+		if ho.whyEmpty(now) != "" {
+			ev.leaving = append(ev.leaving, ho)
 		}
 	}
+	for _, ho := range ev.leaving {
+		ev.empty(ho)
+	}
 }
 
-// Why lasting tasks are moved, as counted.
+// Why workers are emptied, as counted.
 const (
 	whyDrains   = "drains"
 	whyUnlisted = "unlisted"
 )
 
+// whyEmpty says why a worker is to be emptied, or is empty.
+func (ho *host) whyEmpty(now time.Time) string {
+	switch {
+	case ho.dead || !ho.failing.IsZero():
+		return ""
+	case ho.Draining:
+		// It said so itself, and its entry may go before it does.
+		return whyDrains
+	case ho.goneForGood(now):
+		// Its machine may stop at any moment, and nobody can tell when.
+		return whyUnlisted
+	}
+	return ""
+}
+
 // evacuation is the emptying of workers at one look.
 type evacuation struct {
-	ow    *Owner
-	now   time.Time
-	pl    *placer
-	moves int
+	ow  *Owner
+	now time.Time
+	// leaving are the workers.
+	leaving []*host
+	pl      *placer
+	moves   int
+	// full has the steps for a task of which no worker has room.
+	full map[*job.Step]bool
 }
 
-// leave empties a worker that said when it leaves. What has not ended shortly before is
+// empty empties a worker. What has not ended shortly before one leaves that told when is
 // stopped, so that it is certain that it ended and where it is to be resumed: it would
 // die there all the same, and be known to only once its lease has lapsed.
-func (ev *evacuation) leave(ho *host) {
-	if !ev.now.After(ho.leaves.Add(-ev.ow.Limits.StopTime - leaveReserve)) {
-		ev.empty(ho, whyDrains, "its worker leaves and another has room")
-		return
+func (ev *evacuation) empty(ho *host) {
+	cause := ho.whyEmpty(ev.now)
+	if cause == whyUnlisted {
+		ho.tellEmptied(ev.now)
 	}
+	last := cause == whyDrains && ev.now.After(ho.leaves.Add(-ev.ow.Limits.StopTime-leaveReserve))
 	for at := range ho.attempts {
-		ev.ow.halt(at, "its worker leaves")
+		switch {
+		case last:
+			ev.ow.halt(at, "its worker leaves")
+		case at.step().Endless && !ev.stopping(at) && ev.moves < evacuationsPerTick:
+			ev.move(at, cause)
+		}
 	}
 }
 
-// empty moves the endless tasks of a worker for which another has room.
-func (ev *evacuation) empty(ho *host, cause, why string) {
-	for at := range ho.attempts {
-		if !at.step().Endless || !at.halted.IsZero() || ev.moves == evacuationsPerTick {
-			continue
-		}
-		if ev.pl == nil {
-			ev.pl = ev.ow.newPlacer()
+// stopping reports whether an order to stop the attempt may still have its effect. One
+// that had none by then is taken to be lost.
+func (ev *evacuation) stopping(at *attempt) bool {
+	return !at.halted.IsZero() && ev.now.Sub(at.halted) < ev.ow.Limits.StopTime+leaveReserve
+}
+
+// move stops an endless task if another worker has room for it.
+func (ev *evacuation) move(at *attempt, cause string) {
+	if ev.full[at.step()] {
+		return
+	}
+	if !ev.placer().hasRoom(at) {
+		ev.full[at.step()] = true
+		return
+	}
+	ev.moves++
+	if at.halted.IsZero() {
+		ev.ow.Metrics.Add(telemetry.Emptied, 1, "why", cause)
+	}
+	why := "its worker leaves and another has room"
+	if cause == whyUnlisted {
+		why = "its worker has no entry and another has room"
+	}
+	ev.ow.halt(at, why)
+}
+
+// placer returns the room that is left besides what tasks will take that are being
+// stopped, or wait: else one place would be counted again at each look until it is taken.
+func (ev *evacuation) placer() *placer {
+	if ev.pl != nil {
+		return ev.pl
+	}
+	ev.pl = ev.ow.newPlacer()
+	for _, ho := range ev.leaving {
+		for at := range ho.attempts {
+			if at.step().Endless && ev.stopping(at) {
+				ev.pl.hasRoom(at)
+			}
 		}
-		if ev.pl.hasRoom(at) {
-			ev.moves++
-			ev.ow.Metrics.Add(telemetry.Emptied, 1, "why", cause)
-			ev.ow.halt(at, why)
+	}
+	ev.pl.keepForWaiting()
+	return ev.pl
+}
+
+// keepForWaiting keeps room for endless tasks that wait for their placement.
+func (pl *placer) keepForWaiting() {
+	left := waitingMost
+	for _, en := range pl.ow.active {
+		for step := range en.jo.Spec.Steps {
+			if !en.jo.Spec.Steps[step].Endless {
+				continue
+			}
+			for range min(en.waitingOf(step), left) {
+				left--
+				if !pl.keep(en, job.TaskRef{Step: step}, nil) {
+					break
+				}
+			}
 		}
 	}
 }
 
-// hasRoom reports whether any worker has room for an attempt now, and keeps
-// that room.
-func (pl *placer) hasRoom(at *attempt) bool {
+// hasRoom reports whether another worker has room for an attempt now, and keeps that room.
+func (pl *placer) hasRoom(at *attempt) bool { return pl.keep(at.en, at.ref, at.ho) }
+
+// keep keeps room for a task on any worker but one, and reports whether there is any.
+func (pl *placer) keep(en *entry, ref job.TaskRef, but *host) bool {
+	st := &en.jo.Spec.Steps[ref.Step]
 	for _, ca := range pl.hosts {
-		if ca.ho == at.ho || !ca.fits(at.en, job.TaskRef{Step: at.ref.Step, Index: at.ref.Index}, at.step()) {
+		if ca.ho == but || !ca.fits(en, ref, st) {
 			continue
 		}
-		ca.free = ca.free.Without(at.step().Reserved())
+		ca.free = ca.free.Without(st.Reserved())
 		return true
 	}
 	return false
