Test the ways to workers while their entries are gone

Cause, read in jobhost.onWorkers: relays are told the list of workers and not the workers that the owner has, and whether they are used follows from the number. An outage that lapses the list makes that 0 for some 2 s.

TestListLapsesForRelays fails: of 300 workers of an owner of 0.8 cores, all reached through a relay, the first is to be reached directly as soon as the list is empty.

Ruled out: that the owner forgets these workers, which would end their ways. It keeps what may run something, and goes on looking.

Conclusion: workers that the owner still reaches have to count.

--- /dev/null
+++ b/internal/jobhost/lapse_test.go
@@ -0,0 +1,82 @@
+package jobhost
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/pepperhatch/pepperhatch/internal/registry"
+	"github.com/pepperhatch/pepperhatch/internal/relay"
+	"github.com/pepperhatch/pepperhatch/internal/sched"
+	"github.com/pepperhatch/pepperhatch/internal/store"
+	"github.com/pepperhatch/pepperhatch/platform"
+)
+
+// rowsOf are rows of the list of workers, as they are or as they go.
+func rowsOf(names []string, gone bool) []store.FeedRow {
+	rows := make([]store.FeedRow, len(names))
+	for i, name := range names {
+		rows[i] = store.FeedRow{Row: store.Row{Key: platform.WorkerPrefix + name, Value: []byte("{}")}, Gone: gone}
+	}
+	return rows
+}
+
+// TestListLapsesForRelays is the story of an outage of the store that ends on the owner's
+// link.
+//
+// Users would see services of a large cell stop some seconds after an outage. Order of
+// events: all entries of workers lapse in the outage; at its end the list is empty, and
+// for 2 s the machines, which run on, enter themselves again. Cause: relays were used by
+// the number of workers listed, so that an owner of hundreds reached each of them itself
+// as long as the list was short, by new ways with new fencing tokens, and by relays
+// again 2 s later. Evidence: the ways that are wanted change as the list is read.
+func TestListLapsesForRelays(t *testing.T) {
+	for _, lapse := range []string{"read anew", "one by one"} {
+		synctest.Test(t, func(t *testing.T) {
+			var changes atomic.Int32
+			po := &relay.Pool{Self: "h0", Cores: 0.8, ChangedFunc: func() { changes.Add(1) }}
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			go po.Run(ctx)
+			synctest.Wait()
+			po.SetMembers([]registry.Member{{Name: "h1", DataCentre: "a", Cores: 2}, {Name: "h2", DataCentre: "a", Cores: 2}}, nil, true)
+			ho, ow := &Host{log: slog.New(slog.DiscardHandler)}, sched.New(&sched.Owner{})
+			names := make([]string, 300)
+			for i := range names {
+				names[i] = fmt.Sprint("i-", i)
+			}
+			ho.onWorkers(ow, po, rowsOf(names, false), true)
+			was := map[string]string{}
+			for _, name := range names {
+				was[name] = po.Via(name, "a")
+				qt.Assert(t, was[name], qt.Not(qt.Equals), "")
+			}
+			synctest.Wait()
+			before := changes.Load()
+			same := func() {
+				t.Helper()
+				for _, name := range names {
+					qt.Assert(t, po.Via(name, "a"), qt.Equals, was[name])
+				}
+				synctest.Wait()
+				qt.Assert(t, changes.Load(), qt.Equals, before)
+			}
+			if lapse == "read anew" {
+				ho.onWorkers(ow, po, nil, true)
+			} else {
+				ho.onWorkers(ow, po, rowsOf(names[:200], true), false)
+				ho.onWorkers(ow, po, rowsOf(names[200:], true), false)
+			}
+			same()
+			ho.onWorkers(ow, po, rowsOf(names[:40], false), false)
+			same()
+			ho.onWorkers(ow, po, rowsOf(names, false), false)
+			same()
+		})
+	}
+}
