Keep the ways to workers while their entries are gone

Cause: whether an owner uses relays was decided by the number of workers listed, and the list is empty for some 2 s after an outage that lapsed it. An owner of hundreds of workers would have reached each of them itself, by a new way with a new fencing token, on the link that is its narrowest part, and changed all back 2 s later.

Mend: relays are told of workers that come, and the owner tells which it has forgotten, which it does once they have no entry and run nothing. One that was forgotten counts for 3 s more, as workers without work are forgotten at once and are back with the others.

Ruled out: changing what relay.Pool makes of a list without workers, which TestDirectWays asks for.

Conclusion: an outage of the store leaves the ways to workers as they are.

--- a/internal/jobhost/cell.go
+++ b/internal/jobhost/cell.go
@@ -101,6 +101,9 @@
 	for i, li := range listed {
 		names[i] = li.Incarnation
 	}
-	po.SetWorkers(names, gone, whole)
+	// The owner reaches workers without an entry for as long as they run something, and
+	// drops them itself: an outage of the store that takes all entries must not have it
+	// give up its relays.
+	po.SetWorkers(names, nil, false)
 	ow.SetWorkers(listed, gone, whole)
 }
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -29,6 +29,9 @@
 	// provedAfter is how long a stream must have been open for the next pause to
 	// be the first again.
 	provedAfter = 10 * time.Second
+	// backWithin is how long a worker counts that the owner forgot: the users' machines
+	// enter themselves again within some 2 s of the end of an outage.
+	backWithin = 3 * time.Second
 )
 
 // Pool is an owner's relays. Set the fields, then call [Pool.Run]; the other
@@ -58,6 +61,8 @@
 	plan plan
 	// workers are those that the owner has, by incarnation.
 	workers map[string]bool
+	// dropped has when the owner forgot workers that count for a little longer.
+	dropped map[string]time.Time
 	links   map[string]*link
 }
 
@@ -121,8 +126,8 @@
 	}
 }
 
-// SetWorkers takes in the incarnations of workers that were listed, and of those
-// that are no longer. If whole is set the listed ones are all there are.
+// SetWorkers takes in the incarnations of workers that the owner has, and of those
+// that it has no longer. If whole is set the listed ones are all there are.
 func (po *Pool) SetWorkers(listed, gone []string, whole bool) {
 	po.mu.Lock()
 	defer po.mu.Unlock()
@@ -136,11 +141,23 @@
 	for _, incarnation := range gone {
 		delete(po.workers, incarnation)
 	}
+	po.forget()
 	if po.plan.shared(len(po.workers)) != was {
 		po.changed()
 	}
 }
 
+// forget leaves out workers that the owner forgot for good. Those that had nothing to do
+// are forgotten at once and are back after an outage; relays are not given up for that.
+func (po *Pool) forget() {
+	for incarnation, at := range po.dropped {
+		if time.Since(at) > backWithin {
+			delete(po.workers, incarnation)
+			delete(po.dropped, incarnation)
+		}
+	}
+}
+
 // changed tells of a change without waiting for it to be taken in.
 func (po *Pool) changed() {
 	if po.ChangedFunc != nil {
@@ -153,6 +170,7 @@
 func (po *Pool) Via(incarnation, dataCentre string) string {
 	po.mu.Lock()
 	defer po.mu.Unlock()
+	delete(po.dropped, incarnation)
 	if po.ctx == nil || !po.plan.shared(len(po.workers)) {
 		po.plan.release(incarnation)
 		return ""
@@ -165,6 +183,10 @@
 	po.mu.Lock()
 	defer po.mu.Unlock()
 	po.plan.release(incarnation)
+	if po.dropped == nil {
+		po.dropped = map[string]time.Time{}
+	}
+	po.dropped[incarnation] = time.Now()
 }
 
 // stream returns the open stream to a host, and opens one if there is none.
--- a/internal/relay/stream_test.go
+++ b/internal/relay/stream_test.go
@@ -9,7 +9,9 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -275,3 +277,44 @@
 	nt.pool.SetWorkers(nil, nil, true)
 	qt.Assert(t, nt.pool.Via("i-0", "a"), qt.Equals, "")
 }
+
+// TestDroppedWorkers has an owner forget most of its workers for a moment, and for good:
+// only the latter is a reason to reach the others directly.
+func TestDroppedWorkers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var changes atomic.Int32
+		po := &Pool{Self: "h0", Cores: 0.8, ChangedFunc: func() { changes.Add(1) }}
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go po.Run(ctx)
+		synctest.Wait()
+		po.SetMembers([]registry.Member{{Name: "h1", DataCentre: "a", Cores: 2}}, nil, true)
+		names := make([]string, 300)
+		for i := range names {
+			names[i] = fmt.Sprint("i-", i)
+		}
+		po.SetWorkers(names, nil, true)
+		synctest.Wait()
+		before := changes.Load()
+		drop := func() {
+			for _, name := range names[:290] {
+				qt.Assert(t, po.Via(name, "a"), qt.Equals, "h1")
+				po.Drop(name)
+			}
+		}
+		drop()
+		time.Sleep(2 * time.Second)
+		po.SetWorkers(names[:290], nil, false)
+		drop()
+		time.Sleep(2 * time.Second)
+		po.SetWorkers(names[290:], nil, false)
+		qt.Assert(t, po.Via(names[295], "a"), qt.Equals, "h1")
+		synctest.Wait()
+		qt.Assert(t, changes.Load(), qt.Equals, before)
+		time.Sleep(2 * time.Second)
+		po.SetWorkers(names[290:], nil, false)
+		qt.Assert(t, po.Via(names[295], "a"), qt.Equals, "")
+		synctest.Wait()
+		qt.Assert(t, changes.Load(), qt.Equals, before+1)
+	})
+}
