Test starts on a worker whose entry goes while they are written

Cause, read in launch: a worker is looked at as a task is placed on it, and not as the order is sent, which is once the start is written.

Ruled out: placement after the entry went (TestNothingStartsWithoutAnEntry).

Conclusion: the worker has to be looked at again before an order is sent.

--- a/internal/sched/unlisted_test.go
+++ b/internal/sched/unlisted_test.go
@@ -10,6 +10,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/pepperhatch/pepperhatch/internal/job"
 	"github.com/pepperhatch/pepperhatch/internal/standin"
 	"github.com/pepperhatch/pepperhatch/internal/telemetry"
 	"github.com/pepperhatch/pepperhatch/internal/worker"
@@ -290,3 +291,39 @@
 		qt.Check(t, la.ends()["killed"], qt.Equals, 0)
 	})
 }
+
+// TestEntryGoesWhileAStartIsWritten is the story of a task that starts on a machine that
+// is out of service.
+//
+// Users see tasks start on a worker after its entry went, and be moved or lost at once.
+// Order of events: tasks are placed, and their starts are to be written first; the store
+// is slow; the worker's entry goes meanwhile; then the orders are sent. Cause: the worker
+// was looked at when the task was placed, not when its order was sent. Evidence: runs
+// that begin there after the entry went.
+func TestEntryGoesWhileAStartIsWritten(t *testing.T) {
+	for _, draining := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			la := newLab(t, 2)
+			ow, end := la.own()
+			defer end()
+			time.Sleep(time.Second)
+			la.table.Gate.Set(standin.Fault{Mode: standin.ModeSlow, DelayMS: 400})
+			go la.submit(ow, 1, batch(1, 20))
+			time.Sleep(200 * time.Millisecond)
+			list := la.listed()
+			list[0].Draining, list[0].Remaining = draining, time.Minute
+			if !draining {
+				list = list[1:]
+			}
+			ow.SetWorkers(list, nil, true)
+			synctest.Wait()
+			went := time.Now()
+			time.Sleep(10 * time.Second)
+			qt.Assert(t, la.state(ow, 1), qt.Equals, job.Succeeded)
+			for _, ru := range la.fleet.Runs() {
+				qt.Check(t, ru.Worker == "i-0" && !ru.From.Before(went), qt.IsFalse, qt.Commentf("%s, %v after", ru.Task, ru.From.Sub(went)))
+			}
+			la.assertNothingTwice()
+		})
+	}
+}
