Send no order to start to a worker that has just left

Cause: a worker was looked at when a task was placed on it, not when the order was sent. In between is a write, which takes hundreds of milliseconds on a slow store and an outage's time in an outage.

Mend: the order is not sent if the worker's entry went or it drains by then; the attempt counts as one that never ran, and the task is placed anew.

Ruled out: running twice by this, as no order was sent.

Conclusion: nothing is started on a worker without an entry that the owner knows of.

--- a/internal/sched/launch.go
+++ b/internal/sched/launch.go
@@ -26,7 +26,12 @@
 // launch sends the order of an attempt that is durable.
 func (ow *Owner) launch(at *attempt) {
 	if at.en.attempts[at.ref] != at || at.en.jo.State().Final() {
-		ow.unlaunched(at)
+		ow.unlaunched(at, "job ended before the order was sent")
+		return
+	}
+	// Its start took a write, and the worker may have left the list meanwhile.
+	if at.ho.gone || at.ho.Draining {
+		ow.unlaunched(at, "its worker drains or left the list before the order was sent")
 		return
 	}
 	at.ordered = true
@@ -39,9 +44,9 @@
 }
 
 // unlaunched ends an attempt whose order was never sent.
-func (ow *Owner) unlaunched(at *attempt) {
+func (ow *Owner) unlaunched(at *attempt, why string) {
 	if at.en.attempts[at.ref] == at {
-		ow.end(at.en, at.ref, at.number, job.EndNever, "", "job ended before the order was sent")
+		ow.end(at.en, at.ref, at.number, job.EndNever, "", why)
 	}
 }
 
