Keep workers whose row cannot be read as they were

Cause: rows that could not be read were left out of the list, and a whole list takes as gone whom it leaves out.

Mend: such a row names its worker, who stays as it was; one that was not known is not entered.

Ruled out: taking such a list as one that is not whole, as then workers that did leave would be kept.

Conclusion: only an entry that is not there counts as gone.

--- a/internal/jobhost/cell.go
+++ b/internal/jobhost/cell.go
@@ -11,6 +11,7 @@
 	"github.com/pepperhatch/pepperhatch/internal/store"
 	"github.com/pepperhatch/pepperhatch/internal/tenure"
 	"github.com/pepperhatch/pepperhatch/internal/watch"
+	"github.com/pepperhatch/pepperhatch/internal/worker"
 	"github.com/pepperhatch/pepperhatch/platform"
 )
 
@@ -84,7 +85,7 @@
 
 func (ho *Host) onWorkers(ow *sched.Owner, po *relay.Pool, rows []store.FeedRow, whole bool) {
 	var listed []sched.Listed
-	var gone []string
+	var names, gone []string
 	for _, row := range rows {
 		if row.Gone {
 			gone = append(gone, platform.WorkerID(row.Key))
@@ -92,14 +93,13 @@
 		}
 		li, err := platform.DecodeWorker(row.Row)
 		if err != nil {
+			// Its row is there all the same: it has not left.
 			ho.log.Error("worker's row cannot be read", "err", err)
+			listed = append(listed, sched.Listed{Addr: worker.Addr{Incarnation: platform.WorkerID(row.Key)}, Unread: true})
 			continue
 		}
 		listed = append(listed, li)
-	}
-	names := make([]string, len(listed))
-	for i, li := range listed {
-		names[i] = li.Incarnation
+		names = append(names, li.Incarnation)
 	}
 	// The owner reaches workers without an entry for as long as they run something, and
 	// drops them itself: an outage of the store that takes all entries must not have it
--- a/internal/sched/host.go
+++ b/internal/sched/host.go
@@ -17,6 +17,9 @@
 	// Addr is where it listens, and which life it is.
 	worker.Addr
 
+	// Unread is set if the list has it and nothing else is known: a worker that was
+	// known stays as it was, and no other is entered.
+	Unread bool
 	// Service is what it belongs to, DataCentre where it is.
 	Service    string
 	DataCentre string
@@ -100,7 +103,9 @@
 
 func (ow *Owner) setWorkers(listed []Listed, gone []string, whole bool) {
 	for _, li := range listed {
-		ow.seeWorker(li)
+		if !li.Unread {
+			ow.seeWorker(li)
+		}
 	}
 	for _, incarnation := range gone {
 		ow.loseWorker(incarnation)
