Test that an entry removed at the store moves what lasts

Cause: the age of the list came to the owner in tests from stand-ins only; the host's own watch was not part of any.

Ruled out, as a fault of these changes: jobhost.TestStopWhileOthersStandStill, which failed in five runs under the race detector with "never so: owning the cell", one of them on the code before these changes. In a trial that prints what ended the host it is "listen tcp 127.7.0.10:65532: bind: address already in use": another run of the same test on this machine has its fixed addresses.

Conclusion: the wiring from the watch to the owner holds over HTTP.

--- a/internal/jobhost/lapse_test.go
+++ b/internal/jobhost/lapse_test.go
@@ -13,11 +13,13 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/pepperhatch/pepperhatch/internal/job"
 	"github.com/pepperhatch/pepperhatch/internal/registry"
 	"github.com/pepperhatch/pepperhatch/internal/relay"
 	"github.com/pepperhatch/pepperhatch/internal/sched"
 	"github.com/pepperhatch/pepperhatch/internal/store"
 	"github.com/pepperhatch/pepperhatch/internal/telemetry"
+	"github.com/pepperhatch/pepperhatch/internal/worker"
 	"github.com/pepperhatch/pepperhatch/platform"
 )
 
@@ -121,3 +123,27 @@
 	to.host.scrape.ServeHTTP(re, httptest.NewRequest(http.MethodGet, "/metrics", nil))
 	return re.Body.String()
 }
+
+// TestEntryIsRemoved has the store remove the entry of a worker that goes on answering:
+// its task is moved some 3 s later, by what the host's own watch of the list tells.
+func TestEntryIsRemoved(t *testing.T) {
+	to := newTown(t, 2)
+	to.fleet.RunFunc = func(worker.Attempt) (time.Duration, string) { return -1, "" }
+	to.eventually("owning the cell", func() bool { return to.host.owner.Load() != nil })
+	step := job.Step{Tasks: 1, Each: worker.Resources{MilliCores: 500}, Endless: true}
+	terms := job.Terms{Queue: "q", Service: "routedesk", MaxFailures: 1}
+	ve := to.host.door.Submit(t.Context(), "0123456789abcdef", terms, job.Spec{Steps: []job.Step{step}})
+	qt.Assert(t, ve.Outcome, qt.Equals, sched.Accepted)
+	to.eventually("it runs", func() bool { return len(to.fleet.Runs()) == 1 })
+	txn := store.NewTxn()
+	txn.Puts = []store.Put{{Key: platform.WorkerPrefix + to.fleet.Runs()[0].Worker, Delete: true}}
+	_, err := to.table.Client().Commit(t.Context(), txn)
+	qt.Assert(t, err, qt.IsNil)
+	went := time.Now()
+	to.eventually("it runs elsewhere", func() bool { return len(to.fleet.Runs()) == 2 })
+	runs := to.fleet.Runs()
+	qt.Check(t, runs[0].How, qt.Equals, "stopped")
+	qt.Check(t, runs[1].Worker, qt.Not(qt.Equals), runs[0].Worker)
+	qt.Check(t, runs[1].From.Sub(went) > 2900*time.Millisecond, qt.IsTrue, qt.Commentf("%v", runs[1].From.Sub(went)))
+	t.Logf("moved after %v", runs[1].From.Sub(went))
+}
