--- a/internal/jobhost/cell.go
+++ b/internal/jobhost/cell.go
@@ -11,6 +11,7 @@
 	"github.com/pepperhatch/pepperhatch/internal/store"
 	"github.com/pepperhatch/pepperhatch/internal/tenure"
 	"github.com/pepperhatch/pepperhatch/internal/watch"
+	"github.com/pepperhatch/pepperhatch/internal/worker"
 	"github.com/pepperhatch/pepperhatch/platform"
 )
 
@@ -27,12 +28,15 @@
 		Self: se.Name, Cores: se.Processor(), Epoch: te.Epoch, HTTP: ho.streams, Direct: platform.NewAgent(ho.workers),
 		Former: te.Former.Owner, FormerProcess: te.Former.Process, Metrics: ho.metrics, Log: ho.log,
 	}
+	workers := &watch.Watch{Table: ho.table, Name: platform.WorkerTable, Under: platform.WorkerPrefix, Log: ho.log}
 	ow := sched.New(&sched.Owner{
 		Cell: cellName, Tenure: te, Table: ho.table, Agent: po.Agent(), Without: ho.Without, Metrics: ho.metrics, Log: ho.log,
 		ViaFunc:     func(li sched.Listed) string { return po.Via(li.Incarnation, li.DataCentre) },
 		DroppedFunc: po.Drop,
+		ListFunc:    workers.Contact,
 		Limits:      sched.Limits{MaxLease: millis(se.MaxLeaseMS), StopTime: millis(se.StopMS), HarmAfter: millis(se.HarmMS), KeepEnded: seconds(se.KeepEndedS)},
 	})
+	workers.OnRows = func(rows []store.FeedRow, whole bool) { ho.onWorkers(ow, po, rows, whole) }
 	po.ChangedFunc = ow.Reroute
 	wctx, end := context.WithCancel(ctx)
 	defer end()
@@ -40,6 +44,7 @@
 	loaded := func() {
 		ho.owner.Store(ow)
 		ho.watchCell(wctx, ow, po)
+		go workers.Run(wctx)
 	}
 	defer ho.owner.Store(nil)
 	err := ow.Run(ctx, loaded)
@@ -49,17 +54,14 @@
 	return ow.Handover(), err
 }
 
-// watchCell hands the owner the lists of workers and of entry hosts, and what
-// other hosts took in.
+// watchCell hands the owner's relays the list of entry hosts, and the owner what other
+// hosts took in.
 func (ho *Host) watchCell(ctx context.Context, ow *sched.Owner, po *relay.Pool) {
 	hosts := watch.Watch{Table: ho.table, Name: registry.Table, Under: registry.Prefix, Log: ho.log,
 		OnRows: func(rows []store.FeedRow, whole bool) { ho.onMembers(po, rows, whole) }}
 	go hosts.Run(ctx)
-	workers := watch.Watch{Table: ho.table, Name: platform.WorkerTable, Under: platform.WorkerPrefix, Log: ho.log,
-		OnRows: func(rows []store.FeedRow, whole bool) { ho.onWorkers(ow, po, rows, whole) }}
 	intake := watch.Watch{Table: ho.table, Name: sched.IntakeTable, Under: sched.IntakePrefix(cellName), Log: ho.log,
 		OnRows: func(rows []store.FeedRow, _ bool) { ow.Import(rows) }}
-	go workers.Run(ctx)
 	go intake.Run(ctx)
 }
 
@@ -83,7 +85,7 @@
 
 func (ho *Host) onWorkers(ow *sched.Owner, po *relay.Pool, rows []store.FeedRow, whole bool) {
 	var listed []sched.Listed
-	var gone []string
+	var names, gone []string
 	for _, row := range rows {
 		if row.Gone {
 			gone = append(gone, platform.WorkerID(row.Key))
@@ -91,15 +93,17 @@
 		}
 		li, err := platform.DecodeWorker(row.Row)
 		if err != nil {
+			// Its row is there all the same: it has not left.
 			ho.log.Error("worker's row cannot be read", "err", err)
+			listed = append(listed, sched.Listed{Addr: worker.Addr{Incarnation: platform.WorkerID(row.Key)}, Unread: true})
 			continue
 		}
 		listed = append(listed, li)
+		names = append(names, li.Incarnation)
 	}
-	names := make([]string, len(listed))
-	for i, li := range listed {
-		names[i] = li.Incarnation
-	}
-	po.SetWorkers(names, gone, whole)
+	// The owner reaches workers without an entry for as long as they run something, and
+	// drops them itself: an outage of the store that takes all entries must not have it
+	// give up its relays.
+	po.SetWorkers(names, nil, false)
 	ow.SetWorkers(listed, gone, whole)
 }
--- a/internal/sched/host.go
+++ b/internal/sched/host.go
@@ -17,6 +17,9 @@
 	// Addr is where it listens, and which life it is.
 	worker.Addr
 
+	// Unread is set if the list has it and nothing else is known: a worker that was
+	// known stays as it was, and no other is entered.
+	Unread bool
 	// Service is what it belongs to, DataCentre where it is.
 	Service    string
 	DataCentre string
@@ -43,8 +46,11 @@
 	incarnation string
 	// leaves is when a draining worker may leave, at the earliest.
 	leaves time.Time
-	// gone is set once the list no longer has it.
-	gone bool
+	// gone is set once the list no longer has it, goneAt is when that was seen; emptied
+	// is set once it was told that it is emptied for that.
+	gone    bool
+	goneAt  time.Time
+	emptied bool
 	// dead is set once its process is known to have ended.
 	dead bool
 	// stop ends its loop of looks.
@@ -97,7 +103,9 @@
 
 func (ow *Owner) setWorkers(listed []Listed, gone []string, whole bool) {
 	for _, li := range listed {
-		ow.seeWorker(li)
+		if !li.Unread {
+			ow.seeWorker(li)
+		}
 	}
 	for _, incarnation := range gone {
 		ow.loseWorker(incarnation)
@@ -125,7 +133,7 @@
 		if li.Draining && !ho.Draining {
 			ho.leaves = time.Now().Add(li.Remaining)
 		}
-		ho.Listed, ho.gone = li, false
+		ho.Listed, ho.gone, ho.emptied = li, false, false
 		return
 	}
 	if former := ow.byAddr[li.HostPort]; former != nil && !former.dead {
@@ -154,8 +162,10 @@
 	if ho == nil || ho.gone {
 		return
 	}
-	ho.gone = true
-	ow.Log.Info("worker no longer listed", "worker", incarnation, "attempts", len(ho.attempts))
+	now := time.Now()
+	ho.gone, ho.goneAt = true, now
+	ow.Log.Info("worker no longer listed", "worker", incarnation, "attempts", len(ho.attempts), "draining", ho.Draining,
+		"list_age", ow.listAge(now), "store_trouble", ow.storeTrouble(now))
 	ow.dropIdle(ho)
 }
 
