Show tasks run twice when a third owner follows a first that is cut off

Two tests in virtual time, red: TestThirdOwnerWaitsForTheFirst and TestReleasedBeforeItWasLoaded fail with "attempt 2 at i-1 began while attempt 1 ran at i-0", for each of four tasks.

Cause, of the first: an owner that is cut off together with a worker extends its leases for 8 s (ExtendFor). The second owner dies within these; the third asks the second one's host, hears that its process has ended, and reckons leases from there. It never asks what owners before the second may still do. Of the second: an owner that gives the cell up before it has read it leaves a row that names nobody, and that counts as "all former owners have ceased".

Ruled out: that the worker runs on without a lease. It ends the first attempts when their leases lapse, 13.1 s after the cut (13.2 s in the second test); the second ones had begun at 9.9 s (8.5 s). So the time reckoned is wrong, not the lease.

--- /dev/null
+++ b/internal/sched/third_test.go
@@ -0,0 +1,73 @@
+package sched
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/pepperhatch/pepperhatch/internal/standin"
+)
+
+// threeHosts has a host own a cell with endless tasks on two workers, and two others
+// that follow it in turn.
+func threeHosts(t *testing.T, test func(cr *crowd, first, second, third *contender)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		cr := &crowd{lab: newLab(t, 2)}
+		defer cr.stop()
+		cr.fleet.RunFunc = endless
+		first := cr.join("a", 0.8)
+		time.Sleep(time.Second)
+		second, third := cr.join("b", 0.8), cr.join("c", 0.5)
+		time.Sleep(time.Second)
+		qt.Assert(t, cr.submit(first.ow.Load(), 1, lasting(4)).Outcome, qt.Equals, Accepted)
+		time.Sleep(time.Second)
+		cr.assertRunning(4)
+		test(cr, first, second, third)
+	})
+}
+
+// busy returns a worker that runs something.
+func (cr *crowd) busy() *standin.FleetWorker {
+	for _, fw := range cr.crew {
+		if cr.running()[fw.Addr.Incarnation] > 0 {
+			return fw
+		}
+	}
+	cr.t.Fatal("no worker runs anything")
+	return nil
+}
+
+// TestThirdOwnerWaitsForTheFirst: users see a task run twice. An owner is cut off from
+// the store together with a worker, whose leases it extends for some seconds more. The
+// next owner dies soon after it took over. The third one learnt from the second one's host
+// when that ceased, and reckoned leases from there, while the first still extended them.
+func TestThirdOwnerWaitsForTheFirst(t *testing.T) {
+	threeHosts(t, func(cr *crowd, first, second, third *contender) {
+		cr.cutWith(first, cr.busy())
+		cr.awaitOwner(second)
+		time.Sleep(300 * time.Millisecond)
+		second.die()
+		cr.awaitOwner(third)
+		time.Sleep(20 * time.Second)
+		cr.assertRunning(4)
+	})
+}
+
+// TestReleasedBeforeItWasLoaded: users see a task run twice. The second owner gives the
+// cell up before it has read it, as at a planned stop while the store is slow. The third
+// one took a cell that nobody owns for one whose former owners had all ceased.
+func TestReleasedBeforeItWasLoaded(t *testing.T) {
+	threeHosts(t, func(cr *crowd, first, second, third *contender) {
+		second.set(func(co *contender) { co.stuck = true })
+		cr.cutWith(first, cr.busy())
+		cr.awaitOwner(second)
+		time.Sleep(300 * time.Millisecond)
+		second.keeper.Release()
+		cr.awaitOwner(third)
+		time.Sleep(20 * time.Second)
+		cr.assertRunning(4)
+	})
+}
