Wait for all former owners, not for the last one only

A third owner reckoned leases from when the second had ceased to act, also if the first, cut off with a worker, still extended them there. So tasks ran twice.

Cause: what an owner knew of former ones came from one question to the last one's host. Now each host notes when it first saw an owner's row: from then on the store confirms none of those before, so 8 s (ExtendFor) later all of them have ceased, by this host's own clock. The owner's heartbeats, and the row with which it releases the cell, say so sooner, once it knows it of all before it. FormerEnded is the later of that and of the last owner's end, and may lie in the future. Hosts that have just started read the last heartbeat along with the owner's row; without that, takeovers after a loss of power of all hosts would wait 8 s longer.

Tried and not kept: reading the heartbeat after the claim.

--- a/internal/sched/crowd_test.go
+++ b/internal/sched/crowd_test.go
@@ -25,6 +25,8 @@
 	mu    sync.Mutex
 	hosts []*contender
 	born  int
+	// lost is when a worker was lost together with an owner.
+	lost time.Time
 }
 
 // contender is a process of a host that may own the cell.
@@ -139,6 +141,8 @@
 
 // ask asks the last process of a host.
 func (co *contender) ask(_ context.Context, addr string, epoch int64) (tenure.Life, error) {
+	const way = 3 * time.Millisecond
+	time.Sleep(way)
 	other := co.cr.last(addr)
 	if co.isDark() || other.isDark() {
 		return tenure.Life{}, errCut
--- a/internal/sched/third_test.go
+++ b/internal/sched/third_test.go
@@ -71,3 +71,73 @@
 		cr.assertRunning(4)
 	})
 }
+
+// TestLostWithTheirOwner has a worker vanish together with its owner, and measures when
+// what it ran starts again: a lease of 6 s by the slowest clock after the former owner is
+// known to have ceased to act. To wait for owners before it must not take longer where
+// that was known.
+func TestLostWithTheirOwner(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		// lose has owners be lost, the last of them together with a busy worker.
+		lose func(cr *crowd, first, second *contender)
+		most time.Duration
+	}{
+		{"its host answers", func(cr *crowd, first, _ *contender) { cr.loseWith(first) }, 8600 * time.Millisecond},
+		{"its host never answers", func(cr *crowd, first, _ *contender) {
+			first.set(func(co *contender) { co.dark = true })
+			cr.loseWith(first)
+		}, 16200 * time.Millisecond},
+		{"all hosts lose power", func(cr *crowd, first, _ *contender) {
+			for _, co := range cr.hosts {
+				co.die()
+			}
+			cr.loseWith(first)
+			time.Sleep(500 * time.Millisecond)
+			cr.join("b", 0.8)
+			cr.join("c", 0.5)
+		}, 9 * time.Second},
+		{"the former one had stopped a second before", func(cr *crowd, first, second *contender) {
+			first.keeper.Release()
+			cr.awaitOwner(second)
+			time.Sleep(time.Second)
+			cr.loseWith(second)
+		}, 8600 * time.Millisecond},
+		{"the former one was lost a second before, and its host answers", func(cr *crowd, first, second *contender) {
+			first.die()
+			cr.awaitOwner(second)
+			time.Sleep(time.Second)
+			cr.loseWith(second)
+		}, 8600 * time.Millisecond},
+		{"the next one stops before a heartbeat says that its host answered", func(cr *crowd, first, second *contender) {
+			cr.loseWith(first)
+			cr.awaitOwner(second)
+			time.Sleep(50 * time.Millisecond)
+			second.keeper.Release()
+		}, 8600 * time.Millisecond},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			threeHosts(t, func(cr *crowd, first, second, _ *contender) {
+				tc.lose(cr, first, second)
+				lost := cr.lost
+				time.Sleep(20 * time.Second)
+				cr.assertRunning(4)
+				began := time.Time{}
+				for _, ru := range cr.fleet.Runs() {
+					if ru.Until.IsZero() && ru.From.After(began) {
+						began = ru.From
+					}
+				}
+				t.Logf("all ran again %v after the loss", began.Sub(lost))
+				qt.Assert(t, began.Sub(lost) < tc.most, qt.IsTrue)
+			})
+		})
+	}
+}
+
+// loseWith has an owner die together with a busy worker.
+func (cr *crowd) loseWith(co *contender) {
+	cr.fleet.Kill(cr.busy())
+	co.die()
+	cr.lost = time.Now()
+}
--- a/internal/tenure/former.go
+++ b/internal/tenure/former.go
@@ -8,40 +8,65 @@
 	"github.com/pepperhatch/pepperhatch/internal/clock"
 )
 
-// former finds out whether the former owner may still act.
+// former finds out whether former owners may still act.
 type former struct {
-	ke    *Keeper
+	ke *Keeper
+	// row is the last owner's, epoch that of the new one.
 	row   OwnerRow
 	epoch int64
+	// claimed is when the new owner's claim was known to have taken effect.
+	claimed time.Time
+	// earlier is when all owners before the last one have ceased to act at the
+	// latest, zero if they had before it did.
+	earlier time.Time
 
 	mu sync.Mutex
+	// at is when the last owner had ceased to act, zero if that is not known.
 	at time.Time
 }
 
-// when returns when the former owner had certainly ceased to act, or zero.
+// when returns when all former owners have certainly ceased to act, or zero if that is
+// not known of the last one.
 func (fo *former) when() time.Time {
 	fo.mu.Lock()
 	defer fo.mu.Unlock()
-	return fo.at
+	if fo.at.IsZero() || fo.at.After(fo.earlier) {
+		return fo.at
+	}
+	// The last owner may have ended before one that it replaced.
+	return fo.earlier
+}
+
+// alone reports whether all former owners have ceased to act: so they have also if
+// nothing is known of them, once none can have been confirmed for long enough.
+func (fo *former) alone() bool {
+	now := time.Now()
+	ended := fo.when()
+	return !ended.IsZero() && !ended.After(now) || now.Sub(fo.claimed) > ExtendFor
 }
 
 func (fo *former) ended(why string) {
 	fo.mu.Lock()
 	defer fo.mu.Unlock()
 	fo.at = time.Now()
-	fo.ke.Log.Info("former owner has ceased to act", "cell", fo.ke.Cell, "former", fo.row.Owner, "process", fo.row.Process, "why", why)
+	fo.ke.Log.Info("former owner has ceased to act", "cell", fo.ke.Cell, "former", fo.row.Owner, "process", fo.row.Process, "why", why,
+		"earlier_may_act_for", max(time.Until(fo.earlier), 0))
 }
 
-// ask asks the former owner's host until it answers.
-func (fo *former) ask(ctx context.Context) {
+// begin takes in what the last owner's row says of it, or asks its host.
+func (fo *former) begin(ctx context.Context) {
 	switch fo.row.Owner {
 	case "":
 		fo.ended("it released the cell, or there was none")
-		return
 	case fo.ke.Self:
 		fo.ended("it was an earlier process of this host")
-		return
+	default:
+		go fo.ask(ctx)
 	}
+}
+
+// ask asks the former owner's host until it answers.
+func (fo *former) ask(ctx context.Context) {
 	for {
 		actx, cancel := context.WithTimeout(ctx, askEvery)
 		li, err := fo.ke.AskFunc(actx, fo.row.Addr, fo.epoch)
--- a/internal/tenure/heart.go
+++ b/internal/tenure/heart.go
@@ -15,6 +15,8 @@
 	epoch int64
 	// claimed is when the claim was sent.
 	claimed time.Time
+	// aloneFunc reports whether all earlier owners have ceased to act.
+	aloneFunc func() bool
 }
 
 // last returns a moment after which the store still showed the tenure: the
@@ -59,7 +61,7 @@
 // anything.
 func (he *heart) beat(n int64) store.Txn {
 	txn := store.NewTxn()
-	value, err := json.Marshal(beatRow{Epoch: he.epoch, N: n})
+	value, err := json.Marshal(beatRow{Epoch: he.epoch, N: n, Alone: he.aloneFunc()})
 	if err != nil {
 		he.ke.Log.Error("heartbeat cannot be encoded", "err", err)
 	}
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -87,12 +87,17 @@
 	// milliseconds at the latest the leases of workers lapse that did not
 	// answer, by incarnation.
 	SilentMS map[string]int64 `json:"silent_ms,omitempty"`
+	// Alone is set, in the row of a cell that was released, if all owners before
+	// the one that released it had ceased to act.
+	Alone bool `json:"alone,omitempty"`
 }
 
 // beatRow is the content of the heartbeat's row.
 type beatRow struct {
 	Epoch int64 `json:"epoch"`
 	N     int64 `json:"n"`
+	// Alone is set once all owners before this one have ceased to act.
+	Alone bool `json:"alone,omitempty"`
 }
 
 // Tenure is one host's time as owner.
@@ -104,9 +109,10 @@
 	Version int64
 	// Former is who had the cell before.
 	Former OwnerRow
-	// FormerEnded returns when the former owner had certainly ceased to act, or
-	// zero if that is not known: its host answered that the process is gone, or
-	// that it was told of its replacement.
+	// FormerEnded returns when all former owners will certainly have ceased to act,
+	// which may be in the future, or zero if that is not known of the last one: its
+	// host has yet to answer that the process is gone, or that it was told of its
+	// replacement.
 	FormerEnded func() time.Time
 	// Confirmed returns when the store last confirmed the tenure.
 	Confirmed func() time.Time
@@ -138,10 +144,13 @@
 	// Log gets events.
 	Log *slog.Logger
 
-	mu       sync.Mutex
-	row      OwnerRow
-	version  int64
-	known    bool
+	mu      sync.Mutex
+	row     OwnerRow
+	version int64
+	known   bool
+	// earlier is when all owners before that of the row have ceased to act at the
+	// latest, by this host's clock; zero if they had when that one said so.
+	earlier  time.Time
 	beat     beatRow
 	beatSeen time.Time
 	refused  bool
@@ -257,6 +266,13 @@
 		ke.Log.Error("owner's row cannot be read", "cell", ke.Cell, "version", row.Version, "err", err)
 		return
 	}
+	switch {
+	case or.Alone:
+		ke.earlier = time.Time{}
+	case or.Epoch != ke.row.Epoch:
+		// From here on the store confirms none of those before it.
+		ke.earlier = time.Now().Add(ExtendFor)
+	}
 	ke.row, ke.version = or, row.Version
 	ke.refused = false
 	ke.heard()
@@ -276,6 +292,9 @@
 	if be.Epoch == ke.row.Epoch && be != ke.beat {
 		ke.beat = be
 		ke.heard()
+		if be.Alone {
+			ke.earlier = time.Time{}
+		}
 	}
 }
 
@@ -329,16 +348,23 @@
 }
 
 // claim writes the owner's row and, if that took effect, serves the cell.
-func (ke *Keeper) claim(ctx context.Context, former OwnerRow, version int64, why string) {
-	row := OwnerRow{Owner: ke.Self, Process: ke.Process, Addr: ke.Addr, MostCores: max(ke.Cores, former.MostCores), Epoch: former.Epoch + 1}
-	ke.Log.Info("claiming the cell", "cell", ke.Cell, "epoch", row.Epoch, "former", former.Owner, "version", version, "why", why)
+func (ke *Keeper) claim(ctx context.Context, last OwnerRow, version int64, why string) {
+	ke.mu.Lock()
+	earlier, changed := ke.earlier, ke.version != version
+	ke.mu.Unlock()
+	if changed {
+		return
+	}
+	row := OwnerRow{Owner: ke.Self, Process: ke.Process, Addr: ke.Addr, MostCores: max(ke.Cores, last.MostCores), Epoch: last.Epoch + 1}
+	ke.Log.Info("claiming the cell", "cell", ke.Cell, "epoch", row.Epoch, "former", last.Owner, "version", version, "why", why)
 	sent := time.Now()
 	won, err := ke.write(ctx, row, version)
 	if err != nil {
 		ke.Log.Info("claim failed", "cell", ke.Cell, "epoch", row.Epoch, "err", err)
 		return
 	}
-	ke.serve(ctx, row, won, former, sent)
+	fo := &former{ke: ke, row: last, epoch: row.Epoch, claimed: time.Now(), earlier: earlier}
+	ke.serve(ctx, row, won, fo, sent)
 }
 
 // write writes the owner's row and returns its new version.
@@ -368,7 +394,7 @@
 }
 
 // serve runs the cell and writes heartbeats until the tenure ends.
-func (ke *Keeper) serve(ctx context.Context, row OwnerRow, version int64, formerRow OwnerRow, sent time.Time) {
+func (ke *Keeper) serve(ctx context.Context, row OwnerRow, version int64, fo *former, sent time.Time) {
 	sctx, end := context.WithCancelCause(ctx)
 	defer end(nil)
 	ke.mu.Lock()
@@ -377,15 +403,15 @@
 		return
 	}
 	ke.row, ke.version, ke.end = row, version, end
+	ke.earlier = fo.claimed.Add(ExtendFor)
 	ke.heard()
 	ke.mu.Unlock()
-	hb := &heart{ke: ke, epoch: row.Epoch, claimed: sent}
+	fo.begin(sctx)
+	hb := &heart{ke: ke, epoch: row.Epoch, claimed: sent, aloneFunc: fo.alone}
 	go hb.run(sctx)
-	fo := &former{ke: ke, row: formerRow, epoch: row.Epoch}
-	go fo.ask(sctx)
 	go ke.yield(sctx, row, end)
 	ke.Log.Info("owning the cell", "cell", ke.Cell, "epoch", row.Epoch, "version", version)
-	silent, err := ke.Serve(sctx, Tenure{Epoch: row.Epoch, Key: ke.ownerKey(), Version: version, Former: formerRow, FormerEnded: fo.when, Confirmed: hb.last, Renounce: end})
+	silent, err := ke.Serve(sctx, Tenure{Epoch: row.Epoch, Key: ke.ownerKey(), Version: version, Former: fo.row, FormerEnded: fo.when, Confirmed: hb.last, Renounce: end})
 	cause := context.Cause(sctx)
 	end(err)
 	ke.mu.Lock()
@@ -393,7 +419,7 @@
 	ke.mu.Unlock()
 	ke.Log.Info("tenure ended", "cell", ke.Cell, "epoch", row.Epoch, "err", err, "cause", cause)
 	if !errors.Is(cause, ErrOver) {
-		ke.release(context.WithoutCancel(ctx), OwnerRow{Epoch: row.Epoch, MostCores: row.MostCores, SilentMS: silent}, version)
+		ke.release(context.WithoutCancel(ctx), OwnerRow{Epoch: row.Epoch, MostCores: row.MostCores, SilentMS: silent, Alone: fo.alone()}, version)
 	}
 }
 
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -46,8 +46,7 @@
 	Name string
 	// Under is the prefix of the keys wanted; it begins with Name and "/".
 	Under string
-	// Also is another prefix of which changes are wanted, but no first reading;
-	// empty is none.
+	// Also is another prefix of which rows are wanted; empty is none.
 	Also string
 	// Relist has all rows read again after the table did not answer, rather than the
 	// changes since: for few rows that are large and change often, of which the last
@@ -190,6 +189,13 @@
 	if err != nil {
 		return err
 	}
+	if wa.Also != "" {
+		also, err := wa.Table.List(ctx, wa.Also)
+		if err != nil {
+			return err
+		}
+		rows = append(rows, also...)
+	}
 	feed := make([]store.FeedRow, len(rows))
 	for i, row := range rows {
 		feed[i] = store.FeedRow{Row: row}
