Show that an owner that loads nothing loses the waits it was given

Cause: the first owner's row says, as it releases the cell, after how long the leases of silent workers lapse. The second one stops before it has read the cell; it notes such waits only in ticks of its loop, which has not begun, so its row says nothing, and the third one waits for a whole lease from its own takeover on.

Ruled out: that tasks run twice by this. It costs time only.

--- a/internal/sched/third_test.go
+++ b/internal/sched/third_test.go
@@ -141,3 +141,23 @@
 	co.die()
 	cr.lost = time.Now()
 }
+
+// TestWaitsOutliveAnOwnerThatLoadsNothing: users see what ran on a lost worker come back
+// late. The first owner notes as it stops how long its leases run. The second one stops
+// before it has read the cell, and left no note, so that the wait began anew.
+func TestWaitsOutliveAnOwnerThatLoadsNothing(t *testing.T) {
+	threeHosts(t, func(cr *crowd, first, second, third *contender) {
+		second.set(func(co *contender) { co.stuck = true })
+		cr.fleet.Kill(cr.busy())
+		lost := time.Now()
+		time.Sleep(3 * time.Second)
+		first.keeper.Release()
+		cr.awaitOwner(second)
+		time.Sleep(500 * time.Millisecond)
+		second.keeper.Release()
+		cr.awaitOwner(third)
+		// The lease by the slowest clock, the margins, and a second to notice and start.
+		time.Sleep(time.Until(lost.Add(8 * time.Second)))
+		cr.assertRunning(4)
+	})
+}
