Hand on the waits given by an owner that loads nothing

An owner that stopped before it had read the cell released it without the waits that its former had noted, so what ran on a lost worker started again late.

Cause: the note for the next owner was made by ticks of the loop, which begins only once the cell is read. Now the note begins as it was given, and the time since is taken off as it is handed on, for that is known; the first tick replaces it.

Ruled out: that a wait gets too short. It runs from the moment at which this owner took it over, which is after the release that it was counted from, and the owner orders nothing before it has read the cell.

--- a/internal/sched/handover.go
+++ b/internal/sched/handover.go
@@ -11,7 +11,23 @@
 func (ow *Owner) Handover() map[string]int64 {
 	ow.handing.Lock()
 	defer ow.handing.Unlock()
-	return maps.Clone(ow.silent)
+	silent := maps.Clone(ow.silent)
+	if ow.given.IsZero() {
+		return silent
+	}
+	passed := time.Since(ow.given).Milliseconds()
+	for incarnation, ms := range silent {
+		silent[incarnation] = max(ms-passed, 0)
+	}
+	return silent
+}
+
+// noteGiven has [Owner.Handover] return what the former owner handed on, less the time
+// since, until this one has looked for itself: it may end before it has read the cell.
+func (ow *Owner) noteGiven(now time.Time) {
+	ow.handing.Lock()
+	defer ow.handing.Unlock()
+	ow.silent, ow.given = maps.Clone(ow.Tenure.Former.SilentMS), now
 }
 
 // noteAnswer takes a worker that answers off what the next owner is told: its
@@ -35,7 +51,7 @@
 	}
 	ow.handing.Lock()
 	defer ow.handing.Unlock()
-	ow.silent = silent
+	ow.silent, ow.given = silent, time.Time{}
 }
 
 // lapseIn returns the milliseconds until the worker's leases have lapsed by the
--- a/internal/sched/lapse_test.go
+++ b/internal/sched/lapse_test.go
@@ -31,6 +31,24 @@
 	}
 }
 
+// TestWaitsGivenRunOn: what an owner was told of leases that run goes on running while it
+// reads the cell, and is handed on as long as it has not looked for itself.
+func TestWaitsGivenRunOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		la := newLab(t, 1)
+		la.table.Gate.Set(standin.Fault{Mode: standin.ModeFreeze})
+		te := tenure.Tenure{Epoch: 2, Former: tenure.OwnerRow{SilentMS: map[string]int64{"i-7": 5000, "i-8": 1000}}}
+		ow := New(&Owner{Cell: "c0", Tenure: te, Table: la.table.Client(), Log: la.log})
+		ctx, end := context.WithCancel(context.Background())
+		go func() { _ = ow.Run(ctx, func() { t.Error("loaded") }) }()
+		time.Sleep(2 * time.Second)
+		qt.Assert(t, ow.Handover(), qt.DeepEquals, map[string]int64{"i-7": 3000, "i-8": 0})
+		qt.Assert(t, te.Former.SilentMS["i-7"], qt.Equals, int64(5000))
+		end()
+		synctest.Wait()
+	})
+}
+
 // looksSeen notes looks, and has those fail whose relay is not of use.
 type looksSeen struct {
 	mu sync.Mutex
--- a/internal/sched/owner.go
+++ b/internal/sched/owner.go
@@ -69,9 +69,11 @@
 	// Log gets decisions.
 	Log *slog.Logger
 
-	// silent is for the next owner.
+	// silent is for the next owner; given is since when it is as the former owner
+	// handed it on, or zero.
 	handing sync.Mutex
 	silent  map[string]int64
+	given   time.Time
 
 	events chan func()
 	ended  chan struct{}
@@ -146,6 +148,7 @@
 	defer GaugeNoWorkers(ow.Metrics)
 	ow.ctx = ctx
 	ow.opened = time.Now()
+	ow.noteGiven(ow.opened)
 	if err := ow.load(ctx); err != nil {
 		return err
 	}
