Show a task run twice after one look that extends nothing

Found by reading.

Cause: once a worker is settled, its leases count as lapsed by what this owner told it. An owner that the store has not confirmed for 8 s extends none, so if it reaches the worker once and loses it, it has told it of none, and takes its leases for lapsed after 2.5 s of silence. One that the former owner gave may still run. It needs an owner cut off with a worker, a second one that loses the store for 8 s just after it took over, and the store back before the lease is over: half a second in the test.

Ruled out: the same with a confirmed owner. Its second look comes at once and is reckoned with whether it arrives or not.

--- a/internal/sched/crowd_test.go
+++ b/internal/sched/crowd_test.go
@@ -47,6 +47,8 @@
 	stuck bool
 	// cut has the workers that it cannot reach, by incarnation.
 	cut map[string]bool
+	// once has those that it reaches once more.
+	once map[string]bool
 }
 
 var errCut = errors.New("cut off")
@@ -129,7 +131,8 @@
 func cutOff[Order, Answer any](co *contender, send func(context.Context, worker.Addr, Order) (Answer, error)) func(context.Context, worker.Addr, Order) (Answer, error) {
 	return func(ctx context.Context, ad worker.Addr, or Order) (Answer, error) {
 		co.mu.Lock()
-		cut := co.cut[ad.Incarnation]
+		cut := co.cut[ad.Incarnation] && !co.once[ad.Incarnation]
+		delete(co.once, ad.Incarnation)
 		co.mu.Unlock()
 		if cut {
 			var none Answer
--- a/internal/sched/third_test.go
+++ b/internal/sched/third_test.go
@@ -8,6 +8,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/pepperhatch/pepperhatch/internal/standin"
+	"github.com/pepperhatch/pepperhatch/internal/tenure"
 )
 
 // threeHosts has a host own a cell with endless tasks on two workers, and two others
@@ -161,3 +162,25 @@
 		cr.assertRunning(4)
 	})
 }
+
+// TestSettledWithoutALease: users see a task run twice. A new owner that the store does
+// not confirm any more looks at a worker once, extends nothing, and loses it again. It
+// took the worker's leases for lapsed, as it had told it of none, while one that the former
+// owner had told it still ran.
+func TestSettledWithoutALease(t *testing.T) {
+	threeHosts(t, func(cr *crowd, first, second, third *contender) {
+		down := standin.Fault{Mode: standin.ModeDown}
+		third.gate.Set(down)
+		fw := cr.busy()
+		cr.cutWith(first, fw)
+		cr.awaitOwner(second)
+		time.Sleep(50 * time.Millisecond)
+		second.gate.Set(down)
+		time.Sleep(tenure.ExtendFor)
+		second.set(func(co *contender) { co.once = map[string]bool{fw.Addr.Incarnation: true} })
+		time.Sleep(lookRetry + silentAfter)
+		second.gate.Set(standin.Fault{})
+		time.Sleep(10 * time.Second)
+		cr.assertRunning(4)
+	})
+}
