Reckon with a former owner's leases on a settled worker

An owner that reached a worker once, extended nothing, and lost it again took its leases for lapsed while one of the former owner still ran.

Cause: a settled worker's leases were reckoned by what this owner had told it alone. What obeys this owner may have had a lease of a former one until just before, by the worker's clock then and the longest lease: that is the least end to reckon with.

Ruled out: that this makes waits longer where the owner extends leases. Its first extension goes out right after and ends no earlier, and is reckoned with already.

--- a/internal/sched/host.go
+++ b/internal/sched/host.go
@@ -248,6 +248,13 @@
 	return until
 }
 
+// settle notes that the worker obeys this owner, and that a former one may have extended
+// its leases until just now: also if this one never does.
+func (ho *host) settle() {
+	ho.settled = true
+	ho.leaseUntilMS = max(ho.leaseUntilMS, ho.clockMS+ho.ow.Limits.MaxLease.Milliseconds())
+}
+
 // read notes what the worker's clock read.
 func (ho *host) read(clockMS int64, at time.Time) {
 	if clockMS == 0 {
--- a/internal/sched/looks.go
+++ b/internal/sched/looks.go
@@ -143,7 +143,7 @@
 	if len(si.Ended) < maxEnds {
 		ho.takeMissing(si, sent, ended)
 		if !ho.settled {
-			ho.settled = true
+			ho.settle()
 			ho.ow.Log.Info("worker settled", "worker", ho.incarnation, "running", len(si.Running), "ended", len(si.Ended))
 			// Only now can its leases be extended, which a write may not hold up: a
 			// takeover has used most of what is left of them.
