Show that an owner counts as confirmed by the news of its replacement

Found by reading.

Cause: Confirmed is when the watch of the owner's row was last answered. The answer that names the new owner ends the tenure first and then counts as contact too. A loop that takes one more event before it sees that its tenure is over would extend leases by it, seconds after others reckon that it can not.

Ruled out: that the tenure goes on. It ends by the same answer; only what runs on until it takes note is told wrongly.

--- a/internal/tenure/tenure_test.go
+++ b/internal/tenure/tenure_test.go
@@ -26,6 +26,8 @@
 	hosts []*rival
 	// epochs are the tenures begun, in order.
 	epochs []int64
+	// serveFunc runs the cell, if set.
+	serveFunc func(context.Context, Tenure) (map[string]int64, error)
 }
 
 // rival is one host.
@@ -53,7 +55,12 @@
 		Cell: "c0", Cores: cores, Self: name, Process: fmt.Sprintf("%s-%d", name, len(ra.hosts)), Addr: name, Table: ri.through(table),
 		Serve: ri.serve, AskFunc: ra.ask, Log: slog.New(slog.DiscardHandler),
 	}
+	if ra.serveFunc != nil {
+		ri.keeper.Serve = ra.serveFunc
+	}
+	ra.mu.Lock()
 	ra.hosts = append(ra.hosts, ri)
+	ra.mu.Unlock()
 	ctx, end := context.WithCancel(context.Background())
 	ri.end = end
 	go ri.keeper.Run(ctx)
@@ -86,7 +93,7 @@
 func (ra *race) ask(_ context.Context, addr string, epoch int64) (Life, error) {
 	ra.mu.Lock()
 	defer ra.mu.Unlock()
-	for _, ri := range ra.hosts {
+	for _, ri := range slices.Backward(ra.hosts) {
 		if ri.keeper.Addr == addr && ri.end != nil && !ri.dark {
 			ri.keeper.Replaced(epoch)
 			return ri.keeper.Life(), nil
@@ -372,3 +379,39 @@
 		qt.Check(t, yieldStay(tc.yields), qt.Equals, tc.want)
 	}
 }
+
+func (ra *race) setDark(ri *rival, dark bool) {
+	ra.mu.Lock()
+	defer ra.mu.Unlock()
+	ri.dark = dark
+}
+
+// TestConfirmedEndsWithTheTenure: tasks could run twice. An owner that was cut off hears
+// of its replacement by the same answer of the store that counts as contact with it. Until
+// what runs has taken note, it would be taken for confirmed just now, and extend leases
+// that others reckon to lapse.
+func TestConfirmedEndsWithTheTenure(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var first Tenure
+		ra := &race{t: t}
+		ra.serveFunc = func(ctx context.Context, te Tenure) (map[string]int64, error) {
+			if te.Epoch == 1 {
+				first = te
+			}
+			<-ctx.Done()
+			return nil, nil
+		}
+		defer ra.stop()
+		ra.add("e0")
+		time.Sleep(time.Second)
+		ra.add("e1")
+		time.Sleep(time.Second)
+		ra.hosts[0].gate.Set(standin.Fault{Mode: standin.ModeDown})
+		ra.setDark(ra.hosts[0], true)
+		cut := time.Now()
+		time.Sleep(20 * time.Second)
+		ra.hosts[0].gate.Set(standin.Fault{})
+		time.Sleep(2 * time.Second)
+		qt.Assert(t, first.Confirmed().After(cut), qt.IsFalse)
+	})
+}
