Do not take the news of a replacement for a confirmation

An owner that had been cut off and replaced counted as confirmed just now by the very answer that named the new owner, until its loop had taken note.

Cause: each answer of the watch counts as contact, and this one ends the tenure just before it does. Confirmed now falls back to the claim once the tenure is over, and reads the contact before it looks whether it is.

Ruled out: that an owner extends less while its tenure goes on; Confirmed is the same as before until it ends.

--- a/internal/tenure/heart.go
+++ b/internal/tenure/heart.go
@@ -11,7 +11,9 @@
 
 // heart writes the heartbeats of one tenure.
 type heart struct {
-	ke    *Keeper
+	ke *Keeper
+	// ctx is the tenure's.
+	ctx   context.Context
 	epoch int64
 	// claimed is when the claim was sent.
 	claimed time.Time
@@ -22,13 +24,16 @@
 // last returns a moment after which the store still showed the tenure: the
 // watch of the owner's row answers, and ends the tenure when it shows another.
 func (he *heart) last() time.Time {
-	if contact, _ := he.ke.watch.Contact(); contact.After(he.claimed) {
-		return contact
+	contact, _ := he.ke.watch.Contact()
+	// The answer that ends a tenure counts as contact too, but only after it did.
+	if he.ctx.Err() != nil || contact.Before(he.claimed) {
+		return he.claimed
 	}
-	return he.claimed
+	return contact
 }
 
-func (he *heart) run(ctx context.Context) {
+func (he *heart) run() {
+	ctx := he.ctx
 	// The claim was just written.
 	he.ke.noteBeat(true)
 	for n := int64(1); ; n++ {
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -407,8 +407,8 @@
 	ke.heard()
 	ke.mu.Unlock()
 	fo.begin(sctx)
-	hb := &heart{ke: ke, epoch: row.Epoch, claimed: sent, aloneFunc: fo.alone}
-	go hb.run(sctx)
+	hb := &heart{ke: ke, ctx: sctx, epoch: row.Epoch, claimed: sent, aloneFunc: fo.alone}
+	go hb.run()
 	go ke.yield(sctx, row, end)
 	ke.Log.Info("owning the cell", "cell", ke.Cell, "epoch", row.Epoch, "version", version)
 	silent, err := ke.Serve(sctx, Tenure{Epoch: row.Epoch, Key: ke.ownerKey(), Version: version, Former: fo.row, FormerEnded: fo.when, Confirmed: hb.last, Renounce: end})
