Guard the count of tenures that were left to larger hosts

Cause: nothing orders the two if the first tenure ended before its time to yield. At worst a small owner stays for the wrong time before it leaves the cell. The count is now read and written under the keeper's lock.

Ruled out: that the test makes it up; both places are in the keeper.

--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -430,9 +430,13 @@
 	if ke.Cores <= 0 || ke.Cores >= yieldUnder*row.MostCores {
 		return
 	}
+	ke.mu.Lock()
 	stay := yieldStay(ke.yields)
+	ke.mu.Unlock()
 	if clock.Sleep(ctx, stay) {
+		ke.mu.Lock()
 		ke.yields++
+		ke.mu.Unlock()
 		ke.Log.Info("leaving the cell to a larger host", "cell", ke.Cell, "epoch", row.Epoch, "cores", ke.Cores, "most_cores", row.MostCores, "after", stay)
 		end(errYielding)
 	}
