--- a/internal/tenure/tenure_test.go
+++ b/internal/tenure/tenure_test.go
@@ -43,6 +43,7 @@
 	mu     sync.Mutex
 	serves bool
 	ended  error
+	dead   bool
 }
 
 func (ra *race) add(name string) { ra.addSized(name, 0) }
@@ -58,11 +59,11 @@
 	if ra.serveFunc != nil {
 		ri.keeper.Serve = ra.serveFunc
 	}
+	ctx, end := context.WithCancel(context.Background())
+	ri.end = end
 	ra.mu.Lock()
 	ra.hosts = append(ra.hosts, ri)
 	ra.mu.Unlock()
-	ctx, end := context.WithCancel(context.Background())
-	ri.end = end
 	go ri.keeper.Run(ctx)
 }
 
