Merge waits for all former owners

Safety: a third owner knew nothing of the first one's leases, an owner that loaded nothing lost the waits it was given, the news of a replacement counted as a confirmation, and one look settled a worker without its lease.

--- /dev/null
+++ b/internal/sched/third_test.go
@@ -0,0 +1,186 @@
+package sched
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/pepperhatch/pepperhatch/internal/standin"
+	"github.com/pepperhatch/pepperhatch/internal/tenure"
+)
+
+// threeHosts has a host own a cell with endless tasks on two workers, and two others
+// that follow it in turn.
+func threeHosts(t *testing.T, test func(cr *crowd, first, second, third *contender)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		cr := &crowd{lab: newLab(t, 2)}
+		defer cr.stop()
+		cr.fleet.RunFunc = endless
+		first := cr.join("a", 0.8)
+		time.Sleep(time.Second)
+		second, third := cr.join("b", 0.8), cr.join("c", 0.5)
+		time.Sleep(time.Second)
+		qt.Assert(t, cr.submit(first.ow.Load(), 1, lasting(4)).Outcome, qt.Equals, Accepted)
+		time.Sleep(time.Second)
+		cr.assertRunning(4)
+		test(cr, first, second, third)
+	})
+}
+
+// busy returns a worker that runs something.
+func (cr *crowd) busy() *standin.FleetWorker {
+	for _, fw := range cr.crew {
+		if cr.running()[fw.Addr.Incarnation] > 0 {
+			return fw
+		}
+	}
+	cr.t.Fatal("no worker runs anything")
+	return nil
+}
+
+// TestThirdOwnerWaitsForTheFirst: users see a task run twice. An owner is cut off from
+// the store together with a worker, whose leases it extends for some seconds more. The
+// next owner dies soon after it took over. The third one learnt from the second one's host
+// when that ceased, and reckoned leases from there, while the first still extended them.
+func TestThirdOwnerWaitsForTheFirst(t *testing.T) {
+	threeHosts(t, func(cr *crowd, first, second, third *contender) {
+		cr.cutWith(first, cr.busy())
+		cr.awaitOwner(second)
+		time.Sleep(300 * time.Millisecond)
+		second.die()
+		cr.awaitOwner(third)
+		time.Sleep(20 * time.Second)
+		cr.assertRunning(4)
+	})
+}
+
+// TestReleasedBeforeItWasLoaded: users see a task run twice. The second owner gives the
+// cell up before it has read it, as at a planned stop while the store is slow. The third
+// one took a cell that nobody owns for one whose former owners had all ceased.
+func TestReleasedBeforeItWasLoaded(t *testing.T) {
+	threeHosts(t, func(cr *crowd, first, second, third *contender) {
+		second.set(func(co *contender) { co.stuck = true })
+		cr.cutWith(first, cr.busy())
+		cr.awaitOwner(second)
+		time.Sleep(300 * time.Millisecond)
+		second.keeper.Release()
+		cr.awaitOwner(third)
+		time.Sleep(20 * time.Second)
+		cr.assertRunning(4)
+	})
+}
+
+// TestLostWithTheirOwner has a worker vanish together with its owner, and measures when
+// what it ran starts again: a lease of 6 s by the slowest clock after the former owner is
+// known to have ceased to act. To wait for owners before it must not take longer where
+// that was known.
+func TestLostWithTheirOwner(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		// lose has owners be lost, the last of them together with a busy worker.
+		lose func(cr *crowd, first, second *contender)
+		most time.Duration
+	}{
+		{"its host answers", func(cr *crowd, first, _ *contender) { cr.loseWith(first) }, 8600 * time.Millisecond},
+		{"its host never answers", func(cr *crowd, first, _ *contender) {
+			first.set(func(co *contender) { co.dark = true })
+			cr.loseWith(first)
+		}, 16200 * time.Millisecond},
+		{"all hosts lose power", func(cr *crowd, first, _ *contender) {
+			for _, co := range cr.hosts {
+				co.die()
+			}
+			cr.loseWith(first)
+			time.Sleep(500 * time.Millisecond)
+			cr.join("b", 0.8)
+			cr.join("c", 0.5)
+		}, 9 * time.Second},
+		{"the former one had stopped a second before", func(cr *crowd, first, second *contender) {
+			first.keeper.Release()
+			cr.awaitOwner(second)
+			time.Sleep(time.Second)
+			cr.loseWith(second)
+		}, 8600 * time.Millisecond},
+		{"the former one was lost a second before, and its host answers", func(cr *crowd, first, second *contender) {
+			first.die()
+			cr.awaitOwner(second)
+			time.Sleep(time.Second)
+			cr.loseWith(second)
+		}, 8600 * time.Millisecond},
+		{"the next one stops before a heartbeat says that its host answered", func(cr *crowd, first, second *contender) {
+			cr.loseWith(first)
+			cr.awaitOwner(second)
+			time.Sleep(50 * time.Millisecond)
+			second.keeper.Release()
+		}, 8600 * time.Millisecond},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			threeHosts(t, func(cr *crowd, first, second, _ *contender) {
+				tc.lose(cr, first, second)
+				lost := cr.lost
+				time.Sleep(20 * time.Second)
+				cr.assertRunning(4)
+				began := time.Time{}
+				for _, ru := range cr.fleet.Runs() {
+					if ru.Until.IsZero() && ru.From.After(began) {
+						began = ru.From
+					}
+				}
+				t.Logf("all ran again %v after the loss", began.Sub(lost))
+				qt.Assert(t, began.Sub(lost) < tc.most, qt.IsTrue)
+			})
+		})
+	}
+}
+
+// loseWith has an owner die together with a busy worker.
+func (cr *crowd) loseWith(co *contender) {
+	cr.fleet.Kill(cr.busy())
+	co.die()
+	cr.lost = time.Now()
+}
+
+// TestWaitsOutliveAnOwnerThatLoadsNothing: users see what ran on a lost worker come back
+// late. The first owner notes as it stops how long its leases run. The second one stops
+// before it has read the cell, and left no note, so that the wait began anew.
+func TestWaitsOutliveAnOwnerThatLoadsNothing(t *testing.T) {
+	threeHosts(t, func(cr *crowd, first, second, third *contender) {
+		second.set(func(co *contender) { co.stuck = true })
+		cr.fleet.Kill(cr.busy())
+		lost := time.Now()
+		time.Sleep(3 * time.Second)
+		first.keeper.Release()
+		cr.awaitOwner(second)
+		time.Sleep(500 * time.Millisecond)
+		second.keeper.Release()
+		cr.awaitOwner(third)
+		// The lease by the slowest clock, the margins, and a second to notice and start.
+		time.Sleep(time.Until(lost.Add(8 * time.Second)))
+		cr.assertRunning(4)
+	})
+}
+
+// TestSettledWithoutALease: users see a task run twice. A new owner that the store does
+// not confirm any more looks at a worker once, extends nothing, and loses it again. It
+// took the worker's leases for lapsed, as it had told it of none, while one that the former
+// owner had told it still ran.
+func TestSettledWithoutALease(t *testing.T) {
+	threeHosts(t, func(cr *crowd, first, second, third *contender) {
+		down := standin.Fault{Mode: standin.ModeDown}
+		third.gate.Set(down)
+		fw := cr.busy()
+		cr.cutWith(first, fw)
+		cr.awaitOwner(second)
+		time.Sleep(50 * time.Millisecond)
+		second.gate.Set(down)
+		time.Sleep(tenure.ExtendFor)
+		second.set(func(co *contender) { co.once = map[string]bool{fw.Addr.Incarnation: true} })
+		time.Sleep(lookRetry + silentAfter)
+		second.gate.Set(standin.Fault{})
+		time.Sleep(10 * time.Second)
+		cr.assertRunning(4)
+	})
+}
