Show that a claim cut short by a stop leaves a cell without an owner

Cause: a host that is told to stop after its claim took effect returns from serving without releasing the row, which then names a host that goes. A claim of which the answer and the row read back are both lost is given up as failed, with and without a stop, though the row names this host.

--- a/internal/tenure/tenure_test.go
+++ b/internal/tenure/tenure_test.go
@@ -26,6 +26,11 @@
 	hosts []*rival
 	// epochs are the tenures begun, in order.
 	epochs []int64
+	// committed, if set, is told of each write that took effect, and may lose its
+	// answer.
+	committed func(ri *rival, txn store.Txn) error
+	// unread, if set, may lose the answer to a read.
+	unread func(ri *rival) error
 }
 
 // rival is one host.
@@ -66,13 +71,22 @@
 			if _, err := ri.gate.Before(ctx); err != nil {
 				return store.ReadReply{}, err
 			}
+			if ri.ra.unread != nil {
+				if err := ri.ra.unread(ri); err != nil {
+					return store.ReadReply{}, err
+				}
+			}
 			return tbl.ReadFunc(ctx, req)
 		},
 		CommitFunc: func(ctx context.Context, txn store.Txn) (store.CommitReply, error) {
 			if _, err := ri.gate.Before(ctx); err != nil {
 				return store.CommitReply{}, err
 			}
-			return tbl.CommitFunc(ctx, txn)
+			reply, err := tbl.CommitFunc(ctx, txn)
+			if err == nil && ri.ra.committed != nil {
+				err = ri.ra.committed(ri, txn)
+			}
+			return reply, err
 		},
 		FeedFunc: func(ctx context.Context, req store.FeedRequest) (store.FeedReply, error) {
 			if _, err := ri.gate.Before(ctx); err != nil {
