Serve or release every claim that took effect

Cause: serving returned early if the host was told to stop while its claim was on its way, and a claim whose answer was lost, with the row read back for it, was forgotten. Now such a tenure ends as it begins, by the way that every tenure ends, so that what a release carries is decided in one place; and a claim that counts as failed is kept until the watch of the row shows a later version: if that is the claim, it is served, or released if the host stops.

Ruled out: sending the claim again until its outcome is known. After an outage of the store it would unseat an owner that lives. Ruled out: releasing without a tenure. The row would carry nothing of what the former owner left.

A claim is still lost if the process ends before the store shows it, as with any sudden end.

--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -159,6 +159,16 @@
 	watch    watch.Watch
 	// yields counts the tenures left to larger hosts.
 	yields int
+	// doubted is the last claim whose outcome is not known.
+	doubted *claimed
+}
+
+// claimed is a claim that was sent.
+type claimed struct {
+	// row was written over the former owner's, which had the version.
+	row, former OwnerRow
+	version     int64
+	sent        time.Time
 }
 
 func (ke *Keeper) ownerKey() string { return tableName + "/" + ke.Cell + "/owner" }
@@ -215,6 +225,7 @@
 	ke.watch = watch.Watch{Table: ke.Table, Name: tableName, Under: tableName + "/" + ke.Cell + "/", Also: ke.beatPart(), OnRows: ke.onRows, Log: ke.Log}
 	go ke.watch.Run(ctx)
 	for clock.Sleep(ctx, checkEvery) {
+		ke.serveDoubted(ctx)
 		ke.probe(ctx)
 		row, version, due, why := ke.claimDue()
 		if !due {
@@ -332,13 +343,35 @@
 func (ke *Keeper) claim(ctx context.Context, former OwnerRow, version int64, why string) {
 	row := OwnerRow{Owner: ke.Self, Process: ke.Process, Addr: ke.Addr, MostCores: max(ke.Cores, former.MostCores), Epoch: former.Epoch + 1}
 	ke.Log.Info("claiming the cell", "cell", ke.Cell, "epoch", row.Epoch, "former", former.Owner, "version", version, "why", why)
-	sent := time.Now()
+	cl := claimed{row: row, former: former, version: version, sent: time.Now()}
 	won, err := ke.write(ctx, row, version)
 	if err != nil {
 		ke.Log.Info("claim failed", "cell", ke.Cell, "epoch", row.Epoch, "err", err)
+		ke.doubted = &cl
+		return
+	}
+	ke.doubted = nil
+	ke.serve(ctx, row, won, former, cl.sent)
+}
+
+// serveDoubted serves the cell if the row shows that a claim taken for failed took
+// effect: the others would wait for the silence of an owner that does not serve.
+func (ke *Keeper) serveDoubted(ctx context.Context) {
+	cl := ke.doubted
+	if cl == nil {
 		return
 	}
-	ke.serve(ctx, row, won, former, sent)
+	ke.mu.Lock()
+	row, version := ke.row, ke.version
+	ke.mu.Unlock()
+	if version <= cl.version {
+		return
+	}
+	ke.doubted = nil
+	if row.Epoch == cl.row.Epoch && row.Process == ke.Process {
+		ke.Log.Info("claim took effect after all", "cell", ke.Cell, "epoch", row.Epoch, "version", version)
+		ke.serve(ctx, cl.row, version, cl.former, cl.sent)
+	}
 }
 
 // write writes the owner's row and returns its new version.
@@ -372,10 +405,15 @@
 	sctx, end := context.WithCancelCause(ctx)
 	defer end(nil)
 	ke.mu.Lock()
-	if ke.version > version || ke.stopping {
+	if ke.version > version {
 		ke.mu.Unlock()
 		return
 	}
+	// A host that was told to stop meanwhile has the row too, and must release it: its
+	// tenure ends as it begins.
+	if ke.stopping {
+		end(errStopping)
+	}
 	ke.row, ke.version, ke.end = row, version, end
 	ke.heard()
 	ke.mu.Unlock()
