Show that a release takes no account of the time to stop

Cause: giving a cell up is bounded by the silence after which the others claim it, 2.8 s, and by nothing else. A host with less time to stop is ended by force meanwhile; one with more gives up while the store is away, and the others wait for its silence once it is back.

The races of other tests now also end after a failed assertion, where they ended the process by a panic.

--- a/internal/tenure/stop_test.go
+++ b/internal/tenure/stop_test.go
@@ -10,6 +10,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/pepperhatch/pepperhatch/internal/standin"
 	"github.com/pepperhatch/pepperhatch/internal/store"
 )
 
@@ -100,3 +101,73 @@
 	fc.reads--
 	return errLost
 }
+
+// release has a host give its cell up, with so much time to stop.
+func release(ri *rival, _ time.Duration) { ri.keeper.Release() }
+
+// goneWithin reports whether the host takes part no longer after d.
+func (ri *rival) goneWithin(d time.Duration) bool {
+	time.Sleep(d)
+	synctest.Wait()
+	select {
+	case <-ri.gone:
+		return true
+	default:
+		return false
+	}
+}
+
+// TestReleaseEndsWithTheTimeToStop is the story of a planned stop that ends by force.
+//
+// What users see: a host that is stopped while the store does not answer is killed at
+// the end of its time to stop, with callers on its connections. Order of events: the
+// store stands still, the host has 1 s to stop, and tries for 2.8 s to give its cell
+// up, whether it began with that at the stop or before it, as its tenure had ended.
+//
+// Evidence: 1 s after the stop the host below still takes part.
+func TestReleaseEndsWithTheTimeToStop(t *testing.T) {
+	for name, before := range map[string]bool{"release begins with the stop": false, "release under way": true} {
+		t.Run(name, func(t *testing.T) {
+			raceOf(t, 1, func(ra *race) {
+				first := ra.owner()
+				first.gate.Set(standin.Fault{Mode: standin.ModeFreeze})
+				if before {
+					first.renounce(errors.New("a write of another"))
+					time.Sleep(100 * time.Millisecond)
+				}
+				release(first, time.Second)
+				time.Sleep(500 * time.Millisecond)
+				first.end()
+				qt.Assert(ra.t, first.goneWithin(510*time.Millisecond), qt.IsTrue)
+			})
+		})
+	}
+}
+
+// TestReleaseGoesOnWhileThereIsTime is the story of a host that gives up giving up.
+//
+// What users see: after an outage of the store during a rolling stop, nobody owns the
+// cell for another 2.8 s. Order of events: the store is away for 5 s as the owner is
+// told to stop, with 10 s for it; after 2.8 s it tries no more to release the cell, and
+// when the store is back the others wait for its silence.
+//
+// Evidence: 1 s after the store is back nobody owns the cell below.
+func TestReleaseGoesOnWhileThereIsTime(t *testing.T) {
+	for name, before := range map[string]bool{"release begins with the stop": false, "release under way": true} {
+		t.Run(name, func(t *testing.T) {
+			raceOf(t, 3, func(ra *race) {
+				first := ra.owner()
+				ra.table.Gate.Set(standin.Fault{Mode: standin.ModeDown})
+				if before {
+					first.renounce(errors.New("a write of another"))
+					time.Sleep(2 * time.Second)
+				}
+				release(first, 10*time.Second)
+				time.Sleep(5 * time.Second)
+				ra.table.Gate.Set(standin.Fault{})
+				time.Sleep(time.Second)
+				qt.Assert(ra.t, ra.owner(), qt.Not(qt.Equals), first)
+			})
+		})
+	}
+}
--- a/internal/tenure/tenure_test.go
+++ b/internal/tenure/tenure_test.go
@@ -42,17 +42,20 @@
 	gate standin.Gate
 	// dark hosts do not answer others.
 	dark bool
+	// gone is closed once the host takes part no longer.
+	gone chan struct{}
 
-	mu     sync.Mutex
-	serves bool
-	ended  error
+	mu       sync.Mutex
+	serves   bool
+	ended    error
+	renounce func(error)
 }
 
 func (ra *race) add(name string) { ra.addSized(name, 0) }
 
 // addSized adds a host with so much processor, in cores.
 func (ra *race) addSized(name string, cores float64) {
-	ri := &rival{ra: ra}
+	ri := &rival{ra: ra, gone: make(chan struct{})}
 	table := ra.table.Client()
 	ri.keeper = &Keeper{
 		Cell: "c0", Cores: cores, Self: name, Process: fmt.Sprintf("%s-%d", name, len(ra.hosts)), Addr: name, Table: ri.through(table),
@@ -61,7 +64,10 @@
 	ra.hosts = append(ra.hosts, ri)
 	ctx, end := context.WithCancel(context.Background())
 	ri.end = end
-	go ri.keeper.Run(ctx)
+	go func() {
+		defer close(ri.gone)
+		ri.keeper.Run(ctx)
+	}()
 }
 
 // through puts the host's gate before the table.
@@ -114,6 +120,9 @@
 	ri.ra.epochs = append(ri.ra.epochs, te.Epoch)
 	ri.ra.mu.Unlock()
 	ri.set(true)
+	ri.mu.Lock()
+	ri.renounce = te.Renounce
+	ri.mu.Unlock()
 	<-ctx.Done()
 	ri.set(false)
 	ri.mu.Lock()
@@ -174,12 +183,12 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ra := &race{t: t}
+		defer ra.stop()
 		for i := range hosts {
 			ra.add(fmt.Sprint("e", i))
 		}
 		time.Sleep(time.Second)
 		test(ra)
-		ra.stop()
 	})
 }
 
