Give a cell up within the host's time to stop

Cause: a release was bounded by the silence after which others claim the cell, 2.8 s, and by nothing else. Now a host that is told to stop says how long it has: 0.5 s less than its time to stop, or half of that if it is under 1 s. The bound also holds, both ways, for a release that is under way when the stop comes. One that goes on keeps the 2.8 s.

Ruled out: to end the release with the rest of the host. The longest time that a worker takes to stop an attempt has no part in it: attempts go on when a cell is given up.

Before, in virtual time: still taking part 1.01 s after a stop with 1 s for it; no owner 1 s after an outage of 5 s in a stop with 10 s. What the users' store does during such a stop was not tried.

--- a/internal/jobhost/host.go
+++ b/internal/jobhost/host.go
@@ -40,6 +40,9 @@
 	peerConns   = 8
 	// stopReserve is kept of the time to stop for closing connections.
 	stopReserve = 1500 * time.Millisecond
+	// endReserve is kept of the time to stop for the end of the process, once the cell
+	// is given up.
+	endReserve = 500 * time.Millisecond
 	// headerMost and idleMost are the users' limits on connections.
 	headerMost = 16 << 10
 	idleMost   = 15 * time.Second
@@ -175,7 +178,7 @@
 	se := ho.se.Load()
 	ho.log.Info("stopping", "name", se.Name, "grace_s", se.GraceS)
 	ho.stopping.Store(true)
-	ho.keeper.Release()
+	ho.keeper.Release(releaseTime(seconds(se.GraceS)))
 	ho.relay.Leave()
 	go registry.Withdraw(ctx, ho.table, se.Name, ho.log)
 	callers := servers[0].hs
@@ -188,6 +191,10 @@
 	}
 }
 
+// releaseTime returns how long a host with so much time to stop tries to give its cell
+// up. One with hardly any takes half of it.
+func releaseTime(grace time.Duration) time.Duration { return max(grace-endReserve, grace/2) }
+
 // watchConfig follows the configuration.
 func (ho *Host) watchConfig(ctx context.Context) {
 	wa := watch.Watch{Table: ho.table, Name: platform.ConfigTable, Under: platform.ConfigPrefix, Relist: true, OnRows: ho.onConfig, Log: ho.log}
--- a/internal/jobhost/stop_test.go
+++ b/internal/jobhost/stop_test.go
@@ -124,3 +124,15 @@
 		}
 	}
 }
+
+// TestReleaseTime leaves time for the end of the process, however short the whole is.
+func TestReleaseTime(t *testing.T) {
+	for _, tc := range []struct{ grace, want time.Duration }{
+		{10 * time.Second, 9500 * time.Millisecond},
+		{2 * time.Second, 1500 * time.Millisecond},
+		{600 * time.Millisecond, 300 * time.Millisecond},
+		{0, 0},
+	} {
+		qt.Check(t, releaseTime(tc.grace), qt.Equals, tc.want)
+	}
+}
--- a/internal/tenure/stop_test.go
+++ b/internal/tenure/stop_test.go
@@ -38,7 +38,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				ra := &race{t: t}
 				defer ra.stop()
-				fc := firstClaim{lose: lose, then: func(ri *rival) { ri.keeper.Release() }}
+				fc := firstClaim{lose: lose, then: func(ri *rival) { ri.keeper.Release(time.Second) }}
 				ra.committed, ra.unread = fc.committed, fc.unread
 				ra.add("e0")
 				ra.add("e1")
@@ -103,7 +103,7 @@
 }
 
 // release has a host give its cell up, with so much time to stop.
-func release(ri *rival, _ time.Duration) { ri.keeper.Release() }
+func release(ri *rival, within time.Duration) { ri.keeper.Release(within) }
 
 // goneWithin reports whether the host takes part no longer after d.
 func (ri *rival) goneWithin(d time.Duration) bool {
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -58,8 +58,8 @@
 	yieldUnder = 0.5
 	yieldAfter = 2 * time.Second
 	yieldMost  = 32 * time.Second
-	// releaseWithin is how long an owner that stops tries to give its cell up; by
-	// then the others notice its silence.
+	// releaseWithin is how long a host that goes on tries to give its cell up; by then
+	// the others notice its silence. One that stops has its time to stop for that.
 	releaseWithin = SilentAfter
 	// askEvery is the time between questions to a former owner's host.
 	askEvery = 500 * time.Millisecond
@@ -155,22 +155,18 @@
 	// since the last one that it wrote.
 	missed   int
 	stopping bool
-	end      context.CancelCauseFunc
-	watch    watch.Watch
+	// releaseBy is when a host that stops gives up giving its cell up.
+	releaseBy time.Time
+	// bound ends a release under way, or is nil.
+	bound *time.Timer
+	end   context.CancelCauseFunc
+	watch watch.Watch
 	// yields counts the tenures left to larger hosts.
 	yields int
 	// doubted is the last claim whose outcome is not known.
 	doubted *claimed
 }
 
-// claimed is a claim that was sent.
-type claimed struct {
-	// row was written over the former owner's, which had the version.
-	row, former OwnerRow
-	version     int64
-	sent        time.Time
-}
-
 func (ke *Keeper) ownerKey() string { return tableName + "/" + ke.Cell + "/owner" }
 
 // beatPart is apart from the cell's rows: the store writes those of one part in
@@ -195,11 +191,15 @@
 	}
 }
 
-// Release ends the host's tenure, if it has one, and keeps it from claiming.
-func (ke *Keeper) Release() {
+// Release ends the host's tenure, if it has one, and keeps it from claiming. What has
+// to be written for that is tried for so long.
+func (ke *Keeper) Release(within time.Duration) {
 	ke.mu.Lock()
 	defer ke.mu.Unlock()
-	ke.stopping = true
+	ke.stopping, ke.releaseBy = true, time.Now().Add(within)
+	if ke.bound != nil {
+		ke.bound.Reset(within)
+	}
 	if ke.end != nil {
 		ke.end(errStopping)
 	}
@@ -354,26 +354,6 @@
 	ke.serve(ctx, row, won, former, cl.sent)
 }
 
-// serveDoubted serves the cell if the row shows that a claim taken for failed took
-// effect: the others would wait for the silence of an owner that does not serve.
-func (ke *Keeper) serveDoubted(ctx context.Context) {
-	cl := ke.doubted
-	if cl == nil {
-		return
-	}
-	ke.mu.Lock()
-	row, version := ke.row, ke.version
-	ke.mu.Unlock()
-	if version <= cl.version {
-		return
-	}
-	ke.doubted = nil
-	if row.Epoch == cl.row.Epoch && row.Process == ke.Process {
-		ke.Log.Info("claim took effect after all", "cell", ke.Cell, "epoch", row.Epoch, "version", version)
-		ke.serve(ctx, cl.row, version, cl.former, cl.sent)
-	}
-}
-
 // write writes the owner's row and returns its new version.
 func (ke *Keeper) write(ctx context.Context, row OwnerRow, version int64) (int64, error) {
 	txn, err := store.NewTxn().WithPut(ke.ownerKey(), version, row)
@@ -465,7 +445,7 @@
 
 // release gives the cell up, so that another host need not wait for silence.
 func (ke *Keeper) release(ctx context.Context, row OwnerRow, version int64) {
-	ctx, cancel := context.WithTimeout(ctx, releaseWithin)
+	ctx, cancel := ke.bounded(ctx)
 	defer cancel()
 	for ctx.Err() == nil {
 		_, err := ke.write(ctx, row, version)
--- a/internal/tenure/tenure_test.go
+++ b/internal/tenure/tenure_test.go
@@ -264,7 +264,7 @@
 func TestOwnerReleases(t *testing.T) {
 	raceOf(t, 3, func(ra *race) {
 		first := ra.owner()
-		first.keeper.Release()
+		first.keeper.Release(time.Second)
 		time.Sleep(400 * time.Millisecond)
 		qt.Assert(t, ra.owner(), qt.Not(qt.Equals), first)
 	})
@@ -323,7 +323,7 @@
 		first := ra.owner()
 		ra.table.ForgetHistory()
 		time.Sleep(5 * time.Second)
-		first.keeper.Release()
+		first.keeper.Release(time.Second)
 		time.Sleep(time.Second)
 		qt.Assert(t, ra.owner(), qt.Not(qt.Equals), first)
 	})
@@ -349,7 +349,7 @@
 		time.Sleep(5 * time.Second)
 		second := ra.owner()
 		qt.Assert(t, second.keeper.Cores, qt.Equals, 0.8)
-		second.keeper.Release()
+		second.keeper.Release(time.Second)
 		time.Sleep(5 * time.Second)
 		qt.Assert(t, ra.owner().keeper.Cores, qt.Equals, 0.8)
 	})
