Notice an entry host that falls silent on an open watch

Cause: nothing is sent on an idle session, so that a caller cannot tell it from one whose entry host froze or was cut off.

Now a caller asks for beats in its request, and an entry host that knows them says in the head of its answer how often something comes, and sends a beat after 1 s without a message. The caller goes on at another address, from the token of its last event, after three beats missed, or if opening the watch takes 4 s. Callers of before do not ask, and get no beats, which they would take for events.

The word stands in the head and not in a first message: a stream that stands still in the midst of that would look like one of an old host. Ruled out: counting beats as events, and pings of HTTP/2, which HTTP/1.1 lacks. A caller that is busy with an event is not held to take the host for silent meanwhile, and a turn never falls on the host just left.

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -92,10 +92,10 @@
 )
 
 // Watch opens a session and passes its events on in order, each once. It
-// resumes the session at other entry hosts whenever its stream ends, until
-// ctx does or fn returns an error.
+// resumes the session at other entry hosts whenever its stream ends or its host
+// falls silent, until ctx ends or fn returns an error.
 func (cl *Client) Watch(ctx context.Context, req *pb.WatchRequest, fn func(*pb.WatchResponse) error) error {
-	wa := &watch{cl: cl, token: req.GetResumeToken(), fn: fn}
+	wa := &watch{cl: cl, at: nowhere, token: req.GetResumeToken(), fn: fn}
 	bo := backoff.NewExponentialBackOff()
 	bo.InitialInterval, bo.MaxInterval = resumeFirst, resumeMost
 	for {
@@ -119,51 +119,3 @@
 		}
 	}
 }
-
-// watch is one session being watched.
-type watch struct {
-	cl    *Client
-	token string
-	seq   uint64
-	moved bool
-	fn    func(*pb.WatchResponse) error
-}
-
-// stopError carries the error by which fn ended the session.
-type stopError struct{ err error }
-
-func (err *stopError) Error() string { return "stopped: " + err.err.Error() }
-
-// ErrGap is returned if an event is missing.
-var ErrGap = errors.New("session left out an event")
-
-func (wa *watch) stream(ctx context.Context, req *pb.WatchRequest) error {
-	host := wa.cl.hosts[int(wa.cl.next.Add(1))%len(wa.cl.hosts)]
-	wa.moved = false
-	st, err := host.Watch(ctx, connect.NewRequest(&pb.WatchRequest{
-		Service: req.GetService(), Topic: req.GetTopic(), ResumeToken: wa.token,
-	}))
-	if err != nil {
-		return fmt.Errorf("open: %w", err)
-	}
-	defer func() { _ = st.Close() }()
-	for st.Receive() {
-		ev := st.Msg()
-		wa.token = ev.GetResumeToken()
-		if ev.GetMoved() {
-			wa.moved = true
-			return nil
-		}
-		if wa.seq != 0 && ev.GetSeq() != wa.seq+1 {
-			return &stopError{err: fmt.Errorf("%w: %d after %d", ErrGap, ev.GetSeq(), wa.seq)}
-		}
-		wa.seq = ev.GetSeq()
-		if err := wa.fn(ev); err != nil {
-			return &stopError{err: err}
-		}
-	}
-	if err := st.Err(); err != nil {
-		return fmt.Errorf("stream: %w", err)
-	}
-	return nil
-}
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"connectrpc.com/connect"
@@ -175,13 +176,25 @@
 	if msg.GetResumeToken() == "" && (msg.GetService() == "" || len(msg.GetService()) > maxName || len(msg.GetTopic()) > maxName) {
 		return failure("", route.NotRunResult(reason.Malformed, 0))
 	}
+	wr := &watcher{out: out}
+	if msg.GetBeats() {
+		out.ResponseHeader().Set(caller.BeatHeader, strconv.FormatInt(beatEvery.Milliseconds(), 10))
+	}
 	// The caller hears at once that the session is being opened.
-	if err := out.Send(nil); err != nil {
+	if err := wr.send(nil); err != nil {
 		return err
 	}
+	ctx, end := context.WithCancel(ctx)
+	var wg sync.WaitGroup
+	// Nothing may be written to the answer once the handler has returned.
+	defer wg.Wait()
+	defer end()
+	if msg.GetBeats() {
+		wg.Go(func() { cs.ho.beat(ctx, end, wr) })
+	}
 	req := session.Request{Service: msg.GetService(), Topic: msg.GetTopic(), Token: msg.GetResumeToken()}
 	err := cs.ho.relay.Serve(ctx, req, func(ev session.Event) error {
-		return out.Send(&pb.WatchResponse{
+		return wr.send(&pb.WatchResponse{
 			SessionId: ev.SessionID, Seq: ev.Seq, Body: ev.Body, ResumeToken: ev.Token, Moved: ev.Moved,
 		})
 	})
--- a/internal/entry/watch_test.go
+++ b/internal/entry/watch_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"log/slog"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -12,9 +13,11 @@
 	"testing"
 	"time"
 
+	"connectrpc.com/connect"
 	qt "github.com/frankban/quicktest"
 
 	pb "github.com/pepperhatch/pepperhatch/gen/pepperhatch/v1"
+	"github.com/pepperhatch/pepperhatch/gen/pepperhatch/v1/pepperhatchv1connect"
 	"github.com/pepperhatch/pepperhatch/internal/caller"
 	"github.com/pepperhatch/pepperhatch/internal/config"
 	"github.com/pepperhatch/pepperhatch/internal/runner"
@@ -66,7 +69,7 @@
 	t.Helper()
 	me, _, err := telemetry.New()
 	qt.Assert(t, err, qt.IsNil)
-	wd := &watched{Host: &Host{metrics: me, config: &config.Store{}}}
+	wd := &watched{Host: &Host{metrics: me, log: slog.New(slog.DiscardHandler), config: &config.Store{}}}
 	wd.set.MaxBody = 1 << 20
 	wd.config.Adopt(config.Doc{Version: 1})
 	list := []upstream.Runner{{Host: store.Host{ID: "r", Service: "s"}, State: upstream.Live}}
@@ -163,3 +166,87 @@
 		}
 	}
 }
+
+// idleLong is longer than a caller waits for beats, and shorter than [linetest.EndsWithin].
+const idleLong = 4500 * time.Millisecond
+
+// TestIdleWatchIsKeptOpen has no events for longer than a silent host has.
+func TestIdleWatchIsKeptOpen(t *testing.T) {
+	t.Parallel()
+	fe := &feed{}
+	one, other := newWatched(t, fe), newWatched(t, fe)
+	to := follow(t, other.addr, one.addr)
+	fe.published.Store(1)
+	linetest.Eventually(t, "first event told", func() bool { return to.upTo(1) })
+	time.Sleep(idleLong)
+	fe.published.Store(2)
+	linetest.Eventually(t, "next event told", func() bool { return to.upTo(2) })
+	qt.Assert(t, one.opened.Load(), qt.Equals, int64(1))
+	qt.Assert(t, other.opened.Load(), qt.Equals, int64(0))
+}
+
+// TestCallerThatKnowsNoBeats gets events only: it would take a beat for one.
+func TestCallerThatKnowsNoBeats(t *testing.T) {
+	t.Parallel()
+	fe := &feed{}
+	wd := newWatched(t, fe)
+	cl := pepperhatchv1connect.NewCallerServiceClient(&http.Client{Transport: &http.Transport{}}, "http://"+wd.addr)
+	ctx, end := context.WithCancel(context.Background())
+	defer end()
+	st, err := cl.Watch(ctx, connect.NewRequest(&pb.WatchRequest{Service: "s", Topic: "t"}))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, st.ResponseHeader().Get(caller.BeatHeader), qt.Equals, "")
+	time.AfterFunc(5*beatEvery/2, func() { fe.published.Store(1) })
+	qt.Assert(t, st.Receive(), qt.IsTrue)
+	qt.Assert(t, st.Msg().GetBeat(), qt.IsFalse)
+	qt.Assert(t, st.Msg().GetSeq(), qt.Equals, uint64(1))
+}
+
+// TestBeatsComeWhileThereAreNoEvents asks for beats, and has an event in between.
+func TestBeatsComeWhileThereAreNoEvents(t *testing.T) {
+	t.Parallel()
+	fe := &feed{}
+	wd := newWatched(t, fe)
+	cl := pepperhatchv1connect.NewCallerServiceClient(&http.Client{Transport: &http.Transport{}}, "http://"+wd.addr)
+	ctx, end := context.WithCancel(context.Background())
+	defer end()
+	st, err := cl.Watch(ctx, connect.NewRequest(&pb.WatchRequest{Service: "s", Topic: "t", Beats: true}))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, st.ResponseHeader().Get(caller.BeatHeader), qt.Equals, "1000")
+	for i, beat := range []bool{true, true, false, true} {
+		qt.Assert(t, st.Receive(), qt.IsTrue)
+		qt.Assert(t, st.Msg().GetBeat(), qt.Equals, beat)
+		qt.Assert(t, st.Msg().GetResumeToken() == "", qt.Equals, beat)
+		if i == 1 {
+			fe.published.Store(1)
+		}
+	}
+}
+
+// TestEntryHostStandsStillInTheMidstOfEvents has events all the while: whatever part of
+// them was on its way, each is told once.
+func TestEntryHostStandsStillInTheMidstOfEvents(t *testing.T) {
+	const (
+		eventEvery = 5 * time.Millisecond
+		before     = 60
+		all        = 900
+	)
+	for _, st := range standin.Stalls {
+		t.Run(string(st), func(t *testing.T) {
+			t.Parallel()
+			fe := &feed{}
+			one, other := newWatched(t, fe), newWatched(t, fe)
+			ln := linetest.NewLine(t, one.addr)
+			to := follow(t, other.addr, ln.Addr())
+			for n := range all {
+				fe.published.Store(uint64(n + 1))
+				if n == before {
+					qt.Assert(t, ln.Stall(st), qt.IsNil)
+				}
+				time.Sleep(eventEvery)
+			}
+			ln.Thaw()
+			linetest.Eventually(t, "all events told", func() bool { return to.upTo(all) })
+		})
+	}
+}
