--- a/internal/tenure/owners_test.go
+++ b/internal/tenure/owners_test.go
@@ -121,7 +121,7 @@
 		ra.kill(ri)
 		ra.addSized(ri.keeper.Self, ri.keeper.Cores)
 	case "release":
-		ri.keeper.Release()
+		ri.keeper.Release(SilentAfter)
 	}
 }
 
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -58,8 +58,8 @@
 	yieldUnder = 0.5
 	yieldAfter = 2 * time.Second
 	yieldMost  = 32 * time.Second
-	// releaseWithin is how long an owner that stops tries to give its cell up; by
-	// then the others notice its silence.
+	// releaseWithin is how long a host that goes on tries to give its cell up; by then
+	// the others notice its silence. One that stops has its time to stop for that.
 	releaseWithin = SilentAfter
 	// askEvery is the time between questions to a former owner's host.
 	askEvery = 500 * time.Millisecond
@@ -164,10 +164,16 @@
 	// since the last one that it wrote.
 	missed   int
 	stopping bool
-	end      context.CancelCauseFunc
-	watch    watch.Watch
+	// releaseBy is when a host that stops gives up giving its cell up.
+	releaseBy time.Time
+	// bound ends a release under way, or is nil.
+	bound *time.Timer
+	end   context.CancelCauseFunc
+	watch watch.Watch
 	// yields counts the tenures left to larger hosts.
 	yields int
+	// doubted is the last claim whose outcome is not known.
+	doubted *claimed
 }
 
 func (ke *Keeper) ownerKey() string { return tableName + "/" + ke.Cell + "/owner" }
@@ -194,11 +200,15 @@
 	}
 }
 
-// Release ends the host's tenure, if it has one, and keeps it from claiming.
-func (ke *Keeper) Release() {
+// Release ends the host's tenure, if it has one, and keeps it from claiming. What has
+// to be written for that is tried for so long.
+func (ke *Keeper) Release(within time.Duration) {
 	ke.mu.Lock()
 	defer ke.mu.Unlock()
-	ke.stopping = true
+	ke.stopping, ke.releaseBy = true, time.Now().Add(within)
+	if ke.bound != nil {
+		ke.bound.Reset(within)
+	}
 	if ke.end != nil {
 		ke.end(errStopping)
 	}
@@ -224,6 +234,7 @@
 	ke.watch = watch.Watch{Table: ke.Table, Name: tableName, Under: tableName + "/" + ke.Cell + "/", Also: ke.beatPart(), OnRows: ke.onRows, Log: ke.Log}
 	go ke.watch.Run(ctx)
 	for clock.Sleep(ctx, checkEvery) {
+		ke.serveDoubted(ctx)
 		ke.probe(ctx)
 		row, version, due, why := ke.claimDue()
 		if !due {
@@ -357,14 +368,17 @@
 	}
 	row := OwnerRow{Owner: ke.Self, Process: ke.Process, Addr: ke.Addr, MostCores: max(ke.Cores, last.MostCores), Epoch: last.Epoch + 1}
 	ke.Log.Info("claiming the cell", "cell", ke.Cell, "epoch", row.Epoch, "former", last.Owner, "version", version, "why", why)
-	sent := time.Now()
+	fo := &former{ke: ke, row: last, epoch: row.Epoch, earlier: earlier}
+	cl := claimed{row: row, fo: fo, version: version, sent: time.Now()}
 	won, err := ke.write(ctx, row, version)
 	if err != nil {
 		ke.Log.Info("claim failed", "cell", ke.Cell, "epoch", row.Epoch, "err", err)
+		ke.doubted = &cl
 		return
 	}
-	fo := &former{ke: ke, row: last, epoch: row.Epoch, claimed: time.Now(), earlier: earlier}
-	ke.serve(ctx, row, won, fo, sent)
+	ke.doubted = nil
+	fo.claimed = time.Now()
+	ke.serve(ctx, row, won, fo, cl.sent)
 }
 
 // write writes the owner's row and returns its new version.
@@ -398,10 +412,15 @@
 	sctx, end := context.WithCancelCause(ctx)
 	defer end(nil)
 	ke.mu.Lock()
-	if ke.version > version || ke.stopping {
+	if ke.version > version {
 		ke.mu.Unlock()
 		return
 	}
+	// A host that was told to stop meanwhile has the row too, and must release it: its
+	// tenure ends as it begins.
+	if ke.stopping {
+		end(errStopping)
+	}
 	ke.row, ke.version, ke.end = row, version, end
 	ke.earlier = fo.claimed.Add(ExtendFor)
 	ke.heard()
@@ -457,7 +476,7 @@
 
 // release gives the cell up, so that another host need not wait for silence.
 func (ke *Keeper) release(ctx context.Context, row OwnerRow, version int64) {
-	ctx, cancel := context.WithTimeout(ctx, releaseWithin)
+	ctx, cancel := ke.bounded(ctx)
 	defer cancel()
 	for ctx.Err() == nil {
 		_, err := ke.write(ctx, row, version)
--- a/internal/tenure/tenure_test.go
+++ b/internal/tenure/tenure_test.go
@@ -28,6 +28,11 @@
 	epochs []int64
 	// serveFunc runs the cell, if set.
 	serveFunc func(context.Context, Tenure) (map[string]int64, error)
+	// committed, if set, is told of each write that took effect, and may lose its
+	// answer.
+	committed func(ri *rival, txn store.Txn) error
+	// unread, if set, may lose the answer to a read.
+	unread func(ri *rival) error
 }
 
 // rival is one host.
@@ -39,18 +44,21 @@
 	gate standin.Gate
 	// dark hosts do not answer others.
 	dark bool
-
-	mu     sync.Mutex
-	serves bool
-	ended  error
-	dead   bool
+	// gone is closed once the host takes part no longer.
+	gone chan struct{}
+
+	mu       sync.Mutex
+	serves   bool
+	ended    error
+	renounce func(error)
+	dead     bool
 }
 
 func (ra *race) add(name string) { ra.addSized(name, 0) }
 
 // addSized adds a host with so much processor, in cores.
 func (ra *race) addSized(name string, cores float64) {
-	ri := &rival{ra: ra}
+	ri := &rival{ra: ra, gone: make(chan struct{})}
 	table := ra.table.Client()
 	ri.keeper = &Keeper{
 		Cell: "c0", Cores: cores, Self: name, Process: fmt.Sprintf("%s-%d", name, len(ra.hosts)), Addr: name, Table: ri.through(table),
@@ -64,7 +72,10 @@
 	ra.mu.Lock()
 	ra.hosts = append(ra.hosts, ri)
 	ra.mu.Unlock()
-	go ri.keeper.Run(ctx)
+	go func() {
+		defer close(ri.gone)
+		ri.keeper.Run(ctx)
+	}()
 }
 
 // through puts the host's gate before the table.
@@ -74,13 +85,22 @@
 			if _, err := ri.gate.Before(ctx); err != nil {
 				return store.ReadReply{}, err
 			}
+			if ri.ra.unread != nil {
+				if err := ri.ra.unread(ri); err != nil {
+					return store.ReadReply{}, err
+				}
+			}
 			return tbl.ReadFunc(ctx, req)
 		},
 		CommitFunc: func(ctx context.Context, txn store.Txn) (store.CommitReply, error) {
 			if _, err := ri.gate.Before(ctx); err != nil {
 				return store.CommitReply{}, err
 			}
-			return tbl.CommitFunc(ctx, txn)
+			reply, err := tbl.CommitFunc(ctx, txn)
+			if err == nil && ri.ra.committed != nil {
+				err = ri.ra.committed(ri, txn)
+			}
+			return reply, err
 		},
 		FeedFunc: func(ctx context.Context, req store.FeedRequest) (store.FeedReply, error) {
 			if _, err := ri.gate.Before(ctx); err != nil {
@@ -108,6 +128,9 @@
 	ri.ra.epochs = append(ri.ra.epochs, te.Epoch)
 	ri.ra.mu.Unlock()
 	ri.set(true)
+	ri.mu.Lock()
+	ri.renounce = te.Renounce
+	ri.mu.Unlock()
 	<-ctx.Done()
 	ri.set(false)
 	ri.mu.Lock()
@@ -168,12 +191,12 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ra := &race{t: t}
+		defer ra.stop()
 		for i := range hosts {
 			ra.add(fmt.Sprint("e", i))
 		}
 		time.Sleep(time.Second)
 		test(ra)
-		ra.stop()
 	})
 }
 
@@ -249,7 +272,7 @@
 func TestOwnerReleases(t *testing.T) {
 	raceOf(t, 3, func(ra *race) {
 		first := ra.owner()
-		first.keeper.Release()
+		first.keeper.Release(time.Second)
 		time.Sleep(400 * time.Millisecond)
 		qt.Assert(t, ra.owner(), qt.Not(qt.Equals), first)
 	})
@@ -308,7 +331,7 @@
 		first := ra.owner()
 		ra.table.ForgetHistory()
 		time.Sleep(5 * time.Second)
-		first.keeper.Release()
+		first.keeper.Release(time.Second)
 		time.Sleep(time.Second)
 		qt.Assert(t, ra.owner(), qt.Not(qt.Equals), first)
 	})
@@ -334,7 +357,7 @@
 		time.Sleep(5 * time.Second)
 		second := ra.owner()
 		qt.Assert(t, second.keeper.Cores, qt.Equals, 0.8)
-		second.keeper.Release()
+		second.keeper.Release(time.Second)
 		time.Sleep(5 * time.Second)
 		qt.Assert(t, ra.owner().keeper.Cores, qt.Equals, 0.8)
 	})
