Go on with a list after errors, and without a limit on the whole in watches

Now a page is tried again after such errors, up to five times, unless it is the first; pages alone have deadlines; no rows where the table says that there are more is an error, which ended the list before.

--- a/internal/store/pages.go
+++ b/internal/store/pages.go
@@ -2,10 +2,16 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
+
+	"github.com/pepperhatch/pepperhatch/internal/clock"
 )
 
+// errNoProgress: the table has more rows, and returns none.
+var errNoProgress = errors.New("more rows, but none in the answer")
+
 // Pages of a list. Rows of a job have up to some 6 kB, as the store writes them.
 const (
 	// pageMost and pageLeast bound the rows of a page; the first has the most, as a
@@ -22,6 +28,11 @@
 	pageQuick = pageTimeout / 3
 	// pageTries is how often a page of the least size is tried.
 	pageTries = 2
+	// errorsMost is how many errors other than a late answer one page may have, if it
+	// is not the first try of all, and errorPause the pause after each: a connection that was
+	// given up has to be opened anew, which takes 0.4 s over a full link.
+	errorsMost = 5
+	errorPause = 200 * time.Millisecond
 )
 
 // pages reads a list page by page. No limit is on the whole: a list that is long, or
@@ -30,8 +41,9 @@
 	tbl    Table
 	prefix string
 	limit  int
-	// late counts the last tries that had no answer in time.
-	late int
+	// late counts the last tries that had no answer in time, errors those that ended
+	// otherwise, since the last page.
+	late, errors int
 }
 
 // ListFrom reads all rows with the prefix, and returns the version of the
@@ -50,9 +62,12 @@
 			version = reply.Version
 		}
 		rows = append(rows, reply.Rows...)
-		if !reply.More && len(reply.Rows) < limit || len(reply.Rows) == 0 {
+		if !reply.More && len(reply.Rows) < limit {
 			return rows, version, nil
 		}
+		if len(reply.Rows) == 0 {
+			return nil, 0, fmt.Errorf("list rows %s after %s: %w", prefix, after, errNoProgress)
+		}
 		after = reply.Rows[len(reply.Rows)-1].Key
 	}
 }
@@ -62,16 +77,29 @@
 	for {
 		limit := pg.limit
 		reply, took, err := pg.try(ctx, after)
-		switch {
-		case err == nil:
+		if err == nil {
 			pg.came(took)
 			return reply, limit, nil
-		case took < pageTimeout || ctx.Err() != nil || !pg.shorten():
+		}
+		if ctx.Err() != nil || !pg.again(ctx, took, after != "") {
 			return reply, limit, err
 		}
 	}
 }
 
+// again reports whether a page is to be tried again. The first is not after an error that
+// came at once: nothing was read yet, and who asks knows what else to do.
+func (pg *pages) again(ctx context.Context, took time.Duration, begun bool) bool {
+	if took >= pageTimeout {
+		return pg.shorten()
+	}
+	pg.errors++
+	if pg.errors > errorsMost || !begun && pg.limit == pageMost {
+		return false
+	}
+	return clock.Sleep(ctx, errorPause)
+}
+
 func (pg *pages) try(ctx context.Context, after string) (ReadReply, time.Duration, error) {
 	ctx, cancel := context.WithTimeout(ctx, pageTimeout)
 	defer cancel()
@@ -82,7 +110,7 @@
 
 // came has the next page be longer if the last one was quick.
 func (pg *pages) came(took time.Duration) {
-	pg.late = 0
+	pg.late, pg.errors = 0, 0
 	if took < pageQuick {
 		pg.limit = min(2*pg.limit, pageMost)
 	}
--- a/internal/store/pages_test.go
+++ b/internal/store/pages_test.go
@@ -84,3 +84,49 @@
 		})
 	})
 }
+
+// TestListsGoOnAfterErrors: an error in the midst of a list threw away what had been read,
+// so that a long list over a poor link never came whole.
+func TestListsGoOnAfterErrors(t *testing.T) {
+	t.Run("opening a connection fails after each late answer", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			late := false
+			tbl := slowTable(2000, 500, 20*time.Millisecond)
+			read := tbl.ReadFunc
+			tbl.ReadFunc = func(ctx context.Context, req ReadRequest) (ReadReply, error) {
+				if late {
+					late = false
+					time.Sleep(400 * time.Millisecond)
+					return ReadReply{}, errors.New("i/o timeout")
+				}
+				reply, err := read(ctx, req)
+				late = err != nil
+				return reply, err
+			}
+			rows, err := tbl.List(t.Context(), "a/")
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, rows, qt.HasLen, 2000)
+		})
+	})
+	t.Run("a call is refused now and then", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			calls := 0
+			tbl := slowTable(2000, 10, time.Millisecond)
+			read := tbl.ReadFunc
+			tbl.ReadFunc = func(ctx context.Context, req ReadRequest) (ReadReply, error) {
+				if calls++; calls%12 == 0 {
+					return ReadReply{}, ErrBusy
+				}
+				return read(ctx, req)
+			}
+			rows, err := tbl.List(t.Context(), "a/")
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, rows, qt.HasLen, 2000)
+		})
+	})
+	t.Run("more rows, and none", func(t *testing.T) {
+		tbl := Table{ReadFunc: func(context.Context, ReadRequest) (ReadReply, error) { return ReadReply{More: true}, nil }}
+		_, err := tbl.List(t.Context(), "a/")
+		qt.Assert(t, errors.Is(err, errNoProgress), qt.IsTrue)
+	})
+}
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -29,8 +29,6 @@
 	// answerGrace is how much longer the answer may take before the connection
 	// counts as dead: 4 ms an answer, up to 120 times slower in bad times.
 	answerGrace = 700 * time.Millisecond
-	// listTimeout bounds reading all rows.
-	listTimeout = 3 * time.Second
 	// patienceMost is how often the time for an answer is added to itself.
 	patienceMost = 3
 	// retryFirst and retryMost are the pauses after errors.
@@ -181,10 +179,9 @@
 }
 
 // list reads all rows. Pages are read at different moments; the feed goes on
-// from the first, so that no change between them is missed.
+// from the first, so that no change between them is missed. The pages have deadlines;
+// a long list over a narrow link takes as long as it needs.
 func (wa *Watch) list(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, wa.patient(listTimeout))
-	defer cancel()
 	rows, version, err := wa.Table.ListFrom(ctx, wa.Under)
 	if err != nil {
 		return err
