Tell writes that are not taken from reads that are, and begin no tenure that was replaced

The test's case named heartbeat faked what an owner never had; it is named for what it is, and one of heartbeats joins it. - A host whose claim was answered late began its tenure although it had been told of a later owner, and that answer counted for its end: it could have extended leases for up to 8 s more (found by reading). - A worker whose entry was back in a form that can't be read went on being emptied (found by reading, no test). Without the mends TestOutagesThatOnlyThePulseTells and TestReplacedBeforeItBegan fail.

--- a/internal/sched/host.go
+++ b/internal/sched/host.go
@@ -103,9 +103,11 @@
 
 func (ow *Owner) setWorkers(listed []Listed, gone []string, whole bool) {
 	for _, li := range listed {
-		if !li.Unread {
-			ow.seeWorker(li)
+		if li.Unread {
+			ow.keepWorker(li.Incarnation)
+			continue
 		}
+		ow.seeWorker(li)
 	}
 	for _, incarnation := range gone {
 		ow.loseWorker(incarnation)
@@ -124,6 +126,13 @@
 	ow.due = true
 }
 
+// keepWorker takes a worker as listed of which no more is known.
+func (ow *Owner) keepWorker(incarnation string) {
+	if ho := ow.hosts[incarnation]; ho != nil {
+		ho.gone, ho.emptied = false, false
+	}
+}
+
 // seeWorker enters or updates a worker.
 func (ow *Owner) seeWorker(li Listed) {
 	if ho := ow.hosts[li.Incarnation]; ho != nil {
--- a/internal/sched/lab_test.go
+++ b/internal/sched/lab_test.go
@@ -46,10 +46,10 @@
 	via atomic.Pointer[string]
 	// viaOf has the entry hosts of workers with one of their own, by incarnation.
 	viaOf map[string]string
-	// listFunc and confirmedFunc are what owners know of the age of the list of workers,
-	// and of when the store confirmed their tenure, if set.
-	listFunc      func() (last, since time.Time)
-	confirmedFunc func() time.Time
+	// listFunc, confirmedFunc and writtenFunc are what owners know of the age of the list
+	// of workers, and of when the store confirmed their tenure and took a heartbeat, if set.
+	listFunc                   func() (last, since time.Time)
+	confirmedFunc, writtenFunc func() time.Time
 	// formerKnown has owners know that the one before has ceased to act.
 	formerKnown bool
 }
@@ -134,7 +134,7 @@
 	qt.Assert(la.t, err, qt.IsNil)
 	version, err = la.table.Client().Commit(ctx, txn)
 	qt.Assert(la.t, err, qt.IsNil)
-	return tenure.Tenure{Epoch: la.epoch, Key: key, Version: version, Former: former, FormerEnded: la.formerEnded(time.Now()), Confirmed: time.Now, Renounce: func(error) {}}
+	return tenure.Tenure{Epoch: la.epoch, Key: key, Version: version, Former: former, FormerEnded: la.formerEnded(time.Now()), Confirmed: time.Now, Written: time.Now, Renounce: func(error) {}}
 }
 
 // client returns the store as owners reach it.
@@ -175,6 +175,9 @@
 	if la.confirmedFunc != nil {
 		te.Confirmed = la.confirmedFunc
 	}
+	if la.writtenFunc != nil {
+		te.Written = la.writtenFunc
+	}
 	ow := New(&Owner{
 		Cell: "c0", Tenure: te, Table: la.client(), Agent: la.agent(), Metrics: la.metrics, Log: la.log,
 		ViaFunc: la.viaNow, ListFunc: la.listFunc,
--- a/internal/sched/unlisted.go
+++ b/internal/sched/unlisted.go
@@ -11,8 +11,9 @@
 	// listStale is the age from which on the list counts as not read: a call waits 1.5 s
 	// for a change, and the next is under way for as long.
 	listStale = 3500 * time.Millisecond
-	// unconfirmedAfter is how old the last heartbeat that the store took may be: one is
-	// written each 0.5 s, and a write takes up to 1.5 s before it is sent again.
+	// unconfirmedAfter is how old the last heartbeat that the store took may be, and
+	// its last confirmation of the tenure: one is written each 0.5 s, and a write takes
+	// up to 1.5 s before it is sent again.
 	unconfirmedAfter = 2 * time.Second
 	// doubtFor is how long a list is doubted that has less than half of the workers
 	// which it had, as the entry hosts of `serve` do.
@@ -59,9 +60,10 @@
 }
 
 // storeTrouble reports whether the store does not serve the owner: entries lapse then
-// although their workers are well.
+// although their workers are well. It may answer reads and take no writes.
 func (ow *Owner) storeTrouble(now time.Time) bool {
-	return !ow.failing.IsZero() || ow.listAge(now) > listStale || now.Sub(ow.Tenure.Confirmed()) > unconfirmedAfter
+	return !ow.failing.IsZero() || ow.listAge(now) > listStale ||
+		now.Sub(ow.Tenure.Confirmed()) > unconfirmedAfter || now.Sub(ow.Tenure.Written()) > unconfirmedAfter
 }
 
 // doubtList doubts a list that has lost more than half of its workers of late: it is
--- a/internal/sched/unlisted_test.go
+++ b/internal/sched/unlisted_test.go
@@ -234,10 +234,11 @@
 }
 
 // TestOutagesThatOnlyThePulseTells has entries lapse while the store does not serve an
-// owner that writes nothing else: its list of workers is not read, or its heartbeats are
-// not taken. What runs stays until the store has served for long enough.
+// owner that writes nothing else: its list of workers is not read, its tenure not
+// confirmed, or its heartbeats not taken while reads are answered. What runs stays until
+// the store has served for long enough.
 func TestOutagesThatOnlyThePulseTells(t *testing.T) {
-	for _, by := range []string{"list", "heartbeat"} {
+	for _, by := range []string{"list", "tenure", "heartbeat"} {
 		synctest.Test(t, func(t *testing.T) {
 			la := newLab(t, 4)
 			var since, until time.Time
@@ -247,10 +248,13 @@
 				}
 				return since
 			}
-			if by == "list" {
+			switch by {
+			case "list":
 				la.listFunc = func() (last, began time.Time) { return stuck(), time.Time{} }
-			} else {
+			case "tenure":
 				la.confirmedFunc = stuck
+			case "heartbeat":
+				la.writtenFunc = stuck
 			}
 			since = time.Now().Add(2 * time.Second)
 			until = since.Add(12 * time.Second)
--- a/internal/tenure/heart.go
+++ b/internal/tenure/heart.go
@@ -35,15 +35,16 @@
 func (he *heart) run() {
 	ctx := he.ctx
 	// The claim was just written.
-	he.ke.noteBeat(true)
+	he.ke.noteBeat(time.Now(), true)
 	for n := int64(1); ; n++ {
+		sent := time.Now()
 		cctx, cancel := context.WithTimeout(ctx, callTimeout)
 		_, err := he.ke.Table.CommitFunc(cctx, he.beat(n))
 		cancel()
 		if err != nil && ctx.Err() == nil {
 			he.ke.Log.Warn("heartbeat not written", "cell", he.ke.Cell, "epoch", he.epoch, "n", n, "err", err)
 		}
-		he.ke.noteBeat(err == nil)
+		he.ke.noteBeat(sent, err == nil)
 		if !clock.Sleep(ctx, BeatEvery) {
 			return
 		}
@@ -51,16 +52,23 @@
 }
 
 // noteBeat notes whether a heartbeat was written.
-func (ke *Keeper) noteBeat(written bool) {
+func (ke *Keeper) noteBeat(sent time.Time, written bool) {
 	ke.mu.Lock()
 	defer ke.mu.Unlock()
 	if written {
-		ke.missed = 0
+		ke.missed, ke.beaten = 0, sent
 		return
 	}
 	ke.missed++
 }
 
+// written returns when the last heartbeat was sent that the store took.
+func (ke *Keeper) written() time.Time {
+	ke.mu.Lock()
+	defer ke.mu.Unlock()
+	return ke.beaten
+}
+
 // beat returns the write of a heartbeat. It has no condition: it names its
 // epoch, and one that is of a former owner, or comes late, tells nobody
 // anything.
--- a/internal/tenure/stop_test.go
+++ b/internal/tenure/stop_test.go
@@ -1,9 +1,11 @@
 package tenure
 
 import (
+	"context"
 	"errors"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -171,3 +173,48 @@
 		})
 	}
 }
+
+// TestReplacedBeforeItBegan: a host's claim is answered late; another host, which saw the
+// row and then silence, owns the cell by then and has told this one, whose answer counts
+// for its end. It began all the same, and could extend leases for seconds.
+func TestReplacedBeforeItBegan(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ra := &race{t: t}
+		defer ra.stop()
+		fc := firstClaim{then: func(ri *rival) { ri.keeper.Replaced(2) }}
+		ra.committed = fc.committed
+		ra.add("e0")
+		time.Sleep(2 * time.Second)
+		qt.Assert(t, ra.tenures(), qt.HasLen, 0)
+	})
+}
+
+// TestWritten: the store answers reads and takes no writes. What tells of the one does not
+// tell of the other.
+func TestWritten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		began := make(chan Tenure, 1)
+		var lost atomic.Bool
+		ra := &race{t: t}
+		defer ra.stop()
+		ra.serveFunc = func(ctx context.Context, te Tenure) (map[string]int64, error) {
+			began <- te
+			<-ctx.Done()
+			return nil, nil
+		}
+		ra.committed = func(*rival, store.Txn) error {
+			if lost.Load() {
+				return errLost
+			}
+			return nil
+		}
+		ra.add("e0")
+		te := <-began
+		time.Sleep(2 * time.Second)
+		lost.Store(true)
+		since := time.Now()
+		time.Sleep(3 * time.Second)
+		qt.Assert(t, te.Confirmed().After(since), qt.IsTrue)
+		qt.Assert(t, te.Written().After(since), qt.IsFalse)
+	})
+}
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -114,8 +114,10 @@
 	// host has yet to answer that the process is gone, or that it was told of its
 	// replacement.
 	FormerEnded func() time.Time
-	// Confirmed returns when the store last confirmed the tenure.
+	// Confirmed returns when the store last confirmed the tenure, by an answer to a
+	// read, and Written when it last took a heartbeat: it may do the one without the other.
 	Confirmed func() time.Time
+	Written   func() time.Time
 	// Renounce ends the tenure when something showed that it is over.
 	Renounce func(reason error)
 }
@@ -162,7 +164,11 @@
 	turnedAway  bool
 	// missed counts the heartbeats that this host, as the owner, failed to write
 	// since the last one that it wrote.
-	missed   int
+	missed int
+	// beaten is when the last heartbeat was sent that was written, or the claim.
+	beaten time.Time
+	// told is the highest epoch that this host was told of by its owner.
+	told     int64
 	stopping bool
 	// releaseBy is when a host that stops gives up giving its cell up.
 	releaseBy time.Time
@@ -218,6 +224,9 @@
 func (ke *Keeper) Replaced(epoch int64) {
 	ke.mu.Lock()
 	defer ke.mu.Unlock()
+	// The answer counts for the end of all earlier tenures, also of one that this host
+	// has claimed and not begun.
+	ke.told = max(ke.told, epoch)
 	if ke.end != nil && ke.row.Epoch < epoch {
 		ke.Log.Warn("told of a new owner", "cell", ke.Cell, "epoch", epoch)
 		ke.end(ErrOver)
@@ -412,7 +421,7 @@
 	sctx, end := context.WithCancelCause(ctx)
 	defer end(nil)
 	ke.mu.Lock()
-	if ke.version > version {
+	if ke.version > version || ke.told > row.Epoch {
 		ke.mu.Unlock()
 		return
 	}
@@ -430,7 +439,7 @@
 	go hb.run()
 	go ke.yield(sctx, row, end)
 	ke.Log.Info("owning the cell", "cell", ke.Cell, "epoch", row.Epoch, "version", version)
-	silent, err := ke.Serve(sctx, Tenure{Epoch: row.Epoch, Key: ke.ownerKey(), Version: version, Former: fo.row, FormerEnded: fo.when, Confirmed: hb.last, Renounce: end})
+	silent, err := ke.Serve(sctx, Tenure{Epoch: row.Epoch, Key: ke.ownerKey(), Version: version, Former: fo.row, FormerEnded: fo.when, Confirmed: hb.last, Written: ke.written, Renounce: end})
 	cause := context.Cause(sctx)
 	end(err)
 	ke.mu.Lock()
