Ask lost hosts again only once the pool runs

Read in the diff: a list of hosts that changes before the pool runs, with the former owner's host as the only one left, asked that host again by a context that is not there yet, and the process ended. TestListChangesBeforeRun ended with that panic before.

--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -116,7 +116,7 @@
 	for _, name := range gone {
 		delete(po.plan.members, name)
 	}
-	if len(gone) > 0 && po.plan.helpless() {
+	if len(gone) > 0 && po.ctx != nil && po.plan.helpless() {
 		po.regainAll()
 	}
 	po.changed()
--- a/internal/relay/strand_test.go
+++ b/internal/relay/strand_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"log/slog"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -120,3 +121,13 @@
 	defer nt.pool.mu.Unlock()
 	return nt.pool.links[name].st != nil
 }
+
+// TestListChangesBeforeRun: the host of the former owner is the only one left in the list
+// before the pool runs; asking it again then ended the process.
+func TestListChangesBeforeRun(t *testing.T) {
+	po := &Pool{Self: "self", Cores: 1, Former: "r0", FormerProcess: "p", Log: slog.New(slog.DiscardHandler)}
+	po.SetMembers([]registry.Member{{Name: "r0", Process: "p"}, {Name: "r1", Process: "p"}}, nil, true)
+	po.SetMembers(nil, []string{"r1"}, false)
+	time.Sleep(2 * awayNone)
+	qt.Assert(t, po.plan.helpless(), qt.IsTrue)
+}
