--- /dev/null
+++ b/internal/sched/formerlife_test.go
@@ -0,0 +1,100 @@
+package sched
+
+import (
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pepperhatch/pepperhatch/internal/standin"
+	"github.com/pepperhatch/pepperhatch/internal/worker"
+)
+
+// nextLife ends a worker's process and has another listen at its address. It returns the
+// entries of both.
+func (la *lab) nextLife(i int) (was, now Listed) {
+	was = la.listed()[i]
+	fw := la.crew[i]
+	la.fleet.Kill(fw)
+	next := &standin.FleetWorker{Addr: worker.Addr{HostPort: fw.Addr.HostPort, Incarnation: fw.Addr.Incarnation + "b"}, Holds: fw.Holds}
+	la.fleet.Add(next)
+	la.crew[i] = next
+	return was, la.listed()[i]
+}
+
+// TestFormerLifeIsListed is the story of a worker that lives and is taken for dead.
+//
+// Users saw 19 to 298 tasks run twice at once after workers had crashed behind a cut, or
+// racks of them just before the owner changed. Order of events: a worker crashes; another
+// process is listed at its address and gets work; the entry of the one that crashed, which
+// stays for three heartbeats and may be written once more, is met again; the one that
+// lives is dead by that, and all that it runs starts elsewhere. Cause: what is listed
+// later was taken to have begun later. Evidence: "worker is dead" with another process
+// listed at its address, for a worker that a second later settles with what it ran.
+func TestFormerLifeIsListed(t *testing.T) {
+	t.Run("again", formerLifeAgain)
+	t.Run("to the next owner", bothLives)
+}
+
+// formerLifeAgain has the entry of a dead worker go and come back while the next process
+// at its address works.
+func formerLifeAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		la, ow := lastingLab(t, 3, 12)
+		was, now := la.nextLife(0)
+		ow.SetWorkers([]Listed{now}, nil, false)
+		time.Sleep(time.Second)
+		la.submit(ow, 2, lasting(12))
+		time.Sleep(time.Second)
+		la.assertRunning(24)
+		for range 3 {
+			ow.SetWorkers(nil, []string{was.Incarnation}, false)
+			ow.SetWorkers([]Listed{was}, nil, false)
+			time.Sleep(500 * time.Millisecond)
+		}
+		time.Sleep(5 * time.Second)
+		la.assertRunning(24)
+	})
+}
+
+// bothLives has an owner begin while the list has both the worker that
+// crashed and the one that lives at its address, in either order: nothing runs twice, and
+// what the dead one ran starts at once.
+func bothLives(t *testing.T) {
+	for _, formerLast := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			la := newLab(t, 3)
+			la.fleet.RunFunc = endless
+			ow, end := la.own()
+			time.Sleep(time.Second)
+			la.submit(ow, 1, lasting(12))
+			time.Sleep(time.Second)
+			was, now := la.nextLife(0)
+			ow.SetWorkers([]Listed{now}, nil, false)
+			time.Sleep(time.Second)
+			la.submit(ow, 2, lasting(12))
+			time.Sleep(time.Second)
+			la.nextLife(1)
+			end()
+			ow, loaded, end := la.begin()
+			defer end()
+			<-loaded
+			list := append(la.listed(), was, la.formerEntry(1))
+			if !formerLast {
+				slices.Reverse(list)
+			}
+			ow.SetWorkers(list, nil, true)
+			time.Sleep(2 * time.Second)
+			la.assertRunning(24)
+			time.Sleep(20 * time.Second)
+			la.assertRunning(24)
+		})
+	}
+}
+
+// formerEntry is the entry of the life before a worker's.
+func (la *lab) formerEntry(i int) Listed {
+	li := la.listed()[i]
+	li.Incarnation = li.Incarnation[:len(li.Incarnation)-1]
+	return li
+}
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -11,6 +11,10 @@
 	"github.com/pepperhatch/pepperhatch/internal/worker"
 )
 
+// Crashes is how a task ends that ends its worker's process with it: nothing is told of
+// that to anybody.
+const Crashes = "crashes"
+
 // FleetRun is one run of a task at a worker of a [Fleet], for checks afterwards.
 type FleetRun struct {
 	worker.Attempt
@@ -44,6 +48,8 @@
 	RunFunc func(at worker.Attempt) (time.Duration, string)
 	// World has tasks disturb each other, if set.
 	World *World
+	// CrashedFunc is told of a worker that a task crashed, if set.
+	CrashedFunc func(fw *FleetWorker)
 	// RoomFunc returns what a task takes of a worker's room.
 	RoomFunc func(at worker.Attempt) worker.Resources
 
@@ -113,12 +119,25 @@
 func (fl *Fleet) Kill(fw *FleetWorker) {
 	fl.mu.Lock()
 	defer fl.mu.Unlock()
+	fw.kill()
+}
+
+func (fw *FleetWorker) kill() {
 	fw.dead = true
 	for name := range fw.running {
 		fw.end(name, "killed")
 	}
 }
 
+// crash ends the worker's process by the doing of a task.
+func (fw *FleetWorker) crash(task string) {
+	fw.end(task, Crashes)
+	fw.kill()
+	if fw.fl.CrashedFunc != nil {
+		go fw.fl.CrashedFunc(fw)
+	}
+}
+
 // SetLate has a worker's orders answered not at all and carried out so much
 // later, or at once if d is 0.
 func (fl *Fleet) SetLate(fw *FleetWorker, d time.Duration) {
@@ -310,7 +329,11 @@
 	ta.timer = time.AfterFunc(work, func() {
 		fw.fl.mu.Lock()
 		defer fw.fl.mu.Unlock()
-		if fw.running[la.Task] == ta {
+		switch {
+		case fw.running[la.Task] != ta:
+		case how == Crashes:
+			fw.crash(la.Task)
+		default:
 			fw.end(la.Task, how)
 		}
 	})
