Count the ends of workers against tasks, and give up one under which three crashed

Cause: all that stood on a worker that died ended as lapsed, which counted against nothing and was remembered nowhere, so a task that crashes its workers was tried without a bound and took its neighbours along each time. Class: a repeat without a bound.

A worker's end without a word now counts against an attempt that had just begun (0.5 s, as looks list it), in the job's row, and less surely against others. At two crashes a task is tried alone, on a worker where nothing is at its start and nothing begins beside it; at the third it is given up and its job fails with a line and a counter. Also five losses, two of them certain, give it up, and ten of any kind. What drained, left, or outlived 10 s counts nothing; a silent worker, and an order without an answer, are no certain crash. A late word that an attempt which was given up had failed counts as a failure.

--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -45,8 +45,13 @@
 	EndFailed End = "failed"
 	// EndStopped: by an order.
 	EndStopped End = "stopped"
-	// EndLapsed: the lease ran out, or the worker is gone.
+	// EndLapsed: the lease ran out, or the worker left.
 	EndLapsed End = "lapsed"
+	// EndCrashed: the worker's process certainly ended without a word just after it began
+	// the attempt. EndLost: it ended, and less is known. Both count against the task, see
+	// blame.go.
+	EndCrashed End = "crashed"
+	EndLost    End = "lost"
 	// EndNever: the attempt never ran and never will.
 	EndNever End = "never-ran"
 )
@@ -59,6 +64,14 @@
 	Attempt int
 	// Failures counts attempts that ended failed.
 	Failures int
+	// Crashes and Losses count the workers that ended under attempts of it, since one
+	// was last seen to last: those that certainly crashed just after they began it, and
+	// the others, see blame.go.
+	Crashes int
+	Losses  int
+	// GivenUp are the last attempts that ended without the worker's word and may still
+	// be told to have failed.
+	GivenUp []int
 	// Worker is the incarnation of the last attempt's worker.
 	Worker string
 	// Checkpoint is what the next attempt starts from, Base what the last one
@@ -224,7 +237,13 @@
 	case EndDone:
 		jo.endDone(ref, ta)
 	case EndFailed:
-		jo.endFailed(ref, ta)
+		ta.Failures++
+	case EndCrashed, EndLost, EndLapsed:
+		jo.countLoss(ta, end)
+	}
+	// Also a failure may have been told of an attempt before this one.
+	if ta.State == Waiting && jo.Exhausted(ref) {
+		jo.giveUp(ta)
 	}
 	return true
 }
@@ -246,19 +265,10 @@
 		return
 	}
 	ta.State = Done
-	ta.Worker, ta.Checkpoint, ta.Base = "", "", ""
+	ta.Worker, ta.Checkpoint, ta.Base, ta.GivenUp = "", "", "", nil
 	jo.left[ref.Step]--
 }
 
-func (jo *Job) endFailed(ref TaskRef, ta *Task) {
-	ta.Failures++
-	if jo.Spec.Steps[ref.Step].Endless || ta.Failures < jo.Terms.MaxFailures {
-		return
-	}
-	ta.State = Failing
-	jo.failed++
-}
-
 // taskTimes is the part of a task's name that says which repetition of the job it is
 // of; there is only the first.
 const taskTimes = ".0."
--- a/internal/job/job_test.go
+++ b/internal/job/job_test.go
@@ -75,7 +75,7 @@
 	sp.Steps[0].Endless = true
 	jo := New(testID, Terms{MaxFailures: 1}, sp)
 	ref := TaskRef{0, 0}
-	for attempt, end := range []End{EndFailed, EndDone, EndLapsed, EndStopped, EndNever} {
+	for attempt, end := range []End{EndFailed, EndDone, EndLapsed, EndStopped, EndNever, EndCrashed, EndLost} {
 		qt.Assert(t, jo.Start(ref, "w"), qt.Equals, attempt+1)
 		qt.Assert(t, jo.End(ref, attempt+1, end, ""), qt.IsTrue)
 		qt.Assert(t, jo.State(), qt.Equals, Running)
@@ -117,7 +117,7 @@
 		qt.Assert(t, err, qt.IsNil)
 		for i := range tasks {
 			want := asKept(tasks[i])
-			qt.Assert(t, again[i], qt.Equals, want)
+			qt.Assert(t, again[i], qt.DeepEquals, want)
 		}
 	})
 }
@@ -142,6 +142,8 @@
 		Failures: rapid.IntRange(0, 2).Draw(rt, "failures"), Worker: rapid.SampledFrom([]string{"i-1", "i-2", "i-3"}).Draw(rt, "worker"),
 		Checkpoint: rapid.SampledFrom([]string{"", "c1"}).Draw(rt, "checkpoint"),
 		Base:       rapid.SampledFrom([]string{"", "c0"}).Draw(rt, "base"),
+		Crashes:    rapid.IntRange(0, 2).Draw(rt, "crashes"), Losses: rapid.IntRange(0, 3).Draw(rt, "losses"),
+		GivenUp: rapid.SampledFrom([][]int{nil, {1}, {2, 5}}).Draw(rt, "given up"),
 	}
 }
 
@@ -158,7 +160,7 @@
 			if number := jo.Start(ref, "w"); number > 0 && (before.State != Waiting || number != before.Attempt+1) {
 				rt.Fatalf("attempt %d of a task in state %v", number, before)
 			}
-			end := rapid.SampledFrom([]End{EndDone, EndFailed, EndStopped, EndLapsed, EndNever}).Draw(rt, "end")
+			end := rapid.SampledFrom([]End{EndDone, EndFailed, EndStopped, EndLapsed, EndNever, EndCrashed, EndLost}).Draw(rt, "end")
 			if rapid.Bool().Draw(rt, "ends") {
 				jo.End(ref, jo.Task(ref).Attempt, end, fmt.Sprint(ref))
 			}
--- a/internal/job/steprow.go
+++ b/internal/job/steprow.go
@@ -22,6 +22,11 @@
 	Attempts map[int]int `json:"a,omitempty"`
 	// Failures has how often tasks failed that are not done, if they did.
 	Failures map[int]int `json:"f,omitempty"`
+	// Crashes, Losses and GivenUp have what the ends of workers left behind of tasks that
+	// are not done, see Task.
+	Crashes map[int]int   `json:"x,omitempty"`
+	Losses  map[int]int   `json:"l,omitempty"`
+	GivenUp map[int][]int `json:"g,omitempty"`
 	// Workers are the incarnations of those on which the step's tasks run; On has,
 	// for each started task in turn, the index of its worker there.
 	Workers []string `json:"w,omitempty"`
@@ -67,6 +72,15 @@
 	if ta.Failures > 0 {
 		put(&sr.Failures, i, ta.Failures)
 	}
+	if ta.Crashes > 0 {
+		put(&sr.Crashes, i, ta.Crashes)
+	}
+	if ta.Losses > 0 {
+		put(&sr.Losses, i, ta.Losses)
+	}
+	if len(ta.GivenUp) > 0 {
+		put(&sr.GivenUp, i, slices.Clone(ta.GivenUp))
+	}
 	checkpoint := ta.Checkpoint
 	if ta.State == Started {
 		sr.On = append(sr.On, sr.index(ta.Worker))
@@ -113,7 +127,7 @@
 		if state < 0 {
 			return nil, fmt.Errorf("%w: state %q", errRow, states[i])
 		}
-		ta := Task{State: TaskState(state), Failures: sr.Failures[i], Checkpoint: sr.Checkpoints[i]}
+		ta := Task{State: TaskState(state), Failures: sr.Failures[i], Crashes: sr.Crashes[i], Losses: sr.Losses[i], GivenUp: sr.GivenUp[i], Checkpoint: sr.Checkpoints[i]}
 		ta.Attempt = usualAttempt(ta.State)
 		if number, ok := sr.Attempts[i]; ok {
 			ta.Attempt = number
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -178,6 +178,7 @@
 	{"unfit", worker.ErrUnfit},
 	{"other-life", worker.ErrOtherLife},
 	{"malformed", worker.ErrMalformed},
+	{"broke-off", worker.ErrBrokeOff},
 }
 
 // codeOf returns the code of an error.
--- a/internal/sched/crash_test.go
+++ b/internal/sched/crash_test.go
@@ -1,22 +1,33 @@
 package sched
 
 import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/pepperhatch/pepperhatch/internal/clock"
 	"github.com/pepperhatch/pepperhatch/internal/job"
+	"github.com/pepperhatch/pepperhatch/internal/standin"
+	"github.com/pepperhatch/pepperhatch/internal/telemetry"
+	"github.com/pepperhatch/pepperhatch/internal/worker"
 )
 
 // startsMost is how often a task that crashes its workers may be started, as the users
 // state it: two times more after three workers have crashed under it.
 const startsMost = 5
 
-// firstTask is the name of a job's first task.
-func firstTask(n int) string {
-	return job.New(jobID(n), job.Terms{}, batch(1, 1)).TaskID(job.TaskRef{})
+// firstTask is the name of the first task of job 1.
+func firstTask() string {
+	return job.New(jobID(1), job.Terms{}, batch(1, 1)).TaskID(job.TaskRef{})
 }
 
 // TestTaskThatCrashesItsWorkers is the story of a task that ends the process of each
@@ -43,17 +54,274 @@
 				cr.submit(ow, 2, lasting(12))
 				time.Sleep(time.Second)
 				cr.submit(ow, 1, batch(1, 2))
-				for range 20 {
-					time.Sleep(2 * time.Second)
+				for range 6 {
+					time.Sleep(1500 * time.Millisecond)
 					if owners != "one owner" {
 						ow = cr.own()
 					}
+					// As long as it takes to give up what stood on a worker that was never seen.
+					time.Sleep(16 * time.Second)
 				}
-				time.Sleep(15 * time.Second)
-				qt.Check(t, cr.starts(firstTask(1)) <= startsMost, qt.IsTrue, qt.Commentf("%d starts", cr.starts(firstTask(1))))
+				qt.Check(t, cr.starts(firstTask()) <= startsMost, qt.IsTrue, qt.Commentf("%d starts", cr.starts(firstTask())))
 				qt.Check(t, cr.state(ow, 1), qt.Equals, job.Failed)
 				cr.assertRunning(12)
 			})
 		})
 	}
 }
+
+// TestLastingTaskThatCrashesItsWorkers has one of six tasks that last crash its workers:
+// its job ends, as it would be started for ever else.
+func TestLastingTaskThatCrashesItsWorkers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cr := newCrashes(t, newLab(t, 6))
+		cr.crashing(1)
+		ow := cr.own()
+		defer func() { cr.end() }()
+		time.Sleep(time.Second)
+		cr.submit(ow, 1, lasting(6))
+		time.Sleep(30 * time.Second)
+		qt.Check(t, cr.starts(firstTask()), qt.Equals, 3)
+		qt.Check(t, cr.state(ow, 1), qt.Equals, job.Failed)
+		cr.assertRunning(0)
+	})
+}
+
+// TestThirdTryIsAlone checks that nothing begins beside a task that is given up at the
+// next crash, and that all that stood there had got over its start.
+func TestThirdTryIsAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cr := newCrashes(t, newLab(t, 2))
+		cr.crashing(1)
+		short := cr.fleet.RunFunc
+		cr.fleet.RunFunc = func(at worker.Attempt) (time.Duration, string) {
+			if at.Task == firstTask() {
+				return 400 * time.Millisecond, standin.Crashes
+			}
+			return short(at)
+		}
+		// The next process settles late, so that the task is tried where others are at work.
+		cr.throughFunc = slowToSettle
+		ow := cr.own()
+		defer func() { cr.end() }()
+		time.Sleep(time.Second)
+		cr.submit(ow, 1, batch(1, 1))
+		for n := range 60 {
+			cr.submit(ow, 100+n, batch(1, 3))
+			time.Sleep(300 * time.Millisecond)
+		}
+		time.Sleep(30 * time.Second)
+		tries := 0
+		for _, third := range cr.fleet.Runs() {
+			if third.Task != firstTask() || third.Number != 3 {
+				continue
+			}
+			tries++
+			for _, ru := range cr.fleet.Runs() {
+				beside := ru.Worker == third.Worker && ru.Task != third.Task && ru.Until.After(third.From)
+				qt.Check(t, beside && third.From.Sub(ru.From) < provenAfter, qt.IsFalse, qt.Commentf("%s began %v before", ru.Task, third.From.Sub(ru.From)))
+			}
+		}
+		qt.Check(t, tries, qt.Equals, 1)
+		for n := range 60 {
+			qt.Check(t, cr.state(ow, 100+n), qt.Equals, job.Succeeded)
+		}
+	})
+}
+
+// slowToSettle has workers that came back answer no look before 400 ms.
+func slowToSettle(ag worker.Agent) worker.Agent {
+	look := ag.LookFunc
+	var mu sync.Mutex
+	first := map[string]time.Time{}
+	ag.LookFunc = func(ctx context.Context, ad worker.Addr, lo worker.Look) (worker.Sight, error) {
+		mu.Lock()
+		if first[ad.Incarnation].IsZero() {
+			first[ad.Incarnation] = time.Now()
+		}
+		wait := 400*time.Millisecond - time.Since(first[ad.Incarnation])
+		mu.Unlock()
+		if strings.HasPrefix(ad.Incarnation, "life-") && !clock.Sleep(ctx, max(wait, 0)) {
+			return worker.Sight{}, ctx.Err()
+		}
+		return look(ctx, ad, lo)
+	}
+	return ag
+}
+
+// TestSuspectsOfOneJobAreNotKeptWaiting has six tasks that last lose their workers twice,
+// by nobody's doing, each time just after they began: they are tried alone, and all are
+// back within the time that users bear for one that lasts.
+func TestSuspectsOfOneJobAreNotKeptWaiting(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cr := newCrashes(t, newLab(t, 12))
+		cr.crashing()
+		ow := cr.own()
+		defer func() { cr.end() }()
+		time.Sleep(time.Second)
+		cr.submit(ow, 1, lasting(6))
+		for range 2 {
+			time.Sleep(100 * time.Millisecond)
+			for _, fw := range append([]*standin.FleetWorker(nil), cr.crew...) {
+				if cr.running()[fw.Addr.Incarnation] > 0 {
+					cr.crash(fw)
+				}
+			}
+			time.Sleep(backAfter)
+		}
+		time.Sleep(3 * time.Second)
+		cr.assertRunning(6)
+		qt.Check(t, cr.state(ow, 1), qt.Equals, job.Running)
+	})
+}
+
+// TestWorkersThatLeaveAreNobodysDoing has workers end four times just after a task began
+// there, which said that they drain, or whose entry went while they still answered.
+func TestWorkersThatLeaveAreNobodysDoing(t *testing.T) {
+	for _, drains := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			la, li := loggedLab(t, 6)
+			la.fleet.RunFunc = func(worker.Attempt) (time.Duration, string) { return 5 * time.Second, "done" }
+			ow, end := la.own()
+			defer end()
+			time.Sleep(time.Second)
+			la.submit(ow, 1, batch(1, 1))
+			for range 4 {
+				time.Sleep(50 * time.Millisecond)
+				i := slices.IndexFunc(la.crew, func(fw *standin.FleetWorker) bool { return la.running()[fw.Addr.Incarnation] > 0 })
+				leaving := la.listed()[i]
+				leaving.Draining, leaving.Remaining = true, time.Minute
+				if drains {
+					ow.SetWorkers([]Listed{leaving}, nil, false)
+				} else {
+					ow.SetWorkers(nil, []string{leaving.Incarnation}, false)
+				}
+				if drains {
+					time.Sleep(300 * time.Millisecond)
+				} else {
+					// A look has come back since.
+					time.Sleep(1100 * time.Millisecond)
+				}
+				_, now := la.nextLife(i)
+				ow.SetWorkers([]Listed{now}, nil, false)
+				time.Sleep(time.Second)
+			}
+			time.Sleep(6 * time.Second)
+			qt.Check(t, la.state(ow, 1), qt.Equals, job.Succeeded)
+			qt.Check(t, li.with("end=lapsed"), qt.HasLen, 4)
+			qt.Check(t, len(li.with("end=crashed"))+len(li.with("end=lost")), qt.Equals, 0)
+			la.assertNothingTwice()
+		})
+	}
+}
+
+// TestRefusedByTheNextProcess has an order reach the process that came after a crash: its
+// attempt had no part in that.
+func TestRefusedByTheNextProcess(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		la, li := loggedLab(t, 1)
+		ow, end := la.own()
+		defer end()
+		time.Sleep(time.Second)
+		la.table.Gate.Set(standin.Fault{Mode: standin.ModeSlow, DelayMS: 100})
+		go la.submit(ow, 1, batch(1, 1))
+		time.Sleep(99 * time.Millisecond)
+		la.nextLife(0)
+		time.Sleep(time.Second)
+		ow.SetWorkers(la.listed(), nil, true)
+		time.Sleep(3 * time.Second)
+		qt.Check(t, li.with("end=never-ran", "refused by another process"), qt.HasLen, 1)
+		qt.Check(t, len(li.with("end=crashed"))+len(li.with("end=lost")), qt.Equals, 0)
+		qt.Check(t, la.state(ow, 1), qt.Equals, job.Succeeded)
+	})
+}
+
+// TestSilenceIsNoProof has a worker that has just begun a task fall silent, and another
+// process listen at its address 3 s later: when it ended nobody knows.
+func TestSilenceIsNoProof(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		la, li := loggedLab(t, 2)
+		la.fleet.RunFunc = func(worker.Attempt) (time.Duration, string) { return 5 * time.Second, "done" }
+		var silent atomic.Pointer[string]
+		la.throughFunc = func(ag worker.Agent) worker.Agent {
+			look := ag.LookFunc
+			ag.LookFunc = func(ctx context.Context, ad worker.Addr, lo worker.Look) (worker.Sight, error) {
+				si, err := look(ctx, ad, lo)
+				if id := silent.Load(); id != nil && *id == ad.Incarnation {
+					<-ctx.Done()
+					return worker.Sight{}, ctx.Err()
+				}
+				return si, err
+			}
+			return ag
+		}
+		ow, end := la.own()
+		defer end()
+		time.Sleep(time.Second)
+		la.submit(ow, 1, batch(1, 1))
+		time.Sleep(10 * time.Millisecond)
+		i := slices.IndexFunc(la.crew, func(fw *standin.FleetWorker) bool { return la.running()[fw.Addr.Incarnation] > 0 })
+		silent.Store(&la.crew[i].Addr.Incarnation)
+		time.Sleep(4 * time.Second)
+		silent.Store(nil)
+		_, now := la.nextLife(i)
+		ow.SetWorkers([]Listed{now}, nil, false)
+		time.Sleep(6 * time.Second)
+		qt.Check(t, li.with("end=lost"), qt.HasLen, 1)
+		qt.Check(t, li.with("end=crashed"), qt.HasLen, 0)
+		qt.Check(t, la.state(ow, 1), qt.Equals, job.Succeeded)
+	})
+}
+
+// TestGivingUpIsTold has the way from a job's id to the reason in the log, and the
+// counters.
+func TestGivingUpIsTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		la, li := loggedLab(t, 6)
+		me, page, err := telemetry.New()
+		qt.Assert(t, err, qt.IsNil)
+		la.metrics = me
+		cr := newCrashes(t, la)
+		cr.crashing(1)
+		ow := cr.own()
+		defer func() { cr.end() }()
+		time.Sleep(time.Second)
+		cr.submit(ow, 1, batch(1, 1))
+		time.Sleep(20 * time.Second)
+		id := "job=" + jobID(1)
+		qt.Check(t, li.with(`msg="attempt ended"`, id, "end=crashed"), qt.HasLen, 3)
+		qt.Check(t, li.with(`msg="trying a task under which workers ended"`, id, "crashes=1", "how=apart"), qt.HasLen, 1)
+		qt.Check(t, li.with(`msg="trying a task under which workers ended"`, id, "crashes=2", "how=alone"), qt.HasLen, 1)
+		qt.Check(t, li.with(`msg="task given up"`, id, "why=crashes", "attempt=3", "crashes=3"), qt.HasLen, 1)
+		re := httptest.NewRecorder()
+		page.ServeHTTP(re, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+		for _, line := range []string{
+			`pepperhatch_workers_crashed_total{attempts="some"} 3`, `pepperhatch_suspect_starts_total{how="alone"} 1`,
+			`pepperhatch_suspect_starts_total{how="apart"} 1`, `pepperhatch_tasks_given_up_total{why="crashes"} 1`,
+		} {
+			qt.Check(t, re.Body.String(), qt.Contains, line+"\n")
+		}
+	})
+}
+
+// TestFailureOfASilentWorkersAttempt has a worker fall silent until its leases have lapsed,
+// and then list the attempt that was given up as failed. The task does not begin once more
+// than its queue allows.
+func TestFailureOfASilentWorkersAttempt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		la := newLab(t, 3)
+		la.fleet.RunFunc = func(worker.Attempt) (time.Duration, string) { return 2500 * time.Millisecond, "failed" }
+		ow, end := la.own()
+		defer end()
+		time.Sleep(time.Second)
+		la.submit(ow, 1, batch(1, 1))
+		time.Sleep(300 * time.Millisecond)
+		silent, _ := la.busiest()
+		silent.Gate.Set(standin.Fault{Mode: standin.ModeFreeze})
+		time.Sleep(10 * time.Second)
+		silent.Gate.Set(standin.Fault{})
+		time.Sleep(20 * time.Second)
+		qt.Check(t, la.state(ow, 1), qt.Equals, job.Failed)
+		qt.Check(t, la.fleet.Runs(), qt.HasLen, 3)
+	})
+}
--- /dev/null
+++ b/internal/sched/crashcost_test.go
@@ -0,0 +1,134 @@
+package sched
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/pepperhatch/pepperhatch/internal/job"
+	"github.com/pepperhatch/pepperhatch/internal/proptest"
+)
+
+// crashCost is what tasks cost that crash their workers.
+type crashCost struct {
+	// workers were crashed by them.
+	workers int
+	// lost are the attempts of others that went with them, until a minute after.
+	lost int
+	// failedAfter is how long after they were handed in all of their jobs had failed, or
+	// zero if they had not within a minute.
+	failedAfter time.Duration
+}
+
+// costOf plays a minute of twelve workers with 24 tasks that last and a short job each
+// 300 ms, into which jobs come of which so many tasks crash their workers.
+func costOf(t *testing.T, jobs, tasks int) crashCost {
+	t.Helper()
+	cr := newCrashes(t, newLab(t, 12))
+	isCrash := func(n int) bool { return n >= 1000 && n < 1000+jobs }
+	cr.crashingTasks(func(id string, ref job.TaskRef) bool { return isCrash(jobNumber(id)) && ref.Index < tasks })
+	ow := cr.own()
+	defer func() { cr.end() }()
+	time.Sleep(time.Second)
+	cr.submit(ow, 1, lasting(24))
+	time.Sleep(2 * time.Second)
+	began := time.Now()
+	var cc crashCost
+	for n := range 200 {
+		if n%10 == 0 && n/10 < jobs {
+			cr.submit(ow, 1000+n/10, batch(1, max(tasks, 6)))
+		}
+		cr.submit(ow, 2000+n, batch(1, 4))
+		time.Sleep(300 * time.Millisecond)
+		if cc.failedAfter == 0 && n/10 >= jobs && cr.allFailed(ow, jobs) {
+			cc.failedAfter = time.Since(began)
+		}
+	}
+	time.Sleep(10 * time.Second)
+	cr.mu.Lock()
+	cc.workers = cr.killed
+	cr.mu.Unlock()
+	for _, ru := range cr.fleet.Runs() {
+		if id, _, _ := job.ParseTaskID(ru.Task); !isCrash(jobNumber(id)) && ru.How == "killed" {
+			cc.lost++
+		}
+	}
+	for n := range 200 {
+		qt.Check(t, cr.state(ow, 2000+n) == job.Failed, qt.IsFalse, qt.Commentf("healthy job %d", n))
+	}
+	qt.Check(t, cr.state(ow, 1), qt.Equals, job.Running)
+	cr.assertNothingTwice()
+	return cc
+}
+
+func (cr *crashes) allFailed(ow *Owner, jobs int) bool {
+	for n := range jobs {
+		if cr.state(ow, 1000+n) != job.Failed {
+			return false
+		}
+	}
+	return true
+}
+
+// TestCostOfCrashingTasks bounds the workers that tasks crash before they are given up:
+// three for a task, and for a job of several such tasks not many more than it has, as the
+// others wait while a worker of one that was tried alone does not answer.
+func TestCostOfCrashingTasks(t *testing.T) {
+	for _, tc := range []struct{ jobs, tasks, workersMost int }{{1, 1, 3}, {4, 1, 12}, {1, 8, 12}} {
+		synctest.Test(t, func(t *testing.T) {
+			cc := costOf(t, tc.jobs, tc.tasks)
+			t.Logf("%d jobs, %d tasks each that crash: %d workers, %d attempts of others lost, all failed after %v", tc.jobs, tc.tasks, cc.workers, cc.lost, cc.failedAfter)
+			qt.Check(t, cc.workers <= tc.workersMost, qt.IsTrue, qt.Commentf("%d workers", cc.workers))
+			qt.Check(t, cc.failedAfter > 0, qt.IsTrue)
+		})
+	}
+}
+
+// TestCrashesAmongOthers plays random crashes of workers, by tasks and by nobody's doing,
+// and changes of the owner, and checks that no task begins more often than users bear, that
+// no job is given up under whose tasks fewer than two workers ended, and that all others
+// are done in the end.
+func TestCrashesAmongOthers(t *testing.T) {
+	proptest.Check(t, proptest.Size{Checks: crashScripts}, func(rt *rapid.T) {
+		proptest.InBubble(t, func() {
+			cr := newCrashes(t, newLab(t, 6))
+			crashing := []int{}
+			for n := 1; n <= 20; n++ {
+				if rapid.IntRange(0, 9).Draw(rt, "crashes") == 0 {
+					crashing = append(crashing, n)
+				}
+			}
+			cr.stays = rapid.SampledFrom([]time.Duration{0, entryStays, 5 * time.Second}).Draw(rt, "entry stays")
+			cr.crashing(crashing...)
+			ow := cr.own()
+			defer func() { cr.end() }()
+			time.Sleep(time.Second)
+			owners, jobs := 1, 0
+			for range rapid.IntRange(5, 40).Draw(rt, "acts") {
+				switch rapid.SampledFrom([]string{"job", "job", "job", "crash", "owner", "pause"}).Draw(rt, "act") {
+				case "job":
+					if jobs < 20 {
+						jobs++
+						cr.submit(ow, jobs, batch(1+jobs%2, 1+jobs%4))
+					}
+				case "crash":
+					cr.crashAny(rt)
+				case "owner":
+					owners++
+					ow = cr.own()
+				case "pause":
+					time.Sleep(3 * time.Second)
+				}
+				time.Sleep(time.Duration(rapid.IntRange(1, 1000).Draw(rt, "ms")) * time.Millisecond)
+			}
+			time.Sleep(80 * time.Second)
+			cr.checkAmongOthers(rt, ow, jobs, owners, crashing)
+		})
+	})
+}
+
+// crashScripts is the number of scripts; PEPPERHATCH_SEED plays others.
+const crashScripts = 60
--- a/internal/sched/crashlab_test.go
+++ b/internal/sched/crashlab_test.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"github.com/pepperhatch/pepperhatch/internal/job"
 	"github.com/pepperhatch/pepperhatch/internal/standin"
 	"github.com/pepperhatch/pepperhatch/internal/worker"
@@ -39,11 +42,13 @@
 	entries map[string]Listed
 	// killed counts the workers that tasks crashed.
 	killed int
+	// down are workers that are not back yet.
+	down map[*standin.FleetWorker]bool
 }
 
 func newCrashes(t *testing.T, la *lab) *crashes {
 	t.Helper()
-	cr := &crashes{lab: la, stays: entryStays, back: backAfter, entries: map[string]Listed{}}
+	cr := &crashes{lab: la, stays: entryStays, back: backAfter, entries: map[string]Listed{}, down: map[*standin.FleetWorker]bool{}}
 	for _, li := range la.listed() {
 		cr.entries[li.Incarnation] = li
 	}
@@ -99,6 +104,7 @@
 // revive has a worker that has just crashed lose its entry and come back.
 func (cr *crashes) revive(fw *standin.FleetWorker) {
 	cr.mu.Lock()
+	cr.down[fw] = true
 	was := cr.entries[fw.Addr.Incarnation]
 	cr.mu.Unlock()
 	time.AfterFunc(cr.stays, func() { cr.list(was, true) })
@@ -158,3 +164,42 @@
 	}
 	return n
 }
+
+// crashAny crashes one of the workers that are up.
+func (cr *crashes) crashAny(rt *rapid.T) {
+	cr.mu.Lock()
+	fw := cr.crew[rapid.IntRange(0, len(cr.crew)-1).Draw(rt, "worker")]
+	up := !cr.down[fw]
+	cr.mu.Unlock()
+	if up {
+		cr.crash(fw)
+	}
+}
+
+// checkAmongOthers checks starts and states of jobs once all workers are back.
+func (cr *crashes) checkAmongOthers(rt *rapid.T, ow *Owner, jobs, owners int, crashing []int) {
+	ends := map[string]int{}
+	crashed := map[int]int{}
+	for _, ru := range cr.fleet.Runs() {
+		id, _, _ := job.ParseTaskID(ru.Task)
+		if ru.How == "killed" || ru.How == standin.Crashes {
+			ends[ru.Task]++
+			crashed[jobNumber(id)] = max(crashed[jobNumber(id)], ends[ru.Task])
+		}
+	}
+	for n := 1; n <= jobs; n++ {
+		state := cr.state(ow, n)
+		switch {
+		case slices.Contains(crashing, n):
+			if state != job.Failed || crashed[n] > startsMost || (owners == 1 && crashed[n] > 3) {
+				rt.Errorf("job %d crashed %d workers with one task under %d owners and is %s", n, crashed[n], owners, state)
+			}
+		case state == job.Failed && crashed[n] >= 2:
+		case state != job.Succeeded:
+			rt.Errorf("job %d is %s, after %d crashes under one task", n, state, crashed[n])
+		}
+	}
+	for _, problem := range cr.problems() {
+		rt.Error(problem)
+	}
+}
--- a/internal/sched/death.go
+++ b/internal/sched/death.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/pepperhatch/pepperhatch/internal/job"
+	"github.com/pepperhatch/pepperhatch/internal/telemetry"
 )
 
 // askOthers has the workers asked at once that are known at the address of one that was
@@ -42,7 +43,7 @@
 	}
 	ho.dead = true
 	ho.tellDeath(why, by, time.Now())
-	ho.endAll(why)
+	ho.endDead(why)
 	ho.leave()
 	ho.ow.dropIdle(ho)
 }
@@ -54,6 +55,64 @@
 	}
 }
 
+// endDead notes the end of all that stood on a worker whose process has ended, and who may
+// have ended it.
+func (ho *host) endDead(why string) {
+	left := ho.left()
+	if !left {
+		ho.ow.Metrics.Add(telemetry.WorkersCrashed, 1, "attempts", someOrNone(len(ho.attempts)))
+	}
+	for at := range ho.attempts {
+		end := job.EndLapsed
+		if !left {
+			end = at.verdict()
+		}
+		ho.ow.end(at.en, at.ref, at.number, end, "", why)
+	}
+}
+
+func someOrNone(n int) string {
+	if n == 0 {
+		return "none"
+	}
+	return "some"
+}
+
+// left reports whether the worker, which has ended, was to: it drained, or still answered
+// after its entry went.
+func (ho *host) left() bool {
+	return ho.Draining || (ho.gone && ho.seen.After(ho.goneAt))
+}
+
+// verdict is what the end of its worker's process means for an attempt.
+func (at *attempt) verdict() job.End {
+	ran := at.sightings().ran
+	switch {
+	case !at.ordered && !at.inherited:
+		return job.EndNever
+	case ran >= lastsAfter:
+		return job.EndLapsed
+	case ran >= provenAfter, at.ho.silent, !at.inherited && at.launched.IsZero():
+		// What was silent first may have ended long after that, and an order without an
+		// answer may have been the worker's end or come after it. Former owners' orders
+		// count as answered: most were, and a task that outlives its owners in this way
+		// would be started for ever.
+		return job.EndLost
+	}
+	return job.EndCrashed
+}
+
+// Times of attempts at work, as looks list them.
+const (
+	// provenAfter is after how long an attempt has got over its start, at which a program
+	// that takes its host down does so: 10 ms as users saw it.
+	provenAfter = 500 * time.Millisecond
+	// lastsAfter is after how long the ends of workers are not put down to a task any
+	// more: three times what a crashed worker takes to come back, so that a task which
+	// crashes its worker later than that costs one of 48 workers a quarter of its time.
+	lastsAfter = 10 * time.Second
+)
+
 // sightings are what was seen of an attempt.
 type sightings struct {
 	// acked is set if the worker acknowledged its order, or listed it.
@@ -85,7 +144,7 @@
 		goneFor = now.Sub(ho.goneAt)
 	}
 	ho.ow.Log.Warn("worker is dead", "worker", ho.incarnation, "attempts", len(ho.attempts), "why", why, "by", by, "unanswered", unanswered,
-		"heard", ho.quietFor(now), "failing_for", since(now, ho.failing), "listed", !ho.gone, "gone_for", goneFor, "draining", ho.Draining)
+		"heard", ho.quietFor(now), "failing_for", since(now, ho.failing), "silent", ho.silent, "listed", !ho.gone, "gone_for", goneFor, "draining", ho.Draining)
 }
 
 // since is how long ago something began, or 0 if it did not.
--- a/internal/sched/entry.go
+++ b/internal/sched/entry.go
@@ -55,6 +55,8 @@
 	endedAt time.Time
 	// acceptedAt is when it was handed in to this owner.
 	acceptedAt time.Time
+	// triedAt is when a task of it was last tried alone.
+	triedAt time.Time
 	// lack is what the last round of placement lacked for a task that waits.
 	lack Cause
 	// spent is what its time went to.
@@ -150,12 +152,41 @@
 	}
 	ow.Metrics.Add(telemetry.AttemptEnds, 1, "end", string(end))
 	ow.Log.Info("attempt ended", "job", en.jo.ID, "task", en.jo.TaskID(ref), "attempt", number, "worker", incarnation, "end", end, "why", why, "state", en.jo.State(),
-		"acked", seen.acked, "ran_at_least", seen.ran)
+		"acked", seen.acked, "ran_at_least", seen.ran, "crashes", en.jo.Task(ref).Crashes, "losses", en.jo.Task(ref).Losses)
+	ow.tellGivenUp(en, ref, end)
 	ow.finish(en)
 	ow.touch(en)
 	return true
 }
 
+// endLate takes in an end of an attempt that had been given up.
+func (ow *Owner) endLate(en *entry, ref job.TaskRef, number int, end job.End, incarnation string) {
+	switch end {
+	case job.EndDone:
+		ow.doneLate(en, ref, number, incarnation)
+	case job.EndFailed:
+		ow.failedLate(en, ref, number, incarnation)
+	}
+}
+
+// failedLate notes that an attempt which had been given up had failed. If that was one
+// failure too many, an attempt that was to follow is taken back if no order was sent of it.
+func (ow *Owner) failedLate(en *entry, ref job.TaskRef, number int, incarnation string) {
+	if !en.jo.FailedLate(ref, number) {
+		return
+	}
+	ow.Metrics.Add(telemetry.AttemptEnds, 1, "end", "failed-late")
+	ow.Log.Info("attempt that was given up had failed", "job", en.jo.ID, "task", en.jo.TaskID(ref), "attempt", number, "worker", incarnation,
+		"failures", en.jo.Task(ref).Failures, "state", en.jo.State())
+	if at := en.attempts[ref]; at != nil && en.jo.Exhausted(ref) && !at.ordered && !at.inherited {
+		ow.end(en, ref, at.number, job.EndNever, "", "an attempt before it had failed")
+	} else {
+		ow.tellGivenUp(en, ref, job.EndFailed)
+	}
+	ow.finish(en)
+	ow.touch(en)
+}
+
 // doneLate notes that an attempt which had been given up was done all the same. An
 // attempt that was to follow it, and of which no order was sent, is taken back.
 func (ow *Owner) doneLate(en *entry, ref job.TaskRef, number int, incarnation string) {
--- a/internal/sched/host.go
+++ b/internal/sched/host.go
@@ -65,6 +65,9 @@
 	// seen is when a look last succeeded, failing since when looks fail.
 	seen    time.Time
 	failing time.Time
+	// silent is set if looks fail since one that had no answer in time, and not since the
+	// connection broke off.
+	silent bool
 	// quiet is since when it is silent or unsettled, or zero.
 	quiet time.Time
 	// handled is the last end taken in, acked the last one that is durable.
@@ -84,6 +87,8 @@
 	inUse    int64
 	// passing is the part of reserved that tasks take that end by themselves.
 	passing worker.Resources
+	// trial is the task that is tried alone here, or is to be.
+	trial *trial
 	// asideUntil is until when it gets nothing new; failures counts attempts
 	// that failed here since one was done, of failedJobs.
 	asideUntil time.Time
@@ -206,6 +211,7 @@
 		return
 	}
 	delete(ho.attempts, at)
+	ho.endTrial(at)
 	ho.ow.land(at)
 	ho.noteEnded(at, time.Now())
 	ho.services = slices.DeleteFunc(ho.services, func(other *attempt) bool { return other == at })
@@ -228,12 +234,18 @@
 		ho.services = append(ho.services, at)
 		at.replica.Track = at.en.track(at.ref.Step)
 	}
+	if at.task().Alone() {
+		ho.trial = &trial{en: at.en, ref: at.ref, at: at}
+	}
 	ho.fill.change()
 	at.en.attempts[at.ref] = at
 }
 
 // usable reports whether the worker may be given something new.
-func (ho *host) usable(now time.Time) bool {
+func (ho *host) usable(now time.Time) bool { return ho.well(now) && ho.trial == nil }
+
+// well reports the same, but for a task that is tried alone.
+func (ho *host) well(now time.Time) bool {
 	return ho.settled && !ho.gone && !ho.dead && !ho.Draining && ho.failing.IsZero() && now.After(ho.asideUntil)
 }
 
@@ -277,6 +289,7 @@
 
 // tick looks at what time alone changes.
 func (ho *host) tick(now time.Time) {
+	ho.tickTrial(now)
 	if len(ho.attempts) == 0 {
 		ho.ow.dropIdle(ho)
 		return
--- a/internal/sched/launch.go
+++ b/internal/sched/launch.go
@@ -82,6 +82,12 @@
 		return
 	}
 	ow.Log.Info("launch not done", "task", taskID(at), "attempt", at.number, "worker", at.ho.incarnation, "err", err)
+	if errors.Is(err, worker.ErrOtherLife) {
+		// It was refused by the next process, so it had no part in the end of this one.
+		ow.end(at.en, at.ref, at.number, job.EndNever, "", "refused by another process")
+		at.ho.die("another process answers at its address", "")
+		return
+	}
 	if !at.ho.notLaunched(err) {
 		at.settling = true
 		go ow.settle(at.ho, at.name(), func(there bool) { ow.settledLaunch(at, there) })
@@ -106,8 +112,6 @@
 		ho.setAside(asideUnfit, "obeys a later owner")
 	case errors.Is(err, worker.ErrNotSent):
 		ho.setAside(asideUnfit, "there is no way to it now")
-	case errors.Is(err, worker.ErrOtherLife):
-		ho.die("another process answers at its address", "")
 	default:
 		return false
 	}
--- a/internal/sched/load.go
+++ b/internal/sched/load.go
@@ -114,13 +114,18 @@
 	for incarnation := range ow.orphans {
 		if ow.orphansOver(incarnation, now) {
 			delete(ow.orphans, incarnation)
-			ow.endOrphans(incarnation)
+			ow.endOrphans(incarnation, now)
 		}
 	}
 }
 
-// endOrphans ends the attempts on a worker that was never seen.
-func (ow *Owner) endOrphans(incarnation string) {
+// endOrphans ends the attempts on a worker that was never seen. If the list of workers is
+// sound, its process has ended: nothing that runs is without an entry for so long.
+func (ow *Owner) endOrphans(incarnation string, now time.Time) {
+	end := job.EndLost
+	if ow.listSound(now) {
+		end = job.EndCrashed
+	}
 	for _, en := range ow.entries {
 		rest := en.orphans[:0]
 		for _, ref := range en.orphans {
@@ -129,7 +134,7 @@
 				rest = append(rest, ref)
 				continue
 			}
-			ow.end(en, ref, ta.Attempt, job.EndLapsed, "", "its worker was not seen since the takeover")
+			ow.end(en, ref, ta.Attempt, end, "", "its worker was not seen since the takeover")
 		}
 		en.orphans = rest
 	}
--- a/internal/sched/looks.go
+++ b/internal/sched/looks.go
@@ -133,7 +133,7 @@
 	}
 	if !ho.failing.IsZero() {
 		ho.ow.Log.Info("worker answers again", "worker", ho.incarnation, "after", got.Sub(ho.failing))
-		ho.failing = time.Time{}
+		ho.failing, ho.silent = time.Time{}, false
 	}
 	ho.ow.noteAnswer(ho)
 	ho.outlive(sent)
@@ -164,7 +164,7 @@
 		ho.ow.Log.Warn("worker obeys a later owner", "worker", ho.incarnation, "epoch", ho.ow.Tenure.Epoch)
 		ho.failing = time.Now()
 	case ho.failing.IsZero():
-		ho.failing = time.Now()
+		ho.failing, ho.silent = time.Now(), !errors.Is(err, worker.ErrBrokeOff)
 		ho.ow.Log.Warn("worker does not answer", "worker", ho.incarnation, "attempts", len(ho.attempts), "err", err)
 	}
 }
@@ -192,8 +192,8 @@
 	}
 	ho.judge(en, ea.How)
 	end := endOf(ea.How)
-	if !ho.ow.end(en, ref, ea.Number, end, ea.Checkpoint, "listed by the worker") && end == job.EndDone {
-		ho.ow.doneLate(en, ref, ea.Number, ho.incarnation)
+	if !ho.ow.end(en, ref, ea.Number, end, ea.Checkpoint, "listed by the worker") {
+		ho.ow.endLate(en, ref, ea.Number, end, ho.incarnation)
 	}
 	ho.awaitWrite(en)
 }
@@ -249,7 +249,7 @@
 			continue
 		}
 		ho.started(at, got)
-		at.sighted = got
+		at.sight(got)
 		at.usage = ra.Usage
 		at.follow(ra.Percent, got)
 		if ra.Checkpoint != "" {
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -62,8 +62,10 @@
 	idle int64
 	// stubborn is set if a service there was over its target for long.
 	stubborn bool
-	// kept is set if its room is kept for an endless task.
-	kept bool
+	// kept is set if its room is kept for an endless task, taken if nothing is to begin
+	// there beside a task that is tried alone.
+	kept  bool
+	taken bool
 }
 
 func newCandidate(ho *host, now time.Time) *candidate {
@@ -110,6 +112,12 @@
 		if pl.ow.window.full() {
 			return
 		}
+		if en.jo.Tasks[step][index].Suspect() {
+			pl.placeSuspect(en, ref)
+			// It changed a worker that may not be the best one.
+			ra = nil
+			continue
+		}
 		if ra == nil {
 			ra = pl.rank(en, step)
 		}
@@ -135,7 +143,7 @@
 
 // hasRoom reports whether the worker has room for a task of the step.
 func (ca *candidate) hasRoom(st *job.Step) bool {
-	return st.Reserved().Fits(ca.free) && (!ca.kept || st.Filler)
+	return st.Reserved().Fits(ca.free) && (!ca.kept || st.Filler) && !ca.taken
 }
 
 // allowed reports whether a task may run on the worker, if it had room.
--- a/internal/sched/random_test.go
+++ b/internal/sched/random_test.go
@@ -3,6 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -32,14 +36,24 @@
 	jobs  int
 	// lives counts the lives of workers that came after others.
 	lives int
+	// crashed are workers that a task crashed and that are not back yet.
+	crashedMu sync.Mutex
+	crashed   []*standin.FleetWorker
 }
 
+// crashesEvery has each job of so many crash its workers with its first task.
+const crashesEvery = 9
+
+func crashesWorkers(n int) bool { return n%crashesEvery == 4 }
+
 func newDrama(t *testing.T, rt *rapid.T) *drama {
 	t.Helper()
 	dr := &drama{lab: newLab(t, 4), rt: rt, accepted: map[int]bool{}, cancelled: map[int]bool{}, refused: map[int]bool{}, maybe: map[int]bool{}, shown: map[int]job.State{}}
 	dr.fleet.RunFunc = func(at worker.Attempt) (time.Duration, string) {
-		id, _, _ := job.ParseTaskID(at.Task)
+		id, ref, _ := job.ParseTaskID(at.Task)
 		switch {
+		case ref == (job.TaskRef{}) && crashesWorkers(jobNumber(id)):
+			return crashWork, standin.Crashes
 		case dr.spec(id).Steps[0].Endless:
 			return -1, ""
 		case at.Number == 1 && at.Task[15]%4 == 0:
@@ -47,15 +61,30 @@
 		}
 		return 700 * time.Millisecond, "done"
 	}
+	dr.fleet.CrashedFunc = func(fw *standin.FleetWorker) {
+		dr.crashedMu.Lock()
+		defer dr.crashedMu.Unlock()
+		dr.crashed = append(dr.crashed, fw)
+	}
 	dr.ow, dr.end = dr.own()
 	time.Sleep(time.Second)
 	return dr
 }
 
+// jobNumber is the number of a job's id.
+func jobNumber(id string) int {
+	n, err := strconv.ParseInt(id, 16, 64)
+	if err != nil {
+		return -1
+	}
+	return int(n)
+}
+
 // act does one random thing.
 func (dr *drama) act() {
+	dr.reviveCrashed()
 	switch rapid.SampledFrom([]string{
-		"submit", "submit", "submit", "again", "cancel", "kill", "freeze", "lose", "late", "heal",
+		"submit", "submit", "submit", "again", "cancel", "kill", "kill, entry stays", "freeze", "lose", "late", "heal",
 		"store down", "store lost", "store slow", "store heal", "replace", "look", "reroute",
 		"entry lapses", "all entries lapse", "entries back",
 	}).Draw(dr.rt, "act") {
@@ -69,7 +98,9 @@
 	case "cancel":
 		dr.cancelOne()
 	case "kill":
-		dr.killOne()
+		dr.nextLife(rapid.IntRange(0, len(dr.crew)-1).Draw(dr.rt, "worker"), false)
+	case "kill, entry stays":
+		dr.nextLife(rapid.IntRange(0, len(dr.crew)-1).Draw(dr.rt, "worker"), true)
 	case "freeze":
 		dr.one().Gate.Set(standin.Fault{Mode: standin.ModeFreeze})
 	case "lose":
@@ -151,16 +182,36 @@
 	}
 }
 
-// killOne ends a worker's process; another life comes at its address.
-func (dr *drama) killOne() {
-	i := rapid.IntRange(0, len(dr.crew)-1).Draw(dr.rt, "worker")
-	fw := dr.crew[i]
+// nextLife ends a worker's process; another life comes at its address. The entry of the
+// one before may stay, and be met before or after the next one's.
+func (dr *drama) nextLife(i int, stays bool) {
+	fw, was := dr.crew[i], dr.listed()[i]
 	dr.fleet.Kill(fw)
 	dr.lives++
 	next := &standin.FleetWorker{Addr: worker.Addr{HostPort: fw.Addr.HostPort, Incarnation: fmt.Sprint("life-", dr.lives)}, Holds: fw.Holds}
 	dr.fleet.Add(next)
 	dr.crew[i] = next
-	dr.ow.SetWorkers(dr.listed(), nil, true)
+	list := dr.listed()
+	if stays {
+		list = append(list, was)
+	}
+	if stays && rapid.Bool().Draw(dr.rt, "former first") {
+		slices.Reverse(list)
+	}
+	dr.ow.SetWorkers(list, nil, true)
+}
+
+// reviveCrashed has workers that a task crashed come back.
+func (dr *drama) reviveCrashed() {
+	dr.crashedMu.Lock()
+	crashed := dr.crashed
+	dr.crashed = nil
+	dr.crashedMu.Unlock()
+	for _, fw := range crashed {
+		if i := slices.Index(dr.crew, fw); i >= 0 {
+			dr.nextLife(i, true)
+		}
+	}
 }
 
 // replace ends the owner, and begins another once the store lets it.
@@ -190,7 +241,10 @@
 	dr.table.Gate.Set(standin.Fault{})
 	dr.heal()
 	dr.ow.SetWorkers(dr.listed(), nil, true)
-	time.Sleep(45 * time.Second)
+	for range 45 {
+		time.Sleep(time.Second)
+		dr.reviveCrashed()
+	}
 	dr.lookAtStates()
 	for n := range dr.accepted {
 		state := dr.shown[n]
@@ -199,16 +253,60 @@
 		case dr.cancelled[n] && !state.Final():
 			dr.rt.Errorf("job %d was cancelled and is %s", n, state)
 		case dr.maybe[n] && state == job.Cancelled:
+		case state == job.Failed && dr.crashedUnder(n) >= 2:
+		case crashesWorkers(n) && !dr.cancelled[n] && !dr.maybe[n] && dr.crashedUnder(n) > 0:
+			dr.rt.Errorf("job %d crashes its workers and is %s", n, state)
 		case !dr.cancelled[n] && !endless && state != job.Succeeded:
-			dr.rt.Errorf("job %d is %s", n, state)
+			dr.rt.Errorf("job %d is %s, after %s", n, state, dr.runsOf(n))
 		}
 	}
 	dr.checkRuns()
+	dr.checkStarts()
 	for _, problem := range dr.problems() {
 		dr.rt.Error(problem)
 	}
 }
 
+// runsOf tells of the runs of a job's tasks.
+func (dr *drama) runsOf(n int) string {
+	var sb strings.Builder
+	for _, ru := range dr.fleet.Runs() {
+		if id, _, _ := job.ParseTaskID(ru.Task); id == jobID(n) {
+			fmt.Fprintf(&sb, "%s %d at %s from %s to %s: %s; ", ru.Task, ru.Number, ru.Worker, ru.From.Format("05.000"), ru.Until.Format("05.000"), ru.How)
+		}
+	}
+	return sb.String()
+}
+
+// crashedUnder is the most workers that have ended under a task of the job. From two on
+// users bear that it is given up.
+func (dr *drama) crashedUnder(n int) int {
+	counts, most := map[string]int{}, 0
+	for _, ru := range dr.fleet.Runs() {
+		if id, _, _ := job.ParseTaskID(ru.Task); id == jobID(n) && (ru.How == "killed" || ru.How == standin.Crashes) {
+			counts[ru.Task]++
+			most = max(most, counts[ru.Task])
+		}
+	}
+	return most
+}
+
+// checkStarts checks that no task that crashes its workers begins more often than users
+// bear.
+func (dr *drama) checkStarts() {
+	counts := map[string]int{}
+	for _, ru := range dr.fleet.Runs() {
+		if ru.How == standin.Crashes {
+			counts[ru.Task]++
+		}
+	}
+	for task, n := range counts {
+		if n > startsMost {
+			dr.rt.Errorf("task %s crashed %d workers", task, n)
+		}
+	}
+}
+
 // checkRuns checks that nothing ran that was refused, and nothing still runs of
 // a job that is over.
 func (dr *drama) checkRuns() {
--- a/internal/sched/unlisted.go
+++ b/internal/sched/unlisted.go
@@ -66,6 +66,12 @@
 		now.Sub(ow.Tenure.Confirmed()) > unconfirmedAfter || now.Sub(ow.Tenure.Written()) > unconfirmedAfter
 }
 
+// listSound reports whether the list of workers has been believed for so long that a
+// worker without an entry is gone.
+func (ow *Owner) listSound(now time.Time) bool {
+	return !ow.roll.doubted && now.Sub(ow.roll.trouble) > entryBack
+}
+
 // doubtList doubts a list that has lost more than half of its workers of late: it is
 // more likely that they cannot reach the store, or that the list was read in part, than
 // that all of them left.
@@ -94,11 +100,7 @@
 // goneForGood reports whether the worker, which has no entry, is not to be waited for:
 // neither an outage of the store nor its last seconds are why.
 func (ho *host) goneForGood(now time.Time) bool {
-	ro := &ho.ow.roll
-	if !ho.gone || ro.doubted {
-		return false
-	}
-	return now.Sub(ho.goneAt) > entryBack && now.Sub(ro.trouble) > entryBack
+	return ho.gone && now.Sub(ho.goneAt) > entryBack && ho.ow.listSound(now)
 }
 
 // tellEmptied tells once that a worker without an entry is emptied.
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -200,7 +200,7 @@
 }
 
 func errRefused(ad worker.Addr) error {
-	return fmt.Errorf("dial %s: connection refused", ad.HostPort)
+	return fmt.Errorf("%w: dial %s: connection refused", worker.ErrBrokeOff, ad.HostPort)
 }
 
 // order carries out an order, or later, or loses its answer, as the worker's
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -47,6 +47,10 @@
 	Emptied      Name = "pepperhatch_attempts_emptied"
 	JobTime      Name = "pepperhatch_job_milliseconds"
 	RelaysLost   Name = "pepperhatch_relays_lost"
+
+	WorkersCrashed Name = "pepperhatch_workers_crashed"
+	SuspectStarts  Name = "pepperhatch_suspect_starts"
+	TasksGivenUp   Name = "pepperhatch_tasks_given_up"
 )
 
 // Workers is the gauge of an owner's workers.
@@ -81,7 +85,7 @@
 	{JournalRows, "cell", "batches written to a cell's journal", "over 10 a second: raise --cell-interval"},
 	{JobRequests, "kind, outcome, reason", "requests of callers about jobs, by how they were answered", "refusals: see the reason"},
 	{JobVerdicts, "outcome, reason", "what the owner of a cell said to jobs handed in", "refusals: see the reason"},
-	{AttemptEnds, "end", "attempts of tasks that ended, by how", "lapsed or failed: look for the workers in the log"},
+	{AttemptEnds, "end", "attempts of tasks that ended, by how", "lapsed, lost, crashed or failed: look for the workers in the log"},
 	{CellWrites, "outcome", "writes of a cell's rows", "failed: the store is away or slow"},
 	{Launches, "outcome", "orders to start an attempt, by what the worker said", "no-answer or unfit: look for the workers in the log"},
 	{Looks, "outcome", "looks at workers that failed", "growth: workers are away"},
@@ -90,6 +94,9 @@
 	{Emptied, "why", "lasting tasks that were stopped to go on elsewhere, as their worker drains or has had no entry for long (unlisted)", "unlisted: look for \"emptying a worker without an entry\" in the log"},
 	{JobTime, "cause", "time of jobs that are over, in milliseconds, by what it went to", "much of room or place: too little room; of store or order: the store or the owner is slow"},
 	{RelaysLost, "", "streams of an owner to other entry hosts that ended", "look for \"relay not used for a while\" in the owner's log"},
+	{WorkersCrashed, "attempts", "workers whose process ended without a word, by whether some attempts stood there or none", "some: look for \"task given up\" and \"trying a task under which workers ended\" in the log"},
+	{SuspectStarts, "how", "starts of tasks under which workers ended: apart from others, or alone, as one crash more gives them up", "alone: a task crashes its workers, or workers crash often"},
+	{TasksGivenUp, "why", "tasks that are not tried again: failures, as often as their queue allows, or crashes of workers under them", "crashes: tell the job's owner"},
 	{TaskEvents, "event", "tasks started, done, failed, evicted, throttled", "evictions: see place.eviction-budget"},
 }
 
--- a/internal/worker/agent.go
+++ b/internal/worker/agent.go
@@ -132,6 +132,11 @@
 	ErrNotSent = errors.New("order was not sent")
 )
 
+// ErrBrokeOff: the connection to the worker broke off, or nothing listens there, while
+// other errors of its kind are of answers that did not come in time. The order may have
+// been carried out, or may be yet.
+var ErrBrokeOff = errors.New("connection to the worker broke off")
+
 // Agent is a client of workers that are ordered task by task.
 type Agent struct {
 	// LaunchFunc starts an attempt; it is good to send it again.
