--- a/internal/job/blame_test.go
+++ b/internal/job/blame_test.go
@@ -127,6 +127,7 @@
 
 // once has the task begin and end once more, and reports false if it does not begin.
 func (tr *tries) once(t *testing.T) bool {
+	t.Helper()
 	number := tr.jo.Start(TaskRef{}, "w")
 	if number == 0 {
 		return false
