Slow down two more repeats that had no bound

An attempt that makes no progress for 1 s is stopped and tried elsewhere; a task 300 times as long as estimated takes longer than that for each whole per cent, and was begun anew 65 times in 320 s without an end. The time now doubles with each stop of a task: third attempt, done. A task that is to last and fails at once was started 2,001 times in 20 s of virtual time; from the second failure in a row on there is now a rest of 0.1 s, doubling up to 3.2 s: 12 starts at most.

Both tests failed before. Not counted over a takeover, as neither costs anybody a worker.

--- a/internal/sched/entry.go
+++ b/internal/sched/entry.go
@@ -55,6 +55,10 @@
 	endedAt time.Time
 	// acceptedAt is when it was handed in to this owner.
 	acceptedAt time.Time
+	// stood counts how often attempts of a task were found to stand still.
+	stood map[job.TaskRef]int
+	// rests has the tasks that last and failed again and again.
+	rests rests
 	// triedAt is when a task of it was last tried alone.
 	triedAt time.Time
 	// lack is what the last round of placement lacked for a task that waits.
@@ -149,6 +153,7 @@
 			en.failedOn = map[string]bool{}
 		}
 		en.failedOn[incarnation] = true
+		en.rests.failed(en, ref, time.Now())
 	}
 	ow.Metrics.Add(telemetry.AttemptEnds, 1, "end", string(end))
 	ow.Log.Info("attempt ended", "job", en.jo.ID, "task", en.jo.TaskID(ref), "attempt", number, "worker", incarnation, "end", end, "why", why, "state", en.jo.State(),
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -106,7 +106,7 @@
 	var ra *ranking
 	for index := range en.jo.Tasks[step] {
 		ref := job.TaskRef{Step: step, Index: index}
-		if en.jo.Tasks[step][index].State != job.Waiting {
+		if en.jo.Tasks[step][index].State != job.Waiting || en.rests.resting(ref, pl.now) {
 			continue
 		}
 		if pl.ow.window.full() {
--- /dev/null
+++ b/internal/sched/rest_test.go
@@ -0,0 +1,35 @@
+package sched
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/pepperhatch/pepperhatch/internal/worker"
+)
+
+// TestLastingTaskThatFailsAtOnce has a task that is to last fail 10 ms after each start
+// for 20 s, and then last. It was started as fast as writes allow; now the starts get
+// fewer, and it is back soon after it can last.
+func TestLastingTaskThatFailsAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		la := newLab(t, 3)
+		began := time.Now()
+		la.fleet.RunFunc = func(worker.Attempt) (time.Duration, string) {
+			if time.Since(began) < 21*time.Second {
+				return 10 * time.Millisecond, "failed"
+			}
+			return -1, ""
+		}
+		ow, end := la.own()
+		defer end()
+		time.Sleep(time.Second)
+		la.submit(ow, 1, lasting(1))
+		time.Sleep(20 * time.Second)
+		qt.Check(t, len(la.fleet.Runs()) <= 15, qt.IsTrue, qt.Commentf("%d runs", len(la.fleet.Runs())))
+		time.Sleep(restMost + time.Second)
+		la.assertRunning(1)
+	})
+}
--- a/internal/sched/stall.go
+++ b/internal/sched/stall.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/pepperhatch/pepperhatch/internal/job"
 	"github.com/pepperhatch/pepperhatch/internal/telemetry"
 )
 
@@ -15,6 +16,10 @@
 	stalledPart  = 0.06
 	// stalledLooks is how many looks must have shown none.
 	stalledLooks = 2
+	// stalledDoublings is how often the time doubles, each time that a task was found to
+	// stand still: one that is 300 times as long as estimated was stopped each 3 s, for
+	// ever, and set a worker aside each time.
+	stalledDoublings = 6
 	// asideStalled is how long a worker is set aside on which an attempt stands
 	// still.
 	asideStalled = 2500 * time.Millisecond
@@ -36,11 +41,15 @@
 		return false
 	}
 	part := time.Duration(stalledPart * float64(at.step().EstimateMS) * float64(time.Millisecond))
-	return now.Sub(at.movedAt) > stalledAfter+part
+	return now.Sub(at.movedAt) > (stalledAfter+part)<<min(at.en.stood[at.ref], stalledDoublings)
 }
 
 // relieve stops an attempt that stands still, so that it is tried elsewhere.
 func (ho *host) relieve(at *attempt, now time.Time) {
+	if at.en.stood == nil {
+		at.en.stood = map[job.TaskRef]int{}
+	}
+	at.en.stood[at.ref]++
 	ho.ow.Metrics.Add(telemetry.Stalls, 1)
 	ho.setAside(asideStalled, "attempts stand still")
 	ho.ow.halt(at, "no progress for "+now.Sub(at.movedAt).Round(time.Millisecond).String())
--- a/internal/sched/stall_test.go
+++ b/internal/sched/stall_test.go
@@ -59,3 +59,20 @@
 		qt.Assert(t, at.stalled(time.Now()), qt.IsFalse)
 	})
 }
+
+// TestVeryLongTasksAreLeftAlone has a task take 300 times as long as estimated, which has
+// no checkpoints. Users saw such jobs never end: each whole per cent took longer than an
+// attempt may stand still, so it was stopped and begun anew for ever.
+func TestVeryLongTasksAreLeftAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		la := newLab(t, 3)
+		la.fleet.RunFunc = func(worker.Attempt) (time.Duration, string) { return 300 * time.Second, "done" }
+		ow, end := la.own()
+		defer end()
+		time.Sleep(time.Second)
+		la.submit(ow, 1, batch(1, 1))
+		time.Sleep(320 * time.Second)
+		qt.Check(t, la.state(ow, 1), qt.Equals, job.Succeeded)
+		qt.Check(t, len(la.fleet.Runs()) <= 4, qt.IsTrue, qt.Commentf("%d runs", len(la.fleet.Runs())))
+	})
+}
--- a/internal/sched/suspect.go
+++ b/internal/sched/suspect.go
@@ -46,6 +46,7 @@
 	at.sighted = now
 	if at.sightings().ran >= lastsAfter {
 		at.en.jo.Lasted(at.ref, at.number)
+		at.en.rests.lasted(at.ref)
 	}
 }
 
