--- a/internal/sched/death.go
+++ b/internal/sched/death.go
@@ -11,8 +11,8 @@
 // askOthers has the workers asked at once that are known at the address of one that was
 // just listed. Which of them lives only an answer from there can tell: the entry of one
 // that crashed stays for three heartbeats, and may be written once more after that of the
-// next. Taking what was listed later for what lives had 19 tasks of one day run twice
-// (standard: none), as the worker that lived was given up with all that it ran.
+// next. Where what was listed later counted as what lives, a day with workers that crash
+// behind a cut had 19 tasks run twice, and none since.
 func (ow *Owner) askOthers(li Listed) {
 	for _, other := range ow.byAddr[li.HostPort] {
 		ow.Log.Info("another process is listed at a worker's address", "worker", other.incarnation, "addr", li.HostPort, "other", li.Incarnation,
--- a/internal/sched/entry.go
+++ b/internal/sched/entry.go
@@ -59,7 +59,7 @@
 	stood map[job.TaskRef]int
 	// rests has the tasks that last and failed again and again.
 	rests rests
-	// triedAt is when a task of it was last tried alone.
+	// triedAt is when a worker was last chosen to try a task of it alone.
 	triedAt time.Time
 	// lack is what the last round of placement lacked for a task that waits.
 	lack Cause
--- a/internal/sched/suspect.go
+++ b/internal/sched/suspect.go
@@ -21,8 +21,8 @@
 	// trialWait is how long a trial may wait for the others on its worker to get over
 	// their start, of which none begins any more.
 	trialWait = 2 * provenAfter
-	// trialGap is the time between the trials of a job. A process that ends breaks off its
-	// connections within some 10 ms.
+	// trialGap is the time between the choices of workers for the trials of a job: a
+	// process that ends breaks off its connections within some 10 ms.
 	trialGap = 300 * time.Millisecond
 	// trialDoubt is how long the next trial of a job waits while the worker of another one
 	// does not answer: one that crashed is back after some 3.2 s.
@@ -93,18 +93,16 @@
 	return nil
 }
 
-// mayTry reports whether another task of the job may be tried alone now. Of several that
-// crash their workers the first ends the job, if the others wait for what becomes of it.
-func (en *entry) mayTry(now time.Time) bool {
-	if now.Sub(en.triedAt) < trialGap {
-		return false
-	}
+// inDoubt reports whether a worker on which a task of the job was tried alone does not
+// answer. Of several that crash their workers the first ends the job, if the others wait
+// for what becomes of it.
+func (en *entry) inDoubt(now time.Time) bool {
 	for _, at := range en.attempts {
 		if at.task().Alone() && !at.ho.failing.IsZero() && now.Sub(at.ho.failing) < trialDoubt {
-			return false
+			return true
 		}
 	}
-	return true
+	return false
 }
 
 // placeSuspect starts a task under which workers ended, where it does least harm if it
@@ -122,31 +120,45 @@
 	pl.keepRoom(en, ref)
 }
 
-// placeAlone starts a task alone, once its worker is ready for it and the job's turn has
-// come.
+// placeAlone starts a task alone, once the turn of its job has come and its worker is ready
+// for it.
 func (pl *placer) placeAlone(en *entry, ref job.TaskRef) {
+	en.lack = CausePlace
+	if en.inDoubt(pl.now) {
+		return
+	}
 	ho := pl.ow.trialOf(en, ref)
 	if ho == nil {
-		ca := pl.loneliest(en, ref)
-		if ca == nil {
-			en.lack = CauseRoom
-			pl.keepRoom(en, ref)
-			return
-		}
-		ca.taken, ho = true, ca.ho
-		ho.trial = &trial{en: en, ref: ref, since: pl.now}
+		ho = pl.chooseTrial(en, ref)
+	}
+	if ho == nil || !ho.well(pl.now) {
+		return
 	}
-	en.lack = CausePlace
 	ca := newCandidate(ho, pl.now)
-	if !ho.well(pl.now) || !ca.fits(en, ref, &en.jo.Spec.Steps[ref.Step]) || !en.mayTry(pl.now) {
+	if !ca.fits(en, ref, &en.jo.Spec.Steps[ref.Step]) {
 		return
 	}
 	if ho.crowdedness(pl.now).fresh == 0 || pl.now.Sub(ho.trial.since) > trialWait {
-		en.triedAt = pl.now
 		pl.try(en, ref, ca, "alone")
 	}
 }
 
+// chooseTrial chooses a worker to try a task on, or returns nil.
+func (pl *placer) chooseTrial(en *entry, ref job.TaskRef) *host {
+	if pl.now.Sub(en.triedAt) < trialGap {
+		return nil
+	}
+	ca := pl.loneliest(en, ref)
+	if ca == nil {
+		en.lack = CauseRoom
+		pl.keepRoom(en, ref)
+		return nil
+	}
+	en.triedAt, ca.taken = pl.now, true
+	ca.ho.trial = &trial{en: en, ref: ref, since: pl.now}
+	return ca.ho
+}
+
 // try starts a task under which workers ended.
 func (pl *placer) try(en *entry, ref job.TaskRef, ca *candidate, how string) {
 	cr := ca.ho.crowdedness(pl.now)
