--- a/e2e/freeze_test.go
+++ b/e2e/freeze_test.go
@@ -27,7 +27,6 @@
 	"github.com/pepperhatch/pepperhatch/internal/jobhost"
 	"github.com/pepperhatch/pepperhatch/internal/proptest"
 	"github.com/pepperhatch/pepperhatch/internal/registry"
-	"github.com/pepperhatch/pepperhatch/internal/sched"
 	"github.com/pepperhatch/pepperhatch/internal/standin"
 	"github.com/pepperhatch/pepperhatch/internal/tenure"
 	"github.com/pepperhatch/pepperhatch/internal/worker"
@@ -163,13 +162,7 @@
 	su := jobapi.Submission{ID: "0123456789abcdef", Queue: "q", Spec: job.Spec{Payload: "serve", Steps: []job.Step{{
 		Tasks: endlessTasks, Each: worker.Resources{MilliCores: endlessCores, MemMB: 1000}, Endless: true,
 	}}}}
-	api := jobapi.Client{HTTP: cl.web, Addr: cl.hosts[0].addrs[1]}
-	cl.await("job is accepted", func() bool {
-		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
-		defer cancel()
-		ve, err := api.Submit(ctx, su)
-		return err == nil && ve.Outcome == sched.Accepted
-	})
+	cl.handIn(su)
 }
 
 // running counts the tasks that run.
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -146,6 +146,13 @@
 	fw.Late = d
 }
 
+// SetRun changes RunFunc while workers are at work.
+func (fl *Fleet) SetRun(run func(at worker.Attempt) (time.Duration, string)) {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	fl.RunFunc = run
+}
+
 // Runs returns all runs so far.
 func (fl *Fleet) Runs() []FleetRun {
 	fl.mu.Lock()
