Count workers that end and come back at another address

Where crashed workers come back elsewhere their leases lapse, which counted nothing: 12 starts in 80 s of virtual time. Now the end of a worker whose looks broke off and whose entry went counts once its leases have lapsed, if the list of workers is sound; a silent one is a loss. TestCrashedWorkersComeBackElsewhere failed before, and has three starts now.

--- a/internal/sched/crash_test.go
+++ b/internal/sched/crash_test.go
@@ -70,6 +70,26 @@
 	}
 }
 
+// TestCrashedWorkersComeBackElsewhere has the workers of a task that crashes them come back
+// at other addresses, so that only their leases tell of their end.
+func TestCrashedWorkersComeBackElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cr := newCrashes(t, newLab(t, 6))
+		cr.elsewhere = true
+		cr.crashing(1)
+		ow := cr.own()
+		defer func() { cr.end() }()
+		time.Sleep(time.Second)
+		cr.submit(ow, 2, lasting(12))
+		time.Sleep(time.Second)
+		cr.submit(ow, 1, batch(1, 2))
+		time.Sleep(80 * time.Second)
+		qt.Check(t, cr.starts(firstTask()), qt.Equals, 3)
+		qt.Check(t, cr.state(ow, 1), qt.Equals, job.Failed)
+		cr.assertRunning(12)
+	})
+}
+
 // TestLastingTaskThatCrashesItsWorkers has one of six tasks that last crash its workers:
 // its job ends, as it would be started for ever else.
 func TestLastingTaskThatCrashesItsWorkers(t *testing.T) {
--- a/internal/sched/crashlab_test.go
+++ b/internal/sched/crashlab_test.go
@@ -30,6 +30,8 @@
 type crashes struct {
 	*lab
 
+	// elsewhere has workers come back at other addresses.
+	elsewhere bool
 	// stays and back replace entryStays and backAfter, if set.
 	stays, back time.Duration
 
@@ -116,6 +118,9 @@
 	cr.mu.Lock()
 	cr.lives++
 	next := &standin.FleetWorker{Addr: worker.Addr{HostPort: fw.Addr.HostPort, Incarnation: fmt.Sprint("life-", cr.lives)}, Holds: fw.Holds}
+	if cr.elsewhere {
+		next.Addr.HostPort = fmt.Sprintf("10.1.0.%d:80", cr.lives)
+	}
 	cr.fleet.Add(next)
 	for i := range cr.crew {
 		if cr.crew[i] == fw {
--- a/internal/sched/death.go
+++ b/internal/sched/death.go
@@ -48,10 +48,17 @@
 	ho.ow.dropIdle(ho)
 }
 
-// endAll notes that nothing of what was ordered runs there any more.
-func (ho *host) endAll(why string) {
+// endSilent notes that the leases have lapsed of all that was ordered there. A worker
+// without an entry has most likely ended, and may be back at another address; one that
+// is listed, or may be if the list is in trouble, is cut off.
+func (ho *host) endSilent(now time.Time) {
+	ended := ho.gone && !ho.left() && ho.ow.listSound(now)
 	for at := range ho.attempts {
-		ho.ow.end(at.en, at.ref, at.number, job.EndLapsed, "", why)
+		end := job.EndLapsed
+		if ended {
+			end = at.verdict()
+		}
+		ho.ow.end(at.en, at.ref, at.number, end, "", "its leases have lapsed")
 	}
 }
 
--- a/internal/sched/host.go
+++ b/internal/sched/host.go
@@ -298,7 +298,7 @@
 		return
 	}
 	if ho.lapsed(now) {
-		ho.endAll("its leases have lapsed")
+		ho.endSilent(now)
 	}
 }
 
