--- a/internal/sched/crash_test.go
+++ b/internal/sched/crash_test.go
@@ -127,7 +127,7 @@
 		time.Sleep(time.Second)
 		cr.submit(ow, 1, batch(1, 1))
 		for n := range 60 {
-			cr.submit(ow, 100+n, batch(1, 3))
+			cr.submit(ow, 100+n, batch(1, 1))
 			time.Sleep(300 * time.Millisecond)
 		}
 		time.Sleep(30 * time.Second)
