--- a/internal/sched/formerlife_test.go
+++ b/internal/sched/formerlife_test.go
@@ -1,7 +1,9 @@
 package sched
 
 import (
+	"context"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -100,3 +102,31 @@
 	li.Incarnation = li.Incarnation[:len(li.Incarnation)-1]
 	return li
 }
+
+// TestNextProcessAnswersWhileLooksHang has looks at a worker hang for good, as on a connection
+// that went silent, while another process answers at its address: what ran there starts
+// elsewhere at once, not once its leases have lapsed.
+func TestNextProcessAnswersWhileLooksHang(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		la := newLab(t, 3)
+		var hung atomic.Bool
+		la.throughFunc = func(ag worker.Agent) worker.Agent {
+			look := ag.LookFunc
+			ag.LookFunc = func(ctx context.Context, ad worker.Addr, lo worker.Look) (worker.Sight, error) {
+				if hung.Load() && ad.Incarnation == "i-0" {
+					<-ctx.Done()
+					return worker.Sight{}, ctx.Err()
+				}
+				return look(ctx, ad, lo)
+			}
+			return ag
+		}
+		ow := la.withLasting(12)
+		hung.Store(true)
+		_, now := la.nextLife(0)
+		time.Sleep(time.Second)
+		ow.SetWorkers([]Listed{now}, nil, false)
+		time.Sleep(300 * time.Millisecond)
+		la.assertRunning(12)
+	})
+}
