--- a/internal/sched/spent.go
+++ b/internal/sched/spent.go
@@ -22,7 +22,7 @@
 	// CauseRoom: a task waits, as no worker that it may run on has room.
 	CauseRoom
 	// CausePlace: a filler waits, as it would disturb services wherever it has
-	// room, or finds no idle processors there.
+	// room, or finds no idle processors there; or a task waits to be tried alone.
 	CausePlace
 	// CauseStop: an attempt is being stopped, to go on elsewhere.
 	CauseStop
