--- a/internal/sched/crash_test.go
+++ b/internal/sched/crash_test.go
@@ -182,7 +182,7 @@
 		cr.submit(ow, 1, lasting(6))
 		for range 2 {
 			time.Sleep(100 * time.Millisecond)
-			for _, fw := range append([]*standin.FleetWorker(nil), cr.crew...) {
+			for _, fw := range cr.workers() {
 				if cr.running()[fw.Addr.Incarnation] > 0 {
 					cr.crash(fw)
 				}
--- a/internal/sched/crashlab_test.go
+++ b/internal/sched/crashlab_test.go
@@ -170,6 +170,13 @@
 	return n
 }
 
+// workers returns the workers as they are now; others may be about to come back.
+func (cr *crashes) workers() []*standin.FleetWorker {
+	cr.mu.Lock()
+	defer cr.mu.Unlock()
+	return slices.Clone(cr.crew)
+}
+
 // crashAny crashes one of the workers that are up.
 func (cr *crashes) crashAny(rt *rapid.T) {
 	cr.mu.Lock()
