--- a/internal/sched/crash_test.go
+++ b/internal/sched/crash_test.go
@@ -46,11 +46,7 @@
 	for _, owners := range []string{"one owner", "an owner for each crash"} {
 		t.Run(owners, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				cr := newCrashes(t, newLab(t, 6))
-				cr.crashing(1)
-				ow := cr.own()
-				defer func() { cr.end() }()
-				time.Sleep(time.Second)
+				cr, ow := startCrashes(t, newLab(t, 6), 1)
 				cr.submit(ow, 2, lasting(12))
 				time.Sleep(time.Second)
 				cr.submit(ow, 1, batch(1, 2))
@@ -94,11 +90,7 @@
 // its job ends, as it would be started for ever else.
 func TestLastingTaskThatCrashesItsWorkers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		cr := newCrashes(t, newLab(t, 6))
-		cr.crashing(1)
-		ow := cr.own()
-		defer func() { cr.end() }()
-		time.Sleep(time.Second)
+		cr, ow := startCrashes(t, newLab(t, 6), 1)
 		cr.submit(ow, 1, lasting(6))
 		time.Sleep(30 * time.Second)
 		qt.Check(t, cr.starts(firstTask()), qt.Equals, 3)
@@ -174,11 +166,7 @@
 // back within the time that users bear for one that lasts.
 func TestSuspectsOfOneJobAreNotKeptWaiting(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		cr := newCrashes(t, newLab(t, 12))
-		cr.crashing()
-		ow := cr.own()
-		defer func() { cr.end() }()
-		time.Sleep(time.Second)
+		cr, ow := startCrashes(t, newLab(t, 12))
 		cr.submit(ow, 1, lasting(6))
 		for range 2 {
 			time.Sleep(100 * time.Millisecond)
@@ -301,11 +289,7 @@
 		me, page, err := telemetry.New()
 		qt.Assert(t, err, qt.IsNil)
 		la.metrics = me
-		cr := newCrashes(t, la)
-		cr.crashing(1)
-		ow := cr.own()
-		defer func() { cr.end() }()
-		time.Sleep(time.Second)
+		cr, ow := startCrashes(t, la, 1)
 		cr.submit(ow, 1, batch(1, 1))
 		time.Sleep(20 * time.Second)
 		id := "job=" + jobID(1)
--- a/internal/sched/crashlab_test.go
+++ b/internal/sched/crashlab_test.go
@@ -63,6 +63,18 @@
 	return cr
 }
 
+// startCrashes returns a lab whose workers are crashed by the first tasks of some jobs, and
+// its owner, a second old.
+func startCrashes(t *testing.T, la *lab, jobs ...int) (*crashes, *Owner) {
+	t.Helper()
+	cr := newCrashes(t, la)
+	cr.crashing(jobs...)
+	ow := cr.own()
+	t.Cleanup(func() { cr.end() })
+	time.Sleep(time.Second)
+	return cr, ow
+}
+
 // own starts an owner; the one before ends.
 func (cr *crashes) own() *Owner {
 	cr.t.Helper()
