Say in lines on waits what holds the room

Users saw a lasting task run nowhere for 16 s with twice its room there, and the line had the word room only. It now has what a task needs, what the best worker has free, what of its room passes by itself or is being stopped, and how many workers have the room and get nothing, by reason. Two other waits were told as room and have their own words: rests between starts, and starts that wait for others under way.

--- a/internal/sched/host.go
+++ b/internal/sched/host.go
@@ -242,11 +242,36 @@
 }
 
 // usable reports whether the worker may be given something new.
-func (ho *host) usable(now time.Time) bool { return ho.well(now) && ho.trial == nil }
+func (ho *host) usable(now time.Time) bool { return ho.bar(now) == "" }
 
 // well reports the same, but for a task that is tried alone.
 func (ho *host) well(now time.Time) bool {
-	return ho.settled && !ho.gone && !ho.dead && !ho.Draining && ho.failing.IsZero() && now.After(ho.asideUntil)
+	why := ho.bar(now)
+	return why == "" || why == barTrial
+}
+
+// barTrial is why a worker gets nothing new while a task is tried alone there.
+const barTrial = "trial"
+
+// bar returns why the worker may not be given anything new, or nothing if it may.
+func (ho *host) bar(now time.Time) string {
+	switch {
+	case ho.dead:
+		return "dead"
+	case ho.gone:
+		return "unlisted"
+	case ho.Draining:
+		return "draining"
+	case !ho.settled:
+		return "unsettled"
+	case !ho.failing.IsZero():
+		return "unanswered"
+	case !now.After(ho.asideUntil):
+		return "aside"
+	case ho.trial != nil:
+		return barTrial
+	}
+	return ""
 }
 
 // clockNow is the worker's clock now, at the earliest and at the latest.
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -25,7 +25,8 @@
 		if ow.window.full() {
 			// The next round goes on once some have landed.
 			ow.due = true
-			return
+			en.lack = CauseOrder
+			continue
 		}
 		pl.placeJob(en)
 	}
@@ -106,10 +107,15 @@
 	var ra *ranking
 	for index := range en.jo.Tasks[step] {
 		ref := job.TaskRef{Step: step, Index: index}
-		if en.jo.Tasks[step][index].State != job.Waiting || en.rests.resting(ref, pl.now) {
+		if en.jo.Tasks[step][index].State != job.Waiting {
+			continue
+		}
+		if en.rests.resting(ref, pl.now) {
+			en.lack = CauseRest
 			continue
 		}
 		if pl.ow.window.full() {
+			en.lack = CauseOrder
 			return
 		}
 		if en.jo.Tasks[step][index].Suspect() {
--- /dev/null
+++ b/internal/sched/shortage.go
@@ -0,0 +1,94 @@
+package sched
+
+import (
+	"fmt"
+	"log/slog"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/pepperhatch/pepperhatch/internal/job"
+	"github.com/pepperhatch/pepperhatch/internal/worker"
+)
+
+// shortage is why the tasks of a step find no room: what the worker that comes nearest
+// has, what holds the rest of it, and which workers have room but may not be used.
+type shortage struct {
+	st   *job.Step
+	best *host
+	// lacks is what the best one lacks, as a share of what the step needs.
+	lacks float64
+	// barred counts the workers with enough room that may not be used, by reason.
+	barred map[string]int
+}
+
+// findShortage looks at all workers that the step may run on.
+func (ow *Owner) findShortage(en *entry, st *job.Step, now time.Time) shortage {
+	sh := shortage{st: st, barred: map[string]int{}}
+	for _, ho := range ow.sortedHosts() {
+		ca := newCandidate(ho, now)
+		if !ca.suitable(en, st) {
+			continue
+		}
+		if why := ho.bar(now); why != "" {
+			if st.Reserved().Fits(ca.free) {
+				sh.barred[why]++
+			}
+			continue
+		}
+		if lacks := lacking(st.Reserved(), ca.free); sh.best == nil || lacks < sh.lacks {
+			sh.best, sh.lacks = ho, lacks
+		}
+	}
+	return sh
+}
+
+// lacking returns how much of what is needed is not free, as a share of it: that of the
+// resource of which most is lacking.
+func lacking(need, free worker.Resources) float64 {
+	return max(
+		share(need.MilliCores-free.MilliCores, need.MilliCores),
+		share(need.MemMB-free.MemMB, need.MemMB),
+		share(need.Accels-free.Accels, need.Accels),
+	)
+}
+
+// attrs are the fields of a log line.
+func (sh shortage) attrs() []slog.Attr {
+	need := sh.st.Reserved()
+	list := []slog.Attr{
+		slog.Int64("need_millicores", need.MilliCores), slog.Int64("need_mem_mb", need.MemMB),
+		slog.String("barred", sh.barredWhy()),
+	}
+	if sh.best == nil {
+		return append(list, slog.String("best", "none"))
+	}
+	free := sh.best.Holds.Without(sh.best.reserved)
+	return append(list,
+		slog.String("best", sh.best.incarnation),
+		slog.Int64("free_millicores", free.MilliCores), slog.Int64("free_mem_mb", free.MemMB),
+		slog.Int64("passing_millicores", sh.best.passing.MilliCores), slog.Int64("passing_mem_mb", sh.best.passing.MemMB),
+		slog.Int64("stopping_millicores", sh.best.stopping().MilliCores), slog.Int("attempts", len(sh.best.attempts)),
+	)
+}
+
+// barredWhy lists the reasons with their numbers.
+func (sh shortage) barredWhy() string {
+	list := make([]string, 0, len(sh.barred))
+	for why, n := range sh.barred {
+		list = append(list, fmt.Sprintf("%s:%d", why, n))
+	}
+	slices.Sort(list)
+	return strings.Join(list, " ")
+}
+
+// stopping is the part of the worker's room that attempts take which are being stopped.
+func (ho *host) stopping() worker.Resources {
+	var sum worker.Resources
+	for at := range ho.attempts {
+		if !at.halted.IsZero() {
+			sum = sum.With(at.step().Reserved())
+		}
+	}
+	return sum
+}
--- a/internal/sched/spent.go
+++ b/internal/sched/spent.go
@@ -4,6 +4,7 @@
 	"log/slog"
 	"time"
 
+	"github.com/pepperhatch/pepperhatch/internal/job"
 	"github.com/pepperhatch/pepperhatch/internal/telemetry"
 )
 
@@ -30,15 +31,25 @@
 	CauseStore
 
 	causes
+
+	// CauseRest: a task that lasts and failed several times in a row is not to begin yet.
+	// The time of such jobs is not added up, so it has no place among the others.
+	CauseRest = causes
 )
 
 // causeNames are the names of causes in logs and metrics.
 var causeNames = [causes]string{"order", "work", "paced", "room", "place", "stop", "store"}
 
 // String returns the cause's name.
-func (ca Cause) String() string { return causeNames[ca] }
+func (ca Cause) String() string {
+	if ca == CauseRest {
+		return "rest"
+	}
+	return causeNames[ca]
+}
 
-// CauseNames returns the names of all causes, in their order.
+// CauseNames returns the names of the causes that a job's time is added up by, in their
+// order.
 func CauseNames() []string { return causeNames[:] }
 
 // Waits that are told.
@@ -129,12 +140,32 @@
 		return
 	}
 	en.spent.tell = 2 * wait
-	lack := en.cause(ow.storeDown()).String()
-	if en.jo.Endless() {
-		ow.Log.Info("lasting tasks wait", "job", en.jo.ID, "queue", en.jo.Terms.Queue, "for", lack, "wait", wait, "tasks", en.waiting)
+	lack := en.cause(ow.storeDown())
+	attrs := []slog.Attr{slog.String("for", lack.String()), slog.Duration("wait", wait), slog.Int("tasks", en.waiting)}
+	if st := en.waitingStep(); lack == CauseRoom && st != nil {
+		attrs = append(attrs, ow.findShortage(en, st, now).attrs()...)
+	}
+	if !en.jo.Endless() {
+		ow.logTime("job waits", en, now, attrs...)
 		return
 	}
-	ow.logTime("job waits", en, now, slog.String("for", lack), slog.Duration("wait", wait), slog.Int("tasks", en.waiting))
+	named := []slog.Attr{slog.String("job", en.jo.ID), slog.String("queue", en.jo.Terms.Queue)}
+	ow.Log.LogAttrs(ow.ctx, slog.LevelInfo, "lasting tasks wait", append(named, attrs...)...)
+}
+
+// waitingStep returns the first step of which tasks wait, or nil.
+func (en *entry) waitingStep() *job.Step {
+	for step := range en.jo.Spec.Steps {
+		if !en.jo.Ready(step) {
+			continue
+		}
+		for index := range en.jo.Tasks[step] {
+			if en.jo.Tasks[step][index].State == job.Waiting {
+				return &en.jo.Spec.Steps[step]
+			}
+		}
+	}
+	return nil
 }
 
 // tellTime writes a line on what the time of a job that is over went to, and
