Take a refused connection for an order that nobody had

Cause: an order to a worker that had crashed just before found nothing listening; it counted as one that may have been carried out, and the owner after the next change took it, as a former owner's order without more, for one under which the worker crashed. Twice that and one crash by nobody's doing made three. Class: silence taken for evidence.

A connection that was not made now has its own error, also over a relay: the attempt ends as never run and its task goes elsewhere at once, instead of waiting 2.6 s for its worker to be back. Ruled out: to count former owners' orders as losses (a task that crashes its workers would outlive owners up to ten starts), and a resend behind the refusal (an order is sent once, and the client sends again only what it wrote no byte of). The stand-in fleet tells a connection that broke off from one refused.

TestOrderThatFoundNobodyIsNoCrash fails before.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -178,6 +178,7 @@
 	{"unfit", worker.ErrUnfit},
 	{"other-life", worker.ErrOtherLife},
 	{"malformed", worker.ErrMalformed},
+	{"no-listener", worker.ErrNoListener},
 	{"broke-off", worker.ErrBrokeOff},
 }
 
--- a/internal/sched/death_test.go
+++ b/internal/sched/death_test.go
@@ -1,12 +1,15 @@
 package sched
 
 import (
+	"context"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/pepperhatch/pepperhatch/internal/job"
 	"github.com/pepperhatch/pepperhatch/internal/standin"
 	"github.com/pepperhatch/pepperhatch/internal/worker"
 )
@@ -37,3 +40,46 @@
 		qt.Check(t, li.with(`msg="attempt ended"`, "worker=i-0 ", "ran_at_least=0s"), qt.HasLen, 0)
 	})
 }
+
+// TestOrderThatFoundNobodyIsNoCrash is the story of a job that failed though nothing was
+// wrong with it.
+//
+// Users saw a job fail of which one task had ended one worker. Order of events: a task is
+// ordered to a worker that has crashed just before, where nothing listens; before that is
+// known as a crash the cell's owner changes; the next one finds the order in its rows and
+// takes it for one under which the worker crashed. The same again, and a worker that
+// crashes by itself makes three. Cause: a refused connection was taken for an order that
+// the worker may have had.
+//
+// Evidence: "launch not done .. connection refused" and, two owners and 2.6 s later,
+// "attempt ended .. end=crashed .. acked=false"; random scripts with PEPPERHATCH_SEED=7006.
+func TestOrderThatFoundNobodyIsNoCrash(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		la, li := loggedLab(t, 2)
+		cr := newCrashes(t, la)
+		cr.crashing()
+		var once sync.Once
+		la.throughFunc = func(ag worker.Agent) worker.Agent {
+			launch := ag.LaunchFunc
+			ag.LaunchFunc = func(ctx context.Context, ad worker.Addr, la worker.Launch) (worker.Ack, error) {
+				once.Do(func() {
+					for _, fw := range cr.workers() {
+						cr.crash(fw)
+					}
+				})
+				return launch(ctx, ad, la)
+			}
+			return ag
+		}
+		ow := cr.own()
+		defer func() { cr.end() }()
+		time.Sleep(time.Second)
+		cr.submit(ow, 1, batch(1, 4))
+		time.Sleep(50 * time.Millisecond)
+		qt.Assert(t, len(li.with(`msg="launch not done"`, jobID(1))) >= 4, qt.IsTrue)
+		ow = cr.own()
+		time.Sleep(20 * time.Second)
+		qt.Check(t, li.with("end=crashed", jobID(1)), qt.HasLen, 0)
+		qt.Check(t, cr.state(ow, 1), qt.Equals, job.Succeeded)
+	})
+}
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -70,6 +70,8 @@
 	Late time.Duration
 	// ClockRate is how fast its clock runs; 0 means right.
 	ClockRate float64
+	// RunFunc, if set, goes before that of the fleet.
+	RunFunc func(at worker.Attempt) (time.Duration, string)
 
 	fl      *Fleet
 	born    time.Time
@@ -207,7 +209,11 @@
 }
 
 func errRefused(ad worker.Addr) error {
-	return fmt.Errorf("%w: dial %s: connection refused", worker.ErrBrokeOff, ad.HostPort)
+	return fmt.Errorf("dial %s: connection refused: %w", ad.HostPort, worker.ErrNoListener)
+}
+
+func errReset(ad worker.Addr) error {
+	return fmt.Errorf("connection to %s reset: %w", ad.HostPort, worker.ErrBrokeOff)
 }
 
 // order carries out an order, or later, or loses its answer, as the worker's
@@ -221,7 +227,7 @@
 		fl.mu.Lock()
 		defer fl.mu.Unlock()
 		if fw.dead {
-			return worker.Ack{}, errRefused(ad)
+			return worker.Ack{}, errReset(ad)
 		}
 		return fn(fw)
 	}
@@ -319,8 +325,12 @@
 
 func (fw *FleetWorker) start(la worker.Launch, takes worker.Resources) {
 	work, how := time.Second, "done"
-	if fw.fl.RunFunc != nil {
-		work, how = fw.fl.RunFunc(la.Attempt)
+	run := fw.fl.RunFunc
+	if fw.RunFunc != nil {
+		run = fw.RunFunc
+	}
+	if run != nil {
+		work, how = run(la.Attempt)
 	}
 	ru := &FleetRun{Attempt: la.Attempt, Worker: fw.Addr.Incarnation, Payload: la.Payload, Checkpoint: la.Checkpoint, From: time.Now()}
 	fw.fl.runs = append(fw.fl.runs, ru)
@@ -459,7 +469,7 @@
 	fw.fl.mu.Lock()
 	defer fw.fl.mu.Unlock()
 	if fw.dead {
-		return worker.Sight{}, errRefused(fw.Addr)
+		return worker.Sight{}, errReset(fw.Addr)
 	}
 	si := worker.Sight{ClockMS: fw.clock(), Ended: append([]worker.EndedAttempt(nil), fw.ended...)}
 	for _, ta := range fw.running {
--- a/internal/worker/agent.go
+++ b/internal/worker/agent.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 )
 
@@ -132,11 +133,14 @@
 	ErrNotSent = errors.New("order was not sent")
 )
 
-// ErrBrokeOff: the connection to the worker broke off, or nothing listens there, while
-// other errors of its kind are of answers that did not come in time. The order may have
-// been carried out, or may be yet.
+// ErrBrokeOff: the connection to the worker broke off, while other errors of its kind are
+// of answers that did not come in time. The order may have been carried out, or may be yet.
 var ErrBrokeOff = errors.New("connection to the worker broke off")
 
+// ErrNoListener: nothing listens at the worker's address. It is an [ErrBrokeOff] of which
+// it is certain that the order was not sent.
+var ErrNoListener = fmt.Errorf("nothing listens there: %w: %w", ErrNotSent, ErrBrokeOff)
+
 // Agent is a client of workers that are ordered task by task.
 type Agent struct {
 	// LaunchFunc starts an attempt; it is good to send it again.
