Set only some workers of a service aside for failures

Found while looking for what an owner takes for occupied: forty jobs that fail wherever they run had all four workers set aside, for up to 12 s each, and a healthy job ran nothing for 8.2 s beside them. Cause: failures counted against each worker by itself, also where all had some. Class: room that is there and is not offered.

Now one worker of four of a service may be set aside for failures at once, one at least where there are others; and a task that lasts goes to such a worker after 1 s if no other has room, as it is never given up for failing. What refuses orders or stands still is set aside as before.

Lines on waits name these workers as failing.

--- a/internal/sched/aside.go
+++ b/internal/sched/aside.go
@@ -1,6 +1,10 @@
 package sched
 
-import "time"
+import (
+	"time"
+
+	"github.com/pepperhatch/pepperhatch/internal/job"
+)
 
 // judge keeps how a worker does, and sets it aside if it fails the tasks of
 // several jobs in a row.
@@ -13,13 +17,37 @@
 		ho.failures++
 		ho.failedJobs[en.jo.ID] = true
 	}
-	if ho.failures >= asideFailures && len(ho.failedJobs) >= asideJobs {
-		ho.setAside(asideFirst<<min(ho.asides, asideDoublings), "fails tasks of several jobs")
-		ho.asides++
-		ho.failures = asideFailures - 1
+	if ho.failures < asideFailures || len(ho.failedJobs) < asideJobs || !ho.ow.maySpare(ho) {
+		return
 	}
+	d := asideFirst << min(ho.asides, asideDoublings)
+	ho.failingUntil = time.Now().Add(d)
+	ho.tellAside(d, "fails tasks of several jobs")
+	ho.asides++
+	ho.failures = asideFailures - 1
 }
 
+// maySpare reports whether one more worker of a service may be set aside for failures.
+// Where more than a part of them fail the tasks of several jobs, it is the tasks that
+// fail: four empty workers were kept from a healthy job for 8.2 s (virtual time) while 40
+// jobs failed wherever they ran.
+func (ow *Owner) maySpare(ho *host) bool {
+	now, all, spared := time.Now(), 0, 0
+	for _, other := range ow.hosts {
+		if other.Service != ho.Service || other.dead || other.gone {
+			continue
+		}
+		all++
+		if other != ho && other.fails(now) {
+			spared++
+		}
+	}
+	return all > 1 && spared < max(all/asideShare, 1)
+}
+
+// fails reports whether the worker is set aside as it fails tasks.
+func (ho *host) fails(now time.Time) bool { return !now.After(ho.failingUntil) }
+
 // Setting workers aside.
 const (
 	// asideFailures and asideJobs are how many attempts, of how many jobs,
@@ -29,6 +57,13 @@
 	// asideFirst is the first time aside; it doubles so often.
 	asideFirst     = 1500 * time.Millisecond
 	asideDoublings = 3
+	// asideShare bounds the workers of a service that are set aside for failures at once:
+	// one of so many, and one at least where there are others. Users take what stands
+	// empty for free, and miss a job beside it where under half is used.
+	asideShare = 4
+	// lastResortAfter is how long a task that lasts waits before it goes to a worker that
+	// is set aside for failures, if no other has room: users miss it from 6 s on.
+	lastResortAfter = time.Second
 	// asideUnfit is the time aside after a refused order.
 	asideUnfit = 700 * time.Millisecond
 )
@@ -40,5 +75,31 @@
 		return
 	}
 	ho.asideUntil = until
+	ho.tellAside(d, why)
+}
+
+func (ho *host) tellAside(d time.Duration, why string) {
 	ho.ow.Log.Warn("worker set aside", "worker", ho.incarnation, "for", d, "failures", ho.failures, "why", why)
 }
+
+// lastResort starts a task that lasts on a worker that is set aside for failures, once it
+// has waited for another, and reports whether it did. Such a task may fail as often as it
+// likes, and where it stands it may last.
+func (pl *placer) lastResort(en *entry, ref job.TaskRef) bool {
+	if !en.jo.Spec.Steps[ref.Step].Endless || pl.now.Sub(en.waitingSince) < lastResortAfter {
+		return false
+	}
+	var best *candidate
+	st := &en.jo.Spec.Steps[ref.Step]
+	for _, ca := range pl.failing {
+		if ca.fits(en, ref, st) && (best == nil || ca.score(en, st) > best.score(en, st)) {
+			best = ca
+		}
+	}
+	if best == nil {
+		return false
+	}
+	pl.start(en, ref, best)
+	en.lack = CauseOrder
+	return true
+}
--- a/internal/sched/host.go
+++ b/internal/sched/host.go
@@ -89,12 +89,14 @@
 	passing worker.Resources
 	// trial is the task that is tried alone here, or is to be.
 	trial *trial
-	// asideUntil is until when it gets nothing new; failures counts attempts
-	// that failed here since one was done, of failedJobs.
-	asideUntil time.Time
-	asides     int
-	failures   int
-	failedJobs map[string]bool
+	// asideUntil is until when it gets nothing new. failures counts attempts
+	// that failed here since one was done, of failedJobs; failingUntil is until when it
+	// is set aside for them, asides how often it was.
+	asideUntil   time.Time
+	failingUntil time.Time
+	asides       int
+	failures     int
+	failedJobs   map[string]bool
 	// fill follows the fillers.
 	fill fillers
 }
@@ -241,17 +243,19 @@
 	at.en.attempts[at.ref] = at
 }
 
-// usable reports whether the worker may be given something new.
-func (ho *host) usable(now time.Time) bool { return ho.bar(now) == "" }
-
-// well reports the same, but for a task that is tried alone.
+// well reports whether the worker may be given something new, but for a task that is tried
+// alone there.
 func (ho *host) well(now time.Time) bool {
 	why := ho.bar(now)
 	return why == "" || why == barTrial
 }
 
-// barTrial is why a worker gets nothing new while a task is tried alone there.
-const barTrial = "trial"
+// barTrial is why a worker gets nothing new while a task is tried alone there, barFailing
+// why it gets nothing but what finds room nowhere else.
+const (
+	barTrial   = "trial"
+	barFailing = "failing"
+)
 
 // bar returns why the worker may not be given anything new, or nothing if it may.
 func (ho *host) bar(now time.Time) string {
@@ -268,6 +272,8 @@
 		return "unanswered"
 	case !now.After(ho.asideUntil):
 		return "aside"
+	case ho.fails(now):
+		return barFailing
 	case ho.trial != nil:
 		return barTrial
 	}
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -39,7 +39,10 @@
 	ow.noPlace.begin(pl.now, len(ow.hosts))
 	var reserved, holds int64
 	for _, ho := range ow.sortedHosts() {
-		if !ho.usable(pl.now) {
+		if why := ho.bar(pl.now); why != "" {
+			if why == barFailing && ho.trial == nil {
+				pl.failing = append(pl.failing, newCandidate(ho, pl.now))
+			}
 			continue
 		}
 		ca := newCandidate(ho, pl.now)
@@ -87,6 +90,8 @@
 	ow    *Owner
 	now   time.Time
 	hosts []*candidate
+	// failing are the workers that are set aside for failures.
+	failing []*candidate
 	// patience is how long fillers wait for a good place.
 	patience time.Duration
 	// keeps counts the workers whose room is kept.
@@ -129,6 +134,9 @@
 		}
 		ca := ra.best()
 		en.lack = ra.lack
+		if ca == nil && pl.lastResort(en, ref) {
+			continue
+		}
 		if ca == nil {
 			pl.keepRoom(en, ref)
 			return
