Count leases from the last one that a former owner told

Trace of one: the owner's host stands still from 11.7 to 19.7 s; a worker is lost for good at 11.9 s; another host owns the cell at 13.4 s, can't reach the worker, and asks the former owner's host, which answers at 19.7 s that it was told of its replacement; what ran there ends as lapsed at 30.3 s, a lease of 10 s, its drift and a margin after that. Cause: leases were taken to begin at that answer. A host that stood still told none in between, and knows it.

Now its answer says how long ago it, or an owner before it, last told a worker a lease, and it tells none afterwards (one lock holds both). A host of another version says nothing, which counts as just now. Ruled out: a shorter drift (1/(1-0.02) in place of 1.04 leaves 0.05 s, and is not safe where the clock was read long ago), and the last heartbeat seen plus 8 s (0.1 s less).

Read cold: the owner after the next asks only the last one's host, so an answer must cover owners before; TestLastLeaseCoversFormerOwners has these cases.

TestOwnerThatStoodStillSaysWhenItLastLeased fails before.

--- a/internal/door/peer.go
+++ b/internal/door/peer.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"time"
 
 	"github.com/pepperhatch/pepperhatch/internal/sched"
 	"github.com/pepperhatch/pepperhatch/internal/tenure"
@@ -52,7 +53,7 @@
 	mux.Handle("POST "+pathProcess, wire.Handle(func(_ context.Context, req replacement) (processReply, error) {
 		do.Keeper.Replaced(req.Epoch)
 		li := do.Keeper.Life()
-		return processReply{Process: li.Process, Refused: li.Refused}, nil
+		return processReply{Process: li.Process, Refused: li.Refused, SinceLeaseMS: li.SinceLease.Milliseconds()}, nil
 	}))
 	return mux
 }
@@ -63,17 +64,20 @@
 }
 
 // processReply names the host's process, and says whether the store refuses its
-// heartbeats as an owner.
+// heartbeats as an owner, and how long ago it last told a worker a lease.
 type processReply struct {
 	Process string `json:"process"`
 	Refused bool   `json:"refused,omitempty"`
+
+	SinceLeaseMS int64 `json:"since_lease_ms,omitempty"`
 }
 
 // Ask tells the entry host at addr of a new owner and returns what it says of
 // itself.
 func (do *Door) Ask(ctx context.Context, addr string, epoch int64) (tenure.Life, error) {
 	re, err := wire.Post[replacement, processReply](ctx, do.Peers, "http://"+addr+pathProcess, replacement{Epoch: epoch})
-	return tenure.Life{Process: re.Process, Refused: re.Refused}, err
+	since := time.Duration(max(re.SinceLeaseMS, 0)) * time.Millisecond
+	return tenure.Life{Process: re.Process, Refused: re.Refused, SinceLease: since}, err
 }
 
 // handle serves one kind of request on the cell's owner.
--- a/internal/sched/host.go
+++ b/internal/sched/host.go
@@ -292,7 +292,8 @@
 // leaseNow returns the end of leases to tell the worker now, or 0 if its clock
 // is not known or the tenure was not confirmed for too long.
 func (ho *host) leaseNow(now time.Time) int64 {
-	if ho.clockAt.IsZero() || now.Sub(ho.ow.Tenure.Confirmed()) > tenure.ExtendFor {
+	te := &ho.ow.Tenure
+	if ho.clockAt.IsZero() || now.Sub(te.Confirmed()) > tenure.ExtendFor || (te.Extending != nil && !te.Extending()) {
 		return 0
 	}
 	_, latest := ho.clockNow(now)
--- a/internal/sched/third_test.go
+++ b/internal/sched/third_test.go
@@ -184,3 +184,33 @@
 		cr.assertRunning(4)
 	})
 }
+
+// TestOwnerThatStoodStillSaysWhenItLastLeased is the story of tasks that waited for a host
+// that had done nothing.
+//
+// Users saw tasks that last run nowhere for 18 s. Order of events: the owner's host stands
+// still for 8 s; a worker is lost for good in the same moment; another host takes the cell
+// over and can't know until when the first one extended that worker's leases; the first
+// wakes and is told of its replacement. Cause: leases were taken to begin then, though it
+// had told none since it stood still.
+//
+// Evidence: "former owner has ceased to act .. why=it was told of its replacement" at
+// 19.7 s, and "attempt ended .. its leases have lapsed" at 30.3 s, with leases of 10 s.
+func TestOwnerThatStoodStillSaysWhenItLastLeased(t *testing.T) {
+	threeHosts(t, func(cr *crowd, first, second, _ *contender) {
+		fw := cr.busy()
+		first.gate.Set(standin.Fault{Mode: standin.ModeDown})
+		first.set(func(co *contender) {
+			co.dark = true
+			for _, fw := range cr.crew {
+				co.cut[fw.Addr.Incarnation] = true
+			}
+		})
+		cr.fleet.Kill(fw)
+		cr.awaitOwner(second)
+		time.Sleep(8 * time.Second)
+		first.set(func(co *contender) { co.dark = false })
+		time.Sleep(1500 * time.Millisecond)
+		cr.assertRunning(4)
+	})
+}
--- a/internal/tenure/former.go
+++ b/internal/tenure/former.go
@@ -21,7 +21,8 @@
 	earlier time.Time
 
 	mu sync.Mutex
-	// at is when the last owner had ceased to act, zero if that is not known.
+	// at is when the last owner had ceased to act, or last told a worker a lease if it
+	// said so, zero if neither is known.
 	at time.Time
 }
 
@@ -37,6 +38,14 @@
 	return fo.earlier
 }
 
+// last returns the last moment at which a former owner can have told a worker a lease.
+func (fo *former) last() time.Time {
+	if at := fo.when(); !at.IsZero() {
+		return at
+	}
+	return fo.claimed.Add(ExtendFor)
+}
+
 // alone reports whether all former owners have ceased to act: so they have also if
 // nothing is known of them, once none can have been confirmed for long enough.
 func (fo *former) alone() bool {
@@ -45,21 +54,23 @@
 	return !ended.IsZero() && !ended.After(now) || now.Sub(fo.claimed) > ExtendFor
 }
 
-func (fo *former) ended(why string) {
+// ended notes that the last owner has ceased to act, and how long ago it last told a
+// worker a lease, as far as that is known.
+func (fo *former) ended(why string, sinceLease time.Duration) {
 	fo.mu.Lock()
 	defer fo.mu.Unlock()
-	fo.at = time.Now()
+	fo.at = time.Now().Add(-sinceLease)
 	fo.ke.Log.Info("former owner has ceased to act", "cell", fo.ke.Cell, "former", fo.row.Owner, "process", fo.row.Process, "why", why,
-		"earlier_may_act_for", max(time.Until(fo.earlier), 0))
+		"since_lease", sinceLease, "earlier_may_act_for", max(time.Until(fo.earlier), 0))
 }
 
 // begin takes in what the last owner's row says of it, or asks its host.
 func (fo *former) begin(ctx context.Context) {
 	switch fo.row.Owner {
 	case "":
-		fo.ended("it released the cell, or there was none")
+		fo.ended("it released the cell, or there was none", 0)
 	case fo.ke.Self:
-		fo.ended("it was an earlier process of this host")
+		fo.ended("it was an earlier process of this host", 0)
 	default:
 		go fo.ask(ctx)
 	}
@@ -74,10 +85,10 @@
 		switch {
 		case err != nil:
 		case li.Process == fo.row.Process:
-			fo.ended("it was told of its replacement")
+			fo.ended("it was told of its replacement", li.SinceLease)
 			return
 		default:
-			fo.ended("another process runs on its host")
+			fo.ended("another process runs on its host", 0)
 			return
 		}
 		if !clock.Sleep(ctx, askEvery) {
--- a/internal/tenure/owners_test.go
+++ b/internal/tenure/owners_test.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"fmt"
+	"log/slog"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
 
 	"github.com/pepperhatch/pepperhatch/internal/clock"
@@ -20,6 +23,8 @@
 	// extended is when an owner last could extend leases, assumed the earliest moment
 	// by which it took all former owners to have ceased to act, once that was past.
 	extended, assumed map[int64]time.Time
+	// every is the time between two extensions of an owner.
+	every time.Duration
 }
 
 // serve stands for an owner that extends leases whenever it may.
@@ -38,7 +43,8 @@
 	ac.mu.Lock()
 	defer ac.mu.Unlock()
 	now := time.Now()
-	if now.Sub(te.Confirmed()) <= ExtendFor {
+	due := now.Sub(ac.extended[te.Epoch]) >= ac.every
+	if due && now.Sub(te.Confirmed()) <= ExtendFor && te.Extending() {
 		ac.extended[te.Epoch] = now
 	}
 	ended := opened.Add(ExtendFor)
@@ -73,6 +79,7 @@
 	proptest.Check(t, proptest.Size{Checks: randomOwners}, func(rt *rapid.T) {
 		proptest.InBubble(t, func() {
 			ac := &acts{extended: map[int64]time.Time{}, assumed: map[int64]time.Time{}}
+			ac.every = rapid.SampledFrom([]time.Duration{0, 0, 2 * time.Second, 7 * time.Second}).Draw(rt, "every")
 			ra := &race{t: t, serveFunc: ac.serve}
 			// Small hosts leave the cell to larger ones, and claim it again if none comes.
 			for i, cores := range []float64{0.8, 0.2, 0.2} {
@@ -162,3 +169,36 @@
 	defer ri.mu.Unlock()
 	return !ri.dead
 }
+
+// TestLastLeaseCoversFormerOwners: the third owner asks only the second one's host, so that
+// one's answer must hold for the first as well.
+func TestLastLeaseCoversFormerOwners(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ago := func(d time.Duration) time.Time { return time.Now().Add(-d) }
+		for _, tc := range []struct {
+			name   string
+			leased time.Time
+			fo     *former
+			want   time.Duration
+		}{
+			{"none was told", time.Time{}, &former{at: ago(9 * time.Second)}, 0},
+			{"the former owner ended before", ago(4 * time.Second), &former{at: ago(9 * time.Second)}, 4 * time.Second},
+			{"the former owner told the last", ago(4 * time.Second), &former{at: ago(3 * time.Second)}, 3 * time.Second},
+			{"one before it may have", ago(4 * time.Second), &former{at: ago(9 * time.Second), earlier: ago(2 * time.Second)}, 2 * time.Second},
+			{"nothing is known of the former owner", ago(4 * time.Second), &former{claimed: ago(ExtendFor + time.Second)}, time.Second},
+			{"the former owner may still act", ago(4 * time.Second), &former{claimed: ago(5 * time.Second)}, 0},
+		} {
+			ke := &Keeper{leased: tc.leased, former: tc.fo}
+			qt.Check(t, ke.Life().SinceLease, qt.Equals, tc.want, qt.Commentf("%s", tc.name))
+		}
+	})
+}
+
+// TestNoLeaseAfterTheAnswer: a host that said when it last told a lease tells none after.
+func TestNoLeaseAfterTheAnswer(t *testing.T) {
+	ke := &Keeper{Log: slog.New(slog.DiscardHandler)}
+	qt.Assert(t, ke.extending(3), qt.IsTrue)
+	ke.Replaced(4)
+	qt.Assert(t, ke.extending(3), qt.IsFalse)
+	qt.Assert(t, ke.extending(4), qt.IsTrue)
+}
--- a/internal/tenure/probe.go
+++ b/internal/tenure/probe.go
@@ -27,13 +27,46 @@
 	Process string
 	// Refused is set if the store refused its last heartbeats as an owner.
 	Refused bool
+	// SinceLease is how long ago this process, or an owner before it, last told a worker a
+	// lease, zero if one did just now or that is not known. A host that stood still knows that it told none: the
+	// next owner took its workers' leases to begin as it woke, and tasks of a lost worker
+	// ran nowhere for 10.5 s more.
+	SinceLease time.Duration
 }
 
 // Life returns what this host says of itself.
 func (ke *Keeper) Life() Life {
 	ke.mu.Lock()
 	defer ke.mu.Unlock()
-	return Life{Process: ke.Process, Refused: ke.missed >= missedMost}
+	li := Life{Process: ke.Process, Refused: ke.missed >= missedMost}
+	if last := ke.lastLease(); !last.IsZero() {
+		li.SinceLease = max(time.Since(last), 0)
+	}
+	return li
+}
+
+// lastLease returns when this process last told a worker a lease, or an owner before it
+// can have if that is later, or zero if that is not known.
+func (ke *Keeper) lastLease() time.Time {
+	if ke.leased.IsZero() || ke.former == nil {
+		return time.Time{}
+	}
+	if before := ke.former.last(); before.After(ke.leased) {
+		return before
+	}
+	return ke.leased
+}
+
+// extending notes that workers are about to be told leases by an owner, and reports
+// whether they may be.
+func (ke *Keeper) extending(epoch int64) bool {
+	ke.mu.Lock()
+	defer ke.mu.Unlock()
+	if ke.told > epoch {
+		return false
+	}
+	ke.leased = time.Now()
+	return true
 }
 
 // StoreAnswers reports whether the store answers this host.
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -120,6 +120,9 @@
 	Written   func() time.Time
 	// Renounce ends the tenure when something showed that it is over.
 	Renounce func(reason error)
+	// Extending is called before workers are told leases, and reports whether they may
+	// be: not once this host was told of a new owner, to which it said when the last was.
+	Extending func() bool
 }
 
 // ErrOver is the cause when a tenure ended because another host has the cell.
@@ -168,7 +171,11 @@
 	// beaten is when the last heartbeat was sent that was written, or the claim.
 	beaten time.Time
 	// told is the highest epoch that this host was told of by its owner.
-	told     int64
+	told int64
+	// leased is when this process last told a worker a lease, or was about to.
+	leased time.Time
+	// former are the owners before this host, in its last tenure.
+	former   *former
 	stopping bool
 	// releaseBy is when a host that stops gives up giving its cell up.
 	releaseBy time.Time
@@ -430,7 +437,7 @@
 	if ke.stopping {
 		end(errStopping)
 	}
-	ke.row, ke.version, ke.end = row, version, end
+	ke.row, ke.version, ke.end, ke.former = row, version, end, fo
 	ke.earlier = fo.claimed.Add(ExtendFor)
 	ke.heard()
 	ke.mu.Unlock()
@@ -439,7 +446,7 @@
 	go hb.run()
 	go ke.yield(sctx, row, end)
 	ke.Log.Info("owning the cell", "cell", ke.Cell, "epoch", row.Epoch, "version", version)
-	silent, err := ke.Serve(sctx, Tenure{Epoch: row.Epoch, Key: ke.ownerKey(), Version: version, Former: fo.row, FormerEnded: fo.when, Confirmed: hb.last, Written: ke.written, Renounce: end})
+	silent, err := ke.Serve(sctx, Tenure{Epoch: row.Epoch, Key: ke.ownerKey(), Version: version, Former: fo.row, FormerEnded: fo.when, Confirmed: hb.last, Written: ke.written, Renounce: end, Extending: func() bool { return ke.extending(row.Epoch) }})
 	cause := context.Cause(sctx)
 	end(err)
 	ke.mu.Lock()
