Measure how long an attempt may stand still by its own pace

A run of all tests failed TestVeryLongTasksAreLeftAlone once: a task 300 times as long as estimated wasn't done in 320 s. Trace: the second attempt gets on every 3 s for 300 s and is stopped at 99 per cent, "no progress for 3s", as a look fell so that 2.1 s were over. Cause: the limit came from the estimate alone. Now an attempt may also take three times as long for a per cent as it did for those before, not counting when it was held. Ruled out: more doublings (the same at another ratio).

TestListLapsesForRelays had rows of workers without any field, which name no worker now; it has whole rows, and checks the same.

--- a/internal/jobhost/lapse_test.go
+++ b/internal/jobhost/lapse_test.go
@@ -17,17 +17,20 @@
 	"github.com/pepperhatch/pepperhatch/internal/registry"
 	"github.com/pepperhatch/pepperhatch/internal/relay"
 	"github.com/pepperhatch/pepperhatch/internal/sched"
+	"github.com/pepperhatch/pepperhatch/internal/standin"
 	"github.com/pepperhatch/pepperhatch/internal/store"
 	"github.com/pepperhatch/pepperhatch/internal/telemetry"
 	"github.com/pepperhatch/pepperhatch/internal/worker"
 	"github.com/pepperhatch/pepperhatch/platform"
+	"github.com/pepperhatch/pepperhatch/platform/platformtest"
 )
 
 // rowsOf are rows of the list of workers, as they are or as they go.
 func rowsOf(names []string, gone bool) []store.FeedRow {
 	rows := make([]store.FeedRow, len(names))
 	for i, name := range names {
-		rows[i] = store.FeedRow{Row: store.Row{Key: platform.WorkerPrefix + name, Value: []byte("{}")}, Gone: gone}
+		fw := &standin.FleetWorker{Addr: worker.Addr{HostPort: fmt.Sprintf("10.0.%d.%d:80", i/250, i%250), Incarnation: name}}
+		rows[i] = store.FeedRow{Row: store.Row{Key: platform.WorkerPrefix + name, Value: platformtest.WorkerRow(fw, "routedesk", "a")}, Gone: gone}
 	}
 	return rows
 }
--- a/internal/sched/attempt.go
+++ b/internal/sched/attempt.go
@@ -34,6 +34,10 @@
 	usage   int64
 	// movedAt is when it was last seen to get on, still counts the looks since.
 	movedAt time.Time
+	// firstAt is when it was first seen at work, and not held since, first how far it had
+	// come then, in per cent.
+	firstAt time.Time
+	first   int
 	still   int
 	// replica is what was learnt of a service.
 	replica interfere.Replica
--- a/internal/sched/stall.go
+++ b/internal/sched/stall.go
@@ -20,6 +20,9 @@
 	// stand still: one that is 300 times as long as estimated was stopped each 3 s, for
 	// ever, and set a worker aside each time.
 	stalledDoublings = 6
+	// stalledPerCents is how many of its own per cent's time an attempt may show none: one
+	// that took 3 s for each was stopped at its last, after 300 s, in one of 1,000 plays.
+	stalledPerCents = 3
 	// asideStalled is how long a worker is set aside on which an attempt stands
 	// still.
 	asideStalled = 2500 * time.Millisecond
@@ -27,7 +30,11 @@
 
 // follow takes in how far an attempt has come.
 func (at *attempt) follow(percent int, now time.Time) {
-	if percent != at.percent || at.speed() <= heldPace || at.movedAt.IsZero() {
+	begins := at.movedAt.IsZero() || at.speed() <= heldPace
+	if begins {
+		at.firstAt, at.first = now, percent
+	}
+	if begins || percent != at.percent {
 		at.movedAt, at.still = now, 0
 	} else {
 		at.still++
@@ -41,7 +48,17 @@
 		return false
 	}
 	part := time.Duration(stalledPart * float64(at.step().EstimateMS) * float64(time.Millisecond))
-	return now.Sub(at.movedAt) > (stalledAfter+part)<<min(at.en.stood[at.ref], stalledDoublings)
+	limit := (stalledAfter + part) << min(at.en.stood[at.ref], stalledDoublings)
+	return now.Sub(at.movedAt) > max(limit, stalledPerCents*at.perCent())
+}
+
+// perCent is how long the attempt took for each per cent so far, or 0 if it did none.
+func (at *attempt) perCent() time.Duration {
+	done := at.percent - at.first
+	if done <= 0 {
+		return 0
+	}
+	return at.movedAt.Sub(at.firstAt) / time.Duration(done)
 }
 
 // relieve stops an attempt that stands still, so that it is tried elsewhere.
