--- a/internal/tenure/probe.go
+++ b/internal/tenure/probe.go
@@ -28,9 +28,9 @@
 	// Refused is set if the store refused its last heartbeats as an owner.
 	Refused bool
 	// SinceLease is how long ago this process, or an owner before it, last told a worker a
-	// lease, zero if one did just now or that is not known. A host that stood still knows that it told none: the
-	// next owner took its workers' leases to begin as it woke, and tasks of a lost worker
-	// ran nowhere for 10.5 s more.
+	// lease, zero if one did just now or that is not known. A host that stood still knows
+	// that it told none: the next owner took its workers' leases to begin as it woke, and
+	// tasks of a lost worker ran nowhere for 10.5 s more.
 	SinceLease time.Duration
 }
 
