--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -70,36 +70,6 @@
 	tableName = "cells"
 )
 
-// OwnerRow is the content of the owner's row.
-type OwnerRow struct {
-	// Owner and Process name the entry host and its process; an empty Owner
-	// has released the cell.
-	Owner   string `json:"owner,omitempty"`
-	Process string `json:"process,omitempty"`
-	// Addr is where the owner takes requests of other entry hosts.
-	Addr string `json:"addr,omitempty"`
-	// MostCores is the most processor that the host of an owner had so far, in
-	// cores; 0 is not known.
-	MostCores float64 `json:"most_cores,omitempty"`
-	// Epoch counts owners.
-	Epoch int64 `json:"epoch"`
-	// SilentMS says, in the row of a cell that was released, after how many
-	// milliseconds at the latest the leases of workers lapse that did not
-	// answer, by incarnation.
-	SilentMS map[string]int64 `json:"silent_ms,omitempty"`
-	// Alone is set, in the row of a cell that was released, if all owners before
-	// the one that released it had ceased to act.
-	Alone bool `json:"alone,omitempty"`
-}
-
-// beatRow is the content of the heartbeat's row.
-type beatRow struct {
-	Epoch int64 `json:"epoch"`
-	N     int64 `json:"n"`
-	// Alone is set once all owners before this one have ceased to act.
-	Alone bool `json:"alone,omitempty"`
-}
-
 // Tenure is one host's time as owner.
 type Tenure struct {
 	// Epoch is the fencing token.
