Say which configuration a host answers by, and what its connections were used for

Cause: between 'store does not answer' and 'configuration in force' of a host that refused a new route the log had no line for 3 s; it could not be told whether the host knew the change, how old its state was, or which connection the lost call had. No logic changed. Lines: connections given up, no queue for a request; ages in the lines of feeds and of the configuration; gauges of the version and of its last confirmation.

--- a/internal/door/door.go
+++ b/internal/door/door.go
@@ -23,6 +23,7 @@
 	"github.com/pepperhatch/pepperhatch/internal/store"
 	"github.com/pepperhatch/pepperhatch/internal/telemetry"
 	"github.com/pepperhatch/pepperhatch/internal/tenure"
+	"github.com/pepperhatch/pepperhatch/internal/watch"
 	"github.com/pepperhatch/pepperhatch/internal/wire"
 )
 
@@ -56,6 +57,10 @@
 	Local func() *sched.Owner
 	// ConfigFunc returns the configuration in force, or nil.
 	ConfigFunc func() *queue.Config
+	// ContactFunc returns when the call was sent by which the store last confirmed the
+	// configuration, and since when it has done so without an error; see
+	// [watch.Watch.Contact]. Nil knows of none.
+	ContactFunc func() (last, since time.Time)
 	// Metrics counts, Log gets decisions.
 	Metrics *telemetry.Metrics
 	Log     *slog.Logger
@@ -74,6 +79,29 @@
 	do.Metrics.Add(telemetry.JobRequests, 1, "kind", "submit", "outcome", "malformed")
 }
 
+// textMost bounds what a line quotes of a request, in bytes.
+const textMost = 200
+
+// NoQueue notes a request that the configuration in force has no queue for, with what
+// tells whether that configuration is the last: its version and the age of its
+// confirmation.
+func (do *Door) NoQueue(host, path string) {
+	do.Log.Info("no queue for a request", "host", cut(host), "path", cut(path), "config", do.ConfigVersion(), "confirmed_age", watch.Age(do.confirmed()))
+	do.Metrics.Add(telemetry.JobRequests, 1, "kind", "any", "outcome", "refused", "reason", "no-queue")
+}
+
+// confirmed returns when the call was sent by which the store last confirmed the
+// configuration, or zero.
+func (do *Door) confirmed() time.Time {
+	if do.ContactFunc == nil {
+		return time.Time{}
+	}
+	last, _ := do.ContactFunc()
+	return last
+}
+
+func cut(text string) string { return text[:min(len(text), textMost)] }
+
 // Check returns an error for a job that is not taken whatever happens.
 func (do *Door) Check(id string, qu queue.Queue, sp job.Spec) error {
 	err := sp.Check()
@@ -168,11 +196,12 @@
 // note logs and counts the answer to a request.
 func (do *Door) note(kind, id, qu, way string, ve sched.Verdict, start time.Time, err error) {
 	do.Log.Info("request answered", "kind", kind, "job", id, "queue", qu, "way", way, "outcome", ve.Outcome, "reason", ve.Reason,
-		"took", time.Since(start), "config", do.configVersion(), "err", err)
+		"took", time.Since(start), "config", do.ConfigVersion(), "err", err)
 	do.Metrics.Add(telemetry.JobRequests, 1, "kind", kind, "outcome", string(ve.Outcome), "reason", string(ve.Reason))
 }
 
-func (do *Door) configVersion() int64 {
+// ConfigVersion returns the version in force, or 0 before the first.
+func (do *Door) ConfigVersion() int64 {
 	if co := do.Config(); co != nil {
 		return co.Version
 	}
--- a/internal/door/stall_test.go
+++ b/internal/door/stall_test.go
@@ -33,7 +33,7 @@
 func TestHostThatStandsStillWhenAsked(t *testing.T) {
 	_, addr := owned(t)
 	linetest.Check(t, addr, func(addr string) linetest.Call {
-		do := &Door{Peers: transport.NewClient(2)}
+		do := &Door{Peers: transport.NewClient(2, nil)}
 		return func(ctx context.Context) error {
 			_, err := do.Ask(ctx, addr, 0)
 			return err
@@ -50,7 +50,7 @@
 			owner, addr := owned(t)
 			ln := linetest.NewLine(t, addr)
 			beside := newHall(t)
-			beside.door.Peers = transport.NewClient(2)
+			beside.door.Peers = transport.NewClient(2, nil)
 			know(t, beside, ln.Addr())
 			submit := func(n int) error {
 				id := fmt.Sprintf("%016x", n)
--- a/internal/jobhost/host.go
+++ b/internal/jobhost/host.go
@@ -75,6 +75,7 @@
 	streams *http.Client
 
 	config   atomic.Pointer[queue.Config]
+	follow   *watch.Watch
 	owner    atomic.Pointer[sched.Owner]
 	stopping atomic.Bool
 }
@@ -86,22 +87,23 @@
 		return nil, err
 	}
 	sched.GaugeNoWorkers(me)
-	ho := &Host{log: log, metrics: me, scrape: scrape, workers: transport.NewClient(workerConns)}
+	ho := &Host{log: log, metrics: me, scrape: scrape, workers: transport.NewClient(workerConns, log)}
 	ho.se.Store(&se)
 	ho.table = platform.NewTable(platform.Client{
-		HTTP: transport.NewClient(storeConns), StoreAddrFunc: func() string { return ho.se.Load().StoreAddr },
+		HTTP: transport.NewClient(storeConns, log), StoreAddrFunc: func() string { return ho.se.Load().StoreAddr },
 	})
+	ho.follow = ho.followConfig()
 	ho.keeper = &tenure.Keeper{
 		Cell: cellName, Self: se.Name, Process: se.Name + "-" + uuid.NewString()[:8], Addr: se.PeerAddr(), Cores: se.Processor(),
 		Table: ho.table, Serve: ho.serveCell, Log: log,
 	}
 	ho.door = &door.Door{
-		Cell: cellName, Table: ho.table, Keeper: ho.keeper, Peers: transport.NewClient(peerConns),
-		Local: ho.owner.Load, ConfigFunc: ho.config.Load, Metrics: me, Log: log,
+		Cell: cellName, Table: ho.table, Keeper: ho.keeper, Peers: transport.NewClient(peerConns, log),
+		Local: ho.owner.Load, ConfigFunc: ho.config.Load, ContactFunc: ho.follow.Contact, Metrics: me, Log: log,
 	}
 	ho.keeper.AskFunc = ho.door.Ask
 	ho.relay = &relay.Server{Agent: platform.NewAgent(ho.workers), Log: log}
-	ho.streams = transport.NewClient(1)
+	ho.streams = transport.NewClient(1, log)
 	return ho, nil
 }
 
@@ -157,7 +159,7 @@
 	wctx, end := context.WithCancel(context.WithoutCancel(ctx))
 	defer end()
 	var wg sync.WaitGroup
-	wg.Go(func() { ho.watchConfig(wctx) })
+	wg.Go(func() { ho.follow.Run(wctx) })
 	wg.Go(func() { ho.keeper.Run(wctx) })
 	wg.Go(func() { registry.Announce(ctx, ho.table, ho.member(), ho.log) })
 	select {
@@ -194,27 +196,3 @@
 // releaseTime returns how long a host with so much time to stop tries to give its cell
 // up. One with hardly any takes half of it.
 func releaseTime(grace time.Duration) time.Duration { return max(grace-endReserve, grace/2) }
-
-// watchConfig follows the configuration.
-func (ho *Host) watchConfig(ctx context.Context) {
-	wa := watch.Watch{Table: ho.table, Name: platform.ConfigTable, Under: platform.ConfigPrefix, Relist: true, OnRows: ho.onConfig, Log: ho.log}
-	wa.Run(ctx)
-}
-
-func (ho *Host) onConfig(rows []store.FeedRow, _ bool) {
-	for _, row := range rows {
-		if row.Key != platform.ConfigKey || row.Gone {
-			continue
-		}
-		co, err := platform.DecodeConfig(row.Row)
-		if err != nil {
-			ho.log.Error("configuration cannot be read", "err", err)
-			continue
-		}
-		if old := ho.config.Load(); old != nil && old.Version >= co.Version {
-			continue
-		}
-		ho.config.Store(co)
-		ho.log.Info("configuration in force", "config", co.Version, "row_version", row.Version)
-	}
-}
--- a/internal/jobhost/path_test.go
+++ b/internal/jobhost/path_test.go
@@ -44,7 +44,7 @@
 	qt.Assert(tb, err, qt.IsNil)
 	ctx, cancel := context.WithCancel(context.Background())
 	tb.Cleanup(cancel)
-	go to.host.watchConfig(ctx)
+	go to.host.follow.Run(ctx)
 	go to.host.keeper.Run(ctx)
 	callers := httptest.NewServer(to.host.callers())
 	tb.Cleanup(func() { callers.CloseClientConnections(); callers.Close() })
--- a/internal/jobhost/stop_test.go
+++ b/internal/jobhost/stop_test.go
@@ -49,7 +49,7 @@
 	se.StoreAddr = su.line(st.Listener.Addr().String())
 	if relayed {
 		se.Cores = 0.001
-		rs := httptest.NewServer(&relay.Server{Agent: platform.NewAgent(transport.NewClient(2)), Log: slog.New(slog.DiscardHandler)})
+		rs := httptest.NewServer(&relay.Server{Agent: platform.NewAgent(transport.NewClient(2, nil)), Log: slog.New(slog.DiscardHandler)})
 		t.Cleanup(func() { rs.CloseClientConnections(); rs.Close() })
 		me := registry.Member{Name: "e2", Process: "e2-1", Addr: su.line(rs.Listener.Addr().String()), DataCentre: "z", Cores: 1}
 		qt.Assert(t, platformtest.Put(&su.table, registry.Key(me.Name), me), qt.IsNil)
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -53,8 +53,12 @@
 	TasksGivenUp   Name = "pepperhatch_tasks_given_up"
 )
 
-// Workers is the gauge of an owner's workers.
-const Workers Name = "pepperhatch_workers"
+// The gauges.
+const (
+	Workers         Name = "pepperhatch_workers"
+	ConfigVersion   Name = "pepperhatch_config_version"
+	ConfigConfirmed Name = "pepperhatch_config_confirmed_seconds"
+)
 
 // Duration is the histogram of request times.
 const Duration Name = "pepperhatch_request_seconds"
@@ -103,6 +107,8 @@
 // Gauges documents the gauges.
 var Gauges = []Entry{
 	{Workers, "state", "workers of the cell on its owner, 0 elsewhere: answering, silent, or unsettled (not reached yet by this owner)", "silent or unsettled for more than a second: see \"Workers get no orders\""},
+	{ConfigVersion, "", "version of the configuration in force at this host", "differs between hosts for over 2 s: see \"A change is not in force\""},
+	{ConfigConfirmed, "", "time of day, in seconds since 1970, of the last call by which the store confirmed that the configuration is current", "over 3 s ago: see \"A change is not in force\""},
 }
 
 // Metrics counts. Make one with [New]; nil counts nothing.
--- a/internal/transport/stall_test.go
+++ b/internal/transport/stall_test.go
@@ -17,7 +17,7 @@
 	hs := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("answer")) }))
 	t.Cleanup(hs.Close)
 	linetest.Check(t, hs.Listener.Addr().String(), func(addr string) linetest.Call {
-		hc := NewClient(idleConns)
+		hc := NewClient(idleConns, nil)
 		return func(ctx context.Context) error { return read(ctx, hc, "http://"+addr) }
 	})
 }
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -13,6 +13,7 @@
 	"context"
 	"errors"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"sync"
@@ -28,9 +29,10 @@
 	idleTimeout = 30 * time.Second
 )
 
-// NewClient returns a client that keeps up to idle connections to each address.
-func NewClient(idle int) *http.Client {
-	ro := &roundTripper{byAddr: map[string]map[*conn]bool{}}
+// NewClient returns a client that keeps up to idle connections to each address, and
+// logs which it gave up; with a nil log it does not.
+func NewClient(idle int, log *slog.Logger) *http.Client {
+	ro := &roundTripper{byAddr: map[string]map[*conn]bool{}, log: log}
 	di := &net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
 	ro.Transport = &http.Transport{
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
@@ -49,6 +51,8 @@
 type roundTripper struct {
 	*http.Transport
 
+	log *slog.Logger
+
 	mu     sync.Mutex
 	byAddr map[string]map[*conn]bool
 }
@@ -113,8 +117,11 @@
 func (ro *roundTripper) closeIdle(addr string) {
 	ro.mu.Lock()
 	var idle []*conn
+	counts := map[use]int{}
 	for co := range ro.byAddr[addr] {
-		if co.idle() {
+		us := co.use()
+		counts[us]++
+		if us == answered {
 			idle = append(idle, co)
 		}
 	}
@@ -122,8 +129,23 @@
 	for _, co := range idle {
 		_ = co.Close()
 	}
+	if ro.log != nil && counts[answered]+counts[unused] > 0 {
+		ro.log.Info("connections given up", "addr", addr, "closed", len(idle), "answered", counts[answered],
+			"unused", counts[unused], "asked", counts[asked], "why", "a request ran into its deadline")
+	}
 }
 
+// use is what a connection was last used for.
+type use int
+
+// The uses: nothing yet, a request that has no answer, an answer. After an answer no
+// request is under way, or the answer goes on.
+const (
+	unused use = iota
+	asked
+	answered
+)
+
 // conn is a connection that knows whether it waits for an answer.
 type conn struct {
 	net.Conn
@@ -131,36 +153,34 @@
 	ro   *roundTripper
 	addr string
 
-	mu sync.Mutex
-	// answered is set while the last thing that happened was a read: then no
-	// request is under way, or its answer comes.
-	answered bool
+	mu   sync.Mutex
+	last use
 }
 
-func (co *conn) idle() bool {
+func (co *conn) use() use {
 	co.mu.Lock()
 	defer co.mu.Unlock()
-	return co.answered
+	return co.last
 }
 
-func (co *conn) note(answered bool) {
+func (co *conn) note(us use) {
 	co.mu.Lock()
 	defer co.mu.Unlock()
-	co.answered = answered
+	co.last = us
 }
 
 // Read implements net.Conn.
 func (co *conn) Read(data []byte) (int, error) {
 	n, err := co.Conn.Read(data)
 	if n > 0 {
-		co.note(true)
+		co.note(answered)
 	}
 	return n, err
 }
 
 // Write implements net.Conn.
 func (co *conn) Write(data []byte) (int, error) {
-	co.note(false)
+	co.note(asked)
 	return co.Conn.Write(data)
 }
 
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -27,7 +27,7 @@
 
 func newWay(t *testing.T) *way {
 	t.Helper()
-	wy := &way{t: t, hc: NewClient(idleConns), hold: make(chan struct{})}
+	wy := &way{t: t, hc: NewClient(idleConns, nil), hold: make(chan struct{})}
 	mux := http.NewServeMux()
 	mux.HandleFunc("/", func(http.ResponseWriter, *http.Request) {})
 	mux.HandleFunc("/half", func(w http.ResponseWriter, r *http.Request) {
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -53,6 +53,8 @@
 	// OnRows gets rows in the order of their changes. If whole is set they are
 	// all there are, and any other that was known is gone.
 	OnRows func(rows []store.FeedRow, whole bool)
+	// OnContact gets when the call was sent that the table answered last; nil gets none.
+	OnContact func(sent time.Time)
 	// Log gets lost and regained contact.
 	Log *slog.Logger
 
@@ -117,6 +119,9 @@
 	if err == nil {
 		wa.answered(sent)
 		wa.lost, wa.failures = false, 0
+		if wa.OnContact != nil {
+			wa.OnContact(sent)
+		}
 		return
 	}
 	wa.unanswered()
@@ -130,7 +135,8 @@
 		return
 	}
 	if !wa.lost {
-		wa.Log.Warn("store does not answer", "watch", wa.Under, "version", wa.version, "err", err)
+		last, _ := wa.Contact()
+		wa.Log.Warn("store does not answer", "watch", wa.Under, "version", wa.version, "took", time.Since(sent), "contact_age", Age(last), "err", err)
 	}
 	wa.lost = true
 }
@@ -144,11 +150,20 @@
 func (wa *Watch) answered(sent time.Time) {
 	wa.mu.Lock()
 	defer wa.mu.Unlock()
+	last := wa.contact
 	wa.contact, wa.answer, wa.failing = sent, time.Now(), false
 	if wa.lost || wa.regained.IsZero() {
 		wa.regained = time.Now()
-		wa.Log.Info("store answers", "watch", wa.Under, "version", wa.version)
+		wa.Log.Info("store answers", "watch", wa.Under, "version", wa.version, "took", time.Since(sent), "contact_age", Age(last))
+	}
+}
+
+// Age is the time since a contact, or -1 if there was none.
+func Age(last time.Time) time.Duration {
+	if last.IsZero() {
+		return -1
 	}
+	return time.Since(last)
 }
 
 // patient returns how long an answer may take: longer after each failure, as it may
