--- a/internal/jobhost/path_test.go
+++ b/internal/jobhost/path_test.go
@@ -31,6 +31,12 @@
 }
 
 func newTown(tb testing.TB, workers int) *town {
+	tb.Helper()
+	return newTownOver(tb, workers, func(store string) string { return store })
+}
+
+// newTownOver is newTown with a store that the host reaches at another address.
+func newTownOver(tb testing.TB, workers int, over func(store string) string) *town {
 	tb.Helper()
 	to := &town{t: tb}
 	st := httptest.NewServer(platformtest.Store(&to.table))
@@ -39,7 +45,7 @@
 	tb.Cleanup(end)
 	qt.Assert(tb, err, qt.IsNil)
 	se := goodSettings()
-	se.StoreAddr = st.Listener.Addr().String()
+	se.StoreAddr = over(st.Listener.Addr().String())
 	to.host, err = New(se, slog.New(slog.DiscardHandler))
 	qt.Assert(tb, err, qt.IsNil)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -54,16 +60,24 @@
 
 // configure puts a configuration with one queue in force.
 func (to *town) configure() {
+	to.change(firstConfig)
+	to.eventually("ready", func() bool { return to.host.config.Load() != nil && to.host.owner.Load() != nil })
+}
+
+// firstConfig is the version of the configuration that a town begins with.
+const firstConfig = 7
+
+// change has the operator write a version of the configuration.
+func (to *town) change(version int64) {
 	_, port, err := net.SplitHostPort(to.url[len("http://"):])
 	qt.Assert(to.t, err, qt.IsNil)
 	err = platformtest.Put(&to.table, "op//config", map[string]any{
-		"version": 7, "routes": []any{map[string]any{
+		"version": version, "routes": []any{map[string]any{
 			"name": "q", "host": "127.0.0.1:" + port, "path-prefix": "/depot/", "service": "routedesk", "priority": 2, "max-attempts": 2,
 		}},
 		"limits": map[string]any{"max-body-bytes": 262144},
 	})
 	qt.Assert(to.t, err, qt.IsNil)
-	to.eventually("ready", func() bool { return to.host.config.Load() != nil && to.host.owner.Load() != nil })
 }
 
 func (to *town) eventually(what string, ok func() bool) {
--- /dev/null
+++ b/internal/transport/change_test.go
@@ -0,0 +1,145 @@
+package transport_test
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/pepperhatch/pepperhatch/internal/standin"
+	"github.com/pepperhatch/pepperhatch/internal/store"
+	"github.com/pepperhatch/pepperhatch/internal/transport"
+	"github.com/pepperhatch/pepperhatch/internal/watch"
+)
+
+// The users' aims: a change is in force inForce after it, and backInTouch after trouble.
+const (
+	inForce     = 2 * time.Second
+	backInTouch = 3 * time.Second
+)
+
+// follower follows a row of a store over a network in memory.
+type follower struct {
+	t     *testing.T
+	table standin.Table
+	pipes *transport.Pipes
+	hc    *http.Client
+	// word ends a request to /hold, version is the row's as it was told.
+	word    chan struct{}
+	version atomic.Int64
+}
+
+// follow runs fn in virtual time beside a follower that knows the row's first version.
+func follow(t *testing.T, fn func(t *testing.T, fo *follower)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		fo := &follower{t: t, word: make(chan struct{})}
+		mux := http.NewServeMux()
+		mux.Handle("/table/", fo.table.Handler())
+		mux.HandleFunc("/hold", func(http.ResponseWriter, *http.Request) { <-fo.word })
+		mux.HandleFunc("/", func(http.ResponseWriter, *http.Request) {})
+		var end func()
+		fo.pipes, end = transport.NewPipes(mux)
+		defer end()
+		fo.hc = transport.NewClientOver(fo.pipes, 6)
+		defer fo.hc.CloseIdleConnections()
+		fo.change()
+		wa := watch.Watch{
+			Table: store.NewTable("http://"+fo.pipes.Addr().String(), fo.hc), Name: "op", Under: "op//", Relist: true,
+			Log: slog.New(slog.DiscardHandler), OnRows: fo.onRows,
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go wa.Run(ctx)
+		time.Sleep(10 * time.Second)
+		fn(t, fo)
+	})
+}
+
+func (fo *follower) onRows(rows []store.FeedRow, _ bool) {
+	for _, row := range rows {
+		fo.version.Store(row.Version)
+	}
+}
+
+// change changes the row at the store.
+func (fo *follower) change() {
+	fo.t.Helper()
+	txn := store.NewTxn()
+	txn.Puts = []store.Put{{Key: "op//config", Value: []byte(`1`)}}
+	_, err := fo.table.Client().CommitFunc(fo.t.Context(), txn)
+	qt.Assert(fo.t, err, qt.IsNil)
+}
+
+// told returns how long it takes until the row is told as it is, or a minute.
+func (fo *follower) told() time.Duration {
+	fo.t.Helper()
+	reply, err := fo.table.Client().ReadFunc(fo.t.Context(), store.ReadRequest{Keys: []string{"op//config"}})
+	qt.Assert(fo.t, err, qt.IsNil)
+	began := time.Now()
+	for fo.version.Load() != reply.Rows[0].Version && time.Since(began) < time.Minute {
+		time.Sleep(10 * time.Millisecond)
+	}
+	return time.Since(began)
+}
+
+// phases are moments of a call that waits for changes, some of them just around its end.
+var phases = []time.Duration{0, 10 * time.Millisecond, 500 * time.Millisecond, time.Second, 1400 * time.Millisecond, 1490 * time.Millisecond}
+
+// TestOneChangeAfterSilence has all connections to the store go silent, some of them never
+// used, and one change follow at once. It is in force by the time in which a host has to
+// be back in touch, without another change that would bring it along.
+//
+// The story is that of TestConnectionsThatWereNeverUsed. With one such connection it took
+// 5.24 s here at the most, with five 16.37 s: for as long callers got 404 on a route that
+// was there.
+func TestOneChangeAfterSilence(t *testing.T) {
+	for spares := range 6 {
+		for _, phase := range phases {
+			t.Run(fmt.Sprintf("%d never used, %v", spares, phase), func(t *testing.T) {
+				follow(t, func(t *testing.T, fo *follower) {
+					qt.Assert(t, fo.pipes.Spares(fo.hc, spares, func() { fo.word <- struct{}{} }), qt.IsNil)
+					time.Sleep(phase)
+					fo.pipes.Silence()
+					time.Sleep(300 * time.Millisecond)
+					fo.change()
+					took := fo.told() + 300*time.Millisecond
+					t.Logf("in force %v after the silence", took)
+					qt.Check(t, took <= backInTouch, qt.IsTrue, qt.Commentf("%v", took))
+				})
+			})
+		}
+	}
+}
+
+// TestOneChangeWhileTheWayIsLost has everything sent to the store be lost for a time, in
+// which one change is made. Nothing of what was lost comes later, so that a call sent
+// just before the end is lost too: before calls were doubled, a page cost its 3 s, and
+// the change was in force 2.98 s after the end, with no room left.
+func TestOneChangeWhileTheWayIsLost(t *testing.T) {
+	const least, most, step = 300 * time.Millisecond, 9 * time.Second, 100 * time.Millisecond
+	longest := time.Duration(0)
+	for lost := least; lost < most; lost += step {
+		for _, phase := range phases {
+			follow(t, func(t *testing.T, fo *follower) {
+				time.Sleep(phase)
+				fo.pipes.Lose(true)
+				fo.pipes.Silence()
+				time.Sleep(lost / 2)
+				fo.change()
+				time.Sleep(lost - lost/2)
+				fo.pipes.Lose(false)
+				took := fo.told()
+				longest = max(longest, took)
+				qt.Check(t, took <= backInTouch, qt.IsTrue, qt.Commentf("lost for %v, %v after a call: %v", lost, phase, took))
+			})
+		}
+	}
+	t.Logf("in force %v after the end at the most", longest)
+}
--- /dev/null
+++ b/internal/transport/spare_test.go
@@ -0,0 +1,92 @@
+package transport
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// holder serves a network in which requests to /hold wait for a word.
+func holder() (ha http.Handler, release func()) {
+	word := make(chan struct{})
+	mux := http.NewServeMux()
+	mux.HandleFunc("/", func(http.ResponseWriter, *http.Request) {})
+	mux.HandleFunc("/hold", func(http.ResponseWriter, *http.Request) { <-word })
+	return mux, func() { word <- struct{}{} }
+}
+
+// TestConnectionsThatWereNeverUsed is the story of changes that came late at single
+// hosts, as far as connections go.
+//
+// What users saw: a host answered by the configuration before, for 3 s longer than it
+// may. Order of events: while a request waits for a connection of its own another one
+// gets free and serves it, so that the new one is kept and was never used; all
+// connections go silent; the call that waits for changes runs into its deadline, and
+// the idle connections are closed; the reading that follows takes the one that was
+// never used, and loses the 3 s of its own deadline.
+//
+// Evidence: a host's lines "connections given up .. unused=1" as the first call
+// ended, "unused=0 asked=1" half a second later, and "store answers .. took=3.02s".
+// Below, each connection that was never used costs a call its deadline.
+func TestConnectionsThatWereNeverUsed(t *testing.T) {
+	for spares := range 6 {
+		t.Run(fmt.Sprint(spares), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ha, release := holder()
+				pi, end := NewPipes(ha)
+				defer end()
+				hc := NewClientOver(pi, 6)
+				defer hc.CloseIdleConnections()
+				qt.Assert(t, pi.Spares(hc, spares, release), qt.IsNil)
+				pi.Silence()
+				url := "http://" + pi.Addr().String()
+				get := func(timeout time.Duration) error {
+					cl := *hc
+					cl.Timeout = timeout
+					resp, err := cl.Get(url + "/")
+					if err != nil {
+						return err
+					}
+					return resp.Body.Close()
+				}
+				qt.Assert(t, get(time.Second), qt.IsNotNil)
+				qt.Assert(t, get(time.Second), qt.IsNil)
+			})
+		})
+	}
+}
+
+// TestNoRequestIsLostToClosing has connections be given up over and over, while requests
+// take them: none may fail by it, as one that did might have been carried out.
+func TestNoRequestIsLostToClosing(t *testing.T) {
+	const callers, requests = 4, 300
+	wy := newWay(t)
+	ro := wy.hc.Transport.(*roundTripper)
+	done := make(chan struct{})
+	var closing, asking sync.WaitGroup
+	closing.Go(func() {
+		for {
+			select {
+			case <-done:
+				return
+			default:
+				ro.closeIdle(wy.line.Addr())
+			}
+		}
+	})
+	for range callers {
+		asking.Go(func() {
+			for range requests {
+				qt.Check(t, wy.get("/", 10*time.Second), qt.IsNil)
+			}
+		})
+	}
+	asking.Wait()
+	close(done)
+	closing.Wait()
+}
--- a/internal/transport/stall_test.go
+++ b/internal/transport/stall_test.go
@@ -65,3 +65,38 @@
 	qt.Assert(t, wy.get("/", 2*time.Second), qt.IsNil)
 	qt.Assert(t, wy.line.Silence(), qt.Equals, 1)
 }
+
+// TestAnswersThatComeAreLeftAlone is the story of an answer that is cut off by another
+// request.
+//
+// What a user would see: over a full link a long list never comes whole, as each
+// deadline of any other request to the same address ends it. Order of events: half an
+// answer has come on one connection; a request on another runs into its deadline; the
+// connections that nothing uses are closed, and the one on which the last thing was a
+// read counted as such, though its answer goes on.
+//
+// Evidence: below, the rest of the answer never comes.
+func TestAnswersThatComeAreLeftAlone(t *testing.T) {
+	rest := make(chan struct{})
+	mux := http.NewServeMux()
+	mux.HandleFunc("/half", func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte("half"))
+		_ = http.NewResponseController(w).Flush()
+		<-rest
+		_, _ = w.Write([]byte(" and half"))
+	})
+	mux.HandleFunc("/never", func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+	hs := httptest.NewServer(mux)
+	t.Cleanup(hs.Close)
+	hc := NewClient(idleConns, nil)
+	resp, err := hc.Get(hs.URL + "/half")
+	qt.Assert(t, err, qt.IsNil)
+	defer func() { _ = resp.Body.Close() }()
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	qt.Assert(t, read(ctx, hc, hs.URL+"/never"), qt.IsNotNil)
+	close(rest)
+	answer, err := io.ReadAll(resp.Body)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, string(answer), qt.Equals, "half and half")
+}
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -29,14 +29,21 @@
 	idleTimeout = 30 * time.Second
 )
 
+// dialFunc opens a connection to an address.
+type dialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
+
 // NewClient returns a client that keeps up to idle connections to each address, and
 // logs which it gave up; with a nil log it does not.
 func NewClient(idle int, log *slog.Logger) *http.Client {
-	ro := &roundTripper{byAddr: map[string]map[*conn]bool{}, log: log}
 	di := &net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
+	return newClient(idle, log, di.DialContext)
+}
+
+func newClient(idle int, log *slog.Logger, dial dialFunc) *http.Client {
+	ro := &roundTripper{byAddr: map[string]map[*conn]bool{}, log: log}
 	ro.Transport = &http.Transport{
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
-			nc, err := di.DialContext(ctx, network, addr)
+			nc, err := dial(ctx, network, addr)
 			if err != nil {
 				return nil, err
 			}
