Tell by what net/http hands out which connections nothing uses

What callers saw: 404 on a route that was added, and answers by a route that was removed, for seconds longer than allowed, at single hosts. Cause: after a deadline the idle connections of an address are closed, and idle was told from reads and writes: one that was opened and never used looked as if it had a request, stayed, and cost the next request its deadline; n of them cost n deadlines of 3 s. One whose answer goes on looked idle, and was cut off by the deadline of any other request (found on the way). Now the transport notes which request has which connection (httptrace) until the answer's end, closes those that none has, and sends a request once more whose connection was closed before it had it: nothing of it was sent, as a write to such a connection fails. Ruled out: counting unused ones as idle alone (a trial on paper: net/http does not send a request again on a connection that never served, so orders would fail by it; TestNoRequestIsLostToClosing). Why it holds: a connection is either some request's, which has a deadline, or is closed.

--- a/internal/transport/spare_test.go
+++ b/internal/transport/spare_test.go
@@ -31,8 +31,11 @@
 // never used, and loses the 3 s of its own deadline.
 //
 // Evidence: a host's lines "connections given up .. unused=1" as the first call
-// ended, "unused=0 asked=1" half a second later, and "store answers .. took=3.02s".
-// Below, each connection that was never used costs a call its deadline.
+// ended, "unused=0" and one more that waits half a second later, and "store answers ..
+// took=3.02s". Below, each connection that was never used cost a call its deadline.
+//
+// The cause was that use was told from reads and writes: a connection without either
+// looked like one whose answer is awaited. It now follows what net/http hands out.
 func TestConnectionsThatWereNeverUsed(t *testing.T) {
 	for spares := range 6 {
 		t.Run(fmt.Sprint(spares), func(t *testing.T) {
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -16,6 +16,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"sync"
 	"time"
 )
@@ -66,13 +67,38 @@
 
 // RoundTrip implements http.RoundTripper.
 func (ro *roundTripper) RoundTrip(req *http.Request) (*http.Response, error) {
-	resp, err := ro.Transport.RoundTrip(req)
-	if err != nil {
-		ro.failed(req)
-		return resp, err
+	ho := &hold{}
+	ctx := httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{GotConn: ho.got})
+	sent := req.WithContext(ctx)
+	for {
+		resp, err := ro.Transport.RoundTrip(sent)
+		if err == nil {
+			resp.Body = &body{ReadCloser: resp.Body, ro: ro, req: req, hold: ho}
+			return resp, nil
+		}
+		missed := ho.missed()
+		ho.leave()
+		next, ok := again(sent)
+		if !missed || !ok || ctx.Err() != nil {
+			ro.failed(req)
+			return nil, err
+		}
+		sent = next
 	}
-	resp.Body = &body{ReadCloser: resp.Body, ro: ro, req: req}
-	return resp, nil
+}
+
+// again returns a request that is sent once more, if that can be done.
+func again(req *http.Request) (*http.Request, bool) {
+	next := req.Clone(req.Context())
+	if req.Body == nil || req.Body == http.NoBody {
+		return next, true
+	}
+	if req.GetBody == nil {
+		return nil, false
+	}
+	data, err := req.GetBody()
+	next.Body = data
+	return next, err == nil
 }
 
 // failed notes that there is no whole answer to a request.
@@ -83,23 +109,33 @@
 }
 
 // body is an answer's body, which may run into the request's deadline as well as
-// its header.
+// its header. The request has its connection until the body's end.
 type body struct {
 	io.ReadCloser
 
-	ro  *roundTripper
-	req *http.Request
+	ro   *roundTripper
+	req  *http.Request
+	hold *hold
 }
 
 // Read implements io.Reader.
 func (bo *body) Read(data []byte) (int, error) {
 	n, err := bo.ReadCloser.Read(data)
+	if err != nil {
+		bo.hold.leave()
+	}
 	if err != nil && !errors.Is(err, io.EOF) {
 		bo.ro.failed(bo.req)
 	}
 	return n, err
 }
 
+// Close implements io.Closer.
+func (bo *body) Close() error {
+	defer bo.hold.leave()
+	return bo.ReadCloser.Close()
+}
+
 func (ro *roundTripper) track(nc net.Conn, addr string) net.Conn {
 	co := &conn{Conn: nc, ro: ro, addr: addr}
 	ro.mu.Lock()
@@ -120,79 +156,24 @@
 	}
 }
 
-// closeIdle closes the idle connections to an address.
+// closeIdle closes the connections to an address that no request has.
 func (ro *roundTripper) closeIdle(addr string) {
 	ro.mu.Lock()
-	var idle []*conn
+	var given []*conn
 	counts := map[use]int{}
 	for co := range ro.byAddr[addr] {
-		us := co.use()
+		us := co.giveUp()
 		counts[us]++
-		if us == answered {
-			idle = append(idle, co)
+		if us != busy {
+			given = append(given, co)
 		}
 	}
 	ro.mu.Unlock()
-	for _, co := range idle {
+	for _, co := range given {
 		_ = co.Close()
 	}
-	if ro.log != nil && counts[answered]+counts[unused] > 0 {
-		ro.log.Info("connections given up", "addr", addr, "closed", len(idle), "answered", counts[answered],
-			"unused", counts[unused], "asked", counts[asked], "why", "a request ran into its deadline")
+	if ro.log != nil && len(given) > 0 {
+		ro.log.Info("connections given up", "addr", addr, "idle", counts[idle], "unused", counts[unused], "busy", counts[busy],
+			"why", "a request ran into its deadline")
 	}
 }
-
-// use is what a connection was last used for.
-type use int
-
-// The uses: nothing yet, a request that has no answer, an answer. After an answer no
-// request is under way, or the answer goes on.
-const (
-	unused use = iota
-	asked
-	answered
-)
-
-// conn is a connection that knows whether it waits for an answer.
-type conn struct {
-	net.Conn
-
-	ro   *roundTripper
-	addr string
-
-	mu   sync.Mutex
-	last use
-}
-
-func (co *conn) use() use {
-	co.mu.Lock()
-	defer co.mu.Unlock()
-	return co.last
-}
-
-func (co *conn) note(us use) {
-	co.mu.Lock()
-	defer co.mu.Unlock()
-	co.last = us
-}
-
-// Read implements net.Conn.
-func (co *conn) Read(data []byte) (int, error) {
-	n, err := co.Conn.Read(data)
-	if n > 0 {
-		co.note(answered)
-	}
-	return n, err
-}
-
-// Write implements net.Conn.
-func (co *conn) Write(data []byte) (int, error) {
-	co.note(asked)
-	return co.Conn.Write(data)
-}
-
-// Close implements net.Conn.
-func (co *conn) Close() error {
-	co.ro.forget(co)
-	return co.Conn.Close()
-}
