--- a/internal/transport/change_test.go
+++ b/internal/transport/change_test.go
@@ -24,12 +24,17 @@
 	backInTouch = 3 * time.Second
 )
 
+// answerTime is how long the store takes for an answer.
+const answerTime = 4 * time.Millisecond
+
 // follower follows a row of a store over a network in memory.
 type follower struct {
 	t     *testing.T
 	table standin.Table
 	pipes *transport.Pipes
 	hc    *http.Client
+	// slow is how long the store takes for an answer, a [time.Duration].
+	slow atomic.Value
 	// word ends a request to /hold, version is the row's as it was told.
 	word    chan struct{}
 	version atomic.Int64
@@ -40,15 +45,24 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		fo := &follower{t: t, word: make(chan struct{})}
+		fo.slow.Store(answerTime)
 		mux := http.NewServeMux()
-		mux.Handle("/table/", fo.table.Handler())
+		ha := fo.table.Handler()
+		mux.HandleFunc("/table/", func(w http.ResponseWriter, r *http.Request) {
+			time.Sleep(fo.slow.Load().(time.Duration))
+			ha.ServeHTTP(w, r)
+		})
 		mux.HandleFunc("/hold", func(http.ResponseWriter, *http.Request) { <-fo.word })
 		mux.HandleFunc("/", func(http.ResponseWriter, *http.Request) {})
 		var end func()
 		fo.pipes, end = transport.NewPipes(mux)
-		defer end()
 		fo.hc = transport.NewClientOver(fo.pipes, 6)
-		defer fo.hc.CloseIdleConnections()
+		defer func() {
+			fo.hc.CloseIdleConnections()
+			end()
+			// Answers under way end.
+			time.Sleep(time.Second)
+		}()
 		fo.change()
 		wa := watch.Watch{
 			Table: store.NewTable("http://"+fo.pipes.Addr().String(), fo.hc), Name: "op", Under: "op//", Relist: true,
@@ -121,9 +135,9 @@
 // TestOneChangeWhileTheWayIsLost has everything sent to the store be lost for a time, in
 // which one change is made. Nothing of what was lost comes later, so that a call sent
 // just before the end is lost too: before calls were doubled, a page cost its 3 s, and
-// the change was in force 2.98 s after the end, with no room left.
+// the change was in force 3.02 s after the end.
 func TestOneChangeWhileTheWayIsLost(t *testing.T) {
-	const least, most, step = 300 * time.Millisecond, 9 * time.Second, 100 * time.Millisecond
+	const least, most, step = 300 * time.Millisecond, 9 * time.Second, 25 * time.Millisecond
 	longest := time.Duration(0)
 	for lost := least; lost < most; lost += step {
 		for _, phase := range phases {
@@ -143,3 +157,33 @@
 	}
 	t.Logf("in force %v after the end at the most", longest)
 }
+
+// calls counts the calls of the store in a time.
+func (fo *follower) calls(d time.Duration) int64 {
+	before := fo.table.Counts().Reads
+	time.Sleep(d)
+	return fo.table.Counts().Reads - before
+}
+
+// TestLateCallsAreDoubledAndNoMore counts calls of the store: one each 1.5 s while it
+// answers as usual, however often it does, and at the most three while each answer takes
+// 120 times as long, as in its worst times.
+func TestLateCallsAreDoubledAndNoMore(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		slow time.Duration
+		most int64
+	}{
+		{"as usual", answerTime, 40},
+		{"120 times slower", 120 * answerTime, 90},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			follow(t, func(t *testing.T, fo *follower) {
+				fo.slow.Store(tc.slow)
+				n := fo.calls(time.Minute)
+				t.Logf("%d calls", n)
+				qt.Check(t, n <= tc.most, qt.IsTrue, qt.Commentf("%d calls", n))
+			})
+		})
+	}
+}
--- a/internal/transport/pipes_test.go
+++ b/internal/transport/pipes_test.go
@@ -9,6 +9,9 @@
 	"time"
 )
 
+// roundTrip is how long opening a connection takes: 1.4 ms one way.
+const roundTrip = 3 * time.Millisecond
+
 // Pipes is a network in memory between clients and one server, so that tests of
 // connections run in virtual time.
 type Pipes struct {
@@ -70,6 +73,7 @@
 			return nil, ctx.Err()
 		}
 	}
+	time.Sleep(roundTrip)
 	near, far := net.Pipe()
 	select {
 	case pi.accepted <- far:
@@ -191,7 +195,7 @@
 	release()
 	wg.Wait()
 	open()
-	time.Sleep(time.Millisecond)
+	time.Sleep(2 * roundTrip)
 	for range n + 1 {
 		if err := <-errs; err != nil {
 			return errors.Join(errSpares, err)
--- a/internal/transport/spare_test.go
+++ b/internal/transport/spare_test.go
@@ -1,6 +1,7 @@
 package transport
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"sync"
@@ -47,18 +48,13 @@
 				defer hc.CloseIdleConnections()
 				qt.Assert(t, pi.Spares(hc, spares, release), qt.IsNil)
 				pi.Silence()
-				url := "http://" + pi.Addr().String()
-				get := func(timeout time.Duration) error {
-					cl := *hc
-					cl.Timeout = timeout
-					resp, err := cl.Get(url + "/")
-					if err != nil {
-						return err
-					}
-					return resp.Body.Close()
+				get := func() error {
+					ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+					defer cancel()
+					return read(ctx, hc, "http://"+pi.Addr().String())
 				}
-				qt.Assert(t, get(time.Second), qt.IsNotNil)
-				qt.Assert(t, get(time.Second), qt.IsNil)
+				qt.Assert(t, get(), qt.IsNotNil)
+				qt.Assert(t, get(), qt.IsNil)
 			})
 		})
 	}
