--- a/internal/transport/change_test.go
+++ b/internal/transport/change_test.go
@@ -41,7 +41,7 @@
 }
 
 // follow runs fn in virtual time beside a follower that knows the row's first version.
-func follow(t *testing.T, fn func(t *testing.T, fo *follower)) {
+func follow(t *testing.T, fn func(fo *follower)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		fo := &follower{t: t, word: make(chan struct{})}
@@ -72,7 +72,7 @@
 		defer cancel()
 		go wa.Run(ctx)
 		time.Sleep(10 * time.Second)
-		fn(t, fo)
+		fn(fo)
 	})
 }
 
@@ -125,15 +125,15 @@
 	for spares := range 6 {
 		for _, phase := range phases() {
 			t.Run(fmt.Sprintf("%d never used, %v", spares, phase), func(t *testing.T) {
-				follow(t, func(t *testing.T, fo *follower) {
-					qt.Assert(t, fo.pipes.Spares(fo.hc, spares, func() { fo.word <- struct{}{} }), qt.IsNil)
+				follow(t, func(fo *follower) {
+					qt.Assert(fo.t, fo.pipes.Spares(fo.hc, spares, func() { fo.word <- struct{}{} }), qt.IsNil)
 					time.Sleep(phase)
 					fo.pipes.Silence()
 					time.Sleep(300 * time.Millisecond)
 					fo.change()
 					took := fo.told() + 300*time.Millisecond
 					t.Logf("in force %v after the silence", took)
-					qt.Check(t, took <= backInTouch, qt.IsTrue, qt.Commentf("%v", took))
+					qt.Check(fo.t, took <= backInTouch, qt.IsTrue, qt.Commentf("%v", took))
 				})
 			})
 		}
@@ -150,7 +150,7 @@
 	longest := time.Duration(0)
 	for lost := least; lost < most; lost += step {
 		for _, phase := range phases() {
-			follow(t, func(t *testing.T, fo *follower) {
+			follow(t, func(fo *follower) {
 				time.Sleep(phase)
 				fo.pipes.Lose(true)
 				fo.pipes.Silence()
@@ -160,7 +160,7 @@
 				fo.pipes.Lose(false)
 				took := fo.told()
 				longest = max(longest, took)
-				qt.Check(t, took <= backInTouch, qt.IsTrue, qt.Commentf("lost for %v, %v after a call: %v", lost, phase, took))
+				qt.Check(fo.t, took <= backInTouch, qt.IsTrue, qt.Commentf("lost for %v, %v after a call: %v", lost, phase, took))
 			})
 		}
 	}
@@ -187,11 +187,11 @@
 		{"120 times slower", 120 * answerTime, 90},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			follow(t, func(t *testing.T, fo *follower) {
+			follow(t, func(fo *follower) {
 				fo.slow.Store(tc.slow)
 				n := fo.calls(time.Minute)
 				t.Logf("%d calls", n)
-				qt.Check(t, n <= tc.most, qt.IsTrue, qt.Commentf("%d calls", n))
+				qt.Check(fo.t, n <= tc.most, qt.IsTrue, qt.Commentf("%d calls", n))
 			})
 		})
 	}
