Say that there is no such queue only while the store confirms the configuration

What callers saw: 404, which is final, on a queue that had been added, from a host that had heard nothing of the store for a while. Cause: silence of the one source was taken for nothing new, and a definite answer given from it. Now a host whose configuration was last confirmed 4.5 s ago or longer (two waits of 1.5 s between answers, and one for a silent connection) answers 503, config-not-confirmed, and 1 s to come back. The product's own interface to jobs likewise. Queues that it knows it serves on, also when cut off. Why it holds: the age is counted from when the call was sent that was answered last.

--- a/internal/door/door.go
+++ b/internal/door/door.go
@@ -41,8 +41,16 @@
 	doubtFor = time.Second
 	// retryAfter is when a refused caller is told to come back.
 	retryAfter = time.Second
+	// confirmedMost is how old the confirmation of the configuration may be where it
+	// is taken for the last: between two answers up to 3 s, two waits of 1.5 s, and one
+	// more where a connection went silent.
+	confirmedMost = 4500 * time.Millisecond
 )
 
+// CodeUnconfirmed is the reason given to callers for whose request there is no queue as
+// far as a host knows that is out of touch.
+const CodeUnconfirmed = "config-not-confirmed"
+
 // Door takes jobs in. Set the fields, then use it from any goroutine.
 type Door struct {
 	// Cell names the cell.
@@ -82,12 +90,20 @@
 // textMost bounds what a line quotes of a request, in bytes.
 const textMost = 200
 
-// NoQueue notes a request that the configuration in force has no queue for, with what
-// tells whether that configuration is the last: its version and the age of its
-// confirmation.
-func (do *Door) NoQueue(host, path string) {
-	do.Log.Info("no queue for a request", "host", cut(host), "path", cut(path), "config", do.ConfigVersion(), "confirmed_age", watch.Age(do.confirmed()))
-	do.Metrics.Add(telemetry.JobRequests, 1, "kind", "any", "outcome", "refused", "reason", "no-queue")
+// NoQueue notes a request that the configuration in force has no queue for, and reports
+// whether that can be said: callers do not come back after it, so a host that is out of
+// touch with the store has them come back instead. One added since would be refused for
+// good, 5 s and more after the store last answered.
+func (do *Door) NoQueue(host, name string) bool {
+	age := watch.Age(do.confirmed())
+	certain := age < confirmedMost
+	do.Log.Info("no queue for a request", "host", cut(host), "path", cut(name), "config", do.ConfigVersion(), "confirmed_age", age, "certain", certain)
+	reason := "no-queue"
+	if !certain {
+		reason = CodeUnconfirmed
+	}
+	do.Metrics.Add(telemetry.JobRequests, 1, "kind", "any", "outcome", "refused", "reason", reason)
+	return certain
 }
 
 // confirmed returns when the call was sent by which the store last confirmed the
--- a/internal/jobapi/jobapi.go
+++ b/internal/jobapi/jobapi.go
@@ -83,7 +83,10 @@
 		return sched.Verdict{}, malformed(fmt.Errorf("id %q: want 16 hex digits", su.ID))
 	}
 	qu, ok := co.Queue(su.Queue)
-	if !ok {
+	switch {
+	case !ok && !do.NoQueue("", su.Queue):
+		return sched.Verdict{}, &wire.Error{Status: http.StatusServiceUnavailable, Code: door.CodeUnconfirmed, Message: "no queue " + su.Queue + " as far as is known", RetryAfter: time.Second}
+	case !ok:
 		return sched.Verdict{}, &wire.Error{Status: http.StatusNotFound, Code: "no-queue", Message: "no queue " + su.Queue}
 	}
 	if err := do.Check(su.ID, qu, su.Spec); err != nil {
