--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -68,7 +68,7 @@
 	if err := set.Check(); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
-	web := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: time.Minute}}
+	web := newWeb()
 	ho := &Host{
 		set: set, id: set.ProcessID(), web: web, done: make(chan struct{}),
 		table:   store.NewTable(set.TableURL, web),
@@ -86,6 +86,11 @@
 	return ho, ho.listen()
 }
 
+// newWeb returns the client of everything outside but runners.
+func newWeb() *http.Client {
+	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: time.Minute}}
+}
+
 // assemble makes the slices and ties their seams together.
 func (ho *Host) assemble() {
 	clients := runner.NewClient(runner.Limits{ConnsPerRunner: ho.set.RunnerConns})
