Give up idle connections of an entry host that went silent

What operators saw: nothing in a report; found by walking through what else follows by one client. Cause: the product's own entry hosts called table, objects, lists, workers and peers by the standard library's client, which keeps idle connections that went silent; each cost a call its deadline. Now they have the client of the hosts on the users' platform. Requests that are passed to peers have one of their own, as their deadlines are the callers' and say nothing about connections.

--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -26,6 +26,7 @@
 	"github.com/pepperhatch/pepperhatch/internal/settings"
 	"github.com/pepperhatch/pepperhatch/internal/store"
 	"github.com/pepperhatch/pepperhatch/internal/telemetry"
+	"github.com/pepperhatch/pepperhatch/internal/transport"
 	"github.com/pepperhatch/pepperhatch/internal/upstream"
 	"github.com/pepperhatch/pepperhatch/internal/worker"
 )
@@ -39,7 +40,9 @@
 	objects store.Objects
 	hosts   store.Hosts
 	web     *http.Client
-	workers worker.Client
+	// forwards has the connections of requests passed to peers.
+	forwards *http.Client
+	workers  worker.Client
 
 	metrics    *telemetry.Metrics
 	metricPage http.Handler
@@ -68,9 +71,9 @@
 	if err := set.Check(); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
-	web := newWeb()
+	web := newWeb(log)
 	ho := &Host{
-		set: set, id: set.ProcessID(), web: web, done: make(chan struct{}),
+		set: set, id: set.ProcessID(), web: web, forwards: newForwards(), done: make(chan struct{}),
 		table:   store.NewTable(set.TableURL, web),
 		objects: store.NewObjects(set.ObjectsURL, web),
 		hosts:   store.NewHosts(set.HostsURL, web),
@@ -86,9 +89,18 @@
 	return ho, ho.listen()
 }
 
-// newWeb returns the client of everything outside but runners.
-func newWeb() *http.Client {
-	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: time.Minute}}
+// webConns is how many idle connections are kept to one address.
+const webConns = 64
+
+// newWeb returns the client of the platform, workers and peers. One that keeps idle
+// connections after a call ran into its deadline lost as many deadlines more as it
+// had, 2 s each for a look at the configuration.
+func newWeb(log *slog.Logger) *http.Client { return transport.NewClient(webConns, log) }
+
+// newForwards returns the client of requests that are passed to peers. Their deadlines
+// are the callers', and say nothing about the connection.
+func newForwards() *http.Client {
+	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: webConns, IdleConnTimeout: time.Minute}}
 }
 
 // assemble makes the slices and ties their seams together.
@@ -199,6 +211,7 @@
 	end()
 	loops.Wait()
 	ho.web.CloseIdleConnections()
+	ho.forwards.CloseIdleConnections()
 	ho.log.Info("stopped", "err", err)
 	return err
 }
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -149,7 +149,7 @@
 		ID: req.ID, Service: req.Service, Method: req.Method, Class: req.Class, Body: req.Body,
 		LeftMS: time.Until(req.Deadline).Milliseconds(), Once: req.Once,
 	}
-	res, err := wire.Post[runMessage, route.Result](ctx, ho.web, "http://"+addr+pathRun, msg)
+	res, err := wire.Post[runMessage, route.Result](ctx, ho.forwards, "http://"+addr+pathRun, msg)
 	if err == nil {
 		return res
 	}
--- a/internal/entry/silent_test.go
+++ b/internal/entry/silent_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"net/http"
 	"net/http/httptest"
 	"sync"
@@ -24,7 +25,10 @@
 // idle connections without asking whether they answer, so that each costs one look its
 // whole time.
 //
-// Evidence: the second call below runs into its deadline like the first.
+// Evidence: the second call below ran into its deadline like the first.
+//
+// The cause was a client of the standard library as it is. The host now has the one that
+// gives up what nothing uses once a call ran into its deadline.
 func TestCallsAfterConnectionsWentSilent(t *testing.T) {
 	const conns = 8
 	var table standin.Table
@@ -35,7 +39,7 @@
 	}))
 	t.Cleanup(func() { hs.CloseClientConnections(); hs.Close() })
 	ln := linetest.NewLine(t, hs.Listener.Addr().String())
-	tbl := store.NewTable("http://"+ln.Addr(), newWeb())
+	tbl := store.NewTable("http://"+ln.Addr(), newWeb(slog.New(slog.DiscardHandler)))
 	read := func(timeout time.Duration) error {
 		ctx, cancel := context.WithTimeout(t.Context(), timeout)
 		defer cancel()
