--- a/internal/sched/third_test.go
+++ b/internal/sched/third_test.go
@@ -214,3 +214,84 @@
 		cr.assertRunning(4)
 	})
 }
+
+// runsAgainBy is by when a lasting task of a lost worker runs again, where there is room:
+// the users count 15 s.
+const runsAgainBy = 15 * time.Second
+
+// loseThenOwner has a busy worker be lost, and its owner's host for good some time later.
+func (cr *crowd) loseThenOwner(co *contender, later time.Duration) {
+	cr.fleet.Kill(cr.busy())
+	cr.lost = time.Now()
+	time.Sleep(later)
+	co.set(func(co *contender) { co.dark = true })
+	co.die()
+}
+
+// TestWorkerLostBeforeAnOwnerThatNobodyCanAsk is the story of lasting tasks that ran nowhere
+// for 18 s.
+//
+// Order of events: seven workers are lost for good; 3 s later so is the host of their
+// owner, which had stopped extending their leases 2 s before; another host takes the
+// cell over. Nobody is left who can say when the former owner last told those workers a
+// lease, so that the new one waits as long as any owner may go on without the store,
+// 8 s, and a lease of 6 s after that.
+//
+// Evidence: "attempt ended .. its leases have lapsed" at 42.5 s for workers lost at 24.0 s,
+// in each of three plays, and no "former owner has ceased to act" before it.
+func TestWorkerLostBeforeAnOwnerThatNobodyCanAsk(t *testing.T) {
+	for _, later := range []time.Duration{2500 * time.Millisecond, 3 * time.Second, 4 * time.Second} {
+		t.Run(later.String(), func(t *testing.T) {
+			threeHosts(t, func(cr *crowd, first, _, _ *contender) {
+				cr.loseThenOwner(first, later)
+				time.Sleep(time.Until(cr.lost.Add(runsAgainBy)))
+				cr.assertRunning(4)
+			})
+		})
+	}
+}
+
+// TestSilentWorkerThatIsBack has a worker be cut off from its owner for a while and come
+// back, and the owner be lost or cut off with it at any moment around that. What the owner
+// left written of the worker's leases must stay true: nothing runs twice, and what runs on
+// a worker that is back goes on there.
+func TestSilentWorkerThatIsBack(t *testing.T) {
+	const step = 50 * time.Millisecond
+	for _, lose := range []struct {
+		name string
+		fn   func(cr *crowd, first *contender, fw *standin.FleetWorker)
+	}{
+		{"the owner's host is gone", func(_ *crowd, first *contender, _ *standin.FleetWorker) {
+			first.set(func(co *contender) { co.dark = true })
+			first.die()
+		}},
+		{"the owner is cut off with it", func(cr *crowd, first *contender, fw *standin.FleetWorker) { cr.cutWith(first, fw) }},
+		{"the store answers the owner late, then not", func(cr *crowd, first *contender, fw *standin.FleetWorker) {
+			first.gate.Set(standin.Fault{Mode: standin.ModeSlow, DelayMS: 400})
+			time.Sleep(600 * time.Millisecond)
+			cr.cutWith(first, fw)
+		}},
+	} {
+		t.Run(lose.name, func(t *testing.T) {
+			for around := -500 * time.Millisecond; around <= time.Second; around += step {
+				threeHosts(t, func(cr *crowd, first, _, _ *contender) {
+					fw := cr.busy()
+					first.set(func(co *contender) { co.cut[fw.Addr.Incarnation] = true })
+					time.Sleep(3*time.Second + min(around, 0))
+					if around < 0 {
+						lose.fn(cr, first, fw)
+						time.Sleep(-around)
+					}
+					first.set(func(co *contender) { delete(co.cut, fw.Addr.Incarnation) })
+					if around >= 0 {
+						time.Sleep(around)
+						lose.fn(cr, first, fw)
+					}
+					time.Sleep(25 * time.Second)
+					cr.assertNothingTwice()
+					cr.assertRunning(4)
+				})
+			}
+		})
+	}
+}
