Note when leases of silent workers lapse, for an owner that can ask nobody

What users saw: lasting tasks of workers that were lost ran nowhere for 18 s, with room for them. Cause: the next owner learnt from the former one's host when that last told leases; where the host is gone for good it waited for as long as any owner may go on without the store (8 s), and a lease. Now an owner writes down workers that have not answered for 1.6 s with the time until their leases lapse, and tells them no lease until the store has taken a row without them. The write rests on the owner's row and on the row's last version. Ruled out: heartbeats that name them (no condition: a late one would show again what was taken back). Each guard was taken out as a trial: without the one on leases TestSilentWorkerThatIsBack fails, without the owner's row TestNotesOfAFormerOwnerAreNotTaken. Why it holds: what a next owner can read was written before its claim, and until it was taken back nothing was told.

--- a/internal/sched/host.go
+++ b/internal/sched/host.go
@@ -268,7 +268,7 @@
 		return "draining"
 	case !ho.settled:
 		return "unsettled"
-	case !ho.failing.IsZero():
+	case !ho.failing.IsZero() || ho.isNoted():
 		return "unanswered"
 	case !now.After(ho.asideUntil):
 		return "aside"
@@ -290,10 +290,11 @@
 }
 
 // leaseNow returns the end of leases to tell the worker now, or 0 if its clock
-// is not known or the tenure was not confirmed for too long.
+// is not known, the tenure was not confirmed for too long, or the next owner may read that
+// it gets none.
 func (ho *host) leaseNow(now time.Time) int64 {
 	te := &ho.ow.Tenure
-	if ho.clockAt.IsZero() || now.Sub(te.Confirmed()) > tenure.ExtendFor || (te.Extending != nil && !te.Extending()) {
+	if ho.isNoted() || ho.clockAt.IsZero() || now.Sub(te.Confirmed()) > tenure.ExtendFor || (te.Extending != nil && !te.Extending()) {
 		return 0
 	}
 	_, latest := ho.clockNow(now)
--- a/internal/sched/launch.go
+++ b/internal/sched/launch.go
@@ -34,6 +34,10 @@
 		ow.unlaunched(at, "its worker drains or left the list before the order was sent")
 		return
 	}
+	if at.ho.isNoted() {
+		ow.unlaunched(at, "its worker does not answer and gets no lease")
+		return
+	}
 	at.ordered = true
 	ta := at.en.jo.Task(at.ref)
 	la := worker.Launch{
--- a/internal/sched/looks.go
+++ b/internal/sched/looks.go
@@ -101,6 +101,8 @@
 		lo.LeaseUntilMS = ho.leaseNow(now)
 	}
 	switch {
+	case ho.isNoted() && ho.failing.IsZero():
+		lo.Wait = notedWait
 	case ho.clockAt.IsZero() || ho.undurable > 0 || !ho.failing.IsZero():
 	case ho.mixed():
 		lo.Wait = serveWait
@@ -136,6 +138,9 @@
 		ho.failing, ho.silent = time.Time{}, false
 	}
 	ho.ow.noteAnswer(ho)
+	if ho.isNoted() {
+		ho.ow.noteLeases(got)
+	}
 	ho.outlive(sent)
 	ho.seen = got
 	ho.read(si.ClockMS, got)
--- a/internal/sched/owner.go
+++ b/internal/sched/owner.go
@@ -108,6 +108,8 @@
 	// takeover, by incarnation.
 	orphans map[string]int
 	opened  time.Time
+	// noted is what the next owner may read of workers that do not answer.
+	noted noted
 	// model is what was learnt of fillers and services.
 	model interfere.Model
 	// noPlace has what no place was found for.
@@ -160,6 +162,7 @@
 	if err := ow.load(ctx); err != nil {
 		return err
 	}
+	ow.loadNoted(ctx)
 	ow.loadLearnt(ctx)
 	ow.model.Fixed = !ow.uses(MechPairs)
 	ow.Log.Info("cell loaded", "cell", ow.Cell, "epoch", ow.Tenure.Epoch, "jobs", len(ow.entries), "active", len(ow.active), "took", time.Since(ow.opened))
@@ -217,6 +220,7 @@
 		ho.tick(now)
 	}
 	ow.noteSilent(now)
+	ow.noteLeases(now)
 	ow.noteReach(now)
 	ow.account(now)
 	ow.sortActive(now)
