Let no doubled request be the answer that was turned away

Found by reading the doubling of reads again, cold. Cause: the first answer counted, also 429 or 503 to the request that was only sent for safety, while the store was about to answer the first; a store that has too much to do would have cost hosts their feeds, and they would have asked for all rows on top. Now such an answer counts only if none waits. TestDoubledRequestThatIsTurnedAway failed in three of four cases before. A request that failed is copied only if it is sent again; a note that shows that the owner was replaced ends its tenure, as other writes do.

--- a/internal/sched/commit.go
+++ b/internal/sched/commit.go
@@ -197,9 +197,7 @@
 // conflicted finds out why a condition did not hold: the write itself, sent
 // before, or another owner.
 func (ow *Owner) conflicted(wr *write, conflict *store.ConflictError) {
-	if conflict.Row(ow.Tenure.Key).Version != ow.Tenure.Version {
-		ow.Log.Warn("write refused: replaced as owner", "cell", ow.Cell, "epoch", ow.Tenure.Epoch)
-		ow.Tenure.Renounce(fmt.Errorf("write of cell %s: %w", ow.Cell, errReplaced))
+	if ow.replaced(conflict) {
 		return
 	}
 	pa := wr.parts[0]
@@ -212,6 +210,17 @@
 	ow.Tenure.Renounce(fmt.Errorf("write of job %s: %w", pa.en.jo.ID, errStrange))
 }
 
+// replaced reports whether a write was refused as another host has the cell, and ends the
+// tenure then.
+func (ow *Owner) replaced(conflict *store.ConflictError) bool {
+	if conflict.Row(ow.Tenure.Key).Version == ow.Tenure.Version {
+		return false
+	}
+	ow.Log.Warn("write refused: replaced as owner", "cell", ow.Cell, "epoch", ow.Tenure.Epoch)
+	ow.Tenure.Renounce(fmt.Errorf("write of cell %s: %w", ow.Cell, errReplaced))
+	return true
+}
+
 var errReplaced = errors.New("replaced as owner")
 
 func sameJSON(a, b []byte) bool {
--- a/internal/sched/noted.go
+++ b/internal/sched/noted.go
@@ -140,8 +140,10 @@
 	var conflict *store.ConflictError
 	switch {
 	case errors.As(err, &conflict):
-		// The version was not known, or a write before took effect unseen.
-		no.version = conflict.Row(ow.silentKey()).Version
+		// Else the version was not known, or a write before took effect unseen.
+		if !ow.replaced(conflict) {
+			no.version = conflict.Row(ow.silentKey()).Version
+		}
 		return
 	case err != nil:
 		ow.Log.Info("leases of silent workers are not noted", "cell", ow.Cell, "workers", len(silent), "err", err)
--- a/internal/transport/race.go
+++ b/internal/transport/race.go
@@ -31,6 +31,13 @@
 	lane int
 }
 
+// turnedAway reports whether a request that was only sent for safety was refused, as
+// there is too much to do: others that wait were taken before.
+func (re result) turnedAway() bool {
+	status := re.resp.StatusCode
+	return re.lane > 0 && (status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable)
+}
+
 // run returns the first answer, or the first error if there is none. Where net/http
 // has to wait for an answer on a connection that went silent, a call loses its
 // whole deadline: 3 s of a page are all that a host has to be back in touch. With
@@ -45,13 +52,9 @@
 	for ra.waiting > 0 {
 		select {
 		case re := <-ra.results:
-			ra.waiting--
-			if re.err == nil {
+			if ra.counts(re) {
 				return ra.won(req, re), nil
 			}
-			if ra.err == nil || re.lane == 0 {
-				ra.err = re.err
-			}
 		case <-ti.C:
 			if next, ok := again(req); ok && req.Context().Err() == nil {
 				ra.send(ra.ro.fresh, next)
@@ -64,6 +67,23 @@
 	return nil, ra.err
 }
 
+// counts takes in what became of a request, and reports whether it is the answer.
+func (ra *race) counts(re result) bool {
+	ra.waiting--
+	switch {
+	case re.err != nil:
+		if ra.err == nil || re.lane == 0 {
+			ra.err = re.err
+		}
+		return false
+	case ra.waiting > 0 && re.turnedAway():
+		ra.cancels[re.lane]()
+		_ = re.resp.Body.Close()
+		return false
+	}
+	return true
+}
+
 // send sends a request beside those that wait.
 func (ra *race) send(tr *http.Transport, req *http.Request) {
 	ctx, cancel := context.WithCancel(req.Context())
--- a/internal/transport/spare_test.go
+++ b/internal/transport/spare_test.go
@@ -5,11 +5,14 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/pepperhatch/pepperhatch/internal/hedge"
 )
 
 // holder serves a network in which requests to /hold wait for a word.
@@ -89,3 +92,47 @@
 	close(done)
 	closing.Wait()
 }
+
+// TestDoubledRequestThatIsTurnedAway has a peer answer late, and turn away what comes
+// beside: the answer to the first request counts, and not that to one that was only sent
+// for safety.
+func TestDoubledRequestThatIsTurnedAway(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		first  int
+		second int
+		want   int
+	}{
+		{"the second is turned away", http.StatusOK, http.StatusServiceUnavailable, http.StatusOK},
+		{"the second has too many beside it", http.StatusOK, http.StatusTooManyRequests, http.StatusOK},
+		{"both are turned away", http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusServiceUnavailable},
+		{"the second says that something is gone", http.StatusOK, http.StatusGone, http.StatusGone},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var asked atomic.Int64
+				pi, end := NewPipes(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+					if asked.Add(1) == 1 {
+						time.Sleep(time.Second)
+						w.WriteHeader(tc.first)
+						return
+					}
+					w.WriteHeader(tc.second)
+				}))
+				defer func() {
+					end()
+					time.Sleep(time.Second)
+				}()
+				hc := NewClientOver(pi, 2)
+				defer hc.CloseIdleConnections()
+				ctx := hedge.With(t.Context(), hedge.Policy{After: 800 * time.Millisecond})
+				req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+pi.Addr().String(), nil)
+				qt.Assert(t, err, qt.IsNil)
+				resp, err := hc.Do(req)
+				qt.Assert(t, err, qt.IsNil)
+				qt.Assert(t, resp.Body.Close(), qt.IsNil)
+				qt.Check(t, resp.StatusCode, qt.Equals, tc.want)
+			})
+		})
+	}
+}
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -4,9 +4,10 @@
 // Connections may go silent for good, without a reset, while new ones work. A
 // request on such a connection shows it by its deadline; but there may be others
 // beside it, idle ones of the same time, and each would cost the next request its
-// deadline too. So when a request to an address runs into its deadline, the idle
-// connections to that address are closed, whether the answer had begun or not.
-// Those with a request under way have a deadline of their own.
+// deadline too. So when a request to an address runs into its deadline, the
+// connections to that address that no request has are closed, whether the answer had
+// begun or not. Those that a request has are left to its own deadline; where that is
+// more than can be waited for, package hedge has the request be doubled.
 package transport
 
 import (
@@ -93,8 +94,11 @@
 		}
 		missed := ho.missed()
 		ho.leave()
-		next, ok := again(sent)
-		if !missed || !ok || ctx.Err() != nil {
+		next, ok := sent, false
+		if missed && ctx.Err() == nil {
+			next, ok = again(sent)
+		}
+		if !ok {
 			ro.failed(req)
 			return nil, err
 		}
