--- a/internal/transport/change_test.go
+++ b/internal/transport/change_test.go
@@ -18,15 +18,21 @@
 	"github.com/pepperhatch/pepperhatch/internal/watch"
 )
 
-// The users' aims: a change is in force inForce after it, and backInTouch after trouble.
+// backInTouch is the users' aim: how long after trouble a change has to be in force.
+const backInTouch = 3 * time.Second
+
+// Times of a follower's test.
 const (
-	inForce     = 2 * time.Second
-	backInTouch = 3 * time.Second
+	// answerTime is how long the store takes for an answer.
+	answerTime = 4 * time.Millisecond
+	// changeAfter is how soon after a silence the change is made.
+	changeAfter = 300 * time.Millisecond
+	// lookEvery is how exactly it is told when the change is in force, toldMost how long
+	// that is waited for.
+	lookEvery = 10 * time.Millisecond
+	toldMost  = time.Minute
 )
 
-// answerTime is how long the store takes for an answer.
-const answerTime = 4 * time.Millisecond
-
 // follower follows a row of a store over a network in memory.
 type follower struct {
 	t     *testing.T
@@ -97,8 +103,8 @@
 	reply, err := fo.table.Client().ReadFunc(fo.t.Context(), store.ReadRequest{Keys: []string{"op//config"}})
 	qt.Assert(fo.t, err, qt.IsNil)
 	began := time.Now()
-	for fo.version.Load() != reply.Rows[0].Version && time.Since(began) < time.Minute {
-		time.Sleep(10 * time.Millisecond)
+	for fo.version.Load() != reply.Rows[0].Version && time.Since(began) < toldMost {
+		time.Sleep(lookEvery)
 	}
 	return time.Since(began)
 }
@@ -129,9 +135,9 @@
 					qt.Assert(fo.t, fo.pipes.Spares(fo.hc, spares, func() { fo.word <- struct{}{} }), qt.IsNil)
 					time.Sleep(phase)
 					fo.pipes.Silence()
-					time.Sleep(300 * time.Millisecond)
+					time.Sleep(changeAfter)
 					fo.change()
-					took := fo.told() + 300*time.Millisecond
+					took := fo.told() + changeAfter
 					t.Logf("in force %v after the silence", took)
 					qt.Check(fo.t, took <= backInTouch, qt.IsTrue, qt.Commentf("%v", took))
 				})
