Expect healthy tasks to outlive three owners that are lost with their workers

Callers see a lasting job end as failed, with nothing wrong with it. The owner's host stands still three times, and workers crash 0.2 s after each; the next owner ends each attempt on them as a certain crash, and at the third the task is given up. The test plays it in virtual time, with workers that come back and with workers that are gone for good; it fails on this code both ways.

--- a/internal/sched/crashlab_test.go
+++ b/internal/sched/crashlab_test.go
@@ -32,6 +32,8 @@
 
 	// elsewhere has workers come back at other addresses.
 	elsewhere bool
+	// forGood has workers not come back.
+	forGood bool
 	// stays and back replace entryStays and backAfter, if set.
 	stays, back time.Duration
 
@@ -122,6 +124,9 @@
 	was := cr.entries[fw.Addr.Incarnation]
 	cr.mu.Unlock()
 	time.AfterFunc(cr.stays, func() { cr.list(was, true) })
+	if cr.forGood {
+		return
+	}
 	time.AfterFunc(cr.back, func() { cr.rise(fw, was) })
 }
 
