Keep in a job's row for how long its attempts were seen at work

What callers saw: a healthy job of lasting tasks ended as failed after three owners had been lost together with a worker of one of its tasks.

Cause: for how long an attempt had run only the owner knew that looked at it. The next one found it in the rows, on a worker whose process had ended, had never seen it run, and put it down as a certain crash. What an owner took back of a task's crashes, once an attempt had lasted, it did not write either.

Change: the row says of each started attempt whether it got over its start (0.5 s) or lasts (10 s): one character an attempt, one for all if they are alike, none before that. It goes with any write of the job; a lasting or suspected task, whose wrong verdict costs most, has a write of its own 0.5 s after, which its job's other tasks share. The next owner judges by it: what lasts ends as lapsed, what began as lost, only the rest as a certain crash. An attempt that got over its start under a former owner is not at its start again.

Why it holds: a task that does crash its workers ends 10 ms after its start, before any look can show it at work, so its row says nothing and it is given up as before, also with an owner for each crash (the test of that stands as it was).

Ruled out: the time of day or the number of heartbeats since the order as evidence of age: an owner may be alive and the worker dead since the start.

--- a/internal/job/blame.go
+++ b/internal/job/blame.go
@@ -63,14 +63,6 @@
 	return ta.Crashes >= crashesMost-1 || ta.Crashes+ta.Losses >= lossesMost-1
 }
 
-// Lasted notes that an attempt was at work for so long that the ends of workers before it
-// were not the task's doing.
-func (jo *Job) Lasted(ref TaskRef, attempt int) {
-	if ta := jo.Task(ref); ta != nil && ta.State == Started && ta.Attempt == attempt {
-		ta.Crashes, ta.Losses = 0, 0
-	}
-}
-
 // FailedLate notes that an attempt which had been given up without the worker's word had
 // failed, and reports whether that was news. The failure counts; an attempt that has
 // begun since may still be done.
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -72,6 +72,8 @@
 	// GivenUp are the last attempts that ended without the worker's word and may still
 	// be told to have failed.
 	GivenUp []int
+	// Proof is how far the attempt under way was seen to come.
+	Proof Proof
 	// Worker is the incarnation of the last attempt's worker.
 	Worker string
 	// Checkpoint is what the next attempt starts from, Base what the last one
@@ -218,6 +220,7 @@
 	ta.State = Started
 	ta.Attempt++
 	ta.Worker = incarnation
+	ta.Proof = Unproven
 	ta.Base = ta.Checkpoint
 	return ta.Attempt
 }
--- a/internal/job/job_test.go
+++ b/internal/job/job_test.go
@@ -99,7 +99,8 @@
 func TestRowsThatCannotBeRead(t *testing.T) {
 	for _, tc := range [][2]string{{"", "{}"}, {"{}", ""}, {`{"spec":{"steps":[{"tasks":1,"each":{}}]}}`, `{"tasks":[[],[]]}`},
 		{oneTask, `{"steps":[{"s":"w"},{"s":"w"}]}`}, {oneTask, `{"steps":[{"s":"ww"}]}`}, {oneTask, `{"steps":[{"s":""}]}`}, {oneTask, `{"steps":[{"s":"x"}]}`},
-		{oneTask, `{"steps":[{"s":"s","w":["a"]}]}`}, {oneTask, `{"steps":[{"s":"s","w":["a"],"o":[1]}]}`}, {oneTask, `{"state":"running"}`}} {
+		{oneTask, `{"steps":[{"s":"s","w":["a"]}]}`}, {oneTask, `{"steps":[{"s":"s","w":["a"],"o":[1]}]}`}, {oneTask, `{"state":"running"}`},
+		{oneTask, `{"steps":[{"s":"s","w":["a"],"o":[0],"p":"x"}]}`}, {oneTask, `{"steps":[{"s":"s","w":["a"],"o":[0],"p":"11"}]}`}} {
 		_, err := Restore(testID, []byte(tc[0]), []byte(tc[1]))
 		qt.Check(t, err, qt.IsNotNil, qt.Commentf("%s", tc[1]))
 	}
@@ -131,7 +132,7 @@
 	case Started:
 		ta.Checkpoint = ta.Base
 	default:
-		ta.Worker, ta.Base = "", ""
+		ta.Worker, ta.Base, ta.Proof = "", "", Unproven
 	}
 	return ta
 }
--- a/internal/job/steprow.go
+++ b/internal/job/steprow.go
@@ -31,6 +31,8 @@
 	// for each started task in turn, the index of its worker there.
 	Workers []string `json:"w,omitempty"`
 	On      []int    `json:"o,omitempty"`
+	// Proofs has how far attempts under way were seen to come, see proofsOf.
+	Proofs string `json:"p,omitempty"`
 	// Checkpoints has what next attempts start from, and what those under way
 	// started from. What the latter made since is told by their workers.
 	Checkpoints map[int]string `json:"c,omitempty"`
@@ -57,10 +59,8 @@
 			sr.add(i, ta)
 		}
 	}
-	sr.States = states.String()
-	if strings.Count(sr.States, sr.States[:1]) == len(sr.States) {
-		sr.States = sr.States[:1]
-	}
+	sr.States = shorten(states.String())
+	sr.Proofs = proofsOf(tasks)
 	return sr
 }
 
@@ -140,5 +140,8 @@
 		}
 		tasks[i] = ta
 	}
+	if err := takeProofs(sr.Proofs, tasks); err != nil {
+		return nil, err
+	}
 	return tasks, nil
 }
--- a/internal/sched/attempt.go
+++ b/internal/sched/attempt.go
@@ -22,8 +22,10 @@
 	launched time.Time
 	// sighted is when the last look came back that listed it as running, or zero.
 	sighted time.Time
-	// inherited is set if a former owner ordered it.
+	// inherited is set if a former owner ordered it, worked is for how long it was at work
+	// at least when this owner took over.
 	inherited bool
+	worked    time.Duration
 	// settling is set while it is found out what became of an order without
 	// an answer.
 	settling bool
--- a/internal/sched/commit.go
+++ b/internal/sched/commit.go
@@ -100,7 +100,7 @@
 func (ow *Owner) addPart(wr *write, en *entry) int {
 	id := en.jo.ID
 	pa := part{en: en, state: en.jo.State(), first: en.progVer == 0, effects: en.effects, key: ow.progressKey(id)}
-	en.effects, en.dirty, en.writing = nil, false, true
+	en.effects, en.dirty, en.writing, en.proofDue = nil, false, true, time.Time{}
 	wr.txn.Conds = append(wr.txn.Conds, store.Cond{Key: pa.key, Version: en.progVer})
 	if en.removing {
 		wr.txn.Puts = append(wr.txn.Puts, store.Put{Key: pa.key, Delete: true})
--- a/internal/sched/death.go
+++ b/internal/sched/death.go
@@ -109,6 +109,30 @@
 	return job.EndCrashed
 }
 
+// unseenVerdict is what it means for an attempt that its worker was never seen by this
+// owner. If the list of workers is sound, its process has ended: nothing that runs is
+// without an entry for so long.
+func unseenVerdict(pr job.Proof, listSound bool) job.End {
+	switch {
+	case pr == job.Lasting:
+		return job.EndLapsed
+	case pr == job.Begun || !listSound:
+		return job.EndLost
+	}
+	return job.EndCrashed
+}
+
+// workedBy is for how long an attempt was at work at least, by what its row says.
+func workedBy(pr job.Proof) time.Duration {
+	switch pr {
+	case job.Begun:
+		return provenAfter
+	case job.Lasting:
+		return lastsAfter
+	}
+	return 0
+}
+
 // Times of attempts at work, as looks list them.
 const (
 	// provenAfter is after how long an attempt has got over its start, at which a program
@@ -124,14 +148,14 @@
 type sightings struct {
 	// acked is set if the worker acknowledged its order, or listed it.
 	acked bool
-	// ran is how long it is known to have run, by the last look that listed it.
+	// ran is how long it is known to have run, by its row and the last look that listed it.
 	ran time.Duration
 }
 
 func (at *attempt) sightings() sightings {
-	se := sightings{acked: !at.launched.IsZero()}
+	se := sightings{acked: !at.launched.IsZero(), ran: at.worked}
 	if at.sighted.After(at.launched) {
-		se.ran = at.sighted.Sub(at.launched)
+		se.ran += at.sighted.Sub(at.launched)
 	}
 	return se
 }
--- a/internal/sched/entry.go
+++ b/internal/sched/entry.go
@@ -33,6 +33,9 @@
 	// dirty is set while a change waits to be written, writing while a write
 	// is under way.
 	dirty, writing bool
+	// proofDue is when the row is to be written for what it says of attempts at work, or
+	// zero.
+	proofDue time.Time
 	// removing is set once the rows are to be removed.
 	removing bool
 	// effects happen once the present state is written.
--- a/internal/sched/load.go
+++ b/internal/sched/load.go
@@ -100,7 +100,7 @@
 			rest = append(rest, ref)
 			continue
 		}
-		ho.put(&attempt{ref: ref, number: ta.Attempt, ho: ho, en: en, inherited: true, pace: unknownPace})
+		ho.put(&attempt{ref: ref, number: ta.Attempt, ho: ho, en: en, inherited: true, worked: workedBy(ta.Proof), pace: unknownPace})
 	}
 	return rest
 }
@@ -119,13 +119,9 @@
 	}
 }
 
-// endOrphans ends the attempts on a worker that was never seen. If the list of workers is
-// sound, its process has ended: nothing that runs is without an entry for so long.
+// endOrphans ends the attempts on a worker that was never seen.
 func (ow *Owner) endOrphans(incarnation string, now time.Time) {
-	end := job.EndLost
-	if ow.listSound(now) {
-		end = job.EndCrashed
-	}
+	sound := ow.listSound(now)
 	for _, en := range ow.entries {
 		rest := en.orphans[:0]
 		for _, ref := range en.orphans {
@@ -134,7 +130,7 @@
 				rest = append(rest, ref)
 				continue
 			}
-			ow.end(en, ref, ta.Attempt, end, "", "its worker was not seen since the takeover")
+			ow.end(en, ref, ta.Attempt, unseenVerdict(ta.Proof, sound), "", "its worker was not seen since the takeover")
 		}
 		en.orphans = rest
 	}
--- a/internal/sched/owner.go
+++ b/internal/sched/owner.go
@@ -222,6 +222,7 @@
 	ow.noteSilent(now)
 	ow.noteLeases(now)
 	ow.noteReach(now)
+	ow.writeProofs(now)
 	ow.account(now)
 	ow.sortActive(now)
 	ow.moveHeld(now)
--- a/internal/sched/suspect.go
+++ b/internal/sched/suspect.go
@@ -41,19 +41,13 @@
 
 func (at *attempt) task() *job.Task { return at.en.jo.Task(at.ref) }
 
-// sight notes that a look listed the attempt as running.
-func (at *attempt) sight(now time.Time) {
-	at.sighted = now
-	if at.sightings().ran >= lastsAfter {
-		at.en.jo.Lasted(at.ref, at.number)
-		at.en.rests.lasted(at.ref)
-	}
-}
-
 // fresh reports whether the attempt may still be at its start: its worker's looks would
 // have broken off since, had that crashed.
 func (at *attempt) fresh(now time.Time) bool {
-	return at.launched.IsZero() || !at.ho.failing.IsZero() || now.Sub(at.launched) < provenAfter
+	if !at.ho.failing.IsZero() {
+		return true
+	}
+	return at.worked < provenAfter && (at.launched.IsZero() || now.Sub(at.launched) < provenAfter)
 }
 
 // endTrial lets others begin beside an attempt that was tried alone.
