Say what room there is for lasting tasks, and how lost workers' attempts end

Change: a line a lost worker, with its attempts, how many last, how they were judged and since when it was silent. A line a second on lasting tasks that have waited for a second: how many, how many of these ran before, what they need, and what is free in all, on the best worker, and will be by itself. Workers that have the room and refuse a task are told as kept or apart.

--- a/internal/sched/death.go
+++ b/internal/sched/death.go
@@ -52,30 +52,32 @@
 // without an entry has most likely ended, and may be back at another address; one that
 // is listed, or may be if the list is in trouble, is cut off.
 func (ho *host) endSilent(now time.Time) {
-	ended := ho.gone && !ho.left() && ho.ow.listSound(now)
+	ho.endAll(ho.gone && !ho.left() && ho.ow.listSound(now), "its leases have lapsed")
+}
+
+// endAll notes the end of all that stood on a lost worker, and who may have ended it if its
+// process has, other than by a planned end.
+func (ho *host) endAll(crashed bool, why string) {
+	var le lostEnds
 	for at := range ho.attempts {
 		end := job.EndLapsed
-		if ended {
+		if crashed {
 			end = at.verdict()
 		}
-		ho.ow.end(at.en, at.ref, at.number, end, "", "its leases have lapsed")
+		le.add(at.step(), end)
+		ho.ow.end(at.en, at.ref, at.number, end, "", why)
 	}
+	ho.ow.tellLost(ho.incarnation, le, why, ho.quietFor(time.Now()))
 }
 
 // endDead notes the end of all that stood on a worker whose process has ended, and who may
 // have ended it.
 func (ho *host) endDead(why string) {
-	left := ho.left()
-	if !left {
+	crashed := !ho.left()
+	if crashed {
 		ho.ow.Metrics.Add(telemetry.WorkersCrashed, 1, "attempts", someOrNone(len(ho.attempts)))
 	}
-	for at := range ho.attempts {
-		end := job.EndLapsed
-		if !left {
-			end = at.verdict()
-		}
-		ho.ow.end(at.en, at.ref, at.number, end, "", why)
-	}
+	ho.endAll(crashed, why)
 }
 
 func someOrNone(n int) string {
--- a/internal/sched/entry.go
+++ b/internal/sched/entry.go
@@ -118,12 +118,21 @@
 
 // waitingOf counts the tasks of a step that may start now.
 func (en *entry) waitingOf(step int) int {
+	return en.countWaiting(step, func(job.Task) bool { return true })
+}
+
+// waitingAgain counts those of them that ran before.
+func (en *entry) waitingAgain(step int) int {
+	return en.countWaiting(step, func(ta job.Task) bool { return ta.Attempt > 0 })
+}
+
+func (en *entry) countWaiting(step int, count func(job.Task) bool) int {
 	if !en.jo.Ready(step) {
 		return 0
 	}
 	n := 0
-	for i := range en.jo.Tasks[step] {
-		if en.jo.Tasks[step][i].State == job.Waiting {
+	for _, ta := range en.jo.Tasks[step] {
+		if ta.State == job.Waiting && count(ta) {
 			n++
 		}
 	}
--- a/internal/sched/host.go
+++ b/internal/sched/host.go
@@ -87,6 +87,8 @@
 	inUse    int64
 	// passing is the part of reserved that tasks take that end by themselves.
 	passing worker.Resources
+	// keptIn is the last round of placement in which its room was kept.
+	keptIn int
 	// trial is the task that is tried alone here, or is to be.
 	trial *trial
 	// asideUntil is until when it gets nothing new. failures counts attempts
--- a/internal/sched/keep.go
+++ b/internal/sched/keep.go
@@ -29,7 +29,7 @@
 	if best == nil {
 		return
 	}
-	best.kept = true
+	best.kept, best.ho.keptIn = true, pl.ow.rounds
 	pl.keeps++
 	pl.ow.Log.Debug("room kept", "task", en.jo.TaskID(ref), "worker", best.ho.incarnation, "lacks_millicores", least)
 }
--- a/internal/sched/load.go
+++ b/internal/sched/load.go
@@ -119,9 +119,13 @@
 	}
 }
 
+// unseenWhy is why attempts end on a worker that was never seen.
+const unseenWhy = "its worker was not seen since the takeover"
+
 // endOrphans ends the attempts on a worker that was never seen.
 func (ow *Owner) endOrphans(incarnation string, now time.Time) {
 	sound := ow.listSound(now)
+	var le lostEnds
 	for _, en := range ow.entries {
 		rest := en.orphans[:0]
 		for _, ref := range en.orphans {
@@ -130,8 +134,11 @@
 				rest = append(rest, ref)
 				continue
 			}
-			ow.end(en, ref, ta.Attempt, unseenVerdict(ta.Proof, sound), "", "its worker was not seen since the takeover")
+			end := unseenVerdict(ta.Proof, sound)
+			le.add(&en.jo.Spec.Steps[ref.Step], end)
+			ow.end(en, ref, ta.Attempt, end, "", unseenWhy)
 		}
 		en.orphans = rest
 	}
+	ow.tellLost(incarnation, le, unseenWhy, now.Sub(ow.opened))
 }
--- a/internal/sched/owner.go
+++ b/internal/sched/owner.go
@@ -119,6 +119,8 @@
 	// saved is when what was learnt was last written, saving is set while it is.
 	saved  time.Time
 	saving bool
+	// scarceAt is when a line last told of tasks that last and find no room.
+	scarceAt time.Time
 	// roll follows how far the list of workers can be believed.
 	roll roll
 	// outage has what was told of workers that get no orders.
@@ -224,6 +226,7 @@
 	ow.noteReach(now)
 	ow.writeProofs(now)
 	ow.account(now)
+	ow.tellScarcity(now)
 	ow.sortActive(now)
 	ow.moveHeld(now)
 	ow.noteList(now)
--- a/internal/sched/shortage.go
+++ b/internal/sched/shortage.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"cmp"
 	"fmt"
 	"log/slog"
 	"slices"
@@ -23,14 +24,15 @@
 }
 
 // findShortage looks at all workers that the step may run on.
-func (ow *Owner) findShortage(en *entry, st *job.Step, now time.Time) shortage {
+func (ow *Owner) findShortage(en *entry, step int, now time.Time) shortage {
+	st := &en.jo.Spec.Steps[step]
 	sh := shortage{st: st, barred: map[string]int{}}
 	for _, ho := range ow.sortedHosts() {
 		ca := newCandidate(ho, now)
 		if !ca.suitable(en, st) {
 			continue
 		}
-		if why := ho.bar(now); why != "" {
+		if why := cmp.Or(ho.bar(now), ho.refuses(en, step)); why != "" {
 			if st.Reserved().Fits(ca.free) {
 				sh.barred[why]++
 			}
@@ -43,6 +45,27 @@
 	return sh
 }
 
+// Reasons why a worker that gets new tasks gets none of a step.
+const (
+	// barKept: its room is kept for a task that lasts.
+	barKept = "kept"
+	// barApart: it has as many tasks of the step as may stand on one worker.
+	barApart = "apart"
+)
+
+// refuses returns why the worker gets none of a step's tasks though it gets others, or
+// nothing.
+func (ho *host) refuses(en *entry, step int) string {
+	st := &en.jo.Spec.Steps[step]
+	switch {
+	case ho.keptIn == ho.ow.rounds && !st.Filler:
+		return barKept
+	case st.PerWorker > 0 && en.countAt(step, ho) >= st.PerWorker:
+		return barApart
+	}
+	return ""
+}
+
 // lacking returns how much of what is needed is not free, as a share of it: that of the
 // resource of which most is lacking.
 func lacking(need, free worker.Resources) float64 {
@@ -58,7 +81,7 @@
 	need := sh.st.Reserved()
 	list := []slog.Attr{
 		slog.Int64("need_millicores", need.MilliCores), slog.Int64("need_mem_mb", need.MemMB),
-		slog.String("barred", sh.barredWhy()),
+		slog.String("barred", listCounts(sh.barred)),
 	}
 	if sh.best == nil {
 		return append(list, slog.String("best", "none"))
@@ -72,11 +95,11 @@
 	)
 }
 
-// barredWhy lists the reasons with their numbers.
-func (sh shortage) barredWhy() string {
-	list := make([]string, 0, len(sh.barred))
-	for why, n := range sh.barred {
-		list = append(list, fmt.Sprintf("%s:%d", why, n))
+// listCounts lists names with their numbers.
+func listCounts[K ~string](counts map[K]int) string {
+	list := make([]string, 0, len(counts))
+	for name, n := range counts {
+		list = append(list, fmt.Sprintf("%s:%d", name, n))
 	}
 	slices.Sort(list)
 	return strings.Join(list, " ")
--- a/internal/sched/shortage_test.go
+++ b/internal/sched/shortage_test.go
@@ -39,6 +39,42 @@
 	})
 }
 
+// TestRoomThatIsKeptIsTold has a task wait that finds room only beside one of its own step,
+// where it may not stand, and then only where room is kept: the lines say so.
+func TestRoomThatIsKeptIsTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		la, li := loggedLab(t, 1)
+		ow := la.withLasting(15)
+		apart := lasting(2)
+		apart.Steps[0].Each = worker.Resources{MilliCores: 500, MemMB: 500}
+		apart.Steps[0].PerWorker = 1
+		la.submit(ow, 2, apart)
+		time.Sleep(1500 * time.Millisecond)
+		waits := `msg="lasting tasks wait"`
+		qt.Assert(t, li.with(waits, "job="+jobID(2), "for=room", "barred=apart:1"), qt.HasLen, 1)
+		ow.post(func() {
+			ow.hosts["i-0"].keptIn = ow.rounds
+			ow.entries[jobID(2)].spent.tell = 0
+			ow.account(time.Now())
+		})
+		synctest.Wait()
+		qt.Assert(t, li.with(waits, "job="+jobID(2), "for=room", "barred=kept:1"), qt.HasLen, 1)
+	})
+}
+
+// TestScarcityIsTold has 16 of 20 tasks that last find room: once a second a line says how
+// many wait, and what room there is in all.
+func TestScarcityIsTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		la, li := loggedLab(t, 1)
+		ow := la.withLasting(16)
+		la.submit(ow, 2, lasting(4))
+		time.Sleep(3500 * time.Millisecond)
+		told := li.with(`msg="room for lasting tasks"`, "jobs=1", "tasks=4", "again=0", "need_millicores=8000", "workers=1", "kept=0", "free_millicores=0", "most_millicores=0", "passing_millicores=0")
+		qt.Assert(t, told, qt.HasLen, 3)
+	})
+}
+
 // TestRestsAreNotToldAsLackOfRoom has a task that fails whenever it starts: once it rests
 // between its starts, lines say so.
 func TestRestsAreNotToldAsLackOfRoom(t *testing.T) {
--- a/internal/sched/spent.go
+++ b/internal/sched/spent.go
@@ -4,7 +4,6 @@
 	"log/slog"
 	"time"
 
-	"github.com/pepperhatch/pepperhatch/internal/job"
 	"github.com/pepperhatch/pepperhatch/internal/telemetry"
 )
 
@@ -142,8 +141,8 @@
 	en.spent.tell = 2 * wait
 	lack := en.cause(ow.storeDown())
 	attrs := []slog.Attr{slog.String("for", lack.String()), slog.Duration("wait", wait), slog.Int("tasks", en.waiting)}
-	if st := en.waitingStep(); lack == CauseRoom && st != nil {
-		attrs = append(attrs, ow.findShortage(en, st, now).attrs()...)
+	if step := en.waitingStep(); lack == CauseRoom && step >= 0 {
+		attrs = append(attrs, ow.findShortage(en, step, now).attrs()...)
 	}
 	if !en.jo.Endless() {
 		ow.logTime("job waits", en, now, attrs...)
@@ -153,19 +152,14 @@
 	ow.Log.LogAttrs(ow.ctx, slog.LevelInfo, "lasting tasks wait", append(named, attrs...)...)
 }
 
-// waitingStep returns the first step of which tasks wait, or nil.
-func (en *entry) waitingStep() *job.Step {
+// waitingStep returns the first step of which tasks wait, or -1.
+func (en *entry) waitingStep() int {
 	for step := range en.jo.Spec.Steps {
-		if !en.jo.Ready(step) {
-			continue
-		}
-		for index := range en.jo.Tasks[step] {
-			if en.jo.Tasks[step][index].State == job.Waiting {
-				return &en.jo.Spec.Steps[step]
-			}
+		if en.waitingOf(step) > 0 {
+			return step
 		}
 	}
-	return nil
+	return -1
 }
 
 // tellTime writes a line on what the time of a job that is over went to, and
--- a/internal/sched/takeover_test.go
+++ b/internal/sched/takeover_test.go
@@ -72,6 +72,22 @@
 	return cr.own()
 }
 
+// TestLostWorkersAreTold has the ends of a lost worker's attempts told in one line, also by
+// an owner that never saw it.
+func TestLostWorkersAreTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		la, li := loggedLab(t, 2)
+		cr, ow := startCrashes(t, la)
+		cr.forGood = true
+		cr.submit(ow, 1, lasting(12))
+		time.Sleep(20 * time.Second)
+		cr.loseOwnerAnd(1)
+		time.Sleep(20 * time.Second)
+		told := li.with(`msg="attempts of a lost worker ended"`, "attempts=12", "lasting=12", "ends=lapsed:12")
+		qt.Assert(t, told, qt.HasLen, 1)
+	})
+}
+
 // row returns the row of a job's progress as it is written.
 func (la *lab) row(ow *Owner, n int) job.ProgressRow {
 	var row job.ProgressRow
