Let lasting tasks that were interrupted go first

What callers saw: tasks that last, whose workers were lost, ran nowhere for 8 s and more after they were free, though what was free would have held them twice.

Cause: where room is short and in pieces, what decides is who looks first when a piece gets free. Interrupted tasks stood in one line with tasks of other jobs that never ran, by an order that a takeover mixes (jobs are read by their ids), and with short ones; and room was kept for one task of a job at a time.

Change: among jobs of a priority, lasting tasks that ran before are placed first, and a worker's room is kept for each of them that finds none (one worker of 16 at most, as before). Lines on waits say how many of a job's tasks ran before.

--- a/internal/sched/entry.go
+++ b/internal/sched/entry.go
@@ -118,21 +118,19 @@
 
 // waitingOf counts the tasks of a step that may start now.
 func (en *entry) waitingOf(step int) int {
-	return en.countWaiting(step, func(job.Task) bool { return true })
+	return en.countWaiting(step, func(job.TaskRef) bool { return true })
 }
 
-// waitingAgain counts those of them that ran before.
-func (en *entry) waitingAgain(step int) int {
-	return en.countWaiting(step, func(ta job.Task) bool { return ta.Attempt > 0 })
-}
+// waitingAgain counts those of them that were interrupted.
+func (en *entry) waitingAgain(step int) int { return en.countWaiting(step, en.interrupted) }
 
-func (en *entry) countWaiting(step int, count func(job.Task) bool) int {
+func (en *entry) countWaiting(step int, count func(job.TaskRef) bool) int {
 	if !en.jo.Ready(step) {
 		return 0
 	}
 	n := 0
-	for _, ta := range en.jo.Tasks[step] {
-		if ta.State == job.Waiting && count(ta) {
+	for index := range en.jo.Tasks[step] {
+		if ref := (job.TaskRef{Step: step, Index: index}); en.jo.Tasks[step][index].State == job.Waiting && count(ref) {
 			n++
 		}
 	}
--- /dev/null
+++ b/internal/sched/interrupted.go
@@ -0,0 +1,22 @@
+package sched
+
+import "github.com/pepperhatch/pepperhatch/internal/job"
+
+// placeInterrupted starts the tasks that last and ran before, of jobs of one priority. What
+// they served is missed until they run again, so they go before tasks that never ran: those
+// of other jobs that last are many where room is short, and short tasks take each part of
+// it that gets free. A worker's room is kept for each that finds none.
+func (pl *placer) placeInterrupted(list []*entry) {
+	for _, en := range list {
+		for step := range en.jo.Spec.Steps {
+			if en.jo.Spec.Steps[step].Endless && en.jo.Ready(step) {
+				pl.placeStep(en, step, true)
+			}
+		}
+	}
+}
+
+// interrupted reports whether a task lasts, and has run before or was to.
+func (en *entry) interrupted(ref job.TaskRef) bool {
+	return en.jo.Spec.Steps[ref.Step].Endless && en.jo.Task(ref).Attempt > 0
+}
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"slices"
 	"time"
 
 	"github.com/pepperhatch/pepperhatch/internal/job"
@@ -21,10 +22,29 @@
 	ow.rounds++
 	ow.Metrics.Add(telemetry.PlaceRounds, 1)
 	pl := ow.newPlacer()
-	for _, en := range append([]*entry(nil), ow.active...) {
-		if ow.window.full() {
+	for rest := slices.Clone(ow.active); len(rest) > 0; {
+		n := samePriority(rest)
+		pl.placeInterrupted(rest[:n])
+		pl.placeJobs(rest[:n])
+		rest = rest[n:]
+	}
+}
+
+// samePriority counts the jobs, of some that are sorted, that have the priority of the first.
+func samePriority(list []*entry) int {
+	n := slices.IndexFunc(list, func(en *entry) bool { return en.jo.Terms.Priority != list[0].jo.Terms.Priority })
+	if n < 0 {
+		return len(list)
+	}
+	return n
+}
+
+// placeJobs starts what waits of jobs.
+func (pl *placer) placeJobs(list []*entry) {
+	for _, en := range list {
+		if pl.ow.window.full() {
 			// The next round goes on once some have landed.
-			ow.due = true
+			pl.ow.due = true
 			en.lack = CauseOrder
 			continue
 		}
@@ -102,17 +122,18 @@
 func (pl *placer) placeJob(en *entry) {
 	for step := range en.jo.Spec.Steps {
 		if en.jo.Ready(step) {
-			pl.placeStep(en, step)
+			pl.placeStep(en, step, false)
 		}
 	}
 }
 
-// placeStep starts the waiting tasks of a step that find room.
-func (pl *placer) placeStep(en *entry, step int) {
+// placeStep starts the waiting tasks of a step that find room: those that were interrupted,
+// or the others.
+func (pl *placer) placeStep(en *entry, step int, interrupted bool) {
 	var ra *ranking
-	for index := range en.jo.Tasks[step] {
+	for index, ta := range en.jo.Tasks[step] {
 		ref := job.TaskRef{Step: step, Index: index}
-		if en.jo.Tasks[step][index].State != job.Waiting {
+		if ta.State != job.Waiting || en.interrupted(ref) != interrupted {
 			continue
 		}
 		if en.rests.resting(ref, pl.now) {
@@ -123,7 +144,7 @@
 			en.lack = CauseOrder
 			return
 		}
-		if en.jo.Tasks[step][index].Suspect() {
+		if ta.Suspect() {
 			pl.placeSuspect(en, ref)
 			// It changed a worker that may not be the best one.
 			ra = nil
@@ -139,6 +160,9 @@
 		}
 		if ca == nil {
 			pl.keepRoom(en, ref)
+			if interrupted {
+				continue
+			}
 			return
 		}
 		pl.start(en, ref, ca)
--- a/internal/sched/spent.go
+++ b/internal/sched/spent.go
@@ -141,6 +141,9 @@
 	en.spent.tell = 2 * wait
 	lack := en.cause(ow.storeDown())
 	attrs := []slog.Attr{slog.String("for", lack.String()), slog.Duration("wait", wait), slog.Int("tasks", en.waiting)}
+	if en.jo.Endless() {
+		attrs = append(attrs, slog.Int("again", en.waitingAgain(en.waitingStep())))
+	}
 	if step := en.waitingStep(); lack == CauseRoom && step >= 0 {
 		attrs = append(attrs, ow.findShortage(en, step, now).attrs()...)
 	}
