Let no lease outlive what its owner may claim

What callers saw: tasks that last ran nowhere for 20 s, after their workers had been lost in the same moment as their owner's host lost power for 9 s.

Cause: an owner that was last confirmed 8 s ago could still tell a lease as long as workers grant, so that the next one, which could ask nobody and found no note, waited 8 s from its claim and then a whole lease of 10 s.

Change: no lease runs for longer than 14 s after the store last confirmed its owner. The next one waits for that, from its claim on, by the slowest clock, if the owner's row says that all before it keep to that; rows of earlier versions do not, so these are waited for as before.

Ruled out: counting from the former owner's last heartbeat, which rests on no condition and may be taken after the claim.

--- a/internal/sched/crowd_test.go
+++ b/internal/sched/crowd_test.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -25,6 +26,8 @@
 	mu    sync.Mutex
 	hosts []*contender
 	born  int
+	// maxLease is the longest lease that workers grant, 6 s if not set.
+	maxLease time.Duration
 	// lost is when a worker was lost together with an owner.
 	lost time.Time
 }
@@ -175,7 +178,7 @@
 func (co *contender) serve(ctx context.Context, te tenure.Tenure) (map[string]int64, error) {
 	ow := New(&Owner{
 		Cell: "c0", Tenure: te, Table: co.keeper.Table, Agent: co.agent(), Log: co.cr.log,
-		Limits: Limits{MaxLease: 6 * time.Second, StopTime: 900 * time.Millisecond, HarmAfter: 4 * time.Second, KeepEnded: 2 * time.Minute},
+		Limits: Limits{MaxLease: cmp.Or(co.cr.maxLease, 6*time.Second), StopTime: 900 * time.Millisecond, HarmAfter: 4 * time.Second, KeepEnded: 2 * time.Minute},
 	})
 	defer co.ow.Store(nil)
 	err := ow.Run(ctx, func() {
--- a/internal/sched/handover.go
+++ b/internal/sched/handover.go
@@ -61,7 +61,7 @@
 	if !ho.settled {
 		return max(ho.ow.orphansUntil(ho.incarnation).Sub(now).Milliseconds(), 0)
 	}
-	earliest, _ := ho.clockNow(now)
+	earliest := ho.clockNow(now)
 	left := float64(ho.leaseUntilMS-earliest) / (1 - clockDrift)
 	if now.Sub(ho.failing) < extendSilent+lookGrace {
 		left = float64(ho.ow.Limits.MaxLease.Milliseconds()) / (1 - clockDrift)
--- a/internal/sched/host.go
+++ b/internal/sched/host.go
@@ -282,13 +282,13 @@
 	return ""
 }
 
-// clockNow is the worker's clock now, at the earliest and at the latest.
-func (ho *host) clockNow(now time.Time) (earliest, latest int64) {
+// clockNow is the worker's clock now, at the earliest.
+func (ho *host) clockNow(now time.Time) int64 {
 	if ho.clockAt.IsZero() {
-		return 0, 0
+		return 0
 	}
 	passed := float64(now.Sub(ho.clockAt).Milliseconds())
-	return ho.clockMS + int64(passed*(1-clockDrift)), ho.clockMS + int64(passed)
+	return ho.clockMS + int64(passed*(1-clockDrift))
 }
 
 // leaseNow returns the end of leases to tell the worker now, or 0 if its clock
@@ -296,15 +296,23 @@
 // it gets none.
 func (ho *host) leaseNow(now time.Time) int64 {
 	te := &ho.ow.Tenure
-	if ho.isNoted() || ho.clockAt.IsZero() || now.Sub(te.Confirmed()) > tenure.ExtendFor || (te.Extending != nil && !te.Extending()) {
+	if ho.isNoted() || ho.clockAt.IsZero() || now.Sub(te.Confirmed()) > quickest(tenure.ExtendFor) || (te.Extending != nil && !te.Extending()) {
 		return 0
 	}
-	_, latest := ho.clockNow(now)
-	until := latest + ho.ow.Limits.MaxLease.Milliseconds()
+	earliest := ho.clockNow(now)
+	until := earliest + leaseFor(now.Sub(te.Confirmed()), ho.ow.Limits.MaxLease).Milliseconds()
 	ho.leaseUntilMS = max(ho.leaseUntilMS, until)
 	return until
 }
 
+// leaseFor is how long a lease may be that is told so long after the store last confirmed
+// the tenure. No lease outlives what its owner may claim: else the next one has to wait for
+// a whole lease after the last moment at which the former could have told one, and lasting
+// tasks of workers that were lost with their owner's host ran nowhere for 20 s.
+func leaseFor(age, most time.Duration) time.Duration {
+	return max(min(most, tenure.LeasesFor-age), 0)
+}
+
 // settle notes that the worker obeys this owner, and that a former one may have extended
 // its leases until just now: also if this one never does.
 func (ho *host) settle() {
@@ -317,7 +325,7 @@
 	if clockMS == 0 {
 		return
 	}
-	if earliest, _ := ho.clockNow(at); clockMS >= earliest {
+	if earliest := ho.clockNow(at); clockMS >= earliest {
 		ho.clockMS, ho.clockAt = clockMS, at
 	}
 }
@@ -343,7 +351,7 @@
 	if !ho.settled {
 		return ho.ow.orphansOver(ho.incarnation, now)
 	}
-	earliest, _ := ho.clockNow(now)
+	earliest := ho.clockNow(now)
 	return earliest > ho.leaseUntilMS+lapseMargin.Milliseconds()
 }
 
@@ -356,7 +364,8 @@
 // orphansUntil returns when such attempts have ended at the latest: when the
 // former owner said so as it released the cell, also if that is later than by its own
 // leases, or once leases have lapsed since the last moment at which it can have
-// extended them.
+// extended them, and those that former owners can claim at all. The store confirmed none of
+// them after this one's claim.
 func (ow *Owner) orphansUntil(incarnation string) time.Time {
 	if ms, ok := ow.Tenure.Former.SilentMS[incarnation]; ok {
 		return ow.opened.Add(time.Duration(ms)*time.Millisecond + lapseMargin)
@@ -365,8 +374,23 @@
 	if ended := ow.Tenure.FormerEnded(); !ended.IsZero() && ended.Before(last) {
 		last = ended
 	}
-	lease := time.Duration(float64(ow.Limits.MaxLease) * (1 + 2*clockDrift))
-	return last.Add(lease + lapseMargin)
+	until := last.Add(slowest(ow.Limits.MaxLease))
+	if most := ow.opened.Add(slowest(tenure.LeasesFor)); ow.Tenure.Former.Bounded && most.Before(until) {
+		until = most
+	}
+	return until.Add(lapseMargin)
+}
+
+// quickest is how long a time may be by a slow clock so that it is over once it has passed by
+// a fast one.
+func quickest(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * (1 - clockDrift) / (1 + clockDrift))
+}
+
+// slowest is how long it takes at most until a time has passed by a slow clock, as measured
+// by a fast one.
+func slowest(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * (1 + clockDrift) / (1 - clockDrift))
 }
 
 // sortedHosts returns the workers in an order that does not change.
--- a/internal/tenure/row.go
+++ b/internal/tenure/row.go
@@ -20,6 +20,15 @@
 	// Alone is set, in the row of a cell that was released, if all owners before
 	// the one that released it had ceased to act.
 	Alone bool `json:"alone,omitempty"`
+	// Bounded is set if this owner and all before it keep to LeasesFor: those of earlier
+	// versions did not.
+	Bounded bool `json:"bounded,omitempty"`
+}
+
+// bounds reports whether leases keep to LeasesFor that owners tell who follow on this one.
+// They may not be said to where an owner of an earlier version may still have told one.
+func (or OwnerRow) bounds() bool {
+	return or.Bounded || or.Owner == "" && (or.Alone || or.Epoch == 0)
 }
 
 // beatRow is the content of the heartbeat's row.
--- /dev/null
+++ b/internal/tenure/row_test.go
@@ -0,0 +1,26 @@
+package tenure
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// TestBounds checks after which rows leases are said to be bounded: never while an owner of
+// an earlier version may have told one.
+func TestBounds(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		row  OwnerRow
+		want bool
+	}{
+		{"no owner ever", OwnerRow{}, true},
+		{"an owner that keeps to it", OwnerRow{Owner: "a", Epoch: 3, Bounded: true}, true},
+		{"an owner of an earlier version", OwnerRow{Owner: "a", Epoch: 3}, false},
+		{"released by one of an earlier version", OwnerRow{Epoch: 3}, false},
+		{"the same, when all before had ceased", OwnerRow{Epoch: 3, Alone: true}, true},
+		{"released by one that keeps to it", OwnerRow{Epoch: 3, Bounded: true}, true},
+	} {
+		qt.Check(t, tc.row.bounds(), qt.Equals, tc.want, qt.Commentf("%s", tc.name))
+	}
+}
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -43,8 +43,14 @@
 	callTimeout = 1500 * time.Millisecond
 	// ExtendFor is how long after its last confirmed heartbeat an owner goes
 	// on extending the leases of what runs. A new owner that can reach neither
-	// a worker nor its former owner waits so long, and then for the lease.
+	// a worker nor its former owner waits for what that means for leases, see
+	// LeasesFor.
 	ExtendFor = 8 * time.Second
+	// LeasesFor is for how long after the store last confirmed its owner a lease may run,
+	// by the slowest clock: the next owner then waits for that from its claim on, and not
+	// for ExtendFor and a whole lease. It outlasts an outage of the store of 12 s, and the
+	// time until the store has confirmed the owner again and workers were told.
+	LeasesFor = 14 * time.Second
 	// handicapMost is how much later at most a small host claims a cell than a
 	// large one: longer than the jitter and the spread of the news.
 	handicapMost = 500 * time.Millisecond
@@ -357,7 +363,7 @@
 	if changed {
 		return
 	}
-	row := OwnerRow{Owner: ke.Self, Process: ke.Process, Addr: ke.Addr, MostCores: max(ke.Cores, last.MostCores), Epoch: last.Epoch + 1}
+	row := OwnerRow{Owner: ke.Self, Process: ke.Process, Addr: ke.Addr, MostCores: max(ke.Cores, last.MostCores), Epoch: last.Epoch + 1, Bounded: last.bounds()}
 	ke.Log.Info("claiming the cell", "cell", ke.Cell, "epoch", row.Epoch, "former", last.Owner, "version", version, "why", why)
 	fo := &former{ke: ke, row: last, epoch: row.Epoch, earlier: earlier}
 	cl := claimed{row: row, fo: fo, version: version, sent: time.Now()}
@@ -430,7 +436,7 @@
 	ke.mu.Unlock()
 	ke.Log.Info("tenure ended", "cell", ke.Cell, "epoch", row.Epoch, "err", err, "cause", cause)
 	if !errors.Is(cause, ErrOver) {
-		ke.release(context.WithoutCancel(ctx), OwnerRow{Epoch: row.Epoch, MostCores: row.MostCores, SilentMS: silent, Alone: fo.alone()}, version)
+		ke.release(context.WithoutCancel(ctx), OwnerRow{Epoch: row.Epoch, MostCores: row.MostCores, SilentMS: silent, Alone: fo.alone(), Bounded: row.Bounded}, version)
 	}
 }
 
