Look at the clocks also while another host owns the cell

The clocks were looked at during a tenure only, so that a process that owned the cell once more took the time between its two tenures for having stood still, and told no lease until the store had answered once more: up to some seconds in which leases ran, of which a takeover had used most already.

--- a/internal/tenure/still.go
+++ b/internal/tenure/still.go
@@ -61,7 +61,8 @@
 	return st.woke.IsZero() || confirmed.After(st.woke) || failed.After(st.woke) && !st.suspended
 }
 
-// lookAtClocks notes when the process stood still, until ctx ends.
+// lookAtClocks notes when the process stood still, until ctx ends: also while another host
+// owns the cell, as a new owner can't wait for one more answer before it extends leases.
 func (ke *Keeper) lookAtClocks(ctx context.Context) {
 	for clock.Sleep(ctx, lookAtClocksEvery) {
 		ke.mu.Lock()
--- a/internal/tenure/still_test.go
+++ b/internal/tenure/still_test.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"log/slog"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/pepperhatch/pepperhatch/internal/standin"
 )
 
 // TestOwnerThatStoodStillTellsNoLease is the story of lasting tasks that were free 5.6 s
@@ -63,6 +66,38 @@
 	})
 }
 
+// TestOwnerAgainTellsLeasesAtOnce has a host own the cell once more after another did for a
+// while: it did not stand still in between, and what a takeover leaves of leases is too
+// short to wait for one more answer of the store.
+func TestOwnerAgainTellsLeasesAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var mu sync.Mutex
+		told := map[int64]bool{}
+		ra := &race{t: t, serveFunc: func(ctx context.Context, te Tenure) (map[string]int64, error) {
+			mu.Lock()
+			told[te.Epoch] = te.Extending()
+			mu.Unlock()
+			<-ctx.Done()
+			return nil, nil
+		}}
+		ra.addSized("e0", 0.8)
+		time.Sleep(2 * time.Second)
+		ra.addSized("e1", 0.8)
+		time.Sleep(time.Second)
+		first, second := ra.last("e0"), ra.last("e1")
+		first.gate.Set(standin.Fault{Mode: standin.ModeDown})
+		time.Sleep(SilentAfter + 2*time.Second)
+		first.gate.Set(standin.Fault{})
+		time.Sleep(10 * time.Second)
+		ra.kill(second)
+		time.Sleep(SilentAfter + 2*time.Second)
+		ra.stop()
+		mu.Lock()
+		defer mu.Unlock()
+		qt.Assert(t, told, qt.DeepEquals, map[int64]bool{1: true, 2: true, 3: true})
+	})
+}
+
 // TestSuspendedOwner moves the clock that counts suspensions apart from the steady one: a
 // host that was suspended tells no lease before the store has confirmed it anew, whether
 // the store is away or not, and clocks that are read one after the other are no suspension.
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -230,6 +230,7 @@
 func (ke *Keeper) Run(ctx context.Context) {
 	ke.watch = watch.Watch{Table: ke.Table, Name: tableName, Under: tableName + "/" + ke.Cell + "/", Also: ke.beatPart(), OnRows: ke.onRows, Log: ke.Log}
 	go ke.watch.Run(ctx)
+	go ke.lookAtClocks(ctx)
 	for clock.Sleep(ctx, checkEvery) {
 		ke.serveDoubted(ctx)
 		ke.probe(ctx)
@@ -426,7 +427,6 @@
 	hb := &heart{ke: ke, ctx: sctx, epoch: row.Epoch, claimed: sent, aloneFunc: fo.alone}
 	go hb.run()
 	go ke.yield(sctx, row, end)
-	go ke.lookAtClocks(sctx)
 	ke.Log.Info("owning the cell", "cell", ke.Cell, "epoch", row.Epoch, "version", version)
 	silent, err := ke.Serve(sctx, Tenure{Epoch: row.Epoch, Key: ke.ownerKey(), Version: version, Former: fo.row, FormerEnded: fo.when, Confirmed: hb.last, Written: ke.written, Renounce: end, Extending: func() bool { return ke.mayExtend(row.Epoch, hb.last()) }})
 	cause := context.Cause(sctx)
