Show how far the owner of a cell is behind, and with what

Callers saw: the most urgent class of jobs late on the large deployment, and nothing in logs or metrics that says whether jobs wait for the owner's loop, for writes, or for orders. Time "order" of a job is all three.

Histograms of the longest wait of an event for the loop and of a job's change until it is written (each 0.1 s), counters of events, workers rated and jobs written, and a line a second while the owner is behind. The cost is one reading of the clock an event and one a change.

--- a/docs/docs_test.go
+++ b/docs/docs_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 	"reflect"
+	"slices"
 	"strings"
 	"testing"
 
@@ -60,10 +61,9 @@
 	for _, en := range telemetry.Counters {
 		rows = append(rows, fmt.Sprintf("| `%s_total` | %s | %s | %s |", en.Name, en.Labels, en.Meaning, en.Action))
 	}
-	for _, en := range telemetry.Gauges {
+	for _, en := range slices.Concat(telemetry.Gauges, telemetry.Histograms) {
 		rows = append(rows, fmt.Sprintf("| `%s` | %s | %s | %s |", en.Name, en.Labels, en.Meaning, en.Action))
 	}
-	rows = append(rows, fmt.Sprintf("| `%s` | class | histogram of the time from arrival to answer or refusal | the p99 of latency-critical is what callers feel |", telemetry.RequestDuration))
 	return table("| metric | labels | counts | what to do |", rows)
 }
 
--- a/internal/sched/commit.go
+++ b/internal/sched/commit.go
@@ -57,7 +57,9 @@
 	state job.State
 	// firstWrite is set if the write creates the job's rows.
 	firstWrite bool
-	onWritten  []func()
+	// changedAt is when the first change in the write was made.
+	changedAt time.Time
+	onWritten []func()
 	// key and value are those of the row that shows whether the write took effect; value is
 	// nil for a removal.
 	key   string
@@ -101,7 +103,7 @@
 // addJobWrite adds a job's rows to a write and returns their size in bytes.
 func (ow *Owner) addJobWrite(wr *write, tj *trackedJob) int {
 	id := tj.jo.ID
-	jw := jobWrite{tj: tj, state: tj.jo.State(), firstWrite: tj.progressVersion == 0, onWritten: tj.onWritten, key: ow.progressKey(id)}
+	jw := jobWrite{tj: tj, state: tj.jo.State(), firstWrite: tj.progressVersion == 0, changedAt: tj.changedAt, onWritten: tj.onWritten, key: ow.progressKey(id)}
 	tj.onWritten, tj.dirty, tj.writing, tj.proofDue = nil, false, true, time.Time{}
 	wr.txn.Conds = append(wr.txn.Conds, store.Cond{Key: jw.key, Version: tj.progressVersion})
 	if tj.removing {
@@ -180,6 +182,7 @@
 		ow.writesFailingSince = time.Time{}
 	}
 	ow.Metrics.Add(telemetry.CellWrites, 1, "outcome", "done")
+	ow.lag.recordWrite(wr, time.Now())
 	for _, jw := range wr.jobs {
 		jw.tj.writing = false
 		jw.tj.progressVersion = version(jw)
--- a/internal/sched/owner.go
+++ b/internal/sched/owner.go
@@ -82,7 +82,7 @@
 	inheritedAt     time.Time
 
 	// events queues the events for the loop; ended is closed when Run returns.
-	events chan func()
+	events chan event
 	ended  chan struct{}
 
 	// The loop owns all fields below.
@@ -143,6 +143,8 @@
 	listTrust listTrust
 	// outage tracks an outage of workers that receive no orders.
 	outage outage
+	// lag measures how far the owner is behind.
+	lag loopLag
 }
 
 // Timing of the loop.
@@ -161,7 +163,7 @@
 
 // New initializes ow for [Owner.Run] and returns it.
 func New(ow *Owner) *Owner {
-	ow.events = make(chan func(), maxEvents)
+	ow.events = make(chan event, maxEvents)
 	ow.ended = make(chan struct{})
 	ow.jobs = map[string]*trackedJob{}
 	ow.workers = map[worker.Incarnation]*workerState{}
@@ -194,8 +196,8 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case fn := <-ow.events:
-			fn()
+		case ev := <-ow.events:
+			ow.handle(ev)
 			ow.drainEvents()
 		}
 		// Starts placed during a write have to wait for its end anyway.
@@ -218,18 +220,23 @@
 func (ow *Owner) drainEvents() {
 	for range maxEvents {
 		select {
-		case fn := <-ow.events:
-			fn()
+		case ev := <-ow.events:
+			ow.handle(ev)
 		default:
 			return
 		}
 	}
 }
 
+func (ow *Owner) handle(ev event) {
+	ow.lag.recordEvent(ev, time.Now())
+	ev.fn()
+}
+
 // post queues fn for the loop. It reports false if the tenure is over.
 func (ow *Owner) post(fn func()) bool {
 	select {
-	case ow.events <- fn:
+	case ow.events <- event{fn: fn, queuedAt: time.Now()}:
 		return true
 	case <-ow.ended:
 		return false
@@ -239,6 +246,7 @@
 // tick updates everything that depends on time alone.
 func (ow *Owner) tick() {
 	now := time.Now()
+	ow.reportLag(now)
 	for _, wk := range ow.workers {
 		wk.tick(now)
 	}
--- a/internal/sched/rank.go
+++ b/internal/sched/rank.go
@@ -43,6 +43,7 @@
 	if st.MaxPerWorker > 0 {
 		rk.counts = tj.countBy(step)
 	}
+	pl.ow.lag.tick.rated += int64(len(pl.candidates))
 	for _, ca := range pl.candidates {
 		if rk.fits(ca) {
 			rk.heap = append(rk.heap, rating{ca: ca, score: ca.score(tj, st)})
--- a/internal/sched/trackedjob.go
+++ b/internal/sched/trackedjob.go
@@ -33,6 +33,8 @@
 	writtenState job.State
 	// dirty is set while a change waits to be written, writing while a write is in flight.
 	dirty, writing bool
+	// changedAt is when the first of the changes that wait to be written was made.
+	changedAt time.Time
 	// proofDue is when the row has to be written for its proofs that attempts ran, or zero.
 	proofDue time.Time
 	// removing is set once the rows are to be removed.
@@ -87,7 +89,7 @@
 // counted again.
 func (ow *Owner) markDirty(tj *trackedJob) {
 	if !tj.dirty {
-		tj.dirty = true
+		tj.dirty, tj.changedAt = true, time.Now()
 		ow.dirtyJobs = append(ow.dirtyJobs, tj)
 	}
 	ow.recountWaiting(tj)
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -47,6 +47,9 @@
 	Evacuated       Name = "pepperhatch_attempts_emptied"
 	JobTime         Name = "pepperhatch_job_milliseconds"
 	RelaysLost      Name = "pepperhatch_relays_lost"
+	OwnerEvents     Name = "pepperhatch_owner_events"
+	WorkersRated    Name = "pepperhatch_workers_rated"
+	JobsWritten     Name = "pepperhatch_jobs_written"
 
 	WorkersCrashed Name = "pepperhatch_workers_crashed"
 	SuspectStarts  Name = "pepperhatch_suspect_starts"
@@ -62,8 +65,12 @@
 	ConfigConfirmed Name = "pepperhatch_config_confirmed_seconds"
 )
 
-// RequestDuration is the histogram of request times, in seconds.
-const RequestDuration Name = "pepperhatch_request_seconds"
+// The histograms, in seconds.
+const (
+	RequestDuration Name = "pepperhatch_request_seconds"
+	EventWait       Name = "pepperhatch_owner_event_wait_seconds"
+	ChangeWait      Name = "pepperhatch_owner_change_wait_seconds"
+)
 
 // Entry documents one instrument.
 type Entry struct {
@@ -99,6 +106,9 @@
 	{Stalls, "", "attempts that were stopped because they made no progress", "look for the workers in the log: \"attempts stand still\""},
 	{Evacuated, "why", "long-running tasks that were stopped to continue elsewhere, because their worker drains or has been without an entry for too long (unlisted)", "unlisted: look for \"emptying a worker without an entry\" in the log"},
 	{JobTime, "cause", "time of finished jobs, in milliseconds, by cause", "mostly room or place: too little free capacity; mostly store or order: the store or the owner is slow"},
+	{OwnerEvents, "", "events that the owner of a cell handled: answers of workers and of the store, submitted jobs, timers", "compare with `pepperhatch_owner_event_wait_seconds`"},
+	{WorkersRated, "", "workers that were rated for tasks of a step in rounds of placement", "many per started attempt: much work waits for room"},
+	{JobsWritten, "", "jobs whose changes the owner of a cell wrote, several of them in each write", "compare with `pepperhatch_cell_writes`"},
 	{RelaysLost, "", "streams from an owner to other entry hosts that ended", "look for \"relay not used for a while\" in the owner's log"},
 	{WorkersCrashed, "attempts", "workers whose process ended without a report, by whether attempts were present at the worker (some) or not (none)", "some: look for \"task given up\" and \"trying a task under which workers ended\" in the log"},
 	{SuspectStarts, "how", "starts of tasks whose workers ended: spread (apart), or isolated (alone), because after one more crash the task is given up", "alone: a task crashes its workers, or workers crash often"},
@@ -115,11 +125,18 @@
 	{ConfigConfirmed, "", "Unix time, in seconds, of the last call by which the store confirmed that the configuration is current", "over 3 s ago: see \"A change is not in force\""},
 }
 
+// Histograms documents the histograms.
+var Histograms = []Entry{
+	{RequestDuration, "class", "histogram of the time from arrival to answer or refusal", "the p99 of latency-critical is what callers feel"},
+	{EventWait, "", "histogram of the longest time that an event waited for the owner of a cell, of each 0.1 s", "over 0.025: see \"The owner is behind\""},
+	{ChangeWait, "", "histogram of the longest time that the change of a job waited until it was written, of each 0.1 s", "over 0.1: see \"The owner is behind\""},
+}
+
 // Metrics has the instruments. Create it with [New]; nil counts nothing.
 type Metrics struct {
-	counters map[Name]metric.Int64Counter
-	gauges   map[Name]metric.Int64Gauge
-	duration metric.Float64Histogram
+	counters   map[Name]metric.Int64Counter
+	gauges     map[Name]metric.Int64Gauge
+	histograms map[Name]metric.Float64Histogram
 }
 
 // New returns metrics and the handler of their endpoint.
@@ -130,7 +147,7 @@
 		return nil, nil, fmt.Errorf("metrics exporter: %w", err)
 	}
 	meter := sdkmetric.NewMeterProvider(sdkmetric.WithReader(exp)).Meter("pepperhatch")
-	me := &Metrics{counters: map[Name]metric.Int64Counter{}, gauges: map[Name]metric.Int64Gauge{}}
+	me := &Metrics{counters: map[Name]metric.Int64Counter{}, gauges: map[Name]metric.Int64Gauge{}, histograms: map[Name]metric.Float64Histogram{}}
 	for _, en := range Counters {
 		me.counters[en.Name], err = meter.Int64Counter(string(en.Name), metric.WithDescription(en.Meaning))
 		if err != nil {
@@ -143,11 +160,12 @@
 			return nil, nil, fmt.Errorf("gauge %s: %w", en.Name, err)
 		}
 	}
-	me.duration, err = meter.Float64Histogram(string(RequestDuration),
-		metric.WithDescription("time from arrival to answer or refusal"),
-		metric.WithExplicitBucketBoundaries(.001, .002, .005, .01, .02, .05, .1, .2, .5, 1, 2, 5, 10))
-	if err != nil {
-		return nil, nil, fmt.Errorf("histogram %s: %w", RequestDuration, err)
+	for _, en := range Histograms {
+		me.histograms[en.Name], err = meter.Float64Histogram(string(en.Name), metric.WithDescription(en.Meaning),
+			metric.WithExplicitBucketBoundaries(.001, .002, .005, .01, .02, .05, .1, .2, .5, 1, 2, 5, 10))
+		if err != nil {
+			return nil, nil, fmt.Errorf("histogram %s: %w", en.Name, err)
+		}
 	}
 	return me, promhttp.HandlerFor(reg, promhttp.HandlerOpts{}), nil
 }
@@ -169,6 +187,14 @@
 	me.gauges[name].Record(context.Background(), n, attributes(labels))
 }
 
+// Observe adds a time to a histogram; labels are pairs of name and value.
+func (me *Metrics) Observe(name Name, took time.Duration, labels ...string) {
+	if me == nil {
+		return
+	}
+	me.histograms[name].Record(context.Background(), took.Seconds(), attributes(labels))
+}
+
 // attributes returns the attributes for pairs of name and value.
 func attributes(labels []string) metric.MeasurementOption {
 	kvs := make([]attribute.KeyValue, 0, len(labels)/2)
@@ -189,7 +215,7 @@
 	} else {
 		me.Add(Refusals, 1, "reason", string(why), "class", class)
 	}
-	me.duration.Record(context.Background(), took.Seconds(), metric.WithAttributes(attribute.String("class", class)))
+	me.Observe(RequestDuration, took, "class", class)
 }
 
 // RecordRetry counts one request sent to another runner.
