Fill writes of a cell up to the store's limit

Cause: a write took 18 jobs at most, whatever they wrote, which is the number of new jobs that fit into the 100 entries of a transaction. Most changes are of jobs that run and take two entries. With one write in flight the owner could write 18 jobs a cycle, and a cycle is longer the less processor time the host gets. Once changes came faster all of them waited, starts and acceptances too.

The stand-in of the store now rejects transactions over the limit, as the store does.

--- a/internal/sched/commit.go
+++ b/internal/sched/commit.go
@@ -18,9 +18,11 @@
 
 // Bounds on writes.
 const (
-	// maxJobsPerWrite keeps a write under the store's limit of 100 entries: a new job has two
-	// conditions and three rows.
-	maxJobsPerWrite = 18
+	// maxEntriesPerWrite is the store's limit of conditions and changed rows in a write.
+	maxEntriesPerWrite = 100
+	// maxEntriesPerJob is the largest number of entries of one job: a new one has two
+	// conditions and two rows.
+	maxEntriesPerJob = 4
 	// maxBytesPerWrite keeps a write under the store's limit of 1 MB.
 	maxBytesPerWrite = 600_000
 	// maxConcurrentWrites is 1 because the store takes 8 ms for a write and carries out those
@@ -51,6 +53,9 @@
 	sent time.Time
 }
 
+// entries counts the conditions and changed rows of the write.
+func (wr *write) entries() int { return len(wr.txn.Conds) + len(wr.txn.Puts) }
+
 // jobWrite is the part of a write that belongs to one job.
 type jobWrite struct {
 	tj    *trackedJob
@@ -85,7 +90,7 @@
 	size := 0
 	remaining := ow.dirtyJobs[:0]
 	for i, tj := range ow.dirtyJobs {
-		if len(wr.jobs) == maxJobsPerWrite || size > maxBytesPerWrite {
+		if wr.entries()+maxEntriesPerJob > maxEntriesPerWrite || size > maxBytesPerWrite {
 			remaining = append(remaining, ow.dirtyJobs[i:]...)
 			break
 		}
--- a/internal/standin/table.go
+++ b/internal/standin/table.go
@@ -14,6 +14,9 @@
 	"github.com/pepperhatch/pepperhatch/internal/wire"
 )
 
+// maxTxnEntries is the largest number of conditions and changed rows in a transaction.
+const maxTxnEntries = 100
+
 // Table is a fake of the table service. The zero value is an empty table.
 type Table struct {
 	// Faults injects faults into requests to the table.
@@ -216,6 +219,9 @@
 	ta.mu.Lock()
 	defer ta.mu.Unlock()
 	ta.writes++
+	if len(txn.Conds)+len(txn.Puts) > maxTxnEntries {
+		return store.CommitReply{}, &wire.Error{Status: http.StatusRequestEntityTooLarge, Code: wire.CodeTooLarge, Message: "too many entries in a transaction"}
+	}
 	for _, co := range txn.Conds {
 		if have := ta.rows[co.Key].Version; have != co.Version {
 			return store.CommitReply{}, &wire.Error{Status: http.StatusConflict, Code: store.CodeConflict, Message: "version conflict on row " + co.Key}
