Write the changes of a cell in the order in which they are due

Callers saw: urgent jobs start late while many bulk jobs change, though placement puts urgent ones first.

Cause: changed jobs were written in the order of their changes. Behind a burst, or on a host that is short of processor time, this queue is where jobs wait, and in it 300 bulk jobs that may lose a second went before an urgent one that may lose 250 ms.

Changes are now due by the allowance of their queue, after 1 s at most, and if more wait than a write takes those that are due first go first. Nothing starves: a change is overtaken only by those that are due before it.

--- a/internal/sched/commit.go
+++ b/internal/sched/commit.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -28,6 +29,9 @@
 	// maxConcurrentWrites is 1 because the store takes 8 ms for a write and carries out those
 	// of a cell one after the other.
 	maxConcurrentWrites = 1
+	// maxWriteDelay bounds how long changes of one job may be written behind later ones of
+	// others.
+	maxWriteDelay = time.Second
 	// writeTimeout is how long the answer to a write may take before the write is sent again.
 	// A write takes 12 ms, up to 120 times that when the store is slow.
 	writeTimeout = 1500 * time.Millisecond
@@ -83,8 +87,12 @@
 	}
 }
 
-// nextWrite collects changed jobs, except those with a write in flight.
+// nextWrite collects changed jobs, except those with a write in flight. If there are more than
+// it can take, those that are due first are written first.
 func (ow *Owner) nextWrite() *write {
+	if len(ow.dirtyJobs) > maxEntriesPerWrite/maxEntriesPerJob {
+		slices.SortStableFunc(ow.dirtyJobs, func(a, b *trackedJob) int { return a.writeDue().Compare(b.writeDue()) })
+	}
 	wr := &write{txn: store.NewTxn(), sent: time.Now()}
 	wr.txn.Conds = []store.Cond{{Key: ow.Tenure.Key, Version: ow.Tenure.Version}}
 	size := 0
@@ -105,6 +113,13 @@
 	return wr
 }
 
+// writeDue returns by when the job's changes should be written: the allowance is all the time
+// that a job may lose beside its work.
+func (tj *trackedJob) writeDue() time.Time {
+	allowance := time.Duration(tj.jo.Terms.AllowanceMS) * time.Millisecond
+	return tj.changedAt.Add(min(allowance, maxWriteDelay))
+}
+
 // addJobWrite adds a job's rows to a write and returns their size in bytes.
 func (ow *Owner) addJobWrite(wr *write, tj *trackedJob) int {
 	id := tj.jo.ID
