Look up the attempts that a poll lists by name

Callers saw: urgent jobs late when the owner's host is short of processor time. What the owner does for each poll is for tasks that run on unchanged.

Cause: each poll took the id of each listed task apart, and built the ids of all attempts of the worker again, with a set of them, to find what is missing.

A worker now has its attempts by name, which is built once, and an attempt notes the last poll that listed it.

No behaviour is meant to change.

--- a/internal/sched/attempt.go
+++ b/internal/sched/attempt.go
@@ -5,6 +5,7 @@
 
 	"github.com/pepperhatch/pepperhatch/internal/interfere"
 	"github.com/pepperhatch/pepperhatch/internal/job"
+	"github.com/pepperhatch/pepperhatch/internal/worker"
 )
 
 // attempt is the owner's state of an attempt at a task that runs, or may run.
@@ -14,6 +15,10 @@
 	wk     *workerState
 	// tj is its job.
 	tj *trackedJob
+	// fullName is what name returns, set once it is added to a worker.
+	fullName worker.Attempt
+	// listedInPoll is the worker's pollsHandled at the last poll that listed it as running.
+	listedInPoll int64
 	// inFlight is set from its placement until its start order is answered.
 	inFlight bool
 	// orderSent is set just before its start order is sent.
@@ -64,3 +69,14 @@
 	// unknown.
 	cpuShare float64
 }
+
+// name returns the name under which the worker lists the attempt. It is computed once, as each
+// poll of a worker looks up all its attempts.
+func (at *attempt) name() worker.Attempt {
+	if at.fullName.Number != 0 {
+		return at.fullName
+	}
+	return worker.Attempt{Task: at.tj.jo.TaskID(at.ref), Number: at.number}
+}
+
+func taskID(at *attempt) string { return at.name().Task }
--- a/internal/sched/launch.go
+++ b/internal/sched/launch.go
@@ -54,10 +54,6 @@
 	}
 }
 
-func (at *attempt) name() worker.Attempt {
-	return worker.Attempt{Task: at.tj.jo.TaskID(at.ref), Number: at.number}
-}
-
 func (ow *Owner) sendLaunch(at *attempt, la worker.Launch) {
 	sent := time.Now()
 	ctx, cancel := context.WithTimeout(ow.ctx, launchTimeout)
@@ -107,8 +103,6 @@
 	ow.recordEnd(at.tj, at.ref, at.number, job.EndNeverRan, "", "refused by the worker")
 }
 
-func taskID(at *attempt) string { return at.tj.jo.TaskID(at.ref) }
-
 // handleRefusal quarantines a worker that refused an order, and reports whether the attempt
 // certainly will not run.
 func (wk *workerState) handleRefusal(err error) bool {
--- a/internal/sched/polls.go
+++ b/internal/sched/polls.go
@@ -162,11 +162,12 @@
 	wk.lastAnsweredAt = got
 	wk.recordClock(res.ClockMS, got)
 	wk.lastPollHadEnds = len(res.Ended) > 0
+	wk.pollsHandled++
 	ended := wk.handleEnds(res)
 	wk.handleRunning(res, got)
 	if len(res.Ended) < maxEnds {
 		settles := !wk.settled && fence >= wk.settleFence
-		wk.endMissing(res, sent, ended, settles)
+		wk.endMissing(sent, ended, settles)
 		if settles {
 			wk.markSettled()
 			wk.ow.Log.Info("worker settled", "worker", wk.incarnation, "running", len(res.Running), "ended", len(res.Ended))
@@ -200,9 +201,12 @@
 	}
 }
 
-// handleEnds handles the ends that are new and returns all that are listed.
+// handleEnds handles the ends that are new and returns all that are listed, nil for none.
 func (wk *workerState) handleEnds(res worker.PollResult) map[worker.Attempt]bool {
-	ended := map[worker.Attempt]bool{}
+	if len(res.Ended) == 0 {
+		return nil
+	}
+	ended := make(map[worker.Attempt]bool, len(res.Ended))
 	for _, ea := range res.Ended {
 		ended[ea.Attempt] = true
 		if ea.EndNumber <= wk.endsHandled {
@@ -291,6 +295,7 @@
 			wk.stopUnknownAttempt(ra)
 			continue
 		}
+		at.listedInPoll = wk.pollsHandled
 		if at.endIfNotRun != "" {
 			wk.confirmRunning(at)
 		}
@@ -329,30 +334,14 @@
 }
 
 // findAttempt returns the attempt of that name if it is recorded on this worker, or nil.
-func (wk *workerState) findAttempt(wa worker.Attempt) *attempt {
-	id, ref, ok := job.ParseTaskID(wa.Task)
-	tj := wk.ow.jobs[id]
-	if !ok || tj == nil {
-		return nil
-	}
-	at := tj.attempts[ref]
-	if at == nil || at.wk != wk || at.number != wa.Number {
-		return nil
-	}
-	return at
-}
+func (wk *workerState) findAttempt(wa worker.Attempt) *attempt { return wk.attemptsByName[wa] }
 
 // endMissing ends the attempts that a poll should have listed and did not: those whose order
 // was acknowledged before the poll was sent and, if the poll settles the worker, those ordered
 // by former owners or from earlier incarnations.
-func (wk *workerState) endMissing(res worker.PollResult, sent time.Time, ended map[worker.Attempt]bool, settles bool) {
-	running := map[worker.Attempt]bool{}
-	for _, ra := range res.Running {
-		running[ra.Attempt] = true
-	}
+func (wk *workerState) endMissing(sent time.Time, ended map[worker.Attempt]bool, settles bool) {
 	for at := range wk.attempts {
-		wa := worker.Attempt{Task: at.tj.jo.TaskID(at.ref), Number: at.number}
-		if running[wa] || ended[wa] {
+		if at.listedInPoll == wk.pollsHandled || ended[at.name()] {
 			continue
 		}
 		if !at.launchedAt.IsZero() && at.launchedAt.Before(sent) {
--- a/internal/sched/workerstate.go
+++ b/internal/sched/workerstate.go
@@ -92,6 +92,10 @@
 	pathChanged chan struct{}
 	// attempts are the attempts that run here, or may run here.
 	attempts map[*attempt]bool
+	// attemptsByName has the same attempts by the names under which the worker lists them.
+	attemptsByName map[worker.Attempt]*attempt
+	// pollsHandled counts the successful polls.
+	pollsHandled int64
 	// services are the attempts with a latency target.
 	services []*attempt
 	// reserved is the capacity reserved by the attempts. expectedUse is the processor time
@@ -272,6 +276,7 @@
 		return
 	}
 	delete(wk.attempts, at)
+	delete(wk.attemptsByName, at.name())
 	wk.endTrial(at)
 	wk.ow.endStart(at)
 	wk.recordEndedFiller(at, time.Now())
@@ -285,7 +290,11 @@
 
 // addAttempt adds an attempt and its resources to the worker.
 func (wk *workerState) addAttempt(at *attempt) {
-	wk.attempts[at] = true
+	at.fullName = at.name()
+	if wk.attemptsByName == nil {
+		wk.attemptsByName = map[worker.Attempt]*attempt{}
+	}
+	wk.attempts[at], wk.attemptsByName[at.fullName] = true, at
 	wk.reserved = wk.reserved.Add(at.step().Reserved())
 	wk.expectedUse += likelyUse(at.step())
 	if !at.step().LongRunning {
