Look for services over their target only where a filler is to be placed

Callers saw: urgent jobs late when the owner's host is short of processor time. A part of that time went to what no task needed.

Cause: each round of placement, some 50 a second, asked each service of each worker for how long it had been over its target, and allocated a candidate a worker, also if no filler waited or the worker had no idle processor for one.

The answer is now kept with the summaries of a worker's services, which are computed when a filler is compared with them and last for 100 ms at most; the limit that is checked is some seconds. Candidates of a round are allocated at once.

--- a/internal/sched/interferencescore.go
+++ b/internal/sched/interferencescore.go
@@ -35,14 +35,14 @@
 // their worker do not change: the load of a service changes by 1% in that time.
 const summaryMaxAge = 100 * time.Millisecond
 
-// serviceSummaries returns the summaries of the services on the worker, computed again if
-// they are outdated.
+// serviceSummaries returns the summaries of the services on the worker. It computes them again
+// if they are outdated, and with them whether a service has exceeded its target for too long.
 func (ca *candidate) serviceSummaries() []imageServices {
 	fs, now := &ca.wk.fillers, time.Now()
 	if !fs.summariesAt.IsZero() && now.Sub(fs.summariesAt) < summaryMaxAge {
 		return fs.summaries
 	}
-	fs.summaries = fs.summaries[:0]
+	fs.summaries, fs.overTarget = fs.summaries[:0], ca.wk.anyOverTargetTooLong(now)
 	for _, at := range ca.wk.services {
 		if at.isMeasuredService() {
 			fs.addService(at.step().Image, ca.wk.excess(at, placeBelowPart))
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -61,14 +61,19 @@
 	clear(ow.similarity)
 	ow.noFit.startRound(pl.now, len(ow.workers))
 	var reserved, holds int64
-	for _, wk := range ow.sortedWorkers() {
+	workers := ow.sortedWorkers()
+	list := make([]candidate, len(workers))
+	pl.candidates = make([]*candidate, 0, len(workers))
+	for i, wk := range workers {
+		ca := &list[i]
 		if why := wk.unavailableReason(pl.now); why != "" {
 			if why == unavailableFailing && wk.trial == nil {
-				pl.failing = append(pl.failing, newCandidate(wk, pl.now))
+				*ca = newCandidate(wk)
+				pl.failing = append(pl.failing, ca)
 			}
 			continue
 		}
-		ca := newCandidate(wk, pl.now)
+		*ca = newCandidate(wk)
 		ca.index, ca.earmarked = len(pl.candidates), wk.restartReady
 		pl.candidates = append(pl.candidates, ca)
 		reserved += wk.reserved.MilliCores
@@ -87,16 +92,14 @@
 	// idle is the processor time that no attempt is expected to use, in thousandths of a
 	// core.
 	idle int64
-	// overTarget is set if a service there has exceeded its latency target for too long.
-	overTarget bool
 	// earmarked is set if the free capacity is earmarked for a long-running task. isolated is
 	// set if a task is to run isolated there, so that nothing else may start.
 	earmarked bool
 	isolated  bool
 }
 
-func newCandidate(wk *workerState, now time.Time) *candidate {
-	return &candidate{wk: wk, free: wk.Capacity.Sub(wk.reserved), idle: wk.Capacity.MilliCores - wk.expectedUse, overTarget: wk.anyOverTargetTooLong(now)}
+func newCandidate(wk *workerState) candidate {
+	return candidate{wk: wk, free: wk.Capacity.Sub(wk.reserved), idle: wk.Capacity.MilliCores - wk.expectedUse}
 }
 
 // likelyUse returns the processor time that a task of the step is expected to use, in
@@ -220,11 +223,11 @@
 // acceptsFiller reports whether the worker has idle processors for a filler and its
 // services would stay under their targets.
 func (ca *candidate) acceptsFiller(st *job.Step) bool {
-	if ca.overTarget || ca.idle < int64(minIdlePart*float64(st.Each.MilliCores)) {
+	if ca.idle < int64(minIdlePart*float64(st.Each.MilliCores)) {
 		return false
 	}
 	_, over := ca.interferencePenalty(st)
-	return over <= 0
+	return over <= 0 && !ca.wk.fillers.overTarget
 }
 
 // How long fillers wait for a worker that accepts them.
--- a/internal/sched/reservation.go
+++ b/internal/sched/reservation.go
@@ -66,7 +66,7 @@
 	for _, wk := range ow.sortedWorkers() {
 		wk.restartReserved, wk.restartReady = worker.Resources{}, false
 		if wk.available(now) {
-			workers = append(workers, reservableWorker{ca: newCandidate(wk, now), free: wk.Capacity.Sub(wk.reserved).Add(wk.finiteReserved)})
+			workers = append(workers, reservableWorker{ca: newCandidate(wk), free: wk.Capacity.Sub(wk.reserved).Add(wk.finiteReserved)})
 		}
 	}
 	slices.SortFunc(list, func(a, b pendingRestart) int {
@@ -93,7 +93,7 @@
 // reservableWorker is a worker and its capacity that is neither in use by long-running tasks
 // nor reserved for a restart yet.
 type reservableWorker struct {
-	ca   *candidate
+	ca   candidate
 	free worker.Resources
 	// exhausted is set once all of the worker is reserved for one task that does not fit.
 	exhausted bool
--- a/internal/sched/shortage.go
+++ b/internal/sched/shortage.go
@@ -29,7 +29,7 @@
 	st := &tj.jo.Spec.Steps[step]
 	sh := shortage{st: st, excluded: map[string]int{}}
 	for _, wk := range ow.sortedWorkers() {
-		ca := newCandidate(wk, now)
+		ca := newCandidate(wk)
 		if !ca.suitable(tj, st) {
 			continue
 		}
--- a/internal/sched/suspect.go
+++ b/internal/sched/suspect.go
@@ -130,12 +130,12 @@
 	if wk == nil || !wk.available(pl.now) {
 		return
 	}
-	ca := newCandidate(wk, pl.now)
+	ca := newCandidate(wk)
 	if !ca.fits(tj, ref, &tj.jo.Spec.Steps[ref.Step]) {
 		return
 	}
 	if wk.occupancy(pl.now).starting == 0 || pl.now.Sub(wk.trial.since) > maxTrialWait {
-		pl.startSuspect(tj, ref, ca, "alone")
+		pl.startSuspect(tj, ref, &ca, "alone")
 	}
 }
 
--- a/internal/sched/usage.go
+++ b/internal/sched/usage.go
@@ -33,6 +33,9 @@
 	expectedShares interfere.Shares
 	summaries      []imageServices
 	summariesAt    time.Time
+	// overTarget is set if a service had exceeded its latency target for too long at
+	// summariesAt.
+	overTarget bool
 	// measuredAt is when the services were last measured.
 	measuredAt time.Time
 }
