--- a/internal/sched/looplag.go
+++ b/internal/sched/looplag.go
@@ -51,7 +51,7 @@
 	// tick is the workload since the last tick, sinceLog that of the ticks since loggedAt.
 	tick, sinceLog workload
 	loggedAt       time.Time
-	// behindSince is since when the owner has been behind, or zero.
+	// behindSince is when the owner was first logged as behind, or zero once it keeps up.
 	behindSince time.Time
 }
 
@@ -81,20 +81,20 @@
 	ow.Metrics.Add(telemetry.OwnerEvents, wl.events)
 	ow.Metrics.Add(telemetry.WorkersRated, wl.rated)
 	ow.Metrics.Add(telemetry.JobsWritten, wl.written)
-	switch {
-	case wl.behind() && ll.behindSince.IsZero():
-		ll.behindSince = now
-	case !wl.behind() && !ll.behindSince.IsZero():
-		ow.Log.Info("owner keeps up again", "cell", ow.Cell, "after", now.Sub(ll.behindSince))
-		ll.behindSince = time.Time{}
-	}
 	if now.Sub(ll.loggedAt) < lagLogInterval {
 		return
 	}
-	if sum := ll.sinceLog; sum.behind() {
+	switch sum := ll.sinceLog; {
+	case sum.behind():
+		if ll.behindSince.IsZero() {
+			ll.behindSince = now
+		}
 		ow.Log.Warn("owner is behind", "cell", ow.Cell, "over", elapsedSince(now, ll.loggedAt), "event_wait", sum.eventWait, "change_wait", sum.changeWait,
 			"events", sum.events, "rounds", sum.rounds, "rated", sum.rated, "writes", sum.writes, "written", sum.written, "changed_jobs", len(ow.dirtyJobs),
 			"waiting_jobs", len(ow.waitingJobs), "starts_in_flight", ow.window.inFlight, "store_down", ow.storeDown())
+	case !ll.behindSince.IsZero():
+		ow.Log.Info("owner keeps up again", "cell", ow.Cell, "after", now.Sub(ll.behindSince))
+		ll.behindSince = time.Time{}
 	}
 	ll.loggedAt, ll.sinceLog = now, workload{}
 }
--- a/internal/sched/writebacklog_test.go
+++ b/internal/sched/writebacklog_test.go
@@ -111,3 +111,22 @@
 		la.checkStartDelays(urgentTerms, submitted)
 	})
 }
+
+// TestOwnerBehindIsLogged guards against changes that wait for writes without a trace.
+func TestOwnerBehindIsLogged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		la, ll := newLoggedLab(t, 200)
+		ow, end := la.startOwner()
+		defer end()
+		time.Sleep(time.Second)
+		qt.Check(t, ll.matching(`msg="owner is behind"`), qt.HasLen, 0)
+		la.table.Faults.Set(standin.Fault{Mode: standin.ModeSlow, DelayMS: slowWrites.Milliseconds()})
+		for n := range 300 {
+			la.submitLater(ow, n, bulkTerms, batch(1, 2))
+		}
+		time.Sleep(2 * time.Second)
+		qt.Check(t, len(ll.matching(`msg="owner is behind"`, "change_wait=", "changed_jobs=", "store_down=false")) > 0, qt.IsTrue)
+		time.Sleep(8 * time.Second)
+		qt.Check(t, ll.matching(`msg="owner keeps up again"`), qt.Not(qt.HasLen), 0)
+	})
+}
