--- a/internal/sched/attempt.go
+++ b/internal/sched/attempt.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"slices"
 	"time"
 
 	"github.com/pepperhatch/pepperhatch/internal/interfere"
@@ -80,3 +81,44 @@
 }
 
 func taskID(at *attempt) string { return at.name().Task }
+
+// removeAttempt removes an attempt and its resources from the worker.
+func (wk *workerState) removeAttempt(at *attempt) {
+	if !wk.attempts[at] {
+		return
+	}
+	delete(wk.attempts, at)
+	delete(wk.attemptsByName, at.name())
+	wk.endTrial(at)
+	wk.ow.endStart(at)
+	wk.recordEndedFiller(at, time.Now())
+	wk.services = slices.DeleteFunc(wk.services, func(other *attempt) bool { return other == at })
+	wk.reserved = wk.reserved.Sub(at.step().Reserved())
+	wk.expectedUse -= likelyUse(at.step())
+	if !at.step().LongRunning {
+		wk.finiteReserved = wk.finiteReserved.Sub(at.step().Reserved())
+	}
+}
+
+// addAttempt adds an attempt and its resources to the worker.
+func (wk *workerState) addAttempt(at *attempt) {
+	at.fullName = at.name()
+	if wk.attemptsByName == nil {
+		wk.attemptsByName = map[worker.Attempt]*attempt{}
+	}
+	wk.attempts[at], wk.attemptsByName[at.fullName] = true, at
+	wk.reserved = wk.reserved.Add(at.step().Reserved())
+	wk.expectedUse += likelyUse(at.step())
+	if !at.step().LongRunning {
+		wk.finiteReserved = wk.finiteReserved.Add(at.step().Reserved())
+	}
+	if at.step().HasTarget() {
+		wk.services = append(wk.services, at)
+		at.replica.Track = at.tj.track(at.ref.Step)
+	}
+	if at.task().Isolated() {
+		wk.trial = &trial{tj: at.tj, ref: at.ref, at: at}
+	}
+	wk.fillers.invalidate()
+	at.tj.attempts[at.ref] = at
+}
--- a/internal/sched/workerstate.go
+++ b/internal/sched/workerstate.go
@@ -270,47 +270,6 @@
 	removeFromIndex(ow.workersByAddr, wk.HostPort, wk)
 }
 
-// removeAttempt removes an attempt and its resources from the worker.
-func (wk *workerState) removeAttempt(at *attempt) {
-	if !wk.attempts[at] {
-		return
-	}
-	delete(wk.attempts, at)
-	delete(wk.attemptsByName, at.name())
-	wk.endTrial(at)
-	wk.ow.endStart(at)
-	wk.recordEndedFiller(at, time.Now())
-	wk.services = slices.DeleteFunc(wk.services, func(other *attempt) bool { return other == at })
-	wk.reserved = wk.reserved.Sub(at.step().Reserved())
-	wk.expectedUse -= likelyUse(at.step())
-	if !at.step().LongRunning {
-		wk.finiteReserved = wk.finiteReserved.Sub(at.step().Reserved())
-	}
-}
-
-// addAttempt adds an attempt and its resources to the worker.
-func (wk *workerState) addAttempt(at *attempt) {
-	at.fullName = at.name()
-	if wk.attemptsByName == nil {
-		wk.attemptsByName = map[worker.Attempt]*attempt{}
-	}
-	wk.attempts[at], wk.attemptsByName[at.fullName] = true, at
-	wk.reserved = wk.reserved.Add(at.step().Reserved())
-	wk.expectedUse += likelyUse(at.step())
-	if !at.step().LongRunning {
-		wk.finiteReserved = wk.finiteReserved.Add(at.step().Reserved())
-	}
-	if at.step().HasTarget() {
-		wk.services = append(wk.services, at)
-		at.replica.Track = at.tj.track(at.ref.Step)
-	}
-	if at.task().Isolated() {
-		wk.trial = &trial{tj: at.tj, ref: at.ref, at: at}
-	}
-	wk.fillers.invalidate()
-	at.tj.attempts[at.ref] = at
-}
-
 // available reports whether the worker may get new attempts, not counting the restriction to
 // an isolated task.
 func (wk *workerState) available(now time.Time) bool {
