--- a/internal/sched/looplag.go
+++ b/internal/sched/looplag.go
@@ -9,8 +9,7 @@
 // Limits on the reports of an owner that falls behind.
 const (
 	// eventsBehindAfter is the wait of an event for the loop from which the owner counts as
-	// behind, changesBehindAfter the wait of a job's change until it is durable. Together they
-	// are half of the shortest allowance that queues give their jobs.
+	// behind, changesBehindAfter the wait of a job's change until it is durable.
 	eventsBehindAfter  = 25 * time.Millisecond
 	changesBehindAfter = 100 * time.Millisecond
 	// lagLogInterval is the least time between two log lines about an owner that is behind.
