Measure how long interrupted tasks wait while workers have the capacity

A worker uses capacity for an attempt from its start until it lists the end; the owner reserves it from the placement on, and passes over workers for reasons of its own. A histogram has the longest time that each interrupted task waited while one or two workers had the capacity for it by their own account, and a log line a second names the longest such wait and why the owner passes over those workers.

--- a/internal/sched/owner.go
+++ b/internal/sched/owner.go
@@ -145,6 +145,8 @@
 	outage outage
 	// lag measures how far the owner is behind.
 	lag loopLag
+	// visibleCapacity measures how long interrupted tasks wait while workers have capacity.
+	visibleCapacity visibleCapacity
 }
 
 // Timing of the loop.
@@ -257,6 +259,7 @@
 	ow.accountTime(now)
 	ow.reserveForRestarts(now)
 	ow.logLongRunningDemand(now)
+	ow.measureVisibleCapacity(now)
 	ow.reportStuck(now)
 	ow.sortWaitingJobs(now)
 	ow.moveHeld(now)
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -70,6 +70,8 @@
 	RequestDuration Name = "pepperhatch_request_seconds"
 	EventWait       Name = "pepperhatch_owner_event_wait_seconds"
 	ChangeWait      Name = "pepperhatch_owner_change_wait_seconds"
+
+	VisibleCapacityWait Name = "pepperhatch_visible_capacity_wait_seconds"
 )
 
 // Entry documents one instrument.
@@ -130,6 +132,7 @@
 	{RequestDuration, "class", "histogram of the time from arrival to answer or refusal", "the p99 of latency-critical is what callers feel"},
 	{EventWait, "", "histogram of the longest time that an event waited for the owner of a cell, of each 0.1 s", "over 0.025: see \"The owner is behind\""},
 	{ChangeWait, "", "histogram of the longest time that the change of a job waited until it was written, of each 0.1 s", "over 0.1: see \"The owner is behind\""},
+	{VisibleCapacityWait, "workers", "histogram of the longest time that an interrupted long-running task waited while at least one or two workers had the capacity for it by their own account, from when it may start until its worker confirms the start", "over 1 for two: look for \"capacity for interrupted tasks\" in the log"},
 }
 
 // Metrics has the instruments. Create it with [New]; nil counts nothing.
