Test that no write delays a start in the capacity of a stopped task

ranking.fits counts what is being stopped as used, so the task is placed only once the end is listed, and placer.start sends the order only once that start is written.

--- a/internal/sched/fullhouse_test.go
+++ b/internal/sched/fullhouse_test.go
@@ -156,3 +156,36 @@
 		qt.Check(t, share <= maxRoomShare, qt.IsTrue, qt.Commentf("two workers had room in %.3f of the time, %d tasks", share, tasks))
 	})
 }
+
+// TestWriteDelaysStartInCapacityOfStoppedTask guards against capacity that stays free for a write of the store although the owner stops the task in it and could write the next start meanwhile.
+func TestWriteDelaysStartInCapacityOfStoppedTask(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		la := newLab(t, 1)
+		la.wrapAgentFunc = (&delays{rnd: rand.New(rand.NewSource(1))}).wrap
+		la.fleet.RunFunc = runUntilStopped
+		ow, end := la.startOwner()
+		defer end()
+		time.Sleep(time.Second)
+		la.submit(ow, 1, longRunningOf(1, 20))
+		time.Sleep(crashBlameLimit + 2*time.Second)
+		la.addWorker(1)
+		ow.SetWorkers(la.workerEntries(), nil, true)
+		time.Sleep(time.Second)
+		la.submit(ow, 2, longRunningOf(1, 16))
+		time.Sleep(time.Second)
+		lost := la.fleetWorkers[0]
+		la.fleet.Kill(lost)
+		ow.SetWorkers(nil, []string{lost.Addr.Incarnation.ID}, false)
+		time.Sleep(10 * time.Second)
+		const write = 200 * time.Millisecond
+		la.table.Faults.Set(standin.Fault{Mode: standin.ModeSlow, DelayMS: write.Milliseconds()})
+		cancelled := map[string]time.Time{jobID(2): time.Now()}
+		_, err := ow.Cancel(context.Background(), jobID(2))
+		qt.Assert(t, err, qt.IsNil)
+		time.Sleep(5 * time.Second)
+		waits := la.roomWaits(cancelled)
+		qt.Assert(t, waits, qt.HasLen, 1)
+		qt.Check(t, la.runningOfJob(1), qt.Equals, 1)
+		qt.Check(t, longest(waits[0].onOne) < write/2, qt.IsTrue, qt.Commentf("a worker had room for %v", longest(waits[0].onOne)))
+	})
+}
