Test that a task that fits nowhere leaves reservations to smaller ones

Fails in ten of ten runs: an interrupted task of 16 cores does not start within 30 s on a worker where 20 cores go to short tasks, because one of 24 cores, which fits nowhere, waits too. Without that one it runs.

pendingRestart.reserve marks all of the worker with the most free cores as exhausted for the larger task, and skips exhausted workers for the smaller one; so the worker is not earmarked and short tasks take each piece.

--- a/internal/sched/reservation_test.go
+++ b/internal/sched/reservation_test.go
@@ -1,11 +1,15 @@
 package sched
 
 import (
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/pepperhatch/pepperhatch/internal/job"
+	"github.com/pepperhatch/pepperhatch/internal/worker"
 )
 
 // TestNewTasksLeaveCapacityToInterruptedOnes guards against long-running tasks that never ran
@@ -105,3 +109,43 @@
 		qt.Check(t, []int{la.runningOfJob(1), la.runningOfJob(2)}, qt.DeepEquals, []int{0, 2})
 	})
 }
+
+// TestTaskThatFitsNowhereTakesReservationOfSmallerOne guards against a larger interrupted task that fits nowhere and keeps a smaller one from its reservation.
+func TestTaskThatFitsNowhereTakesReservationOfSmallerOne(t *testing.T) {
+	for _, larger := range []int64{0, 24} {
+		synctest.Test(t, func(t *testing.T) {
+			la := newLab(t, 1)
+			lost := la.fleetWorkers[0]
+			lost.Capacity.MilliCores = (16 + larger) * 1000
+			var starts atomic.Int64
+			la.fleet.RunFunc = func(at worker.Attempt) (time.Duration, string) {
+				id, ref, _ := job.ParseTaskID(at.Task)
+				if la.spec(id).Steps[ref.Step].LongRunning {
+					return -1, ""
+				}
+				return time.Duration(600+starts.Add(1)*137%800) * time.Millisecond, "done"
+			}
+			ow, end := la.startOwner()
+			defer end()
+			time.Sleep(time.Second)
+			la.submit(ow, 1, longRunningOf(1, 16))
+			if larger > 0 {
+				la.submit(ow, 2, longRunningOf(1, larger))
+			}
+			time.Sleep(time.Second)
+			la.addWorker(1)
+			ow.SetWorkers(la.workerEntries(), nil, true)
+			time.Sleep(time.Second)
+			la.submit(ow, 3, longRunningOf(1, 12))
+			time.Sleep(time.Second)
+			la.fleet.Kill(lost)
+			ow.SetWorkers(nil, []string{lost.Addr.Incarnation.ID}, false)
+			for n := range 30 {
+				la.submit(ow, 10+n, batch(1, 12))
+				time.Sleep(time.Second)
+			}
+			qt.Check(t, la.runningOfJob(3), qt.Equals, 1)
+			qt.Check(t, la.runningOfJob(1), qt.Equals, 1, qt.Commentf("larger task of %d cores", larger))
+		})
+	}
+}
