Test that suspect tasks start on workers where tasks failed

Fails in ten of ten runs: an interrupted task whose worker was lost less than 10 s after its start waits 12.1 s while two workers have room, which are quarantined for failed tasks.

placeStep hands suspect tasks to placeSuspect and skips startAsLastResort, which starts other long-running tasks there after a second.

--- a/internal/sched/quarantine_test.go
+++ b/internal/sched/quarantine_test.go
@@ -1,12 +1,14 @@
 package sched
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/pepperhatch/pepperhatch/internal/job"
 	"github.com/pepperhatch/pepperhatch/internal/worker"
 )
 
@@ -92,3 +94,52 @@
 		qt.Assert(t, ll.matching(`msg="job time"`, "state=succeeded"), qt.HasLen, 20)
 	})
 }
+
+// TestSuspectTaskWaitsForEndOfQuarantine guards against an interrupted task that is kept from workers where tasks failed because its own worker was lost.
+func TestSuspectTaskWaitsForEndOfQuarantine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		la := newLab(t, 8)
+		la.fleet.RunFunc = runUntilStopped
+		ow, end := la.startOwner()
+		defer end()
+		time.Sleep(time.Second)
+		for n := range 16 {
+			la.submit(ow, 10+n, longRunningOf(1, 16))
+		}
+		time.Sleep(time.Second)
+		la.addWorker(8)
+		ow.SetWorkers(la.workerEntries(), nil, true)
+		time.Sleep(time.Second)
+		la.submit(ow, 1, longRunningOf(1, 16))
+		time.Sleep(time.Second)
+		lost := la.fleetWorkers[8]
+		qt.Assert(t, la.running()[lost.Addr.Incarnation], qt.Equals, 1)
+		la.fleet.Kill(lost)
+		ow.SetWorkers(nil, []string{lost.Addr.Incarnation.ID}, false)
+		time.Sleep(10 * time.Second)
+		cancelled := map[string]time.Time{}
+		for _, ru := range la.fleet.Runs() {
+			id, _, _ := job.ParseTaskID(ru.Task)
+			if ru.Worker == la.fleetWorkers[0].Addr.Incarnation || ru.Worker == la.fleetWorkers[1].Addr.Incarnation {
+				cancelled[id] = time.Now()
+			}
+		}
+		qt.Assert(t, cancelled, qt.HasLen, 4)
+		ow.post(func() {
+			for _, fw := range la.fleetWorkers[:2] {
+				wk := ow.workers[fw.Addr.Incarnation]
+				wk.failures, wk.failureQuarantines = quarantineFailures, maxQuarantineDoublings
+				wk.failedJobs["other"] = true
+				wk.recordOutcome(ow.jobs[jobID(1)], "failed")
+			}
+		})
+		for id := range cancelled {
+			_, err := ow.Cancel(context.Background(), id)
+			qt.Assert(t, err, qt.IsNil)
+		}
+		time.Sleep(15 * time.Second)
+		waits := la.roomWaits(cancelled)
+		qt.Assert(t, waits, qt.HasLen, 1)
+		qt.Check(t, longest(waits[0].onTwo) < reportPeriod, qt.IsTrue, qt.Commentf("two workers had room for %v", longest(waits[0].onTwo)))
+	})
+}
