Test that trials leave workers to other interrupted tasks

placeInterrupted starts the smallest first, isolated or not, and a worker with a trial takes nothing else.

--- a/internal/sched/interrupted_test.go
+++ b/internal/sched/interrupted_test.go
@@ -55,3 +55,50 @@
 		qt.Check(t, []int{cr.runningOfJob(5), cr.runningOfJob(7), cr.runningOfJob(1)}, qt.DeepEquals, []int{4, 0, 1})
 	})
 }
+
+// TestTrialsKeepWorkersFromInterruptedTasks guards against interrupted tasks that wait while small suspect ones run isolated, one after the other, on all workers with room.
+func TestTrialsKeepWorkersFromInterruptedTasks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		la := newLab(t, 1)
+		la.fleetWorkers[0].Capacity.MilliCores = 64_000
+		la.fleet.RunFunc = runUntilStopped
+		cr := newCrashLab(t, la)
+		ow := cr.replaceOwner()
+		defer func() { cr.end() }()
+		add := func() {
+			la.addWorker(len(la.fleetWorkers))
+			fw := la.fleetWorkers[len(la.fleetWorkers)-1]
+			fw.Capacity.MilliCores = 40_000
+			list := la.workerEntries()
+			cr.setEntry(list[len(list)-1], false)
+		}
+		time.Sleep(time.Second)
+		cr.submit(ow, 1, longRunningOf(4, 16))
+		time.Sleep(crashBlameLimit + 2*time.Second)
+		for n := range 10 {
+			cr.submitLater(ow, 10+n, urgentTerms, longRunningOf(4, 1))
+		}
+		add()
+		for i := range 2 {
+			time.Sleep(300 * time.Millisecond)
+			cr.noRestart = i > 0
+			fw := cr.workers()[1]
+			qt.Assert(t, cr.running()[fw.Addr.Incarnation], qt.Equals, 40)
+			cr.crash(fw)
+			time.Sleep(crashRestartAfter)
+		}
+		time.Sleep(5 * time.Second)
+		cr.crash(cr.workers()[0])
+		time.Sleep(12 * time.Second)
+		for range 4 {
+			add()
+		}
+		time.Sleep(10 * time.Second)
+		for _, rw := range cr.roomWaits(nil) {
+			if id, _, _ := job.ParseTaskID(rw.task); id == jobID(1) {
+				qt.Check(t, longest(rw.onTwo) < reportPeriod, qt.IsTrue, qt.Commentf("two workers had room for task %s for %v", rw.task, longest(rw.onTwo)))
+			}
+		}
+		qt.Check(t, cr.runningOfJob(1), qt.Equals, 4)
+	})
+}
