Search full workers once for all tasks that lack capacity

Callers saw interrupted tasks start late where the owner is short of processor time. A round of placement rated all workers again for each waiting step that limits its tasks per worker: the cache of shapes that fit nowhere held only steps without such a limit, as their misses may have that cause.

A miss now says whether any worker had the capacity at all. If none had, it covers every shape that needs as much, whatever else that requires.

TestFullWorkersAreSearchedOnce: 80 workers rated before for 20 jobs on 4 full workers, 4 now.

--- a/internal/sched/nofit.go
+++ b/internal/sched/nofit.go
@@ -22,11 +22,22 @@
 	// interrupted is set for tasks that were interrupted, respectsReservations for those
 	// that must not use capacity reserved for such tasks.
 	interrupted, respectsReservations bool
+	// lacksCapacity is set if no worker had the capacity, whatever else the step requires.
+	lacksCapacity bool
 }
 
 // covers reports whether the other shape fits nowhere if this one does not.
 func (sh shape) covers(other shape) bool {
-	if sh.respectsReservations && !other.respectsReservations || other.interrupted && !sh.interrupted || sh.st.Filler != other.st.Filler || sh.service != other.service || sh.st.MaxPerWorker > 0 || sh.st.Label != "" || !sh.st.Each.Fits(other.st.Each) {
+	if other.interrupted && !sh.interrupted || sh.st.Filler != other.st.Filler || !sh.st.Each.Fits(other.st.Each) {
+		return false
+	}
+	return sh.lacksCapacity || sh.requiresNoMoreThan(other)
+}
+
+// requiresNoMoreThan reports whether a worker that has the capacity for both shapes takes this
+// one if it takes the other.
+func (sh shape) requiresNoMoreThan(other shape) bool {
+	if sh.respectsReservations && !other.respectsReservations || sh.service != other.service || sh.st.MaxPerWorker > 0 || sh.st.Label != "" {
 		return false
 	}
 	return !sh.st.Filler || (sh.st.Image == other.st.Image && sh.selective == other.selective)
--- /dev/null
+++ b/internal/sched/nofit_test.go
@@ -0,0 +1,31 @@
+package sched
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// TestFullWorkersAreSearchedOnce guards against an owner that searches all workers for each of
+// many waiting jobs with a limit per worker, though no worker has the capacity for any of them.
+func TestFullWorkersAreSearchedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		la := newLab(t, 4)
+		ow := la.startLongRunning(64)
+		for n := range 20 {
+			sp := longRunningOf(2, 8)
+			sp.Steps[0].MaxPerWorker = 1
+			la.submit(ow, 10+n, sp)
+		}
+		time.Sleep(time.Second)
+		rated := make(chan int64)
+		ow.post(func() {
+			before := ow.lag.tick.rated
+			ow.place()
+			rated <- ow.lag.tick.rated - before
+		})
+		qt.Check(t, <-rated, qt.Equals, int64(len(la.fleetWorkers)))
+	})
+}
--- a/internal/sched/rank.go
+++ b/internal/sched/rank.go
@@ -44,8 +44,13 @@
 		rk.counts = tj.countBy(step)
 	}
 	pl.ow.lag.tick.rated += int64(len(pl.candidates))
+	sh.lacksCapacity = true
 	for _, ca := range pl.candidates {
-		if rk.fits(ca) {
+		if !ca.hasCapacity(st, interrupted) {
+			continue
+		}
+		sh.lacksCapacity = false
+		if rk.accepts(ca) {
 			rk.heap = append(rk.heap, rating{ca: ca, score: ca.score(tj, st)})
 		}
 	}
@@ -56,10 +61,10 @@
 	return rk
 }
 
-// fits reports whether the worker can take a task of the step now, and records the cause if
-// not.
-func (rk *ranking) fits(ca *candidate) bool {
-	if !ca.hasCapacity(rk.st, rk.interrupted) || !ca.suitable(rk.tj, rk.st) || (rk.counts != nil && rk.counts[ca.wk] >= rk.st.MaxPerWorker) {
+// accepts reports whether a worker with enough capacity can take a task of the step now, and
+// records the cause if not.
+func (rk *ranking) accepts(ca *candidate) bool {
+	if !ca.suitable(rk.tj, rk.st) || (rk.counts != nil && rk.counts[ca.wk] >= rk.st.MaxPerWorker) {
 		return false
 	}
 	if rk.respectsReservations && !rk.st.Reserved().Fits(ca.free.Sub(ca.wk.restartReserved)) {
@@ -89,7 +94,7 @@
 		rk.counts[ca.wk]++
 	}
 	rk.cause = CauseRoom
-	if !rk.fits(ca) {
+	if !ca.hasCapacity(rk.st, rk.interrupted) || !rk.accepts(ca) {
 		heap.Pop(&rk.heap)
 		return
 	}
