Reserve capacity first for interrupted tasks that fit somewhere

Callers would see a service stay down for as long as short tasks arrive.

Cause: reservations are made largest task first, and a task that fits nowhere had the worker with the most free cores reserved whole. So a smaller task that would fit there once short tasks have ended got no reservation, the worker was not earmarked, and new short tasks took each part that became free. One large task that fits nowhere was enough.

Evidence: TestTaskThatFitsNowhereTakesReservationOfSmallerOne. Its task of 16 cores does not start within 30 s beside 20 cores of short tasks while one of 24 cores waits; without that one it runs (ten of ten runs each).

Reservations for tasks that fit are made first now; what is left is reserved whole for the others, so that long-running tasks that never ran stay off it as before. A search ends at the first worker with too few cores, as the workers are sorted by them.

--- a/internal/sched/reservation.go
+++ b/internal/sched/reservation.go
@@ -62,27 +62,38 @@
 		return
 	}
 	ow.reservations = restartReservations{active: len(list) > 0}
-	var workers []reservableWorker
-	for _, wk := range ow.sortedWorkers() {
-		wk.restartReserved, wk.restartReady = worker.Resources{}, false
-		if wk.available(now) {
-			workers = append(workers, reservableWorker{ca: newCandidate(wk), free: wk.Capacity.Sub(wk.reserved).Add(wk.finiteReserved)})
-		}
-	}
+	workers := ow.reservableWorkers(now)
 	slices.SortFunc(list, func(a, b pendingRestart) int {
 		return cmp.Or(compareSizes(a.st, b.st), cmp.Compare(a.tj.order, b.tj.order))
 	})
+	var unmet []pendingRestart
 	for i, pr := range list {
 		if i == 0 || pr.tj.jo.Terms.Priority < ow.reservations.priority {
 			ow.reservations.priority = pr.tj.jo.Terms.Priority
 		}
-		wk := pr.reserve(workers)
-		if wk == nil {
-			ow.reservations.unmet++
-			continue
+		if !pr.reserve(workers) {
+			unmet = append(unmet, pr)
 		}
-		wk.restartReady = wk.restartReady || pr.ready
 	}
+	// A worker that is reserved whole has nothing left for tasks that fit, so these come first.
+	for _, pr := range unmet {
+		pr.reserveLargest(workers)
+	}
+	ow.reservations.unmet = len(unmet)
+}
+
+// reservableWorkers discards all reservations and returns the workers that may take restarts,
+// the most free cores first.
+func (ow *Owner) reservableWorkers(now time.Time) []reservableWorker {
+	var workers []reservableWorker
+	for _, wk := range ow.sortedWorkers() {
+		wk.restartReserved, wk.restartReady = worker.Resources{}, false
+		if wk.available(now) {
+			workers = append(workers, reservableWorker{ca: newCandidate(wk), free: wk.Capacity.Sub(wk.reserved).Add(wk.finiteReserved)})
+		}
+	}
+	slices.SortStableFunc(workers, func(a, b reservableWorker) int { return cmp.Compare(b.free.MilliCores, a.free.MilliCores) })
+	return workers
 }
 
 // compareSizes orders larger steps first.
@@ -100,33 +111,43 @@
 }
 
 // reserve reserves capacity on the worker with the least free cores that has enough of
-// everything, and returns it. If none has enough, it reserves all of the worker that has the
-// most free cores, as more may become free there, and returns nil.
-func (pr pendingRestart) reserve(workers []reservableWorker) *workerState {
+// everything, and reports whether there is one. The workers are sorted by the cores that were
+// free before any reservation.
+func (pr pendingRestart) reserve(workers []reservableWorker) bool {
 	need := pr.st.Reserved()
-	var best, largest *reservableWorker
+	var best *reservableWorker
 	for i := range workers {
 		rw := &workers[i]
-		if rw.exhausted || !rw.ca.suitable(pr.tj, pr.st) {
-			continue
+		if rw.ca.free.MilliCores+rw.ca.wk.finiteReserved.MilliCores < need.MilliCores {
+			break
 		}
-		if need.Fits(rw.free) && (best == nil || rw.free.MilliCores < best.free.MilliCores) {
+		if need.Fits(rw.free) && (best == nil || rw.free.MilliCores < best.free.MilliCores) && rw.ca.suitable(pr.tj, pr.st) {
 			best = rw
 		}
-		if largest == nil || rw.free.MilliCores > largest.free.MilliCores {
+	}
+	if best == nil {
+		return false
+	}
+	best.free = best.free.Sub(need)
+	best.ca.wk.restartReserved = best.ca.wk.restartReserved.Add(need)
+	best.ca.wk.restartReady = best.ca.wk.restartReady || pr.ready
+	return true
+}
+
+// reserveLargest reserves all of the worker that has the most free cores, as more may become
+// free there.
+func (pr pendingRestart) reserveLargest(workers []reservableWorker) {
+	var largest *reservableWorker
+	for i := range workers {
+		rw := &workers[i]
+		if !rw.exhausted && (largest == nil || rw.free.MilliCores > largest.free.MilliCores) && rw.ca.suitable(pr.tj, pr.st) {
 			largest = rw
 		}
 	}
-	if best != nil {
-		best.free = best.free.Sub(need)
-		best.ca.wk.restartReserved = best.ca.wk.restartReserved.Add(need)
-		return best.ca.wk
-	}
 	if largest != nil {
 		largest.exhausted = true
 		largest.ca.wk.restartReserved = largest.ca.wk.Capacity
 	}
-	return nil
 }
 
 // pendingRestarts returns the long-running tasks that are to start again: those on workers
