Place interrupted tasks on capacity that is still being freed

Cause: capacity in transit. Where a service is full of long-running tasks, some 30 pieces a second become free as jobs are cancelled, and each goes to the next interrupted task at once by the owner's books. By the workers' books it is free until the poll has listed the end, a round has placed the task, its start is written, and the order has arrived. So some workers always have room for those who count it, and a task that waits is missed if three checks in a row find such pieces that are large enough for it. How many wait, or for how long, does not matter.

An attempt that is being stopped ends within a second, so the next task is placed on its worker when the order to stop is sent. Its start is written by the time the worker lists the end, and its order is sent at once then. A task that could not start within StopTime and 0.7 s is placed anew, so are those on workers that leave or do not answer. Suspect tasks are queued only where nothing else is starting.

--- a/internal/sched/attempt.go
+++ b/internal/sched/attempt.go
@@ -22,6 +22,11 @@
 	listedInPoll int64
 	// inFlight is set from its placement until its start order is answered.
 	inFlight bool
+	// placedAt is when it was placed, startWritten is set once its start is durable.
+	placedAt     time.Time
+	startWritten bool
+	// queued is set while its start order waits for the end of attempts that are being stopped.
+	queued bool
 	// orderSent is set just before its start order is sent.
 	orderSent bool
 	// launchedAt is when the worker acknowledged the order, or zero.
@@ -37,8 +42,10 @@
 	endIfNotRun job.End
 	// resolvingOrder is set while the outcome of an unanswered order is being determined.
 	resolvingOrder bool
-	// haltSentAt is when an order to stop it was last sent, or zero.
-	haltSentAt time.Time
+	// haltSentAt is when an order to stop it was last sent, or zero. haltRepeated is set once
+	// the order was sent again.
+	haltSentAt   time.Time
+	haltRepeated bool
 	// progress is its last reported progress, in percent. usage is the last reported usage: the
 	// tail latency of a service in milliseconds, or the CPU use of another task in thousandths
 	// of a core.
@@ -90,6 +97,7 @@
 	delete(wk.attempts, at)
 	delete(wk.attemptsByName, at.name())
 	wk.endTrial(at)
+	wk.unqueue(at)
 	wk.ow.endStart(at)
 	wk.recordEndedFiller(at, time.Now())
 	wk.services = slices.DeleteFunc(wk.services, func(other *attempt) bool { return other == at })
@@ -98,6 +106,7 @@
 	if !at.step().LongRunning {
 		wk.finiteReserved = wk.finiteReserved.Sub(at.step().Reserved())
 	}
+	wk.startQueued()
 }
 
 // addAttempt adds an attempt and its resources to the worker.
--- a/internal/sched/launch.go
+++ b/internal/sched/launch.go
@@ -38,6 +38,11 @@
 		ow.abandonLaunch(at, "its worker does not answer and gets no lease")
 		return
 	}
+	at.startWritten = true
+	if at.queued {
+		at.wk.startQueued()
+		return
+	}
 	at.orderSent = true
 	ta := at.tj.jo.Task(at.ref)
 	la := worker.Launch{
@@ -217,7 +222,11 @@
 	if !at.haltSentAt.IsZero() && time.Since(at.haltSentAt) < ow.Limits.StopTime {
 		return
 	}
-	at.haltSentAt = time.Now()
+	if at.queued {
+		ow.abandonQueued(at, why)
+		return
+	}
+	at.haltSentAt, at.haltRepeated = time.Now(), !at.haltSentAt.IsZero()
 	ow.Log.Info("stopping attempt", "task", taskID(at), "attempt", at.number, "worker", at.wk.incarnation, "why", why)
 	go ow.sendHalt(at.wk, at.name())
 }
--- a/internal/sched/mechanism.go
+++ b/internal/sched/mechanism.go
@@ -43,6 +43,8 @@
 	MechStall
 	// MechReserveCapacity reserves capacity for long-running tasks that fit on no worker.
 	MechReserveCapacity
+	// MechQueuedStarts places interrupted tasks on capacity that is being freed.
+	MechQueuedStarts
 )
 
 // MechanismEntry documents a mechanism.
@@ -70,6 +72,7 @@
 	{MechMove, "move", "moves held fillers to better workers"},
 	{MechStall, "stall", "retries attempts without progress on another worker"},
 	{MechReserveCapacity, "keep-room", "reserves capacity for long-running tasks that fit on no worker"},
+	{MechQueuedStarts, "queue-starts", "places interrupted tasks on capacity that is being freed"},
 }
 
 // ErrMechanism is returned for a name that is not in Mechanisms.
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -96,6 +96,9 @@
 	// set if a task is to run isolated there, so that nothing else may start.
 	earmarked bool
 	isolated  bool
+	// stopping is the capacity held by attempts that are being stopped, set by
+	// candidatesWithStops.
+	stopping worker.Resources
 }
 
 func newCandidate(wk *workerState) candidate {
@@ -124,6 +127,10 @@
 	fillerWait time.Duration
 	// earmarks counts the workers earmarked in this round.
 	earmarks int
+	// withStops are the candidates on which attempts are being stopped, valid once stopsFound
+	// is set.
+	withStops  []*candidate
+	stopsFound bool
 }
 
 // placeJob starts the waiting tasks of a job that fit on a worker.
@@ -164,6 +171,9 @@
 		}
 		ca := rk.best()
 		tj.waitCause = rk.cause
+		if ca == nil && interrupted && pl.placeQueued(tj, ref) {
+			continue
+		}
 		if ca == nil && pl.startAsLastResort(tj, ref) {
 			continue
 		}
@@ -273,17 +283,27 @@
 // start places a new attempt on a worker; the launch order is sent once the attempt is
 // durable.
 func (pl *placer) start(tj *trackedJob, ref job.TaskRef, ca *candidate) {
+	pl.startAttempt(tj, ref, ca, false)
+}
+
+// startAttempt places a new attempt on a worker; if queued is set, its launch order waits until
+// the worker has the capacity.
+func (pl *placer) startAttempt(tj *trackedJob, ref job.TaskRef, ca *candidate, queued bool) {
 	number := tj.jo.Start(ref, ca.wk.incarnation)
 	if number == 0 {
 		return
 	}
-	at := &attempt{ref: ref, number: number, wk: ca.wk, tj: tj, pace: fullPace}
+	at := &attempt{ref: ref, number: number, wk: ca.wk, tj: tj, pace: fullPace, placedAt: pl.now}
 	ca.wk.addAttempt(at)
-	pl.ow.beginStart(at)
+	if queued {
+		ca.wk.queue(at)
+	} else {
+		pl.ow.beginStart(at)
+	}
 	st := &tj.jo.Spec.Steps[ref.Step]
 	ca.free = ca.free.Sub(st.Reserved())
 	ca.idle -= likelyUse(st)
-	pl.ow.Log.Info("attempt placed", "task", taskID(at), "attempt", number, "worker", ca.wk.incarnation, "free_millicores", ca.free.MilliCores)
+	pl.ow.Log.Info("attempt placed", "task", taskID(at), "attempt", number, "worker", ca.wk.incarnation, "free_millicores", ca.free.MilliCores, "queued", queued)
 	tj.onWritten = append(tj.onWritten, func() { pl.ow.launch(at) })
 	pl.ow.markDirty(tj)
 	// markDirty requests another round, but a start makes no other task placeable.
--- /dev/null
+++ b/internal/sched/queuedstart.go
@@ -0,0 +1,139 @@
+package sched
+
+import (
+	"slices"
+	"time"
+
+	"github.com/pepperhatch/pepperhatch/internal/job"
+	"github.com/pepperhatch/pepperhatch/internal/telemetry"
+	"github.com/pepperhatch/pepperhatch/internal/worker"
+)
+
+// A task that is placed once the end of a stopped attempt is known starts only after a round of
+// placement and a write, and until then the worker has unused capacity. Where a service is full
+// and many interrupted tasks wait, some worker always has. So an interrupted task that fits
+// nowhere is queued on a worker that has enough capacity once the attempts which are being
+// stopped there have ended. Its start is durable by then, and its order is sent as soon as the
+// worker lists their ends.
+
+// queuedTimeout is added to Limits.StopTime: a task whose order could not be sent by then is
+// placed anew.
+const queuedTimeout = leaveMargin
+
+// placeQueued queues an interrupted long-running task on the worker that will have the fewest
+// free cores left, and reports whether there was one. A suspect task is queued only where no
+// other attempt is starting.
+func (pl *placer) placeQueued(tj *trackedJob, ref job.TaskRef) bool {
+	if !pl.ow.enabled(MechQueuedStarts) {
+		return false
+	}
+	st := &tj.jo.Spec.Steps[ref.Step]
+	need, suspect := st.Reserved(), tj.jo.Task(ref).Suspect()
+	var best *candidate
+	var left int64
+	for _, ca := range pl.candidatesWithStops() {
+		later := ca.free.Add(ca.stopping)
+		if ca.isolated || !need.Fits(later) || !ca.allowed(tj, ref, st) {
+			continue
+		}
+		if suspect && ca.wk.occupancy(pl.now).starting > 0 {
+			continue
+		}
+		if n := later.MilliCores - need.MilliCores; best == nil || n < left {
+			best, left = ca, n
+		}
+	}
+	if best == nil {
+		return false
+	}
+	pl.startAttempt(tj, ref, best, true)
+	tj.waitCause = CauseStop
+	return true
+}
+
+// candidatesWithStops returns the candidates on which attempts are being stopped, computed
+// once per round.
+func (pl *placer) candidatesWithStops() []*candidate {
+	if pl.stopsFound {
+		return pl.withStops
+	}
+	pl.stopsFound = true
+	for _, ca := range pl.candidates {
+		if ca.stopping = ca.wk.firstStops(); ca.stopping != (worker.Resources{}) {
+			pl.withStops = append(pl.withStops, ca)
+		}
+	}
+	return pl.withStops
+}
+
+// firstStops returns the resources of attempts that are being stopped by an order that was
+// sent once. An order that had to be repeated may take long to be carried out.
+func (wk *workerState) firstStops() worker.Resources {
+	var sum worker.Resources
+	for at := range wk.attempts {
+		if !at.haltSentAt.IsZero() && !at.haltRepeated && !at.launchedAt.IsZero() {
+			sum = sum.Add(at.step().Reserved())
+		}
+	}
+	return sum
+}
+
+// hasCapacityNow reports whether the worker has the capacity for a queued attempt by now.
+func (wk *workerState) hasCapacityNow(at *attempt) bool {
+	used := wk.reserved.Sub(wk.queuedReserved)
+	return at.step().Reserved().Fits(wk.Capacity.Sub(used))
+}
+
+// queue adds an attempt to those whose start orders wait.
+func (wk *workerState) queue(at *attempt) {
+	at.queued = true
+	wk.queued = append(wk.queued, at)
+	wk.queuedReserved = wk.queuedReserved.Add(at.step().Reserved())
+}
+
+// unqueue removes an attempt from those whose start orders wait, if it is one of them.
+func (wk *workerState) unqueue(at *attempt) {
+	if !at.queued {
+		return
+	}
+	at.queued = false
+	wk.queued = slices.DeleteFunc(wk.queued, func(other *attempt) bool { return other == at })
+	wk.queuedReserved = wk.queuedReserved.Sub(at.step().Reserved())
+}
+
+// startQueued sends the start orders of the queued attempts whose start is durable and for
+// which the worker has enough capacity by now.
+func (wk *workerState) startQueued() {
+	if len(wk.queued) == 0 || wk.dead || !wk.failingSince.IsZero() || wk.inTrial() {
+		return
+	}
+	for _, at := range slices.Clone(wk.queued) {
+		if at.queued && at.startWritten && wk.hasCapacityNow(at) {
+			wk.unqueue(at)
+			wk.ow.Metrics.Add(telemetry.QueuedStarts, 1, "outcome", "started")
+			wk.ow.beginStart(at)
+			wk.ow.launch(at)
+		}
+	}
+}
+
+// tickQueued starts queued attempts that could not start at once, and gives up those for which
+// the worker does not get enough capacity in time, or that must not start there any more.
+func (wk *workerState) tickQueued(now time.Time) {
+	wk.startQueued()
+	for _, at := range slices.Clone(wk.queued) {
+		switch {
+		case !at.queued || !at.startWritten:
+		case wk.unlisted || wk.Draining || !wk.failingSince.IsZero():
+			wk.ow.abandonQueued(at, "its worker leaves or does not answer")
+		case now.Sub(at.placedAt) > wk.ow.Limits.StopTime+queuedTimeout:
+			wk.ow.abandonQueued(at, "the stopped attempts have not ended in time")
+		}
+	}
+}
+
+// abandonQueued ends a queued attempt.
+func (ow *Owner) abandonQueued(at *attempt, why string) {
+	ow.Metrics.Add(telemetry.QueuedStarts, 1, "outcome", "abandoned")
+	ow.abandonLaunch(at, why)
+}
--- a/internal/sched/suspect.go
+++ b/internal/sched/suspect.go
@@ -51,6 +51,9 @@
 	return at.inheritedRunTime < startupDuration && (at.launchedAt.IsZero() || now.Sub(at.launchedAt) < startupDuration)
 }
 
+// inTrial reports whether a suspect task runs isolated on the worker, or is about to start.
+func (wk *workerState) inTrial() bool { return wk.trial != nil && wk.trial.at != nil }
+
 // endTrial ends the trial of an attempt on the worker, so that others may start there again.
 func (wk *workerState) endTrial(at *attempt) {
 	if wk.trial != nil && wk.trial.at == at {
@@ -112,6 +115,9 @@
 		pl.startSuspect(tj, ref, ca, "apart")
 		return
 	}
+	if tj.interrupted(ref) && pl.placeQueued(tj, ref) {
+		return
+	}
 	tj.waitCause = CauseRoom
 	pl.earmark(tj, ref)
 }
--- a/internal/sched/workerstate.go
+++ b/internal/sched/workerstate.go
@@ -104,6 +104,10 @@
 	expectedUse int64
 	// finiteReserved is the part of reserved that belongs to tasks which end by themselves.
 	finiteReserved worker.Resources
+	// queued are the attempts placed here whose start orders wait for others to be stopped, in
+	// order of placement; queuedReserved is the part of reserved that belongs to them.
+	queued         []*attempt
+	queuedReserved worker.Resources
 	// restartReserved is the capacity reserved for interrupted long-running tasks.
 	restartReserved worker.Resources
 	// restartReady is set if some of these tasks may start now; the worker is then earmarked.
@@ -371,6 +375,7 @@
 // lapsed leases.
 func (wk *workerState) tick(now time.Time) {
 	wk.tickTrial(now)
+	wk.tickQueued(now)
 	if len(wk.attempts) == 0 {
 		wk.ow.removeIfIdle(wk)
 		return
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -57,6 +57,7 @@
 	WorkersCrashed Name = "pepperhatch_workers_crashed"
 	SuspectStarts  Name = "pepperhatch_suspect_starts"
 	TasksGivenUp   Name = "pepperhatch_tasks_given_up"
+	QueuedStarts   Name = "pepperhatch_queued_starts"
 )
 
 // The gauges.
@@ -120,6 +121,7 @@
 	{WorkersCrashed, "attempts", "workers whose process ended without a report, by whether attempts were present at the worker (some) or not (none)", "some: look for \"task given up\" and \"trying a task under which workers ended\" in the log"},
 	{SuspectStarts, "how", "starts of tasks whose workers ended: spread (apart), or isolated (alone), because after one more crash the task is given up", "alone: a task crashes its workers, or workers crash often"},
 	{TasksGivenUp, "why", "tasks that are not retried, for as many failures as their queue allows or for crashes of their workers", "crashes: notify the job's owner"},
+	{QueuedStarts, "outcome", "interrupted tasks that were placed on the capacity of attempts being stopped: started there, or abandoned to be placed anew", "abandoned: workers stop attempts late or not at all, look for \"halt not done\" in the log"},
 	{TaskEvents, "event", "tasks started, done, failed, evicted, throttled", "evictions: see place.eviction-budget"},
 }
 
