Place isolated tasks after the other interrupted ones

Callers would see services stay down for 4 s beside two workers with room.

Cause: interrupted tasks start smallest first. One under which workers crashed runs alone on its worker until it is past its startup, and nothing else starts there meanwhile. Forty small ones had the four workers with capacity in turn.

Isolated tasks are placed after the others of their priority now.

--- a/internal/sched/interrupted.go
+++ b/internal/sched/interrupted.go
@@ -24,6 +24,21 @@
 	for _, ls := range steps {
 		pl.placeStep(ls.tj, ls.step, true)
 	}
+	pl.placePostponed()
+}
+
+// placePostponed places the interrupted tasks that need a worker to themselves while they
+// start. Nothing else starts there meanwhile, so before the others they would keep these from
+// all workers with capacity, one after the other.
+func (pl *placer) placePostponed() {
+	for _, tk := range pl.postponed {
+		if pl.ow.window.full() {
+			tk.tj.waitCause = CauseOrder
+			break
+		}
+		pl.placeSuspect(tk.tj, tk.ref)
+	}
+	pl.postponed = nil
 }
 
 // longRunningStep is a step of long-running tasks.
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -127,6 +127,8 @@
 	fillerWait time.Duration
 	// earmarks counts the workers earmarked in this round.
 	earmarks int
+	// postponed are interrupted tasks to be placed after the others of their priority.
+	postponed []taskKey
 	// withStops are the candidates on which attempts are being stopped, valid once stopsFound
 	// is set.
 	withStops  []*candidate
@@ -159,6 +161,10 @@
 			tj.waitCause = CauseOrder
 			return
 		}
+		if interrupted && ta.Isolated() {
+			pl.postponed = append(pl.postponed, taskKey{tj, ref})
+			continue
+		}
 		if ta.Suspect() {
 			pl.placeSuspect(tj, ref)
 			// The suspect task may have changed a worker other than the best one, so all have
