End no attempt for want of a lease that the next exchange gives

Cause: a worker that has reported once and has been sent no lease yet counts as one whose leases have ended. The owner sends leases with the next exchange, a second later or at once when a start has been journalled. If that write takes longer than the interval between batches (100 ms), the next batch is prepared in the same step, before the exchange: it ends the attempt as lapsed, and then the exchange starts it under a valid lease. Once the end is written, attempt 2 is ordered started and attempt 1 stopped, in one exchange.

The check and the stand-in worker are right: an owner must not start an attempt before the one before has ended.

The lease that the next exchange gives now counts from the report on which it is based. A silent worker's tasks lapse as early as before, as its last lease was based on its last report too. A log line tells of each attempt that lapses, with the worker's last report.

TestSlowWriteOfStartDoesNotEndTask failed before (attempt 2, and two spans at once).

--- a/internal/cell/exchange.go
+++ b/internal/cell/exchange.go
@@ -22,7 +22,8 @@
 	lastReport time.Time
 	tasks      map[string]worker.TaskReport
 	// leaseEnd has the latest end of the batch leases and of the service leases,
-	// in this order, whichever owner gave them.
+	// in this order, whichever owner gave them. It includes the leases of the
+	// next exchange, so that no attempt lapses before its first one.
 	leaseEnd [2]time.Time
 	// lastSent is when the last exchange was sent; pending is set while one is
 	// in progress.
@@ -89,20 +90,26 @@
 	if ws.incarnation == "" {
 		return ex
 	}
-	doc := ow.Config()
-	service, batch := leaseDuration(doc, config.LeaseService), leaseDuration(doc, config.LeaseBatch)
+	service, batch := ow.leaseDurations()
 	ex.Incarnation = ws.incarnation
 	ex.ServiceUntilMS = ws.workerClock + service.Milliseconds()
 	ex.BatchUntilMS = ws.workerClock + batch.Milliseconds()
-	ws.leaseEnd[0] = later(ws.leaseEnd[0], ws.lastReport.Add(batch))
-	ws.leaseEnd[1] = later(ws.leaseEnd[1], ws.lastReport.Add(service))
+	ws.extendLeases(service, batch)
 	ex.Orders = ow.orders(id, ws)
 	return ex
 }
 
-// leaseDuration returns a lease setting, limited to maxLease.
-func leaseDuration(doc config.Doc, key string) time.Duration {
-	return min(doc.Duration(key), maxLease)
+// leaseDurations returns the durations of new leases.
+func (ow *Owner) leaseDurations() (service, batch time.Duration) {
+	doc := ow.Config()
+	return min(doc.Duration(config.LeaseService), maxLease), min(doc.Duration(config.LeaseBatch), maxLease)
+}
+
+// extendLeases records leases that last for these durations from the last report
+// on. Leases that end later stay.
+func (ws *workerStatus) extendLeases(service, batch time.Duration) {
+	ws.leaseEnd[0] = later(ws.leaseEnd[0], ws.lastReport.Add(batch))
+	ws.leaseEnd[1] = later(ws.leaseEnd[1], ws.lastReport.Add(service))
 }
 
 func later(a, b time.Time) time.Time {
@@ -179,8 +186,8 @@
 	if newIncarnation {
 		ws.leaseEnd = [2]time.Time{}
 	}
-	ws.leaseEnd[0] = later(ws.leaseEnd[0], ws.lastReport.Add(time.Duration(re.BatchUntilMS-re.ClockMS)*time.Millisecond))
-	ws.leaseEnd[1] = later(ws.leaseEnd[1], ws.lastReport.Add(time.Duration(re.ServiceUntilMS-re.ClockMS)*time.Millisecond))
+	ws.extendLeases(time.Duration(re.ServiceUntilMS-re.ClockMS)*time.Millisecond, time.Duration(re.BatchUntilMS-re.ClockMS)*time.Millisecond)
+	ws.extendLeases(ow.leaseDurations())
 	previous := ws.tasks
 	ws.tasks = make(map[string]worker.TaskReport, len(re.Tasks))
 	for _, tr := range re.Tasks {
--- a/internal/cell/invariants_test.go
+++ b/internal/cell/invariants_test.go
@@ -72,8 +72,9 @@
 		},
 		"owner": func(rt *rapid.T) { tc.startOwner(rapid.Bool().Draw(rt, "keep former owner")) },
 		"table": func(rt *rapid.T) {
-			mode := rapid.SampledFrom([]standin.Mode{standin.ModeOK, standin.ModeOK, standin.ModeDown, standin.ModeLost}).Draw(rt, "mode")
-			tc.table.Faults.Set(standin.Fault{Mode: mode})
+			mode := rapid.SampledFrom([]standin.Mode{standin.ModeOK, standin.ModeOK, standin.ModeDown, standin.ModeLost, standin.ModeSlow}).Draw(rt, "mode")
+			delay := rapid.SampledFrom([]int64{150, 5000}).Draw(rt, "table delay")
+			tc.table.Faults.Set(standin.Fault{Mode: mode, DelayMS: delay})
 		},
 	}
 }
--- /dev/null
+++ b/internal/cell/lease_test.go
@@ -0,0 +1,29 @@
+package cell
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/pepperhatch/pepperhatch/internal/standin"
+)
+
+// TestSlowWriteOfStartDoesNotEndTask guards against a task that is ended as lapsed before
+// its worker is sent the start, and then runs twice at once.
+func TestSlowWriteOfStartDoesNotEndTask(t *testing.T) {
+	runCell(t, 1, func(c *qt.C, tc *testCell) {
+		time.Sleep(2 * time.Second)
+		to := tc.startOwner(false)
+		time.Sleep(200 * time.Millisecond)
+		tc.table.Faults.Set(standin.Fault{Mode: standin.ModeSlow, DelayMS: 150})
+		_, err := to.confirm("first", service("s", 1))
+		c.Assert(err, qt.IsNil)
+		time.Sleep(3 * time.Second)
+		tasks, err := to.ow.Tasks("s")
+		c.Assert(err, qt.IsNil)
+		c.Assert(tasks, qt.HasLen, 1)
+		c.Check(tasks[0].State, qt.Equals, Running)
+		c.Check(tasks[0].Attempt, qt.Equals, 1)
+	})
+}
--- a/internal/cell/owner.go
+++ b/internal/cell/owner.go
@@ -342,7 +342,7 @@
 	rec := Record{Kind: KindEnd, Task: id, Attempt: ta.Attempt, End: worker.StateLapsed}
 	ws := ow.status(ta.Worker)
 	if ws.incarnation != "" && ws.incarnation != ta.Incarnation {
-		// The process that ran the task was replaced by another one.
+		ow.logLapsed(id, ta, ws, "the worker's process was replaced")
 		return rec, true
 	}
 	if tr, ok := ws.tasks[id]; ok && tr.Attempt == ta.Attempt {
@@ -352,7 +352,15 @@
 			return rec, true
 		}
 	}
-	return rec, now.After(ow.leaseExpiry(ws, ow.st.Jobs[ta.Job].Spec.Service))
+	if !now.After(ow.leaseExpiry(ws, ow.st.Jobs[ta.Job].Spec.Service)) {
+		return rec, false
+	}
+	ow.logLapsed(id, ta, ws, "its lease has expired")
+	return rec, true
+}
+
+func (ow *Owner) logLapsed(id string, ta *Task, ws *workerStatus, reason string) {
+	ow.Log.Info("attempt lapsed", "cell", ow.Cell, "task", id, "attempt", ta.Attempt, "worker", ta.Worker, "why", reason, "last_report", ws.lastReport)
 }
 
 // leaseExpiry returns the time after which a worker's batch or service leases
