Do not count a crash that a takeover only infers as a certain one

Cause: the row of a started attempt says only that its order was about to be sent. If its worker ended, the next owner recorded that as a certain crash just after the start, and three of these give a task up.

Evidence, from the log of a failing play: of the three crashes of one task only the second happened. The order of attempt 1 never reached its worker, which stood still; attempt 3 was listed as done, and its owner was replaced before that was written. Both lines say end=crashed, acked=false. The stand-in workers have one run of the task that was killed.

Such an end is now a presumed crash. It still makes the task suspect and isolated, and counts towards the five ends of which two are crashes, so that a task which crashes its workers together with their owners starts five times at most; but three crashes give a task up only if all are certain. Log lines with crashes have presumed too.

--- a/internal/job/giveup.go
+++ b/internal/job/giveup.go
@@ -5,7 +5,9 @@
 // The number of workers that ended while they ran a task is counted until an attempt of
 // the task is seen to be stable. For some it is certain that the worker crashed just after
 // it began the task. For others it is not: the worker ended later, had not answered
-// before, or had not acknowledged the start. Users accept five starts of a task that
+// before, or had not acknowledged the start. If the owner changed since the start, a crash
+// is only presumed: presumed crashes bound the starts of a task that crashes its workers
+// together with their owners, but are no proof. Users accept five starts of a task that
 // crashes every worker, and accept that a task is given up once two workers have crashed
 // while they ran it.
 const (
@@ -13,11 +15,11 @@
 	// it has cost three workers and everything that ran on them.
 	maxCrashes = 3
 	// maxEndsWithCrashes is the number of ended workers after which a task is given up if
-	// at least minCrashes, but fewer than maxCrashes, are certain crashes.
+	// at least minCrashes are certain or presumed crashes.
 	maxEndsWithCrashes = 5
 	minCrashes         = 2
 	// maxEnds is the number of ended workers after which a task is given up if fewer than
-	// minCrashes are certain crashes. If half of all attempts lost their worker for reasons
+	// minCrashes are certain or presumed crashes. If half of all attempts lost their worker for reasons
 	// other than the task, one task in a thousand would reach this number by chance.
 	maxEnds = 10
 )
@@ -31,6 +33,9 @@
 	switch end {
 	case EndCrashed:
 		ta.Crashes++
+	case EndPresumedCrash:
+		ta.Crashes++
+		ta.PresumedCrashes++
 	case EndLost:
 		ta.Losses++
 	}
@@ -46,7 +51,7 @@
 // exceedsEndLimits reports whether too many workers have ended while they ran the task.
 func (ta *Task) exceedsEndLimits() bool {
 	ends := ta.Crashes + ta.Losses
-	return ta.Crashes >= maxCrashes || (ta.Crashes >= minCrashes && ends >= maxEndsWithCrashes) || ends >= maxEnds
+	return ta.Crashes-ta.PresumedCrashes >= maxCrashes || (ta.Crashes >= minCrashes && ends >= maxEndsWithCrashes) || ends >= maxEnds
 }
 
 // giveUp ends a task that is not started again.
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -55,6 +55,10 @@
 	// against the task, see giveup.go.
 	EndCrashed End = "crashed"
 	EndLost    End = "lost"
+	// EndPresumedCrash: the process ended, and only the row of a former owner says that the
+	// attempt was started. It may have ended the process, have ended before it, or never
+	// have run.
+	EndPresumedCrash End = "presumed-crash"
 	// EndNeverRan: the attempt did not run and never will.
 	EndNeverRan End = "never-ran"
 )
@@ -69,9 +73,11 @@
 	Failures int
 	// Crashes and Losses count the workers that ended while they ran an attempt of the
 	// task, since an attempt was last seen to be stable. Crashes are those that certainly
-	// ended just after they began it, Losses the others; see giveup.go.
-	Crashes int
-	Losses  int
+	// ended just after they began it or are presumed to have, Losses the others, and
+	// PresumedCrashes the part of Crashes that is presumed; see giveup.go.
+	Crashes         int
+	PresumedCrashes int
+	Losses          int
 	// GivenUp has the last attempts that ended without a report of the worker and may
 	// still be reported as failed.
 	GivenUp []int
@@ -251,7 +257,7 @@
 		jo.complete(ref, ta)
 	case EndFailed:
 		ta.Failures++
-	case EndCrashed, EndLost, EndLapsed:
+	case EndCrashed, EndPresumedCrash, EndLost, EndLapsed:
 		jo.recordLoss(ta, end)
 	}
 	// An earlier attempt may have been reported as failed while this one ran.
--- a/internal/job/phase.go
+++ b/internal/job/phase.go
@@ -39,7 +39,7 @@
 		return false
 	}
 	ta := jo.Task(ref)
-	ta.Crashes, ta.Losses = 0, 0
+	ta.Crashes, ta.PresumedCrashes, ta.Losses = 0, 0, 0
 	return true
 }
 
--- a/internal/job/steprow.go
+++ b/internal/job/steprow.go
@@ -24,11 +24,12 @@
 	Attempts map[int]int `json:"a,omitempty"`
 	// Failures counts the failures of tasks that are not done.
 	Failures map[int]int `json:"f,omitempty"`
-	// Crashes, Losses and GivenUp are the fields of [Task] of the same names, for tasks
-	// that are not done.
-	Crashes map[int]int   `json:"x,omitempty"`
-	Losses  map[int]int   `json:"l,omitempty"`
-	GivenUp map[int][]int `json:"g,omitempty"`
+	// Crashes, PresumedCrashes, Losses and GivenUp are the fields of [Task] of the same
+	// names, for tasks that are not done.
+	Crashes         map[int]int   `json:"x,omitempty"`
+	PresumedCrashes map[int]int   `json:"y,omitempty"`
+	Losses          map[int]int   `json:"l,omitempty"`
+	GivenUp         map[int][]int `json:"g,omitempty"`
 	// EarlierDone has the started tasks of which an earlier attempt is done.
 	EarlierDone []int `json:"b,omitempty"`
 	// Workers has the incarnations of the workers on which the step's tasks run; On has,
@@ -80,6 +81,9 @@
 	if ta.Crashes > 0 {
 		put(&sr.Crashes, i, ta.Crashes)
 	}
+	if ta.PresumedCrashes > 0 {
+		put(&sr.PresumedCrashes, i, ta.PresumedCrashes)
+	}
 	if ta.Losses > 0 {
 		put(&sr.Losses, i, ta.Losses)
 	}
@@ -136,7 +140,10 @@
 		if state < 0 {
 			return nil, fmt.Errorf("%w: unknown state %q", errRowMismatch, states[i])
 		}
-		ta := Task{State: TaskState(state), Failures: sr.Failures[i], Crashes: sr.Crashes[i], Losses: sr.Losses[i], GivenUp: sr.GivenUp[i], Checkpoint: sr.Checkpoints[i]}
+		ta := Task{
+			State: TaskState(state), Failures: sr.Failures[i], Crashes: sr.Crashes[i], PresumedCrashes: sr.PresumedCrashes[i], Losses: sr.Losses[i],
+			GivenUp: sr.GivenUp[i], Checkpoint: sr.Checkpoints[i],
+		}
 		ta.Attempt = defaultAttempt(ta.State)
 		if number, ok := sr.Attempts[i]; ok {
 			ta.Attempt = number
--- a/internal/sched/death.go
+++ b/internal/sched/death.go
@@ -139,10 +139,13 @@
 		return job.EndLapsed
 	case ran >= startupDuration, at.wk.unresponsive, !at.inherited && at.launchedAt.IsZero():
 		// An unresponsive worker may have ended long after it stopped answering, and an order
-		// without an answer may have ended the worker or come after its end. Orders of former
-		// owners count as answered: most were, and otherwise a task whose crashes always
-		// coincide with a change of owner would be started forever.
+		// without an answer may have ended the worker or come after its end.
 		return job.EndLost
+	case at.inherited:
+		// The order may have had no answer, or the attempt may have ended without an end in
+		// the row. Yet a task whose crashes always coincide with a change of owner must not
+		// be started forever.
+		return job.EndPresumedCrash
 	}
 	return job.EndCrashed
 }
@@ -157,7 +160,7 @@
 	case ph == job.PhaseStarted || !listReliable:
 		return job.EndLost
 	}
-	return job.EndCrashed
+	return job.EndPresumedCrash
 }
 
 // minRunTime returns how long an attempt ran at least, by the phase in its row.
--- a/internal/sched/suspect.go
+++ b/internal/sched/suspect.go
@@ -162,7 +162,7 @@
 	oc := ca.wk.occupancy(pl.now)
 	pl.ow.Metrics.Add(telemetry.SuspectStarts, 1, "how", how)
 	pl.ow.Log.Info("trying a task under which workers ended", "job", tj.jo.ID, "task", tj.jo.TaskID(ref), "worker", ca.wk.incarnation,
-		"crashes", tj.jo.Task(ref).Crashes, "losses", tj.jo.Task(ref).Losses, "how", how, "beside", oc.attempts, "fresh", oc.starting)
+		"crashes", tj.jo.Task(ref).Crashes, "presumed", tj.jo.Task(ref).PresumedCrashes, "losses", tj.jo.Task(ref).Losses, "how", how, "beside", oc.attempts, "fresh", oc.starting)
 	pl.start(tj, ref, ca)
 	tj.waitCause = CauseOrder
 }
@@ -212,10 +212,10 @@
 		return
 	}
 	why := "failures"
-	if end == job.EndCrashed || end == job.EndLost {
+	if end == job.EndCrashed || end == job.EndPresumedCrash || end == job.EndLost {
 		why = "crashes"
 	}
 	ow.Metrics.Add(telemetry.TasksGivenUp, 1, "why", why)
 	ow.Log.Warn("task given up", "job", tj.jo.ID, "task", tj.jo.TaskID(ref), "why", why, "attempt", ta.Attempt,
-		"failures", ta.Failures, "failures_most", tj.jo.Terms.MaxFailures, "crashes", ta.Crashes, "losses", ta.Losses)
+		"failures", ta.Failures, "failures_most", tj.jo.Terms.MaxFailures, "crashes", ta.Crashes, "presumed", ta.PresumedCrashes, "losses", ta.Losses)
 }
--- a/internal/sched/trackedjob.go
+++ b/internal/sched/trackedjob.go
@@ -169,7 +169,7 @@
 	}
 	ow.Metrics.Add(telemetry.AttemptEnds, 1, "end", string(end))
 	ow.Log.Info("attempt ended", "job", tj.jo.ID, "task", tj.jo.TaskID(ref), "attempt", number, "worker", incarnation, "end", end, "why", reason, "state", tj.jo.State(),
-		"acked", seen.acked, "ran_at_least", seen.ran, "crashes", tj.jo.Task(ref).Crashes, "losses", tj.jo.Task(ref).Losses)
+		"acked", seen.acked, "ran_at_least", seen.ran, "crashes", tj.jo.Task(ref).Crashes, "presumed", tj.jo.Task(ref).PresumedCrashes, "losses", tj.jo.Task(ref).Losses)
 	ow.logGivenUp(tj, ref, end)
 	ow.stopFinished(tj)
 	ow.markDirty(tj)
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -98,7 +98,7 @@
 	{JournalRows, "cell", "batches written to a cell's journal", "over 10 a second: raise --cell-interval"},
 	{JobRequests, "kind, outcome, reason", "callers' requests about jobs, by outcome", "refusals: see the reason"},
 	{JobVerdicts, "outcome, reason", "submitted jobs, by the decision of the cell's owner", "refusals: see the reason"},
-	{AttemptEnds, "end", "attempts of tasks that ended, by the kind of end", "lapsed, lost, crashed or failed: look for the workers in the log"},
+	{AttemptEnds, "end", "attempts of tasks that ended, by the kind of end", "lapsed, lost, crashed, presumed-crash or failed: look for the workers in the log"},
 	{CellWrites, "outcome", "writes of a cell's rows", "failed: the store is unavailable or slow"},
 	{Launches, "outcome", "orders to start an attempt, by the worker's answer", "no-answer or unfit: look for the workers in the log"},
 	{PollFailures, "outcome", "failed polls of workers", "growth: workers are unavailable"},
