Order nothing for an attempt whose end is being written

Callers could see a task run twice at once, on one worker or on two: a task whose start was lost, and whose worker came back just when the owner wrote that its attempt had lapsed.

Cause: between the decision that a lease has expired and the end of its write, exchanges still carried the start of the attempt. The first exchange after the worker's return extends the lease, the next one has the attempt started under it; once the end is written, the next attempt starts too.

Evidence, a trace of the test before the change, virtual time: the start of j/0 attempt 1 is ordered from 3.1 s on and lost; at 13.7 s the attempt counts as lapsed, and the write of that takes until 35.8 s; the worker answers at 14.15 s; the exchange at 15.15 s carries "start j/0/1" based on the report of 14.15 s; at 35.8 s one carries "start j/0/2, stop j/0/1".

An attempt gets no orders while its end is being written. Messages that were sent before are no danger: their leases were counted when the end was decided, and the worker ignores them once it has had a later one.

TestReturnedWorkerDoesNotStartLapsedAttempt failed before.

--- a/internal/cell/exchange.go
+++ b/internal/cell/exchange.go
@@ -121,11 +121,13 @@
 
 // orders returns the orders that the worker has not carried out yet. They are
 // derived from the state for each exchange, and repeated until a report shows
-// that they are carried out.
+// that they are carried out. An attempt whose end is being journalled gets none:
+// a start that was lost before its lease expired would be carried out under the
+// lease of this exchange.
 func (ow *Owner) orders(id string, ws *workerStatus) []worker.Order {
 	var orders []worker.Order
 	for tid, ta := range ow.st.activeTasks[id] {
-		if ta.Incarnation == ws.incarnation {
+		if ta.Incarnation == ws.incarnation && !ow.ending[tid] {
 			orders = append(orders, ow.taskOrders(tid, ta, ws)...)
 		}
 	}
--- a/internal/cell/lease_test.go
+++ b/internal/cell/lease_test.go
@@ -27,3 +27,23 @@
 		c.Check(tasks[0].Attempt, qt.Equals, 1)
 	})
 }
+
+// TestReturnedWorkerDoesNotStartLapsedAttempt guards against a start that is sent while
+// the end of its attempt is being written.
+func TestReturnedWorkerDoesNotStartLapsedAttempt(t *testing.T) {
+	runCell(t, 1, func(c *qt.C, tc *testCell) {
+		to := tc.startOwner(false)
+		time.Sleep(3 * time.Second)
+		tc.set("w0", func(tw *testWorker) { tw.unreachable = true })
+		_, err := to.confirm("first", batchJob("j", 1, time.Minute))
+		c.Assert(err, qt.IsNil)
+		time.Sleep(9 * time.Second)
+		tc.table.Faults.Set(standin.Fault{Mode: standin.ModeSlow, DelayMS: 5000})
+		time.Sleep(2 * time.Second)
+		tc.set("w0", func(tw *testWorker) { tw.unreachable = false })
+		time.Sleep(20 * time.Second)
+		tc.table.Faults.Set(standin.Fault{})
+		time.Sleep(2 * time.Minute)
+		assertStates(c, to, map[string]int{"done": 1})
+	})
+}
--- a/internal/cell/owner.go
+++ b/internal/cell/owner.go
@@ -67,6 +67,8 @@
 	// is when the last append began.
 	appendStarted time.Time
 	lastAppend    time.Time
+	// ending has the ids of the tasks whose end the append in progress records.
+	ending map[string]bool
 	// dirty is set when something has changed since lastDecision.
 	dirty        bool
 	lastDecision time.Time
@@ -220,6 +222,7 @@
 	}
 	ow.appendStarted = time.Now()
 	ow.lastAppend = ow.appendStarted
+	ow.ending = endedTasks(records)
 	ow.Journal.RecordSnapshot(ow.snapshotSeq)
 	go ow.appendBatch(ctx, records)
 }
@@ -239,6 +242,7 @@
 	}
 	ow.Metrics.Add(telemetry.JournalRows, 1, "cell", ow.Cell)
 	ow.st.Apply(ba)
+	ow.ending = nil
 	ow.dirty = true
 	ow.completeCommands(nil)
 	ow.expedite(records)
@@ -336,6 +340,17 @@
 	return records
 }
 
+// endedTasks returns the ids of the tasks whose attempts end by these records.
+func endedTasks(records []Record) map[string]bool {
+	ended := map[string]bool{}
+	for _, rec := range records {
+		if rec.Kind == KindEnd {
+			ended[rec.Task] = true
+		}
+	}
+	return ended
+}
+
 // endRecord returns the record of an attempt's end, or false if the attempt may
 // still run.
 func (ow *Owner) endRecord(id string, ta *Task, now time.Time) (Record, bool) {
