Number attempts above those that the worker lists of the task's id

Callers could see a job as done that never ran: one that was added under the name of a cancelled job whose tasks were done a moment ago.

Cause: the attempts of the new job's tasks begin at 1 again. A worker lists an attempt that has ended until it is told to forget it, with the next regular exchange, up to a second later. Until then the owner took "j/0 attempt 1 done" of the former job for the end of the new one's attempt 1, with its result.

An attempt's number is now above that which the chosen worker lists for the id. Other workers do not count, as an end is only read from the worker of the attempt, and a worker that has not reported for 3 s is not chosen.

TestJobAddedAgainUnderItsNameRuns failed before: the job counts as done, and the worker's log has one run, that of the former job.

--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -328,6 +328,25 @@
 	})
 }
 
+// TestJobAddedAgainUnderItsNameRuns guards against a job that counts as done without
+// having run, as a cancelled job of the same name was done.
+func TestJobAddedAgainUnderItsNameRuns(t *testing.T) {
+	runCell(t, 1, func(c *qt.C, tc *testCell) {
+		to := startWithJob(c, tc, batchJob("j", 1, 2*time.Second))
+		for to.states(c)["done"] == 0 {
+			time.Sleep(50 * time.Millisecond)
+		}
+		_, err := to.confirm("cancel", Command{Cancel: "j"})
+		c.Assert(err, qt.IsNil)
+		_, err = to.confirm("again", batchJob("j", 1, 20*time.Second))
+		c.Assert(err, qt.IsNil)
+		time.Sleep(10 * time.Second)
+		assertStates(c, to, map[string]int{"running": 1})
+		time.Sleep(15 * time.Second)
+		assertStates(c, to, map[string]int{"done": 1})
+	})
+}
+
 // TestObjectStoreUnavailable has snapshots fall due while the object store
 // hangs. Commands must take no longer than usual, the journal grows, and a new
 // owner recovers from it. Once the store answers, a snapshot shortens the
--- a/internal/cell/decide.go
+++ b/internal/cell/decide.go
@@ -27,9 +27,11 @@
 		ws.lastAction = now
 		switch dec.Verb {
 		case place.Start:
+			// The worker may still report an attempt of a deleted task of this id.
+			attempt := max(ta.Attempt, ws.tasks[dec.Task].Attempt) + 1
 			records = append(records, Record{
 				Kind: KindStart, Task: dec.Task, Worker: dec.Worker,
-				Incarnation: ws.incarnation, Attempt: ta.Attempt + 1,
+				Incarnation: ws.incarnation, Attempt: attempt,
 			})
 			delete(ow.shares, dec.Task)
 		case place.Throttle:
