Simulate checks that find interrupted tasks not running beside capacity

Users who check at intervals find it several times in a row nevertheless. One counter has the waiting time by the number of workers with capacity, another the tasks that three checks in a row miss, with all phases of the checks.

--- a/internal/sched/visiblecapacity.go
+++ b/internal/sched/visiblecapacity.go
@@ -24,15 +24,26 @@
 // capacity on at least one worker, and on at least two.
 const maxVisibleWorkers = 2
 
+// Users check at intervals whether an interrupted task runs, and miss it if each of several
+// checks in a row finds that it does not while two workers have the capacity. Such checks are
+// simulated with all phases, as it is not known when users check.
+const (
+	checkInterval = 1500 * time.Millisecond
+	checkPhases   = int(checkInterval / tickInterval)
+	// missedAfter is the number of checks in a row after which a task is missed.
+	missedAfter = 3
+)
+
 // visibleCapacity measures how long interrupted tasks wait while workers have the capacity for
 // them. The zero value is ready to use.
 type visibleCapacity struct {
 	waits    map[taskKey]*capacityWait
 	loggedAt time.Time
 	// ended counts the waits that ended since loggedAt, endedLongest holds the longest of their
-	// times.
+	// times. missed counts the tasks missed since loggedAt, with each phase of the checks.
 	ended        int
 	endedLongest [maxVisibleWorkers]time.Duration
+	missed       int
 }
 
 // taskKey identifies a task of the cell.
@@ -50,6 +61,10 @@
 	// interruption, or zero; longest has the longest such time.
 	since   [maxVisibleWorkers]time.Time
 	longest [maxVisibleWorkers]time.Duration
+	// checked numbers the last simulated check. found counts the checks in a row, with each
+	// phase, that found the capacity on two workers.
+	checked int64
+	found   [checkPhases]int
 }
 
 // record records that the given number of workers have the capacity now.
@@ -67,6 +82,26 @@
 	}
 }
 
+// check simulates the checks up to now and returns how many of them find that the task is
+// missed.
+func (cw *capacityWait) check(workers int, now time.Time) int {
+	missed, last := 0, now.UnixNano()/int64(tickInterval)
+	if cw.checked == 0 {
+		cw.checked = last - 1
+	}
+	for ; cw.checked < last; cw.checked++ {
+		found := &cw.found[(cw.checked+1)%int64(checkPhases)]
+		*found++
+		if workers < maxVisibleWorkers {
+			*found = 0
+		}
+		if *found == missedAfter {
+			missed++
+		}
+	}
+	return missed
+}
+
 // current returns for how long at least n workers have had the capacity without interruption.
 func (cw *capacityWait) current(n int, now time.Time) time.Duration {
 	if since := cw.since[n-1]; !since.IsZero() {
@@ -91,24 +126,34 @@
 			n = countVisible(workers, tk)
 			counts[ls] = n
 		}
-		vc.record(tk, n, now)
+		ow.recordVisible(tk, n, now)
 	}
 	ow.endVisibleWaits(now)
 	ow.logVisibleCapacity(workers, now)
 }
 
-func (vc *visibleCapacity) record(tk taskKey, workers int, now time.Time) {
+// recordVisible records that the given number of workers have the capacity for a task now.
+func (ow *Owner) recordVisible(tk taskKey, workers int, now time.Time) {
+	vc := &ow.visibleCapacity
 	if vc.waits == nil {
 		vc.waits = map[taskKey]*capacityWait{}
 	}
 	cw := vc.waits[tk]
 	if cw == nil {
-		cw = &capacityWait{}
+		cw = &capacityWait{seenAt: now}
 		vc.waits[tk] = cw
 	}
+	ow.Metrics.Add(telemetry.InterruptedTime, now.Sub(cw.seenAt).Milliseconds(), "workers", visibleNames[workers])
 	cw.record(workers, now)
+	if n := cw.check(workers, now); n > 0 {
+		vc.missed += n
+		ow.Metrics.Add(telemetry.InterruptedMissed, int64(n))
+	}
 }
 
+// visibleNames are the names of numbers of workers in metrics.
+var visibleNames = [maxVisibleWorkers + 1]string{"none", "one", "two"}
+
 // endVisibleWaits passes the waits of the tasks that no longer wait to the metrics.
 func (ow *Owner) endVisibleWaits(now time.Time) {
 	vc := &ow.visibleCapacity
@@ -121,8 +166,9 @@
 		for i, d := range cw.longest {
 			vc.endedLongest[i] = max(vc.endedLongest[i], d)
 		}
-		ow.Metrics.Observe(telemetry.VisibleCapacityWait, cw.longest[0], "workers", "one")
-		ow.Metrics.Observe(telemetry.VisibleCapacityWait, cw.longest[1], "workers", "two")
+		for i, d := range cw.longest {
+			ow.Metrics.Observe(telemetry.VisibleCapacityWait, d, "workers", visibleNames[i+1])
+		}
 	}
 }
 
@@ -219,12 +265,13 @@
 	attrs := []slog.Attr{
 		slog.Int("tasks", len(vc.waits)), slog.Int("visible", waiting),
 		slog.Int("ended", vc.ended), slog.Duration("ended_one", vc.endedLongest[0]), slog.Duration("ended_two", vc.endedLongest[1]),
+		slog.Int("missed", vc.missed),
 	}
 	if longest.tj != nil {
 		attrs = append(attrs, ow.visibleAttrs(workers, longest, now)...)
 	}
 	ow.Log.LogAttrs(ow.ctx, slog.LevelInfo, "capacity for interrupted tasks", attrs...)
-	vc.loggedAt, vc.ended, vc.endedLongest = now, 0, [maxVisibleWorkers]time.Duration{}
+	vc.loggedAt, vc.ended, vc.endedLongest, vc.missed = now, 0, [maxVisibleWorkers]time.Duration{}, 0
 }
 
 // longestWait returns the task for which at least two workers have had the capacity for
--- a/internal/sched/visiblecapacity_test.go
+++ b/internal/sched/visiblecapacity_test.go
@@ -74,3 +74,40 @@
 		return ag
 	}
 }
+
+// TestMissedChecks guards against checks that are counted though they found no capacity, or
+// that are left out because a tick was late.
+func TestMissedChecks(t *testing.T) {
+	const ticks = 45 // three checks with each phase
+	for _, tc := range []struct {
+		name string
+		// workersFunc returns how many workers have the capacity at a tick, or a negative number
+		// if the tick is left out.
+		workersFunc func(tick int) int
+		want        int
+	}{
+		{"two workers", func(int) int { return 2 }, 15},
+		{"one worker", func(int) int { return 1 }, 0},
+		{"one worker at one check", func(tick int) int { return 2 - b2i(tick == 20) }, 14},
+		{"one worker between the checks of all phases but one", func(tick int) int { return 2 - b2i(tick%15 != 3) }, 1},
+		{"late ticks", func(tick int) int { return 2 - 3*b2i(tick%4 != 0) }, 15},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			start, got := time.Unix(1_000_000_000, 0), 0
+			var cw capacityWait
+			for tick := range ticks {
+				if workers := tc.workersFunc(tick); workers >= 0 {
+					got += cw.check(workers, start.Add(time.Duration(tick)*tickInterval))
+				}
+			}
+			qt.Check(t, got, qt.Equals, tc.want)
+		})
+	}
+}
+
+func b2i(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -51,6 +51,9 @@
 	WorkersRated    Name = "pepperhatch_workers_rated"
 	JobsWritten     Name = "pepperhatch_jobs_written"
 
+	InterruptedTime   Name = "pepperhatch_interrupted_milliseconds"
+	InterruptedMissed Name = "pepperhatch_interrupted_missed"
+
 	WorkersCrashed Name = "pepperhatch_workers_crashed"
 	SuspectStarts  Name = "pepperhatch_suspect_starts"
 	TasksGivenUp   Name = "pepperhatch_tasks_given_up"
@@ -111,6 +114,8 @@
 	{OwnerEvents, "", "events that the owner of a cell handled: answers of workers and of the store, submitted jobs, timers", "compare with `pepperhatch_owner_event_wait_seconds`"},
 	{WorkersRated, "", "workers that were rated for tasks of a step in rounds of placement", "many per started attempt: much work waits for room"},
 	{JobsWritten, "", "jobs whose changes the owner of a cell wrote, several of them in each write", "compare with `pepperhatch_cell_writes`"},
+	{InterruptedTime, "workers", "time that interrupted long-running tasks which may start have waited, in milliseconds, by whether at least two workers, one or none had the capacity by their own account", "a large part with two: the owner starts them late"},
+	{InterruptedMissed, "", "simulated checks, 1.5 s apart with each of 15 phases, that were the third in a row to find an interrupted long-running task not running while two workers had the capacity", "growth: look for \"capacity for interrupted tasks\" in the log"},
 	{RelaysLost, "", "streams from an owner to other entry hosts that ended", "look for \"relay not used for a while\" in the owner's log"},
 	{WorkersCrashed, "attempts", "workers whose process ended without a report, by whether attempts were present at the worker (some) or not (none)", "some: look for \"task given up\" and \"trying a task under which workers ended\" in the log"},
 	{SuspectStarts, "how", "starts of tasks whose workers ended: spread (apart), or isolated (alone), because after one more crash the task is given up", "alone: a task crashes its workers, or workers crash often"},
