Leave pauses of the owner out of the time with visible capacity

An owner whose host stood still for 5 s counted the pause as time in which workers had the capacity, and as three checks in a row with each phase.

--- a/internal/sched/visiblecapacity.go
+++ b/internal/sched/visiblecapacity.go
@@ -86,8 +86,9 @@
 // missed.
 func (cw *capacityWait) check(workers int, now time.Time) int {
 	missed, last := 0, now.UnixNano()/int64(tickInterval)
-	if cw.checked == 0 {
-		cw.checked = last - 1
+	if last-cw.checked > int64(checkPhases) {
+		// This is the first check, or the first one after a pause of the owner.
+		cw.checked, cw.found = last-1, [checkPhases]int{}
 	}
 	for ; cw.checked < last; cw.checked++ {
 		found := &cw.found[(cw.checked+1)%int64(checkPhases)]
@@ -143,6 +144,10 @@
 		cw = &capacityWait{seenAt: now}
 		vc.waits[tk] = cw
 	}
+	if now.Sub(cw.seenAt) > checkInterval {
+		// The owner paused and does not know what it missed.
+		cw.seenAt, cw.since = now, [maxVisibleWorkers]time.Time{}
+	}
 	ow.Metrics.Add(telemetry.InterruptedTime, now.Sub(cw.seenAt).Milliseconds(), "workers", visibleNames[workers])
 	cw.record(workers, now)
 	if n := cw.check(workers, now); n > 0 {
--- a/internal/sched/visiblecapacity_test.go
+++ b/internal/sched/visiblecapacity_test.go
@@ -91,6 +91,7 @@
 		{"one worker at one check", func(tick int) int { return 2 - b2i(tick == 20) }, 14},
 		{"one worker between the checks of all phases but one", func(tick int) int { return 2 - b2i(tick%15 != 3) }, 1},
 		{"late ticks", func(tick int) int { return 2 - 3*b2i(tick%4 != 0) }, 15},
+		{"a pause", func(tick int) int { return 2 - 3*b2i(tick > 1 && tick < 44) }, 0},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			start, got := time.Unix(1_000_000_000, 0), 0
@@ -105,6 +106,17 @@
 	}
 }
 
+// TestVisibleCapacityAfterPause guards against a pause of the owner that counts as time in which
+// workers had the capacity.
+func TestVisibleCapacityAfterPause(t *testing.T) {
+	var ow Owner
+	tk, start := taskKey{tj: &trackedJob{}}, time.Unix(1_000_000_000, 0)
+	for _, after := range []time.Duration{0, tickInterval, 5 * time.Second, 5*time.Second + 2*tickInterval} {
+		ow.recordVisible(tk, 2, start.Add(after))
+	}
+	qt.Check(t, ow.visibleCapacity.waits[tk].longest, qt.Equals, [maxVisibleWorkers]time.Duration{2 * tickInterval, 2 * tickInterval})
+}
+
 func b2i(b bool) int {
 	if b {
 		return 1
