Count a lost owner's leases from its last heartbeat

Users miss tasks of workers that are lost together with their owner: they start elsewhere only 8 s after the claim of the next owner, some 1.7 to 2 s after the former one's last sign of life. After a loss in an outage of the store they wait for 8 s from then on, although nothing had confirmed the former owner since it was lost.

Cause: reads confirm a tenure and leave no trace in the store, and witnesses don't say when they last confirmed an owner, so the next one can count only from its claim, or from when the witnesses are retired.

The store now confirms an owner only if it answers its reads and accepts its heartbeats, each from when it was sent. Heartbeats are conditional on the one before, and an owner's first one on the last one that it saw before its claim. Once that has taken effect, the former owner was confirmed no later than that heartbeat was first seen; witnesses report when they last confirmed one. Otherwise (a heartbeat came in between, owners before that one may act still, owners of earlier versions) the next owner counts from its claim as before, which holds as reads end with it. A heartbeat that is carried out late has no effect or counts from when it was sent.

sched.TestLostWorkersTasksWaitOnlyForTheirLeases failed before: 9.83 s from the loss to the restart, 17.78 s in an outage; now 8.09 s and 9.52 s.

TestFormerOwnersCeaseBeforeAssumed had its owners extend leases by the last read; owners extend them by LastConfirmed, and now so do those of the test.

Cost: where the store answers reads and refuses all writes for over 8 s, leases end. During an upgrade, a late heartbeat of an owner of an earlier version ends the tenure of a new one, which then releases the cell.

--- a/internal/frontend/peer_api.go
+++ b/internal/frontend/peer_api.go
@@ -54,7 +54,7 @@
 	mux.Handle("POST "+pathProcess, wire.Handle(func(_ context.Context, req probeRequest) (probeReply, error) {
 		fe.Keeper.NotifyReplaced(req.Epoch)
 		hs := fe.Keeper.HostStatus()
-		return probeReply{Host: hs.Host, Process: hs.Process, Refused: hs.Refused, SinceLeaseMS: hs.SinceLease.Milliseconds(), LeasesLeftMS: ceilMS(hs.LeasesLeft)}, nil
+		return probeReply{Host: hs.Host, Process: hs.Process, Refused: hs.Refused, SinceLeaseMS: hs.SinceLease.Milliseconds(), LeasesLeftMS: ceilMS(hs.LeasesLeft), SinceWitnessedMS: hs.SinceWitnessed.Milliseconds()}, nil
 	}))
 	mux.Handle("POST "+pathConfirm, wire.Handle(func(_ context.Context, req confirmRequest) (confirmReply, error) {
 		return confirmReply{Confirmed: fe.Keeper.Confirm(req.Epoch, req.Process)}, nil
@@ -89,6 +89,9 @@
 	// LeasesLeftMS is how long leases that the host sent may still be valid, or 0 if that
 	// is not known.
 	LeasesLeftMS int64 `json:"leases_left_ms,omitempty"`
+	// SinceWitnessedMS is the time since the host last confirmed an owner as a witness, or 0 if
+	// that is not known.
+	SinceWitnessedMS int64 `json:"since_witnessed_ms,omitempty"`
 }
 
 // ceilMS returns a duration in milliseconds, rounded up.
@@ -99,7 +102,8 @@
 func (fe *FrontEnd) ProbeHost(ctx context.Context, addr string, epoch int64) (tenure.HostStatus, error) {
 	re, err := wire.Post[probeRequest, probeReply](ctx, fe.Peers, "http://"+addr+pathProcess, probeRequest{Epoch: epoch})
 	since, left := time.Duration(max(re.SinceLeaseMS, 0))*time.Millisecond, time.Duration(max(re.LeasesLeftMS, 0))*time.Millisecond
-	return tenure.HostStatus{Host: re.Host, Process: re.Process, Refused: re.Refused, SinceLease: since, LeasesLeft: left}, err
+	witnessed := time.Duration(max(re.SinceWitnessedMS, 0)) * time.Millisecond
+	return tenure.HostStatus{Host: re.Host, Process: re.Process, Refused: re.Refused, SinceLease: since, LeasesLeft: left, SinceWitnessed: witnessed}, err
 }
 
 // ConfirmOwner asks a process on the entry host at addr whether it confirms the owner of an
--- a/internal/sched/ownerloss_test.go
+++ b/internal/sched/ownerloss_test.go
@@ -92,6 +92,39 @@
 	}
 }
 
+// TestLostWorkersTasksWaitOnlyForTheirLeases guards against tasks of a lost worker that wait
+// until 8 s after the claim of the next owner, although the former one was confirmed before.
+func TestLostWorkersTasksWaitOnlyForTheirLeases(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		lose func(cl *cluster, owner *clusterHost)
+		// wait is the longest time from the loss until all tasks run again.
+		wait time.Duration
+	}{
+		{"with its owner", func(cl *cluster, owner *clusterHost) { cl.killWorkerAndOwner(owner) }, 9 * time.Second},
+		{"with its owner in an outage of the store", func(cl *cluster, owner *clusterHost) {
+			for _, ch := range cl.hosts {
+				ch.gate.Set(standin.Fault{Mode: standin.ModeDown})
+			}
+			time.Sleep(5 * time.Second)
+			cl.killWorkerAndOwner(owner)
+			cl.refuseStore(6 * time.Second)
+		}, 10 * time.Second},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			withSixHosts(t, 10*time.Second, func(cl *cluster, owner *clusterHost) {
+				owner.set(func(ch *clusterHost) { ch.partitioned = true })
+				tc.lose(cl, owner)
+				time.Sleep(20 * time.Second)
+				cl.assertRunning(4)
+				waited := cl.lastStart().Sub(cl.lostAt)
+				t.Logf("all tasks ran again %v after the loss", waited)
+				qt.Assert(t, waited < tc.wait, qt.IsTrue)
+			})
+		})
+	}
+}
+
 // TestLeasesOfAFrozenOwner guards against tasks of a lost worker that wait for a whole lease,
 // counted from the last moment at which the frozen owner may have sent one. The wait is
 // shorter because no lease outlives the confirmation of its owner's tenure.
--- a/internal/sched/successiveowners_test.go
+++ b/internal/sched/successiveowners_test.go
@@ -125,12 +125,7 @@
 				lost := cl.lostAt
 				time.Sleep(20 * time.Second)
 				cl.assertRunning(4)
-				began := time.Time{}
-				for _, ru := range cl.fleet.Runs() {
-					if ru.Until.IsZero() && ru.From.After(began) {
-						began = ru.From
-					}
-				}
+				began := cl.lastStart()
 				t.Logf("all tasks ran again %v after the loss", began.Sub(lost))
 				qt.Assert(t, began.Sub(lost) < tc.maxTime, qt.IsTrue)
 			})
@@ -138,6 +133,17 @@
 	}
 }
 
+// lastStart returns when the last of the attempts that run began.
+func (cl *cluster) lastStart() time.Time {
+	began := time.Time{}
+	for _, ru := range cl.fleet.Runs() {
+		if ru.Until.IsZero() && ru.From.After(began) {
+			began = ru.From
+		}
+	}
+	return began
+}
+
 // killWorkerAndOwner kills a busy worker and then the given host, which owns the cell.
 func (cl *cluster) killWorkerAndOwner(ch *clusterHost) {
 	cl.fleet.Kill(cl.busyWorker())
--- a/internal/tenure/former_owners.go
+++ b/internal/tenure/former_owners.go
@@ -20,6 +20,8 @@
 	epoch   int64
 	// claimedAt is when the new owner knew that its claim had taken effect.
 	claimedAt time.Time
+	// lastBeat is the heartbeat that the claimant had last seen before the claim.
+	lastBeat storedBeat
 	// earlierCeased is the latest time at which all owners before the last one cease to
 	// act. It is zero if the last one had reported that they had ceased.
 	earlierCeased time.Time
@@ -34,6 +36,11 @@
 	// they were known to have stopped, or zero if there were none that could.
 	witnessesActive bool
 	retiredAt       time.Time
+	// witnessedAt is the latest time at which a witness can have confirmed a former owner.
+	witnessedAt time.Time
+	// sealed is set once a heartbeat of the new owner has replaced lastBeat, so that no
+	// heartbeat of a former owner took effect in between or can any more.
+	sealed bool
 }
 
 // newFormerOwners returns the state of the owners that a claim of the given epoch replaces;
@@ -71,10 +78,41 @@
 		return time.Time{}
 	case fo.retiredAt.IsZero():
 		return fo.claimedAt
+	case fo.sealed && fo.lastBeat.boundsConfirmations(fo.lastRow):
+		return earlierTime(fo.retiredAt, laterTime(fo.lastBeat.seenAt, fo.witnessedAt))
 	}
 	return fo.retiredAt
 }
 
+// recordSealed records that a heartbeat of the new owner has replaced lastBeat.
+func (fo *formerOwners) recordSealed() {
+	fo.mu.Lock()
+	defer fo.mu.Unlock()
+	fo.sealed = true
+}
+
+// recordWitnessed records that a witness can have confirmed a former owner until the given
+// time.
+func (fo *formerOwners) recordWitnessed(at time.Time) {
+	fo.mu.Lock()
+	defer fo.mu.Unlock()
+	fo.witnessedAt = laterTime(fo.witnessedAt, at)
+}
+
+func laterTime(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+func earlierTime(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // extendsUntil returns the latest time at which a former owner can extend leases, given
 // what may still confirm it.
 func (fo *formerOwners) extendsUntil() time.Time {
@@ -236,8 +274,17 @@
 // on its host.
 func (fo *formerOwners) retireWitness(ctx context.Context, me registry.Member) bool {
 	if me.Process == fo.ke.Process {
+		fo.recordWitnessed(fo.ke.witnessed())
 		return true
 	}
 	hs, err := fo.ke.AskFunc(ctx, me.Addr, fo.epoch)
-	return err == nil && hs.Host == me.Name
+	if err != nil || hs.Host != me.Name {
+		return false
+	}
+	since := hs.SinceWitnessed - hs.SinceWitnessed/clockDriftDivisor
+	if hs.Process != me.Process {
+		since = 0
+	}
+	fo.recordWitnessed(time.Now().Add(-since))
+	return true
 }
--- a/internal/tenure/former_owners_test.go
+++ b/internal/tenure/former_owners_test.go
@@ -46,7 +46,7 @@
 	defer er.mu.Unlock()
 	now := time.Now()
 	due := now.Sub(er.lastExtended[te.Epoch]) >= er.interval
-	if due && now.Sub(te.Confirmed()) <= ExtendFor && te.MayExtend() {
+	if due && now.Sub(te.LastConfirmed()) <= ExtendFor && te.MayExtend() {
 		er.lastExtended[te.Epoch] = now
 	}
 	ended := opened.Add(ExtendFor)
--- a/internal/tenure/probe.go
+++ b/internal/tenure/probe.go
@@ -38,6 +38,9 @@
 	// LeasesLeft is how long leases that this process or an owner before it extended may
 	// still run, by the slowest clock, or zero if that is not known.
 	LeasesLeft time.Duration
+	// SinceWitnessed is how long ago this process last confirmed an owner as a witness; it has
+	// not confirmed one since then. It is zero if that is not known.
+	SinceWitnessed time.Duration
 }
 
 // HostStatus returns the status that this host reports when it is asked.
@@ -45,6 +48,9 @@
 	ke.mu.Lock()
 	defer ke.mu.Unlock()
 	hs := HostStatus{Host: ke.Self, Process: ke.Process, Refused: ke.missedBeats >= maxMissedBeats}
+	if !ke.lastWitnessed.IsZero() {
+		hs.SinceWitnessed = time.Since(ke.lastWitnessed)
+	}
 	if last := ke.lastExtension(); !last.IsZero() {
 		hs.SinceLease = max(time.Since(last), 0)
 		hs.LeasesLeft = max(time.Until(ke.latestLeaseEnd()), time.Millisecond)
--- a/internal/tenure/row.go
+++ b/internal/tenure/row.go
@@ -24,6 +24,9 @@
 	// within WitnessedLeaseLimit with the help of the witnesses that they name. Owners of
 	// earlier versions did not.
 	Bounded bool `json:"bounded_by_witnesses,omitempty"`
+	// HeartbeatsConfirm is set if the store confirms this owner only by accepting heartbeats
+	// that are conditional on the one before.
+	HeartbeatsConfirm bool `json:"heartbeats_confirm,omitempty"`
 }
 
 // boundsSuccessors reports whether the leases of owners after this one may be marked as
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -85,8 +85,9 @@
 	// and refuse writes.
 	Confirmed        func() time.Time
 	HeartbeatWritten func() time.Time
-	// ConfirmedByAny returns when the tenure was last confirmed, by the store or by
-	// witnesses. Leases depend on it. If it is nil, Confirmed applies.
+	// ConfirmedByAny returns when the tenure was last confirmed, by the store, which has to
+	// answer reads and accept heartbeats, or by witnesses. Leases depend on it. If it is nil,
+	// Confirmed applies.
 	ConfirmedByAny func() time.Time
 	// FormerUnconfirmedSince returns since when nothing confirms any former owner. It is
 	// zero if that is not known; none is confirmed [WitnessedLeaseLimit] after the claim.
@@ -161,6 +162,8 @@
 	lastBeat    beatRow
 	lastContact time.Time
 	portRefused bool
+	// storedBeat is the heartbeat's row as last read.
+	storedBeat storedBeat
 	// probed is set once the owner's host was probed since the last contact. unreachable is
 	// set if it did not answer, or if another process did. storeRefuses is set if it
 	// reported that the store refuses its heartbeats.
@@ -178,6 +181,8 @@
 	// asked, or 0.
 	notifiedEpoch  int64
 	confirmedEpoch int64
+	// lastWitnessed is when this host last confirmed any owner, or when it began to run.
+	lastWitnessed time.Time
 	// lastExtended is when this process last extended a lease, or was about to.
 	lastExtended time.Time
 	// leasesEnd is the latest end of the leases that this process extended.
@@ -261,6 +266,9 @@
 // Run takes part in the election until ctx ends.
 func (ke *Keeper) Run(ctx context.Context) {
 	ke.watch = watch.Watch{Table: ke.Table, TableName: tableName, Prefix: tableName + "/" + ke.Cell + "/", ExtraPrefix: ke.beatPart(), OnRows: ke.onRows, Log: ke.Log}
+	ke.mu.Lock()
+	ke.lastWitnessed = time.Now()
+	ke.mu.Unlock()
 	go ke.watch.Run(ctx)
 	go ke.watchClocks(ctx)
 	for clock.Sleep(ctx, checkInterval) {
@@ -323,22 +331,6 @@
 	}
 }
 
-func (ke *Keeper) applyBeatRow(row store.Row) {
-	var be beatRow
-	if err := json.Unmarshal(row.Value, &be); err != nil {
-		ke.Log.Error("heartbeat cannot be read", "cell", ke.Cell, "version", row.Version, "err", err)
-		return
-	}
-	// A heartbeat of a former owner doesn't count for this one.
-	if be.Epoch == ke.row.Epoch && be != ke.lastBeat {
-		ke.lastBeat = be
-		ke.recordContact()
-		if be.FormerCeased {
-			ke.formerCeased = time.Time{}
-		}
-	}
-}
-
 // claimDue reports whether this host should claim the cell now, and why.
 func (ke *Keeper) claimDue() (row OwnerRow, version int64, due bool, why string) {
 	_, since := ke.watch.Contact()
@@ -377,14 +369,15 @@
 // claim writes the owner's row and, if that took effect, serves the cell.
 func (ke *Keeper) claim(ctx context.Context, last OwnerRow, version int64, why string) {
 	ke.mu.Lock()
-	earlier, changed := ke.formerCeased, ke.version != version
+	earlier, changed, beat := ke.formerCeased, ke.version != version, ke.storedBeat
 	ke.mu.Unlock()
 	if changed {
 		return
 	}
-	row := OwnerRow{Owner: ke.Self, Process: ke.Process, Addr: ke.Addr, MostCores: max(ke.Cores, last.MostCores), Epoch: last.Epoch + 1, Bounded: last.boundsSuccessors()}
+	row := OwnerRow{Owner: ke.Self, Process: ke.Process, Addr: ke.Addr, MostCores: max(ke.Cores, last.MostCores), Epoch: last.Epoch + 1, Bounded: last.boundsSuccessors(), HeartbeatsConfirm: true}
 	ke.Log.Info("claiming the cell", "cell", ke.Cell, "epoch", row.Epoch, "former", last.Owner, "version", version, "why", why)
 	fo := ke.newFormerOwners(last, row.Epoch, earlier)
+	fo.lastBeat = beat
 	cl := sentClaim{row: row, former: fo, version: version, sent: time.Now()}
 	newVersion, err := ke.write(ctx, row, version)
 	if err != nil {
@@ -443,7 +436,7 @@
 	ke.recordContact()
 	ke.mu.Unlock()
 	fo.start(sctx)
-	hb := &heartbeater{ke: ke, ctx: sctx, epoch: row.Epoch, claimSent: sent, formerCeasedFunc: fo.allCeased}
+	hb := &heartbeater{ke: ke, ctx: sctx, end: end, epoch: row.Epoch, claimSent: sent, former: fo, version: fo.lastBeat.version, sent: map[int64]time.Time{}}
 	go hb.run()
 	go ke.yield(sctx, row, end)
 	wi := &witnesses{ke: ke, ctx: sctx, row: row, version: version, confirmedFunc: hb.lastConfirmed, retiredFunc: fo.witnessesRetired, confirmedAt: map[string]time.Time{}}
@@ -451,7 +444,7 @@
 	ke.Log.Info("owning the cell", "cell", ke.Cell, "epoch", row.Epoch, "version", version)
 	lapseMS, err := ke.Serve(sctx, Tenure{
 		Epoch: row.Epoch, Key: ke.ownerKey(), Version: version, Former: fo.lastRow, FormerEnded: fo.ceasedAt, FormerUnconfirmedSince: fo.unconfirmedSince, FormerLeasesEnd: fo.reportedLeasesEnd,
-		Confirmed: hb.lastConfirmed, HeartbeatWritten: ke.heartbeatWritten, ConfirmedByAny: wi.lastConfirmed, SetHosts: wi.setHosts, End: end,
+		Confirmed: hb.lastRead, HeartbeatWritten: ke.heartbeatWritten, ConfirmedByAny: wi.lastConfirmed, SetHosts: wi.setHosts, End: end,
 		MayExtend: func() bool {
 			confirmed := wi.lastConfirmed()
 			return sctx.Err() == nil && ke.mayExtend(row.Epoch, confirmed)
--- a/internal/tenure/tenure_test.go
+++ b/internal/tenure/tenure_test.go
@@ -56,6 +56,7 @@
 	endCause  error
 	endTenure func(error)
 	killed    bool
+	faults    storeFaults
 }
 
 func (cl *cluster) add(name string) { cl.addSized(name, 0) }
@@ -94,15 +95,19 @@
 					return store.ReadReply{}, err
 				}
 			}
-			return tbl.ReadFunc(ctx, req)
+			reply, err := tbl.ReadFunc(ctx, req)
+			return reply, ho.afterRead(ctx, err)
 		},
 		CommitFunc: func(ctx context.Context, txn store.Txn) (store.CommitReply, error) {
 			if _, err := ho.gate.Before(ctx); err != nil {
 				return store.CommitReply{}, err
 			}
-			reply, err := tbl.CommitFunc(ctx, txn)
-			if err == nil && ho.cluster.committedFunc != nil {
-				err = ho.cluster.committedFunc(ho, txn)
+			reply, err := ho.commit(ctx, tbl, txn)
+			ho.cluster.mu.Lock()
+			committedFunc := ho.cluster.committedFunc
+			ho.cluster.mu.Unlock()
+			if err == nil && committedFunc != nil {
+				err = committedFunc(ho, txn)
 			}
 			return reply, err
 		},
@@ -110,7 +115,8 @@
 			if _, err := ho.gate.Before(ctx); err != nil {
 				return store.FeedReply{}, err
 			}
-			return tbl.FeedFunc(ctx, req)
+			reply, err := tbl.FeedFunc(ctx, req)
+			return reply, ho.afterRead(ctx, err)
 		},
 	}
 }
--- a/internal/tenure/witness.go
+++ b/internal/tenure/witness.go
@@ -80,6 +80,9 @@
 	ke.mu.Lock()
 	defer ke.mu.Unlock()
 	yes := known && process == ke.Process && !answering && ke.notifiedEpoch <= epoch && ke.row.Epoch <= epoch
+	if yes {
+		ke.lastWitnessed = time.Now()
+	}
 	if yes != (ke.confirmedEpoch == epoch) {
 		ke.confirmedEpoch = 0
 		if yes {
@@ -90,6 +93,13 @@
 	return yes
 }
 
+// witnessed returns when this process last confirmed an owner.
+func (ke *Keeper) witnessed() time.Time {
+	ke.mu.Lock()
+	defer ke.mu.Unlock()
+	return ke.lastWitnessed
+}
+
 // witnesses manages the witnesses of an owner during one tenure.
 type witnesses struct {
 	ke *Keeper
--- a/internal/tenure/witness_test.go
+++ b/internal/tenure/witness_test.go
@@ -48,6 +48,9 @@
 	// so less than WitnessedLeaseLimit after their tenure began.
 	until, actedAt map[int64]time.Time
 	early          int
+	// sooner counts the owners that did so less than LeaseLimit after their tenure began,
+	// although the former owner had reported no end of its leases.
+	sooner int
 }
 
 // serve simulates an owner that extends leases whenever it may.
@@ -82,16 +85,12 @@
 		if now.Before(opened.Add(WitnessedLeaseLimit)) {
 			lr.early++
 		}
+		if reported.IsZero() && now.Before(opened.Add(LeaseLimit)) {
+			lr.sooner++
+		}
 	}
 }
 
-func laterTime(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 // problems lists the leases that still ran when a later owner assumed that they had ended.
 func (lr *leaseRecord) problems() []string {
 	lr.mu.Lock()
