Write starts of interrupted tasks before other changes

Cause: changes that wait for a write are written in the order in which they are due, and a job's changes are due after its allowance, a second at most. Long-running jobs have the largest allowance, so the start of an interrupted task was written behind those of all other jobs, while the capacity for it stood unused.

A job with the start of an interrupted task is due at once.

--- a/internal/sched/commit.go
+++ b/internal/sched/commit.go
@@ -114,8 +114,12 @@
 }
 
 // writeDue returns by when the job's changes should be written: the allowance is all the time
-// that a job may lose beside its work.
+// that a job may lose beside its work. A start of an interrupted task is due at once, as its
+// service is down.
 func (tj *trackedJob) writeDue() time.Time {
+	if tj.restartsTask {
+		return tj.changedAt
+	}
 	allowance := time.Duration(tj.jo.Terms.AllowanceMS) * time.Millisecond
 	return tj.changedAt.Add(min(allowance, maxWriteDelay))
 }
@@ -124,7 +128,7 @@
 func (ow *Owner) addJobWrite(wr *write, tj *trackedJob) int {
 	id := tj.jo.ID
 	jw := jobWrite{tj: tj, state: tj.jo.State(), firstWrite: tj.progressVersion == 0, changedAt: tj.changedAt, onWritten: tj.onWritten, key: ow.progressKey(id)}
-	tj.onWritten, tj.dirty, tj.writing, tj.proofDue = nil, false, true, time.Time{}
+	tj.onWritten, tj.dirty, tj.writing, tj.proofDue, tj.restartsTask = nil, false, true, time.Time{}, false
 	wr.txn.Conds = append(wr.txn.Conds, store.Cond{Key: jw.key, Version: tj.progressVersion})
 	if tj.removing {
 		wr.txn.Puts = append(wr.txn.Puts, store.Put{Key: jw.key, Delete: true})
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -295,10 +295,12 @@
 // startAttempt places a new attempt on a worker; if queued is set, its launch order waits until
 // the worker has the capacity.
 func (pl *placer) startAttempt(tj *trackedJob, ref job.TaskRef, ca *candidate, queued bool) {
+	interrupted := tj.interrupted(ref)
 	number := tj.jo.Start(ref, ca.wk.incarnation)
 	if number == 0 {
 		return
 	}
+	tj.restartsTask = tj.restartsTask || interrupted
 	at := &attempt{ref: ref, number: number, wk: ca.wk, tj: tj, pace: fullPace, placedAt: pl.now}
 	ca.wk.addAttempt(at)
 	if queued {
--- a/internal/sched/trackedjob.go
+++ b/internal/sched/trackedjob.go
@@ -33,8 +33,10 @@
 	writtenState job.State
 	// dirty is set while a change waits to be written, writing while a write is in flight.
 	dirty, writing bool
-	// changedAt is when the first of the changes that wait to be written was made.
-	changedAt time.Time
+	// changedAt is when the first of the changes that wait to be written was made, restartsTask
+	// is set if one of them is the start of an interrupted task.
+	changedAt    time.Time
+	restartsTask bool
 	// proofDue is when the row has to be written for its proofs that attempts ran, or zero.
 	proofDue time.Time
 	// removing is set once the rows are to be removed.
--- a/internal/sched/writebacklog_test.go
+++ b/internal/sched/writebacklog_test.go
@@ -112,6 +112,45 @@
 	})
 }
 
+// TestBurstOfBulkJobsDoesNotDelayInterruptedTasks guards against starts of interrupted
+// long-running tasks that are written behind the changes of all other jobs.
+func TestBurstOfBulkJobsDoesNotDelayInterruptedTasks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		la := newLab(t, 0)
+		la.fleet.RunFunc = func(at worker.Attempt) (time.Duration, string) {
+			id, ref, _ := job.ParseTaskID(at.Task)
+			if la.spec(id).Steps[0].LongRunning {
+				return -1, ""
+			}
+			return time.Duration(300+150*ref.Index) * time.Millisecond, "done"
+		}
+		ow, end := la.startOwner()
+		defer end()
+		la.addWorker(0)
+		ow.SetWorkers(la.workerEntries(), nil, true)
+		time.Sleep(time.Second)
+		la.submitLater(ow, 1, job.Terms{Queue: "lasting", Service: testService, AllowanceMS: 2500}, longRunningOf(4, 8))
+		time.Sleep(crashBlameLimit + 3*time.Second)
+		lost := la.fleetWorkers[0]
+		la.fleet.Kill(lost)
+		ow.SetWorkers(nil, []string{lost.Addr.Incarnation.ID}, false)
+		time.Sleep(10 * time.Second)
+		la.table.Faults.Set(standin.Fault{Mode: standin.ModeSlow, DelayMS: slowWrites.Milliseconds()})
+		for i := range 200 {
+			la.addWorker(1 + i)
+		}
+		for n := range 300 {
+			la.submitLater(ow, 1000+n, bulkTerms, batch(1, 8))
+		}
+		ow.SetWorkers(la.workerEntries()[1:], nil, true)
+		added := time.Now()
+		for la.runningOfJob(1) < 4 {
+			time.Sleep(10 * time.Millisecond)
+		}
+		qt.Check(t, time.Since(added) <= 4*slowWrites, qt.IsTrue, qt.Commentf("all run after %v", time.Since(added)))
+	})
+}
+
 // TestOwnerBehindIsLogged guards against changes that wait for writes without a trace.
 func TestOwnerBehindIsLogged(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
