--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -175,24 +175,27 @@
 		if rk == nil {
 			rk = pl.rank(tj, step, interrupted)
 		}
-		ca := rk.best()
-		tj.waitCause = rk.cause
-		if ca == nil && interrupted && pl.placeQueued(tj, ref) {
-			continue
-		}
-		if ca == nil && pl.startAsLastResort(tj, ref) {
-			continue
-		}
-		if ca == nil {
-			pl.earmark(tj, ref)
-			if interrupted {
-				continue
-			}
+		if !pl.placeRanked(tj, ref, rk) && !interrupted {
 			return
 		}
+	}
+}
+
+// placeRanked starts a task on the best worker of a ranking, and reports whether it did. If
+// there is none, it tries the ways that are open to long-running tasks.
+func (pl *placer) placeRanked(tj *trackedJob, ref job.TaskRef, rk *ranking) bool {
+	ca := rk.best()
+	tj.waitCause = rk.cause
+	if ca != nil {
 		pl.start(tj, ref, ca)
 		rk.update(ca)
+		return true
 	}
+	if rk.interrupted && pl.placeQueued(tj, ref) || pl.startAsLastResort(tj, ref) {
+		return true
+	}
+	pl.earmark(tj, ref)
+	return false
 }
 
 // selective reports whether the fillers of a job still wait for a worker that accepts them
