Start queued tasks after a poll rather than while an attempt is removed

Callers could see a task isolated, and in the end given up, for workers whose processes ended before its order was sent.

Cause: each removal of an attempt started queued ones on its worker, also one that was removed as its worker is about to be marked as dead. So the next order went to a process that had ended, and the task counted as lost with it.

Capacity that can be used is freed by polls, so queued starts are sent once a poll is handled, and at ticks as before. Removals have no such effect any more.

TestQueuedTaskIsNotBlamedForEndedWorker fails before (one loss, three of three runs).

--- a/internal/sched/attempt.go
+++ b/internal/sched/attempt.go
@@ -106,7 +106,6 @@
 	if !at.step().LongRunning {
 		wk.finiteReserved = wk.finiteReserved.Sub(at.step().Reserved())
 	}
-	wk.startQueued()
 }
 
 // addAttempt adds an attempt and its resources to the worker.
--- a/internal/sched/polls.go
+++ b/internal/sched/polls.go
@@ -176,6 +176,7 @@
 			wake(wk.pollWake)
 		}
 	}
+	wk.startQueued()
 	wk.measure(got)
 	wk.acknowledge()
 }
--- a/internal/sched/queuedstart_test.go
+++ b/internal/sched/queuedstart_test.go
@@ -94,3 +94,31 @@
 		qt.Check(t, count, qt.Equals, 2)
 	})
 }
+
+// TestQueuedTaskIsNotBlamedForEndedWorker guards against a loss that counts for a queued task whose order is sent though its worker is known to have ended.
+func TestQueuedTaskIsNotBlamedForEndedWorker(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		la, ow, end := interruptedBesideFullWorker(t)
+		defer end()
+		first := la.fleetWorkers[0]
+		_, err := ow.Cancel(context.Background(), jobID(1))
+		qt.Assert(t, err, qt.IsNil)
+		time.Sleep(300 * time.Millisecond)
+		losses := make(chan int, 1)
+		ow.post(func() {
+			wk := ow.workers[first.Addr.Incarnation]
+			var other, queued *attempt
+			for at := range wk.attempts {
+				switch {
+				case at.queued:
+					queued = at
+				case at.tj.jo.ID == jobID(2):
+					other = at
+				}
+			}
+			ow.handleLaunchAnswer(other, worker.Ack{}, time.Now(), time.Now(), worker.ErrOtherIncarnation)
+			losses <- queued.task().Losses
+		})
+		qt.Check(t, <-losses, qt.Equals, 0)
+	})
+}
