--- a/internal/sched/interrupted.go
+++ b/internal/sched/interrupted.go
@@ -27,9 +27,19 @@
 	pl.placePostponed()
 }
 
-// placePostponed places the interrupted tasks that need a worker to themselves while they
-// start. Nothing else starts there meanwhile, so before the others they would keep these from
-// all workers with capacity, one after the other.
+// placeOrPostponeSuspect places a suspect task, except an interrupted one that needs a worker to
+// itself while it starts: these are placed last. Nothing else starts on that worker meanwhile,
+// so before the others they would keep these from all workers with capacity, one after the
+// other.
+func (pl *placer) placeOrPostponeSuspect(tj *trackedJob, ref job.TaskRef) {
+	if tj.interrupted(ref) && tj.jo.Task(ref).Isolated() {
+		pl.postponed = append(pl.postponed, taskKey{tj, ref})
+		return
+	}
+	pl.placeSuspect(tj, ref)
+}
+
+// placePostponed places the tasks that placeOrPostponeSuspect postponed.
 func (pl *placer) placePostponed() {
 	for _, tk := range pl.postponed {
 		if pl.ow.window.full() {
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -161,12 +161,8 @@
 			tj.waitCause = CauseOrder
 			return
 		}
-		if interrupted && ta.Isolated() {
-			pl.postponed = append(pl.postponed, taskKey{tj, ref})
-			continue
-		}
 		if ta.Suspect() {
-			pl.placeSuspect(tj, ref)
+			pl.placeOrPostponeSuspect(tj, ref)
 			// The suspect task may have changed a worker other than the best one, so all have
 			// to be rated again.
 			rk = nil
@@ -177,10 +173,7 @@
 		}
 		ca := rk.best()
 		tj.waitCause = rk.cause
-		if ca == nil && interrupted && pl.placeQueued(tj, ref) {
-			continue
-		}
-		if ca == nil && pl.startAsLastResort(tj, ref) {
+		if ca == nil && pl.placeWithoutFreeCapacity(tj, ref) {
 			continue
 		}
 		if ca == nil {
@@ -195,6 +188,13 @@
 	}
 }
 
+// placeWithoutFreeCapacity places a long-running task for which no worker that may get it has
+// free capacity, and reports whether it did: on capacity that is still being freed if it was
+// interrupted, otherwise on a worker that is quarantined for failures.
+func (pl *placer) placeWithoutFreeCapacity(tj *trackedJob, ref job.TaskRef) bool {
+	return pl.placeQueued(tj, ref) || pl.startAsLastResort(tj, ref)
+}
+
 // selective reports whether the fillers of a job still wait for a worker that accepts them
 // without harm to its services.
 func (pl *placer) selective(tj *trackedJob) bool {
--- a/internal/sched/queuedstart.go
+++ b/internal/sched/queuedstart.go
@@ -24,7 +24,7 @@
 // free cores left, and reports whether there was one. A suspect task is queued only where no
 // other attempt is starting.
 func (pl *placer) placeQueued(tj *trackedJob, ref job.TaskRef) bool {
-	if !pl.ow.enabled(MechQueuedStarts) {
+	if !pl.ow.enabled(MechQueuedStarts) || !tj.interrupted(ref) {
 		return false
 	}
 	st := &tj.jo.Spec.Steps[ref.Step]
--- a/internal/sched/queuedstart_test.go
+++ b/internal/sched/queuedstart_test.go
@@ -27,6 +27,7 @@
 // interruptedBesideFullWorker starts an owner of two workers of 32 cores. The first runs jobs 1
 // and 2, of one task of 16 cores each, the second is lost with job 3, of two such tasks.
 func interruptedBesideFullWorker(t *testing.T) (*lab, *Owner, context.CancelFunc) {
+	t.Helper()
 	la := newLab(t, 1)
 	la.fleet.RunFunc = runUntilStopped
 	la.wrapAgentFunc = slowStops(800 * time.Millisecond)
--- a/internal/sched/suspect.go
+++ b/internal/sched/suspect.go
@@ -115,7 +115,7 @@
 		pl.startSuspect(tj, ref, ca, "apart")
 		return
 	}
-	if tj.interrupted(ref) && (pl.placeQueued(tj, ref) || pl.startAsLastResort(tj, ref)) {
+	if pl.placeWithoutFreeCapacity(tj, ref) {
 		return
 	}
 	tj.waitCause = CauseRoom
