--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -97,8 +97,9 @@
 	earmarked bool
 	isolated  bool
 	// stopping is the capacity held by attempts that are being stopped, set by
-	// candidatesWithStops.
+	// candidatesWithStops. claimed is set if a job of a higher priority waits for it.
 	stopping worker.Resources
+	claimed  bool
 }
 
 func newCandidate(wk *workerState) candidate {
@@ -133,6 +134,9 @@
 	// is set.
 	withStops  []*candidate
 	stopsFound bool
+	// claimedPriority is the priority up to which capacity that is being freed is kept for jobs
+	// of higher ones.
+	claimedPriority int
 }
 
 // placeJob starts the waiting tasks of a job that fit on a worker.
@@ -161,12 +165,8 @@
 			tj.waitCause = CauseOrder
 			return
 		}
-		if interrupted && ta.Isolated() {
-			pl.postponed = append(pl.postponed, taskKey{tj, ref})
-			continue
-		}
 		if ta.Suspect() {
-			pl.placeSuspect(tj, ref)
+			pl.placeOrPostponeSuspect(tj, ref)
 			// The suspect task may have changed a worker other than the best one, so all have
 			// to be rated again.
 			rk = nil
@@ -191,13 +191,20 @@
 		rk.update(ca)
 		return true
 	}
-	if rk.interrupted && pl.placeQueued(tj, ref) || pl.startAsLastResort(tj, ref) {
+	if pl.placeWithoutFreeCapacity(tj, ref) {
 		return true
 	}
 	pl.earmark(tj, ref)
 	return false
 }
 
+// placeWithoutFreeCapacity places a long-running task for which no worker that may get it has
+// free capacity, and reports whether it did: on capacity that is still being freed if it was
+// interrupted, otherwise on a worker that is quarantined for failures.
+func (pl *placer) placeWithoutFreeCapacity(tj *trackedJob, ref job.TaskRef) bool {
+	return pl.placeQueued(tj, ref) || pl.startAsLastResort(tj, ref)
+}
+
 // selective reports whether the fillers of a job still wait for a worker that accepts them
 // without harm to its services.
 func (pl *placer) selective(tj *trackedJob) bool {
--- a/internal/sched/queuedstart.go
+++ b/internal/sched/queuedstart.go
@@ -24,16 +24,17 @@
 // free cores left, and reports whether there was one. A suspect task is queued only where no
 // other attempt is starting.
 func (pl *placer) placeQueued(tj *trackedJob, ref job.TaskRef) bool {
-	if !pl.ow.enabled(MechQueuedStarts) {
+	if !pl.ow.enabled(MechQueuedStarts) || !tj.interrupted(ref) {
 		return false
 	}
 	st := &tj.jo.Spec.Steps[ref.Step]
 	need, suspect := st.Reserved(), tj.jo.Task(ref).Suspect()
 	var best *candidate
 	var left int64
+	pl.claimStops(tj.jo.Terms.Priority)
 	for _, ca := range pl.candidatesWithStops() {
 		later := ca.free.Add(ca.stopping)
-		if ca.isolated || !need.Fits(later) || !ca.allowed(tj, ref, st) {
+		if ca.isolated || ca.claimed || !need.Fits(later) || !ca.allowed(tj, ref, st) {
 			continue
 		}
 		if suspect && ca.wk.occupancy(pl.now).starting > 0 {
@@ -66,6 +67,36 @@
 	return pl.withStops
 }
 
+// claimStops keeps capacity that is being freed for the waiting tasks of jobs above a priority
+// that fit there, as these start first once it is free.
+func (pl *placer) claimStops(priority int) {
+	if priority <= pl.claimedPriority {
+		return
+	}
+	pl.claimedPriority = priority
+	for _, ca := range pl.candidatesWithStops() {
+		ca.claimed = ca.claimed || slices.ContainsFunc(pl.ow.waitingJobs, func(tj *trackedJob) bool {
+			return tj.jo.Terms.Priority < priority && tj.waitsFor(ca, pl.now)
+		})
+	}
+}
+
+// waitsFor reports whether a waiting task of the job could start on the worker once the
+// attempts that are being stopped there have ended. Fillers are left out, as they use processors
+// that others leave idle.
+func (tj *trackedJob) waitsFor(ca *candidate, now time.Time) bool {
+	for step := range tj.jo.Spec.Steps {
+		st, ref := &tj.jo.Spec.Steps[step], job.TaskRef{Step: step}
+		if st.Filler || !st.Reserved().Fits(ca.free.Add(ca.stopping)) || !ca.allowed(tj, ref, st) {
+			continue
+		}
+		if tj.countWaiting(step, func(ref job.TaskRef) bool { return !tj.backoffs.active(ref, now) }) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // firstStops returns the resources of attempts that are being stopped by an order that was
 // sent once. An order that had to be repeated may take long to be carried out.
 func (wk *workerState) firstStops() worker.Resources {
