Guard the workers of the crash lab against a data race

TestHealthyTasksNotGivenUpOverTakeovers read the list of workers while one restarted. go test -race reported it in two of two runs of all tests of the package, each time in this test, and in none of seven runs of the test alone. One run of all tests passes with the lock. The test checks what it did before.

--- a/internal/sched/crashlab_test.go
+++ b/internal/sched/crashlab_test.go
@@ -151,6 +151,14 @@
 	cr.setEntry(was, false)
 }
 
+// busiest returns the worker with the most runs. Workers may restart meanwhile.
+func (cr *crashLab) busiest() *standin.FleetWorker {
+	cr.mu.Lock()
+	defer cr.mu.Unlock()
+	fw, _ := cr.lab.busiest()
+	return fw
+}
+
 // setCrashingJobs makes the first task of some jobs crash each worker that starts it. Other
 // tasks take a second, or are long-running.
 func (cr *crashLab) setCrashingJobs(jobs ...int) {
--- a/internal/sched/takeover_test.go
+++ b/internal/sched/takeover_test.go
@@ -58,7 +58,7 @@
 	cr.end()
 	time.Sleep(200 * time.Millisecond)
 	for range workers {
-		fw, _ := cr.busiest()
+		fw := cr.busiest()
 		cr.crash(fw)
 	}
 	time.Sleep(2 * time.Second)
@@ -141,7 +141,7 @@
 				// Time for the lost tasks to run again and for their proofs to be written.
 				time.Sleep(22 * time.Second)
 				for range rapid.IntRange(1, 4).Draw(rt, "workers") {
-					fw, _ := cr.busiest()
+					fw := cr.busiest()
 					cr.crash(fw)
 					time.Sleep(time.Duration(rapid.IntRange(0, 300).Draw(rt, "between ms")) * time.Millisecond)
 				}
