--- a/internal/sched/fullhouse_test.go
+++ b/internal/sched/fullhouse_test.go
@@ -143,7 +143,7 @@
 	return share / float64(tasks), tasks
 }
 
-// maxRoomShare is so low that three samples in a row find room in 1 of 64 cases.
+// maxRoomShare is so low that three independent samples find room in 1 of 64 cases.
 const maxRoomShare = 0.25
 
 // TestFreedCapacityIsTakenBeforeTasksAreMissed guards against interrupted tasks that are missed though all freed capacity is used, as too much of it is on its way to the next task.
--- a/internal/sched/queuedstart.go
+++ b/internal/sched/queuedstart.go
@@ -17,7 +17,7 @@
 // worker lists their ends.
 
 // queuedTimeout is added to Limits.StopTime: a task whose order could not be sent by then is
-// placed anew.
+// placed anew. As for an evacuation, it covers the order to stop and the poll that lists the end.
 const queuedTimeout = leaveMargin
 
 // placeQueued queues an interrupted long-running task on the worker that will have the fewest
@@ -98,7 +98,8 @@
 }
 
 // firstStops returns the resources of attempts that are being stopped by an order that was
-// sent once. An order that had to be repeated may take long to be carried out.
+// sent once. An order that had to be repeated may take long to be carried out. Attempts of
+// former owners count once they are listed.
 func (wk *workerState) firstStops() worker.Resources {
 	var sum worker.Resources
 	for at := range wk.attempts {
@@ -135,7 +136,7 @@
 // startQueued sends the start orders of the queued attempts whose start is durable and for
 // which the worker has enough capacity by now.
 func (wk *workerState) startQueued() {
-	if len(wk.queued) == 0 || wk.dead || !wk.failingSince.IsZero() || wk.inTrial() {
+	if len(wk.queued) == 0 || wk.dead || !wk.failingSince.IsZero() || wk.inTrial() || time.Now().Before(wk.quarantinedUntil) {
 		return
 	}
 	for _, at := range slices.Clone(wk.queued) {
