--- a/internal/sched/fullhouse_test.go
+++ b/internal/sched/fullservice_test.go
@@ -47,8 +47,8 @@
 	return ag
 }
 
-// fullHouse is a service that is full of long-running tasks while interrupted ones wait.
-type fullHouse struct {
+// fullService is a service that is full of long-running tasks while interrupted ones wait.
+type fullService struct {
 	*lab
 	ow   *Owner
 	rnd  *rand.Rand
@@ -59,82 +59,83 @@
 	calmAt time.Time
 }
 
-// newFullHouse fills workers of 64 cores and loses some; writes take 18 ms.
-func newFullHouse(t *testing.T, seed int64, lost, left int) *fullHouse {
+// newFullService fills workers of 64 cores and loses some; writes take 18 ms.
+func newFullService(t *testing.T, seed int64, lost, left int) *fullService {
 	t.Helper()
-	fh := &fullHouse{lab: newLab(t, 0), rnd: rand.New(rand.NewSource(seed)), cancelled: map[string]time.Time{}}
-	fh.wrapAgentFunc = (&delays{rnd: rand.New(rand.NewSource(seed))}).wrap
-	fh.fleet.RunFunc = runUntilStopped
-	ow, end := fh.startOwner()
+	fs := &fullService{lab: newLab(t, 0), rnd: rand.New(rand.NewSource(seed)), cancelled: map[string]time.Time{}}
+	fs.wrapAgentFunc = (&delays{rnd: rand.New(rand.NewSource(seed))}).wrap
+	fs.fleet.RunFunc = runUntilStopped
+	ow, end := fs.startOwner()
 	t.Cleanup(end)
-	fh.ow = ow
-	fh.addWorkers(lost)
-	fh.fill(lost * 56)
+	fs.ow = ow
+	fs.addWorkers(lost)
+	fs.fill(lost * 56)
 	time.Sleep(crashBlameLimit + 4*time.Second)
-	fh.addWorkers(left)
-	fh.fill(left * 80)
+	fs.addWorkers(left)
+	fs.fill(left * 80)
 	time.Sleep(2 * time.Second)
-	fh.table.Faults.Set(standin.Fault{Mode: standin.ModeSlow, DelayMS: 18})
+	fs.table.Faults.Set(standin.Fault{Mode: standin.ModeSlow, DelayMS: 18})
 	var ids []string
-	for _, fw := range fh.fleetWorkers[:lost] {
-		fh.fleet.Kill(fw)
+	for _, fw := range fs.fleetWorkers[:lost] {
+		fs.fleet.Kill(fw)
 		ids = append(ids, fw.Addr.Incarnation.ID)
 	}
 	ow.SetWorkers(nil, ids, false)
 	time.Sleep(10 * time.Second)
-	fh.calmAt = time.Now()
-	return fh
+	fs.calmAt = time.Now()
+	return fs
 }
 
-func (fh *fullHouse) addWorkers(n int) {
+func (fs *fullService) addWorkers(n int) {
 	for range n {
-		fh.addWorker(len(fh.fleetWorkers))
-		fh.fleetWorkers[len(fh.fleetWorkers)-1].Capacity = worker.Resources{MilliCores: 64_000, MemMB: 256_000}
+		fs.addWorker(len(fs.fleetWorkers))
+		fs.fleetWorkers[len(fs.fleetWorkers)-1].Capacity = worker.Resources{MilliCores: 64_000, MemMB: 256_000}
 	}
-	fh.ow.SetWorkers(fh.workerEntries(), nil, true)
+	fs.ow.SetWorkers(fs.workerEntries(), nil, true)
 	time.Sleep(2 * time.Second)
 }
 
 // fill submits long-running jobs of 7 to 14 tasks of 8 to 20 cores that need the given cores.
-func (fh *fullHouse) fill(cores int) {
+func (fs *fullService) fill(cores int) {
 	for cores > 0 {
-		fh.jobs++
-		tasks, each := 7+fh.rnd.Intn(8), 8+fh.rnd.Intn(13)
-		fh.submit(fh.ow, fh.jobs, longRunningOf(tasks, int64(each)))
+		fs.jobs++
+		tasks, each := 7+fs.rnd.Intn(8), 8+fs.rnd.Intn(13)
+		fs.submit(fs.ow, fs.jobs, longRunningOf(tasks, int64(each)))
 		cores -= tasks * each
 	}
 }
 
 // cancelUntilAllRun cancels jobs, one in the given time, until no interrupted task waits.
-func (fh *fullHouse) cancelUntilAllRun(every time.Duration) {
-	for _, i := range fh.rnd.Perm(fh.jobs) {
+func (fs *fullService) cancelUntilAllRun(every time.Duration) {
+	for _, i := range fs.rnd.Perm(fs.jobs) {
 		waiting := 0
-		for _, rw := range fh.interruptions(fh.cancelled) {
-			if !rw.until.Before(time.Now()) {
+		for _, vw := range fs.interruptions(fs.cancelled) {
+			if !vw.until.Before(time.Now()) {
 				waiting++
 			}
 		}
 		if waiting == 0 {
 			return
 		}
-		if n := 1 + i; fh.runningOfJob(n) > 0 {
-			_, err := fh.ow.Cancel(context.Background(), jobID(n))
-			qt.Assert(fh.t, err, qt.IsNil)
-			fh.cancelled[jobID(n)] = time.Now()
-			time.Sleep(every/2 + time.Duration(fh.rnd.Int63n(int64(every))))
+		if n := 1 + i; fs.runningOfJob(n) > 0 {
+			_, err := fs.ow.Cancel(context.Background(), jobID(n))
+			qt.Assert(fs.t, err, qt.IsNil)
+			fs.cancelled[jobID(n)] = time.Now()
+			time.Sleep(every/2 + time.Duration(fs.rnd.Int63n(int64(every))))
 		}
 	}
 }
 
-// roomShare returns how much of their last reportPeriod tasks that waited found room on two workers.
-func (fh *fullHouse) roomShare() (share float64, tasks int) {
-	for _, rw := range fh.roomWaits(fh.cancelled) {
-		if rw.until.Sub(fh.calmAt) < reportPeriod || rw.until.Sub(rw.from) < reportAfter {
+// visibleShare returns how much of their last reportPeriod tasks that waited found the
+// capacity on two workers.
+func (fs *fullService) visibleShare() (share float64, tasks int) {
+	for _, vw := range fs.visibleWaits(fs.cancelled) {
+		if vw.until.Sub(fs.calmAt) < reportPeriod || vw.until.Sub(vw.from) < reportAfter {
 			continue
 		}
 		tasks++
-		for _, pe := range rw.onTwo {
-			if since := rw.until.Add(-reportPeriod); pe.From.Before(since) {
+		for _, pe := range vw.onTwo {
+			if since := vw.until.Add(-reportPeriod); pe.From.Before(since) {
 				pe.From = since
 			}
 			share += max(pe.Until.Sub(pe.From), 0).Seconds() / reportPeriod.Seconds()
@@ -143,21 +144,21 @@
 	return share / float64(tasks), tasks
 }
 
-// maxRoomShare is so low that three independent samples find room in 1 of 64 cases.
-const maxRoomShare = 0.25
+// maxVisibleShare is so low that three independent samples find the capacity in 1 of 64 cases.
+const maxVisibleShare = 0.25
 
-// TestFreedCapacityIsTakenBeforeTasksAreMissed guards against interrupted tasks that are missed though all freed capacity is used, as too much of it is on its way to the next task.
+// TestFreedCapacityIsTakenBeforeTasksAreMissed guards against tasks missed beside capacity in transit.
 func TestFreedCapacityIsTakenBeforeTasksAreMissed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		fh := newFullHouse(t, 1, 60, 140)
-		fh.cancelUntilAllRun(250 * time.Millisecond)
-		share, tasks := fh.roomShare()
+		fs := newFullService(t, 1, 60, 140)
+		fs.cancelUntilAllRun(250 * time.Millisecond)
+		share, tasks := fs.visibleShare()
 		qt.Assert(t, tasks > 100, qt.IsTrue, qt.Commentf("only %d tasks waited", tasks))
-		qt.Check(t, share <= maxRoomShare, qt.IsTrue, qt.Commentf("two workers had room in %.3f of the time, %d tasks", share, tasks))
+		qt.Check(t, share <= maxVisibleShare, qt.IsTrue, qt.Commentf("two workers had the capacity in %.3f of the time, %d tasks", share, tasks))
 	})
 }
 
-// TestWriteDelaysStartInCapacityOfStoppedTask guards against capacity that stays free for a write of the store although the owner stops the task in it and could write the next start meanwhile.
+// TestWriteDelaysStartInCapacityOfStoppedTask guards against capacity left unused during a write.
 func TestWriteDelaysStartInCapacityOfStoppedTask(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		la := newLab(t, 1)
@@ -183,9 +184,9 @@
 		_, err := ow.Cancel(context.Background(), jobID(2))
 		qt.Assert(t, err, qt.IsNil)
 		time.Sleep(5 * time.Second)
-		waits := la.roomWaits(cancelled)
+		waits := la.visibleWaits(cancelled)
 		qt.Assert(t, waits, qt.HasLen, 1)
 		qt.Check(t, la.runningOfJob(1), qt.Equals, 1)
-		qt.Check(t, longest(waits[0].onOne) < write/2, qt.IsTrue, qt.Commentf("a worker had room for %v", longest(waits[0].onOne)))
+		qt.Check(t, longest(waits[0].onOne) < write/2, qt.IsTrue, qt.Commentf("a worker had the capacity for %v", longest(waits[0].onOne)))
 	})
 }
--- a/internal/sched/interrupted_test.go
+++ b/internal/sched/interrupted_test.go
@@ -56,7 +56,7 @@
 	})
 }
 
-// TestTrialsKeepWorkersFromInterruptedTasks guards against interrupted tasks that wait while small suspect ones run isolated, one after the other, on all workers with room.
+// TestTrialsKeepWorkersFromInterruptedTasks guards against isolated tasks that bar all workers in turn.
 func TestTrialsKeepWorkersFromInterruptedTasks(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		la := newLab(t, 1)
@@ -94,9 +94,9 @@
 			add()
 		}
 		time.Sleep(10 * time.Second)
-		for _, rw := range cr.roomWaits(nil) {
-			if id, _, _ := job.ParseTaskID(rw.task); id == jobID(1) {
-				qt.Check(t, longest(rw.onTwo) < reportPeriod, qt.IsTrue, qt.Commentf("two workers had room for task %s for %v", rw.task, longest(rw.onTwo)))
+		for _, vw := range cr.visibleWaits(nil) {
+			if id, _, _ := job.ParseTaskID(vw.task); id == jobID(1) {
+				qt.Check(t, longest(vw.onTwo) < reportPeriod, qt.IsTrue, qt.Commentf("two workers had the capacity for task %s for %v", vw.task, longest(vw.onTwo)))
 			}
 		}
 		qt.Check(t, cr.runningOfJob(1), qt.Equals, 4)
--- a/internal/sched/nofit_test.go
+++ b/internal/sched/nofit_test.go
@@ -8,8 +8,7 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// TestFullWorkersAreSearchedOnce guards against an owner that searches all workers for each of
-// many waiting jobs with a limit per worker, though no worker has the capacity for any of them.
+// TestFullWorkersAreSearchedOnce guards against a search of all full workers for each waiting step.
 func TestFullWorkersAreSearchedOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		la := newLab(t, 4)
--- a/internal/sched/presumedcrash_test.go
+++ b/internal/sched/presumedcrash_test.go
@@ -14,7 +14,7 @@
 	"github.com/pepperhatch/pepperhatch/internal/worker"
 )
 
-// TestHealthyTaskFailsAfterUnobservedAttempts loses owners with workers that never got an order, or had completed it.
+// TestHealthyTaskFailsAfterUnobservedAttempts guards against crashes that are only inferred.
 func TestHealthyTaskFailsAfterUnobservedAttempts(t *testing.T) {
 	for _, delivered := range []bool{false, true} {
 		for _, ownerAfter := range []time.Duration{0, crashedEntryTTL + 400*time.Millisecond} {
--- a/internal/sched/quarantine_test.go
+++ b/internal/sched/quarantine_test.go
@@ -95,7 +95,7 @@
 	})
 }
 
-// TestSuspectTaskWaitsForEndOfQuarantine guards against an interrupted task that is kept from workers where tasks failed because its own worker was lost.
+// TestSuspectTaskWaitsForEndOfQuarantine guards against suspect tasks kept from quarantined workers.
 func TestSuspectTaskWaitsForEndOfQuarantine(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		la := newLab(t, 8)
@@ -138,8 +138,8 @@
 			qt.Assert(t, err, qt.IsNil)
 		}
 		time.Sleep(15 * time.Second)
-		waits := la.roomWaits(cancelled)
+		waits := la.visibleWaits(cancelled)
 		qt.Assert(t, waits, qt.HasLen, 1)
-		qt.Check(t, longest(waits[0].onTwo) < reportPeriod, qt.IsTrue, qt.Commentf("two workers had room for %v", longest(waits[0].onTwo)))
+		qt.Check(t, longest(waits[0].onTwo) < reportPeriod, qt.IsTrue, qt.Commentf("two workers had the capacity for %v", longest(waits[0].onTwo)))
 	})
 }
--- a/internal/sched/queuedstart_test.go
+++ b/internal/sched/queuedstart_test.go
@@ -49,8 +49,7 @@
 	return la, ow, end
 }
 
-// TestQueuedTaskOfLostWorkerRunsElsewhere guards against an interrupted task that stays queued
-// on a worker which is lost before it stopped the other task.
+// TestQueuedTaskOfLostWorkerRunsElsewhere guards against a task that stays queued on a lost worker.
 func TestQueuedTaskOfLostWorkerRunsElsewhere(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		la, ow, end := interruptedBesideFullWorker(t)
@@ -72,8 +71,7 @@
 	})
 }
 
-// TestQueuedTaskOfCancelledJobDoesNotRun guards against a queued task that starts after its job
-// was cancelled.
+// TestQueuedTaskOfCancelledJobDoesNotRun guards against a queued task that starts after its job ended.
 func TestQueuedTaskOfCancelledJobDoesNotRun(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		la, ow, end := interruptedBesideFullWorker(t)
@@ -96,7 +94,7 @@
 	})
 }
 
-// TestQueuedTaskIsNotBlamedForEndedWorker guards against a loss that counts for a queued task whose order is sent though its worker is known to have ended.
+// TestQueuedTaskIsNotBlamedForEndedWorker guards against an order to a process known to have ended.
 func TestQueuedTaskIsNotBlamedForEndedWorker(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		la, ow, end := interruptedBesideFullWorker(t)
@@ -124,8 +122,7 @@
 	})
 }
 
-// TestQueuedStartLeavesCapacityToHigherPriority guards against freed capacity that goes to an
-// interrupted task although a job of a higher priority waits for it.
+// TestQueuedStartLeavesCapacityToHigherPriority guards against queued starts that overtake a priority.
 func TestQueuedStartLeavesCapacityToHigherPriority(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		la, ow, end := interruptedBesideFullWorker(t)
--- a/internal/sched/reservation_test.go
+++ b/internal/sched/reservation_test.go
@@ -110,7 +110,7 @@
 	})
 }
 
-// TestTaskThatFitsNowhereTakesReservationOfSmallerOne guards against a larger interrupted task that fits nowhere and keeps a smaller one from its reservation.
+// TestTaskThatFitsNowhereTakesReservationOfSmallerOne guards against reservations that serve no task.
 func TestTaskThatFitsNowhereTakesReservationOfSmallerOne(t *testing.T) {
 	for _, larger := range []int64{0, 24} {
 		synctest.Test(t, func(t *testing.T) {
--- a/internal/sched/visibleroom_test.go
+++ b/internal/sched/visiblewaits_test.go
@@ -11,8 +11,8 @@
 	"github.com/pepperhatch/pepperhatch/internal/worker"
 )
 
-// roomWait is the time between two runs of a long-running task, by the records of the workers.
-type roomWait struct {
+// visibleWait is the time between two runs of a long-running task, by the records of the workers.
+type visibleWait struct {
 	task        string
 	need        worker.Resources
 	from, until time.Time
@@ -32,33 +32,33 @@
 	return most
 }
 
-// Users report an interrupted task after reportAfter if it found room throughout reportPeriod.
+// Users report an interrupted task after reportAfter if it found the capacity throughout reportPeriod.
 const (
 	reportAfter  = 6 * time.Second
 	reportPeriod = 3 * time.Second
 )
 
-// roomWaits returns the waits of interrupted tasks, regardless of labels and limits per worker.
-func (la *lab) roomWaits(cancelled map[string]time.Time) []*roomWait {
+// visibleWaits returns the waits of interrupted tasks, regardless of labels and limits per worker.
+func (la *lab) visibleWaits(cancelled map[string]time.Time) []*visibleWait {
 	list := la.interruptions(cancelled)
 	for _, fh := range la.freeHistories() {
-		for _, rw := range list {
-			rw.onOne = append(rw.onOne, fh.periodsWith(rw.need, rw.from, rw.until)...)
+		for _, vw := range list {
+			vw.onOne = append(vw.onOne, fh.periodsWith(vw.need, vw.from, vw.until)...)
 		}
 	}
-	for _, rw := range list {
-		rw.onOne, rw.onTwo = atLeast(1, rw.onOne), atLeast(2, rw.onOne)
+	for _, vw := range list {
+		vw.onOne, vw.onTwo = atLeast(1, vw.onOne), atLeast(2, vw.onOne)
 	}
 	return list
 }
 
 // interruptions returns the times between runs of long-running tasks, up to their cancelling.
-func (la *lab) interruptions(cancelled map[string]time.Time) []*roomWait {
-	var list []*roomWait
-	last := map[string]*roomWait{}
+func (la *lab) interruptions(cancelled map[string]time.Time) []*visibleWait {
+	var list []*visibleWait
+	last := map[string]*visibleWait{}
 	for _, ru := range la.fleet.Runs() {
-		if rw := last[ru.Task]; rw != nil {
-			rw.until = ru.From
+		if vw := last[ru.Task]; vw != nil {
+			vw.until = ru.From
 			delete(last, ru.Task)
 		}
 		id, ref, _ := job.ParseTaskID(ru.Task)
@@ -70,9 +70,9 @@
 		if ru.Until.IsZero() || !st.LongRunning || !ru.Until.Before(until) {
 			continue
 		}
-		rw := &roomWait{task: ru.Task, need: st.Reserved(), from: ru.Until, until: until}
-		last[ru.Task] = rw
-		list = append(list, rw)
+		vw := &visibleWait{task: ru.Task, need: st.Reserved(), from: ru.Until, until: until}
+		last[ru.Task] = vw
+		list = append(list, vw)
 	}
 	return list
 }
--- a/internal/sched/writebacklog_test.go
+++ b/internal/sched/writebacklog_test.go
@@ -112,8 +112,7 @@
 	})
 }
 
-// TestBurstOfBulkJobsDoesNotDelayInterruptedTasks guards against starts of interrupted
-// long-running tasks that are written behind the changes of all other jobs.
+// TestBurstOfBulkJobsDoesNotDelayInterruptedTasks guards against restarts that are written last.
 func TestBurstOfBulkJobsDoesNotDelayInterruptedTasks(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		la := newLab(t, 0)
