--- a/internal/sched/visiblecapacity.go
+++ b/internal/sched/visiblecapacity.go
@@ -14,13 +14,13 @@
 // A worker uses capacity for an attempt from its start until it lists the end. The owner
 // reserves the capacity from the placement on, and passes over workers for reasons of its own,
 // such as failed attempts. So an interrupted task can wait while workers have the capacity for
-// it by their own account. How long it does is measured here.
+// it by their own account. The waits recorded here show for how long.
 
 // visibleCapacityLogInterval is the minimum time between log lines on interrupted tasks for
 // which workers have capacity.
 const visibleCapacityLogInterval = time.Second
 
-// maxVisibleWorkers is the largest number of workers up to which waits are measured: for
+// maxVisibleWorkers is the largest number of workers for which waits are recorded: for
 // capacity on at least one worker, and on at least two.
 const maxVisibleWorkers = 2
 
--- a/internal/sched/visiblecapacity_test.go
+++ b/internal/sched/visiblecapacity_test.go
@@ -12,7 +12,7 @@
 	"github.com/pepperhatch/pepperhatch/internal/worker"
 )
 
-// TestVisibleCapacityWait guards against waits of interrupted tasks that are not measured though
+// TestVisibleCapacityWait guards against waits of interrupted tasks that are not recorded though
 // workers have the capacity by their own account: each start takes 250 ms, in which the owner
 // counts the capacity as used. A wait without capacity does not count.
 func TestVisibleCapacityWait(t *testing.T) {
