Measure for how long capacity for interrupted tasks is in transit

The log said missed=0 in every line of a play in which users missed four tasks: the owner counted a piece of capacity as unused from the moment at which it learned of the end, and knew nothing of the time before.

The worker's clock shows that time. Answers to polls and to orders carry it, so the owner now measures, for each start of an interrupted task, the time from the answer that listed the end which made room for it to the answer that confirmed the start. Where no poll was waiting, the end is taken to have happened half way since the answer before. The sum per second is how many pieces are unused at any time.

--- a/internal/sched/launch.go
+++ b/internal/sched/launch.go
@@ -82,6 +82,7 @@
 		return
 	}
 	if err == nil || errors.Is(err, worker.ErrStaleAttempt) {
+		at.wk.recordTransit(at, ack.ClockMS)
 		at.wk.markStarted(at, got)
 		ow.Log.Info("attempt launched", "task", taskID(at), "attempt", at.number, "worker", at.wk.incarnation, "took", got.Sub(sent))
 		return
--- a/internal/sched/polls.go
+++ b/internal/sched/polls.go
@@ -159,11 +159,12 @@
 		wk.ow.recordLeases(got)
 	}
 	wk.supersedeOthers(sent)
+	unpolled := wk.unpolledTime(sent, got)
 	wk.lastAnsweredAt = got
 	wk.recordClock(res.ClockMS, got)
 	wk.lastPollHadEnds = len(res.Ended) > 0
 	wk.pollsHandled++
-	ended := wk.handleEnds(res)
+	ended := wk.handleEnds(res, unpolled)
 	wk.handleRunning(res, got)
 	if len(res.Ended) < maxEnds {
 		settles := !wk.settled && fence >= wk.settleFence
@@ -202,8 +203,9 @@
 	}
 }
 
-// handleEnds handles the ends that are new and returns all that are listed, nil for none.
-func (wk *workerState) handleEnds(res worker.PollResult) map[worker.Attempt]bool {
+// handleEnds handles the ends that are new and returns all that are listed, nil for none. They
+// happened the given time before the poll was answered.
+func (wk *workerState) handleEnds(res worker.PollResult, unpolled time.Duration) map[worker.Attempt]bool {
 	if len(res.Ended) == 0 {
 		return nil
 	}
@@ -215,6 +217,7 @@
 			continue
 		}
 		wk.endsHandled = ea.EndNumber
+		wk.recordFreed(ea, res.ClockMS, unpolled)
 		wk.handleEnd(ea)
 	}
 	return ended
@@ -300,6 +303,7 @@
 		if at.endIfNotRun != "" {
 			wk.confirmRunning(at)
 		}
+		wk.recordTransit(at, res.ClockMS)
 		wk.markStarted(at, got)
 		at.recordObservation(got)
 		at.usage = ra.Usage
--- a/internal/sched/queuedstart_test.go
+++ b/internal/sched/queuedstart_test.go
@@ -25,12 +25,16 @@
 }
 
 // interruptedBesideFullWorker starts an owner of two workers of 32 cores. The first runs jobs 1
-// and 2, of one task of 16 cores each, the second is lost with job 3, of two such tasks.
-func interruptedBesideFullWorker(t *testing.T) (*lab, *Owner, context.CancelFunc) {
+// and 2, of one task of 16 cores each, the second is lost with job 3, of two such tasks. The lab is
+// changed by the given functions before the owner starts.
+func interruptedBesideFullWorker(t *testing.T, change ...func(*lab)) (*lab, *Owner, context.CancelFunc) {
 	t.Helper()
 	la := newLab(t, 1)
 	la.fleet.RunFunc = runUntilStopped
 	la.wrapAgentFunc = slowStops(800 * time.Millisecond)
+	for _, fn := range change {
+		fn(la)
+	}
 	ow, end := la.startOwner()
 	time.Sleep(time.Second)
 	la.submit(ow, 1, longRunningOf(1, 16))
--- a/internal/sched/visiblecapacity.go
+++ b/internal/sched/visiblecapacity.go
@@ -44,6 +44,8 @@
 	ended        int
 	endedLongest [maxVisibleWorkers]time.Duration
 	missed       int
+	// transit adds up since loggedAt.
+	transit transitSum
 }
 
 // taskKey identifies a task of the cell.
@@ -264,7 +266,7 @@
 		return
 	}
 	longest, waiting := vc.longestWait(now)
-	if longest.tj == nil && vc.ended == 0 {
+	if longest.tj == nil && vc.ended == 0 && vc.transit.starts == 0 {
 		return
 	}
 	attrs := []slog.Attr{
@@ -272,11 +274,12 @@
 		slog.Int("ended", vc.ended), slog.Duration("ended_one", vc.endedLongest[0]), slog.Duration("ended_two", vc.endedLongest[1]),
 		slog.Int("missed", vc.missed),
 	}
+	attrs = append(attrs, vc.transit.attrs(min(now.Sub(vc.loggedAt), maxTransitSpan))...)
 	if longest.tj != nil {
 		attrs = append(attrs, ow.visibleAttrs(workers, longest, now)...)
 	}
 	ow.Log.LogAttrs(ow.ctx, slog.LevelInfo, "capacity for interrupted tasks", attrs...)
-	vc.loggedAt, vc.ended, vc.endedLongest, vc.missed = now, 0, [maxVisibleWorkers]time.Duration{}, 0
+	vc.loggedAt, vc.ended, vc.endedLongest, vc.missed, vc.transit = now, 0, [maxVisibleWorkers]time.Duration{}, 0, transitSum{}
 }
 
 // longestWait returns the task for which at least two workers have had the capacity for
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -77,6 +77,7 @@
 	ChangeWait      Name = "pepperhatch_owner_change_wait_seconds"
 
 	VisibleCapacityWait Name = "pepperhatch_visible_capacity_wait_seconds"
+	CapacityTransit     Name = "pepperhatch_capacity_transit_seconds"
 )
 
 // Entry documents one instrument.
@@ -142,6 +143,7 @@
 	{EventWait, "", "histogram of the longest time that an event waited for the owner of a cell, of each 0.1 s", "over 0.025: see \"The owner is behind\""},
 	{ChangeWait, "", "histogram of the longest time that the change of a job waited until it was written, of each 0.1 s", "over 0.1: see \"The owner is behind\""},
 	{VisibleCapacityWait, "workers", "histogram of the longest time that an interrupted long-running task waited while at least one or two workers had the capacity for it by their own account, from when it may start until its worker confirms the start", "over 1 for two: look for \"capacity for interrupted tasks\" in the log"},
+	{CapacityTransit, "", "histogram of the time from when a worker had the capacity for an interrupted long-running task until it started the task, by the worker's clock; where no poll was waiting for the end that freed the capacity, half of the time without a poll", "times the starts a second this is the capacity that users see unused at any time: over 0.05, compare `transit` and `unpolled` in \"capacity for interrupted tasks\""},
 }
 
 // Metrics has the instruments. Create it with [New]; nil counts nothing.
