Start interrupted tasks in freed capacity without a detour through the owner

Users missed interrupted tasks of services (LOST) in a service that was full: three tenths of the workers lost with each of three frozen owners.

Cause: a task that is queued behind stopped ones was ordered only once the owner knew of their end. Until then the worker had the capacity for it, and for every smaller task that waits: the poll may not be under way while ends that it listed before are written, its answer passes through a relay, a stream and the queue of a busy loop, and the order goes all the way back.

The start is durable before the capacity is free, so its order is sent in advance, as a deferred launch: the client that polls the worker, in most cases a relay, sends it on as soon as a poll lists enough ends. It polls the worker itself while the owner waits to acknowledge ends. To the owner this is an order without an answer like any other: it can be withdrawn by an order to stop, and if its outcome is not known, the worker decides as before.

--- a/internal/dev/jobs.go
+++ b/internal/dev/jobs.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/pepperhatch/pepperhatch/internal/clock"
+	"github.com/pepperhatch/pepperhatch/internal/deferral"
 	"github.com/pepperhatch/pepperhatch/internal/frontend"
 	"github.com/pepperhatch/pepperhatch/internal/job"
 	"github.com/pepperhatch/pepperhatch/internal/jobapi"
@@ -74,7 +75,7 @@
 // serveCell runs the owner of the cell for one tenure.
 func (bc *batchCell) serveCell(ctx context.Context, te tenure.Tenure) (map[string]int64, error) {
 	ow := sched.New(&sched.Owner{
-		Cell: cellName, Tenure: te, Table: bc.de.table.Client(), Agent: bc.fleet.Agent(), Log: bc.de.set.Log,
+		Cell: cellName, Tenure: te, Table: bc.de.table.Client(), Agent: deferral.Wrap(bc.fleet.Agent()), Log: bc.de.set.Log,
 		Limits: sched.Limits{MaxLease: 6 * time.Second, StopTime: time.Second, HarmAfter: 4 * time.Second, KeepEnded: time.Minute},
 	})
 	defer bc.owner.Store(nil)
--- a/internal/frontend/slow_links_test.go
+++ b/internal/frontend/slow_links_test.go
@@ -16,6 +16,7 @@
 
 	"pgregory.net/rapid"
 
+	"github.com/pepperhatch/pepperhatch/internal/deferral"
 	"github.com/pepperhatch/pepperhatch/internal/job"
 	"github.com/pepperhatch/pepperhatch/internal/proptest"
 	"github.com/pepperhatch/pepperhatch/internal/queue"
@@ -167,7 +168,7 @@
 
 // agent returns a client of the workers over the link.
 func (ho *clusterHost) agent() worker.Agent {
-	ag := ho.cluster.fleet.Agent()
+	ag := deferral.Wrap(ho.cluster.fleet.Agent())
 	ack := func(worker.Ack) int { return sizeRequest }
 	return worker.Agent{
 		LaunchFunc: func(ctx context.Context, ad worker.Addr, la worker.Launch) (worker.Ack, error) {
--- a/internal/lab/simulation.go
+++ b/internal/lab/simulation.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/pepperhatch/pepperhatch/internal/clock"
+	"github.com/pepperhatch/pepperhatch/internal/deferral"
 	"github.com/pepperhatch/pepperhatch/internal/interfere"
 	"github.com/pepperhatch/pepperhatch/internal/job"
 	"github.com/pepperhatch/pepperhatch/internal/sched"
@@ -220,7 +221,7 @@
 	}
 	te := tenure.Tenure{Epoch: 1, Key: ownerKey, Version: version, FormerEnded: time.Now, Confirmed: time.Now, HeartbeatWritten: time.Now, End: func(error) {}}
 	ow := sched.New(&sched.Owner{
-		Cell: "c0", Tenure: te, Table: sm.table.Client(), Agent: sm.fleet.Agent(), Log: sm.log, Without: sm.va.Without,
+		Cell: "c0", Tenure: te, Table: sm.table.Client(), Agent: deferral.Wrap(sm.fleet.Agent()), Log: sm.log, Without: sm.va.Without,
 		Limits: sched.Limits{MaxLease: 10 * time.Second, StopTime: 900 * time.Millisecond, HarmAfter: 4 * time.Second, KeepEnded: 2 * time.Minute},
 	})
 	loaded := make(chan struct{})
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -12,6 +12,7 @@
 	"github.com/cenkalti/backoff/v5"
 
 	"github.com/pepperhatch/pepperhatch/internal/clock"
+	"github.com/pepperhatch/pepperhatch/internal/deferral"
 	"github.com/pepperhatch/pepperhatch/internal/registry"
 	"github.com/pepperhatch/pepperhatch/internal/telemetry"
 	"github.com/pepperhatch/pepperhatch/internal/worker"
@@ -384,30 +385,32 @@
 	}
 }
 
-// Agent returns an agent that reaches each worker over the path given by its address.
+// Agent returns an agent that reaches each worker over the path given by its address, and
+// defers launches that say so.
 func (po *Pool) Agent() worker.Agent {
+	direct := deferral.Wrap(po.Direct)
 	return worker.Agent{
 		LaunchFunc: func(ctx context.Context, ad worker.Addr, la worker.Launch) (worker.Ack, error) {
 			if ad.Via == "" {
-				return po.Direct.LaunchFunc(ctx, ad, la)
+				return direct.LaunchFunc(ctx, ad, la)
 			}
 			return po.launch(ctx, ad, la)
 		},
 		HaltFunc: func(ctx context.Context, ad worker.Addr, ha worker.Halt) (worker.Ack, error) {
 			if ad.Via == "" {
-				return po.Direct.HaltFunc(ctx, ad, ha)
+				return direct.HaltFunc(ctx, ad, ha)
 			}
 			return po.send(ctx, ad, order{Kind: kindHalt, Task: ha.Task, AttemptIndex: ha.Number - 1, Fence: ha.Fence})
 		},
 		PaceFunc: func(ctx context.Context, ad worker.Addr, pa worker.Pace) (worker.Ack, error) {
 			if ad.Via == "" {
-				return po.Direct.PaceFunc(ctx, ad, pa)
+				return direct.PaceFunc(ctx, ad, pa)
 			}
 			return po.send(ctx, ad, order{Kind: kindPace, Task: pa.Task, AttemptIndex: pa.Number - 1, Fence: pa.Fence, Percent: pa.Percent})
 		},
 		PollFunc: func(ctx context.Context, ad worker.Addr, pl worker.Poll) (worker.PollResult, error) {
 			if ad.Via == "" {
-				return po.Direct.PollFunc(ctx, ad, pl)
+				return direct.PollFunc(ctx, ad, pl)
 			}
 			re, err := po.call(ctx, ad, order{Kind: kindPoll, Fence: pl.Fence, AckedEnd: pl.AckedEnd, LeaseUntilMS: pl.LeaseUntilMS, WaitMS: pl.Wait.Milliseconds()})
 			return re.poll, err
@@ -420,7 +423,10 @@
 func (po *Pool) launch(ctx context.Context, ad worker.Addr, la worker.Launch) (worker.Ack, error) {
 	or := order{
 		Kind: kindLaunch, Task: la.Task, AttemptIndex: la.Number - 1, Fence: la.Fence, PayloadText: la.Payload,
-		Checkpoint: la.Checkpoint, LeaseUntilMS: la.LeaseUntilMS,
+		Checkpoint: la.Checkpoint, LeaseUntilMS: la.LeaseUntilMS, Deferral: encodeDeferral(la.Deferral),
+	}
+	if la.Deferral != nil {
+		or.WaitMS = la.Deferral.Wait.Milliseconds()
 	}
 	ack, err := po.send(ctx, ad, or)
 	if !errors.Is(err, errNoPayload) {
@@ -438,7 +444,7 @@
 
 func (po *Pool) send(ctx context.Context, ad worker.Addr, or order) (worker.Ack, error) {
 	re, err := po.call(ctx, ad, or)
-	return worker.Ack{ClockMS: re.answer.ClockMS}, err
+	return worker.Ack{ClockMS: re.answer.ClockMS, FreedMS: re.answer.FreedMS}, err
 }
 
 func (po *Pool) call(ctx context.Context, ad worker.Addr, or order) (result, error) {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -5,9 +5,10 @@
 // request for each order and each poll, over one connection for each worker. It therefore
 // holds one stream to each of a few entry hosts, its relays, and each frame on a stream
 // carries many orders or answers. A relay executes each order as the owner would have done and
-// returns the worker's answer. It makes no decisions and keeps no state whose loss matters: if
-// a stream ends, the orders in progress get no answer, as after a lost connection to the
-// worker itself, and the owner resolves them over another path.
+// returns the worker's answer; a launch that is deferred waits at the relay until the worker has
+// the resources. A relay makes no decisions and keeps no state whose loss matters: if a stream
+// ends, the orders in progress get no answer, as after a lost connection to the worker itself,
+// and the owner resolves them over another path.
 //
 // A stream is one HTTP request whose request and response bodies stay open; each body is a
 // sequence of JSON values, one per frame. Both sides send a frame at least every
@@ -78,8 +79,8 @@
 	// Fence is the fencing token, left out if it equals that of the previous order to the same
 	// worker.
 	Fence int64 `json:"f,omitempty"`
-	// TimeoutMS is the timeout of the answer in milliseconds, in addition to the wait of a
-	// poll; 0 stands for the default.
+	// TimeoutMS is the timeout of the answer in milliseconds, in addition to WaitMS; 0 stands
+	// for the default.
 	TimeoutMS int64 `json:"t,omitempty"`
 	// Task and AttemptIndex identify the attempt. The index counts from 0, so that it is left
 	// out for first attempts, which are the most frequent.
@@ -96,15 +97,18 @@
 	// Percent is the pace of the attempt, in percent of full speed.
 	Percent int `json:"pc,omitempty"`
 	// AckedEnd is the number of the last ended attempt that the worker may discard. WaitMS is
-	// how long, in milliseconds, a poll may wait for another one to end.
+	// how long, in milliseconds, a poll may wait for another one to end, and a deferred launch
+	// for resources.
 	AckedEnd int64 `json:"s,omitempty"`
 	WaitMS   int64 `json:"wait,omitempty"`
+	// Deferral describes the resources for which a launch waits; nil sends it at once.
+	Deferral *deferredFor `json:"d,omitempty"`
 }
 
 // withTimeout returns the order with a total timeout of d, wait included; a timeout close to
 // the default is left out.
 func (or order) withTimeout(d time.Duration) order {
-	d -= time.Duration(or.WaitMS) * time.Millisecond
+	d -= or.wait()
 	or.TimeoutMS = 0
 	if (d - or.defaultTimeout()).Abs() > timeoutTolerance {
 		or.TimeoutMS = max(d.Milliseconds(), 1)
@@ -114,11 +118,17 @@
 
 // timeout returns the time within which the order has to be answered, at most maxOrderTimeout.
 func (or order) timeout() time.Duration {
-	d := time.Duration(or.TimeoutMS) * time.Millisecond
+	return min(or.answerTimeout()+or.wait(), maxOrderTimeout)
+}
+
+func (or order) wait() time.Duration { return time.Duration(or.WaitMS) * time.Millisecond }
+
+// answerTimeout returns the timeout of the answer, without the wait.
+func (or order) answerTimeout() time.Duration {
 	if or.TimeoutMS == 0 {
-		d = or.defaultTimeout()
+		return or.defaultTimeout()
 	}
-	return min(d+time.Duration(or.WaitMS)*time.Millisecond, maxOrderTimeout)
+	return time.Duration(or.TimeoutMS) * time.Millisecond
 }
 
 // defaultTimeout returns the timeout that is left out of the order, without the wait of a poll.
@@ -149,8 +159,10 @@
 	// Born is the start time of the process that answered, if it is not the incarnation to
 	// which the order was addressed.
 	Born int64 `json:"born,omitempty"`
-	// ClockMS is the reading of the worker's clock, in milliseconds.
+	// ClockMS is the reading of the worker's clock, in milliseconds, and FreedMS that since which
+	// the worker had the resources for a deferred launch.
 	ClockMS int64 `json:"ms,omitempty"`
+	FreedMS int64 `json:"fr,omitempty"`
 	// Worker is the number of the worker that was polled, Diff the result of the poll.
 	Worker int       `json:"w,omitempty"`
 	Diff   *pollDiff `json:"l,omitempty"`
@@ -191,6 +203,8 @@
 	{"malformed", worker.ErrMalformed},
 	{"no-listener", worker.ErrNoListener},
 	{"broke-off", worker.ErrConnectionLost},
+	{"not-freed", worker.ErrNotFreed},
+	{"withdrawn", worker.ErrWithdrawn},
 }
 
 // withError returns the answer with the code and the text of err.
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pepperhatch/pepperhatch/internal/deferral"
 	"github.com/pepperhatch/pepperhatch/internal/worker"
 )
 
@@ -51,6 +52,8 @@
 	// end cancels ctx, which ends the stream.
 	end context.CancelFunc
 	out *outbox[answer]
+	// agent reaches workers for this stream; it holds the deferred launches.
+	agent worker.Agent
 
 	// The remaining fields are used only by the goroutine that reads the stream.
 	workers  map[int]*streamWorker
@@ -94,7 +97,7 @@
 	owner, epoch := r.Header.Get(headerOwner), r.Header.Get(headerEpoch)
 	sv.Log.Info("relaying for an owner", "owner", owner, "epoch", epoch)
 	ctx, cancel := context.WithCancel(r.Context())
-	se := &ownerStream{sv: sv, ctx: ctx, end: cancel, out: newOutbox[answer](), workers: map[int]*streamWorker{}, payloads: map[int]string{}}
+	se := sv.newStream(ctx, cancel)
 	sv.register(se)
 	defer sv.unregister(se)
 	// The response must not be written after this method has returned.
@@ -112,6 +115,14 @@
 	sv.Log.Info("no longer relaying for an owner", "owner", owner, "epoch", epoch, "workers", len(se.workers), "err", err)
 }
 
+// newStream returns the state of a stream that lasts as long as ctx, which end cancels.
+func (sv *Server) newStream(ctx context.Context, end context.CancelFunc) *ownerStream {
+	return &ownerStream{
+		sv: sv, ctx: ctx, end: end, out: newOutbox[answer](), agent: deferral.Wrap(sv.Agent),
+		workers: map[int]*streamWorker{}, payloads: map[int]string{},
+	}
+}
+
 func (sv *Server) register(se *ownerStream) {
 	sv.mu.Lock()
 	defer sv.mu.Unlock()
@@ -223,12 +234,14 @@
 	ctx, cancel := context.WithTimeout(se.ctx, or.timeout())
 	defer cancel()
 	an := answer{N: or.N}
-	ag, at := se.sv.Agent, or.attempt()
+	ag, at := se.agent, or.attempt()
 	var ack worker.Ack
 	var err error
 	switch or.Kind {
 	case kindLaunch:
-		ack, err = ag.LaunchFunc(ctx, sw.addr, worker.Launch{Attempt: at, Payload: or.PayloadText, Checkpoint: or.Checkpoint, Fence: or.Fence, LeaseUntilMS: or.LeaseUntilMS})
+		ack, err = ag.LaunchFunc(ctx, sw.addr, worker.Launch{
+			Attempt: at, Payload: or.PayloadText, Checkpoint: or.Checkpoint, Fence: or.Fence, LeaseUntilMS: or.LeaseUntilMS, Deferral: or.deferral(),
+		})
 	case kindHalt:
 		ack, err = ag.HaltFunc(ctx, sw.addr, worker.Halt{Attempt: at, Fence: or.Fence})
 	case kindPace:
@@ -239,7 +252,7 @@
 	default:
 		err = fmt.Errorf("%w: unknown kind of order %q", worker.ErrMalformed, or.Kind)
 	}
-	an.ClockMS = ack.ClockMS
+	an.ClockMS, an.FreedMS = ack.ClockMS, ack.FreedMS
 	se.answer(an, err)
 }
 
@@ -247,7 +260,7 @@
 // differences are sent in the order in which they are computed.
 func (se *ownerStream) poll(ctx context.Context, sw *streamWorker, or order) {
 	po := worker.Poll{Fence: or.Fence, AckedEnd: or.AckedEnd, LeaseUntilMS: or.LeaseUntilMS, Wait: time.Duration(or.WaitMS) * time.Millisecond}
-	res, err := se.sv.Agent.PollFunc(ctx, sw.addr, po)
+	res, err := se.agent.PollFunc(ctx, sw.addr, po)
 	if err != nil {
 		se.answer(answer{N: or.N}, err)
 		return
--- a/internal/relay/stall_test.go
+++ b/internal/relay/stall_test.go
@@ -50,7 +50,7 @@
 			}}
 			ctx, cancel := context.WithCancel(t.Context())
 			defer cancel()
-			se := &ownerStream{sv: sv, ctx: ctx, end: cancel, out: newOutbox[answer](), workers: map[int]*streamWorker{}, payloads: map[int]string{}}
+			se := sv.newStream(ctx, cancel)
 			body := &stalledBody{pause: pause, frames: []string{
 				`{"o":[{"n":1,"k":"l","w":1,"addr":"10.0.0.1:80","inc":"i-0@5","f":1,"id":"t"}]}`,
 				`{"o":[{"n":2,"k":"l","w":1,"id":"u"}]}`,
--- a/internal/sched/attempt.go
+++ b/internal/sched/attempt.go
@@ -29,6 +29,8 @@
 	queued bool
 	// orderSent is set just before its start order is sent.
 	orderSent bool
+	// deferral is set while its start order is queued at the client of the worker.
+	deferral *deferredLaunch
 	// launchedAt is when the worker acknowledged the order, or zero.
 	launchedAt time.Time
 	// lastSeenAt is when the last poll that listed it as running returned, or zero.
--- a/internal/sched/capacity_test.go
+++ b/internal/sched/capacity_test.go
@@ -35,15 +35,14 @@
 
 func newCapacityLab(t *testing.T, workers int) *capacityLab {
 	t.Helper()
-	return newWrappedCapacityLab(t, workers, nil)
+	return newWrappedCapacityLab(t, workers, nil, nil)
 }
 
-// newWrappedCapacityLab is newCapacityLab with a wrapper of the client of workers, which may
-// be nil.
-func newWrappedCapacityLab(t *testing.T, workers int, wrap func(worker.Agent) worker.Agent) *capacityLab {
+// newWrappedCapacityLab is newCapacityLab with values of wrapAgentFunc and wrapOwnerFunc.
+func newWrappedCapacityLab(t *testing.T, workers int, wrap, wrapOwner func(worker.Agent) worker.Agent) *capacityLab {
 	t.Helper()
 	ca := &capacityLab{lab: newLab(t, workers), reported: map[worker.Incarnation][]capacityReport{}}
-	ca.wrapAgentFunc = wrap
+	ca.wrapAgentFunc, ca.wrapOwnerFunc = wrap, wrapOwner
 	for _, fw := range ca.fleetWorkers {
 		ca.record(fw, fw.Capacity)
 		fw.Capacity = worker.Resources{MilliCores: 1 << 40, MemMB: 1 << 40}
--- a/internal/sched/capacitytransit.go
+++ b/internal/sched/capacitytransit.go
@@ -75,24 +75,39 @@
 }
 
 // recordTransit records for how long the capacity that an interrupted task has started in was in
-// transit. clockMS is the worker's clock when it confirmed the start.
-func (wk *workerState) recordTransit(at *attempt, clockMS int64) {
-	if !at.launchedAt.IsZero() || at.inherited || at.number <= 1 || !at.step().LongRunning || clockMS == 0 {
+// transit. The worker confirmed the start by ack, or in the answer to a poll.
+func (wk *workerState) recordTransit(at *attempt, ack worker.Ack) {
+	known := !at.launchedAt.IsZero() && ack.FreedMS == 0
+	if known || at.inherited || at.number <= 1 || !at.step().LongRunning || ack.ClockMS == 0 {
 		return
 	}
+	fc, ok := freedCapacity{clockMS: ack.FreedMS}, ack.FreedMS != 0
+	switch {
+	case ok:
+	case at.deferral != nil:
+		// The answer to its order will show the time.
+		return
+	default:
+		fc, ok = wk.enablingEnd(at)
+	}
+	if !ok || ack.ClockMS-fc.clockMS > transitRetention.Milliseconds() {
+		return
+	}
+	listed := time.Duration(max(ack.ClockMS-fc.clockMS, 0)) * time.Millisecond
+	wk.ow.Metrics.Observe(telemetry.CapacityTransit, listed+fc.unpolled)
+	wk.ow.visibleCapacity.transit.add(listed, fc.unpolled)
+}
+
+// enablingEnd returns the end since which the worker has had the capacity for an attempt whose
+// start it has just confirmed.
+func (wk *workerState) enablingEnd(at *attempt) (freedCapacity, bool) {
 	free := wk.Capacity
 	for other := range wk.attempts {
 		if other != at && !other.launchedAt.IsZero() {
 			free = free.Sub(other.step().Reserved())
 		}
 	}
-	fc, ok := wk.freed.enabling(at.step().Reserved(), free)
-	if !ok || clockMS-fc.clockMS > transitRetention.Milliseconds() {
-		return
-	}
-	listed := time.Duration(max(clockMS-fc.clockMS, 0)) * time.Millisecond
-	wk.ow.Metrics.Observe(telemetry.CapacityTransit, listed+fc.unpolled)
-	wk.ow.visibleCapacity.transit.add(listed, fc.unpolled)
+	return wk.freed.enabling(at.step().Reserved(), free)
 }
 
 // transitSum adds up the transit of capacity over some time.
--- a/internal/sched/cluster_test.go
+++ b/internal/sched/cluster_test.go
@@ -13,6 +13,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/pepperhatch/pepperhatch/internal/clock"
+	"github.com/pepperhatch/pepperhatch/internal/deferral"
 	"github.com/pepperhatch/pepperhatch/internal/registry"
 	"github.com/pepperhatch/pepperhatch/internal/standin"
 	"github.com/pepperhatch/pepperhatch/internal/store"
@@ -128,7 +129,7 @@
 
 // agent wraps the workers' client with the host's unreachable workers.
 func (ch *clusterHost) agent() worker.Agent {
-	ag := ch.cl.fleet.Agent()
+	ag := deferral.Wrap(ch.cl.fleet.Agent())
 	return worker.Agent{
 		LaunchFunc: withUnreachable(ch, ag.LaunchFunc), HaltFunc: withUnreachable(ch, ag.HaltFunc),
 		PaceFunc: withUnreachable(ch, ag.PaceFunc), PollFunc: withUnreachable(ch, ag.PollFunc),
--- a/internal/sched/death.go
+++ b/internal/sched/death.go
@@ -133,7 +133,7 @@
 func (at *attempt) crashEnd() job.End {
 	ran := at.observed().ran
 	switch {
-	case !at.orderSent && !at.inherited:
+	case at.deferral != nil, !at.orderSent && !at.inherited:
 		return job.EndNeverRan
 	case ran >= crashBlameLimit:
 		return job.EndLapsed
--- a/internal/sched/incarnation.go
+++ b/internal/sched/incarnation.go
@@ -120,7 +120,7 @@
 	crashed := wk.recordCrash()
 	for at := range wk.attempts {
 		end := at.lossEnd(crashed)
-		if end == job.EndNeverRan {
+		if end == job.EndNeverRan && at.deferral == nil {
 			wk.ow.recordEnd(at.tj, at.ref, at.number, end, "", "its worker ended before the order was sent")
 			continue
 		}
--- a/internal/sched/lab_test.go
+++ b/internal/sched/lab_test.go
@@ -12,6 +12,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/pepperhatch/pepperhatch/internal/clock"
+	"github.com/pepperhatch/pepperhatch/internal/deferral"
 	"github.com/pepperhatch/pepperhatch/internal/job"
 	"github.com/pepperhatch/pepperhatch/internal/standin"
 	"github.com/pepperhatch/pepperhatch/internal/store"
@@ -44,8 +45,9 @@
 	handover map[string]int64
 	// readRate limits how many bytes a second owners read from the store; 0 is no limit.
 	readRate int
-	// wrapAgentFunc wraps the client of workers, if set.
-	wrapAgentFunc func(worker.Agent) worker.Agent
+	// wrapAgentFunc wraps the client of workers, if set, and wrapOwnerFunc that client together
+	// with the launches that it defers.
+	wrapAgentFunc, wrapOwnerFunc func(worker.Agent) worker.Agent
 	// via is the relay through which workers are reached, or nil.
 	via atomic.Pointer[string]
 	// viaByWorker has the relays of workers with one of their own, by id.
@@ -85,10 +87,15 @@
 }
 
 func (la *lab) agent() worker.Agent {
+	ag := la.fleet.Agent()
 	if la.wrapAgentFunc != nil {
-		return la.wrapAgentFunc(la.fleet.Agent())
+		ag = la.wrapAgentFunc(ag)
 	}
-	return la.fleet.Agent()
+	ag = deferral.Wrap(ag)
+	if la.wrapOwnerFunc != nil {
+		ag = la.wrapOwnerFunc(ag)
+	}
+	return ag
 }
 
 func (la *lab) currentVia(we WorkerEntry) string {
--- a/internal/sched/launch.go
+++ b/internal/sched/launch.go
@@ -43,13 +43,16 @@
 		at.wk.startQueued()
 		return
 	}
+	go ow.sendLaunch(at, at.newLaunch())
+}
+
+// newLaunch returns the start order of the attempt, which is to be sent now.
+func (at *attempt) newLaunch() worker.Launch {
 	at.orderSent = true
-	ta := at.tj.jo.Task(at.ref)
-	la := worker.Launch{
-		Attempt: at.name(), Payload: at.tj.jo.Spec.Payload, Checkpoint: ta.Checkpoint,
+	return worker.Launch{
+		Attempt: at.name(), Payload: at.tj.jo.Spec.Payload, Checkpoint: at.task().Checkpoint,
 		LeaseUntilMS: at.wk.nextLeaseEnd(time.Now()),
 	}
-	go ow.sendLaunch(at, la)
 }
 
 // abandonLaunch ends an attempt whose order was never sent.
@@ -77,12 +80,17 @@
 	if ow.window.recordAnswer(got.Sub(sent), got) {
 		ow.Log.Info("fewer starts at once, as answers are slow", "cell", ow.Cell, "most", ow.window.limit(), "under_way", ow.window.inFlight, "took", got.Sub(sent))
 	}
+	ow.concludeLaunch(at, ack, sent, got, err)
+}
+
+// concludeLaunch handles the outcome of an order that was sent to the worker.
+func (ow *Owner) concludeLaunch(at *attempt, ack worker.Ack, sent, got time.Time, err error) {
 	at.wk.recordClock(ack.ClockMS, got)
 	if at.tj.attempts[at.ref] != at {
 		return
 	}
 	if err == nil || errors.Is(err, worker.ErrStaleAttempt) {
-		at.wk.recordTransit(at, ack.ClockMS)
+		at.wk.recordTransit(at, ack)
 		at.wk.markStarted(at, got)
 		ow.Log.Info("attempt launched", "task", taskID(at), "attempt", at.number, "worker", at.wk.incarnation, "took", got.Sub(sent))
 		return
@@ -223,6 +231,10 @@
 	if !at.haltSentAt.IsZero() && time.Since(at.haltSentAt) < ow.Limits.StopTime {
 		return
 	}
+	if at.deferral != nil {
+		ow.withdrawDeferred(at, why)
+		return
+	}
 	if at.queued {
 		ow.abandonQueued(at, why)
 		return
--- a/internal/sched/polls.go
+++ b/internal/sched/polls.go
@@ -303,7 +303,7 @@
 		if at.endIfNotRun != "" {
 			wk.confirmRunning(at)
 		}
-		wk.recordTransit(at, res.ClockMS)
+		wk.recordTransit(at, worker.Ack{ClockMS: res.ClockMS})
 		wk.markStarted(at, got)
 		at.recordObservation(got)
 		at.usage = ra.Usage
@@ -335,6 +335,7 @@
 		return
 	}
 	at.launchedAt = now
+	wk.endDeferral(at)
 	wk.holdIfStarted(at, now)
 }
 
--- a/internal/sched/queuedrandom_test.go
+++ b/internal/sched/queuedrandom_test.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"math/rand"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -60,10 +61,16 @@
 	return nil
 }
 
-func newQueuedRun(t *testing.T, seed int64, count *atomic.Int64) *queuedRun {
+// newQueuedRun starts a run. If delays is set, each order and each answer takes up to 60 ms, so that
+// they overtake each other.
+func newQueuedRun(t *testing.T, seed int64, delays bool, count *atomic.Int64) *queuedRun {
 	t.Helper()
 	qr := &queuedRun{rnd: rand.New(rand.NewSource(seed)), cancelledAt: map[int]time.Time{}, draining: map[int]bool{}, lost: map[int]bool{}}
-	qr.capacityLab = newWrappedCapacityLab(t, 8, qr.delayStops(time.Duration(100+qr.rnd.Intn(750))*time.Millisecond))
+	var wrapOwner func(worker.Agent) worker.Agent
+	if delays {
+		wrapOwner = delayOwner(randomDelay(seed, 60*time.Millisecond))
+	}
+	qr.capacityLab = newWrappedCapacityLab(t, 8, qr.delayStops(time.Duration(100+qr.rnd.Intn(750))*time.Millisecond), wrapOwner)
 	qr.log = slog.New(queuedCounter{slog.DiscardHandler, count})
 	qr.replaceOwner()
 	qr.fleet.RunFunc = func(at worker.Attempt) (time.Duration, string) {
@@ -295,26 +302,21 @@
 // TestRandomQueuedStarts injects random faults into a full service while interrupted tasks
 // wait, and checks that no start exceeds the capacity of its worker, that none runs twice at
 // once or after its job was cancelled, and that no attempt stays queued.
-func TestRandomQueuedStarts(t *testing.T) {
+func TestRandomQueuedStarts(t *testing.T) { playQueuedScripts(t, false) }
+
+// TestRandomQueuedStartsWithDelays does the same while orders and answers overtake each other.
+func TestRandomQueuedStartsWithDelays(t *testing.T) { playQueuedScripts(t, true) }
+
+func playQueuedScripts(t *testing.T, delays bool) {
+	t.Helper()
 	seed := int64(proptest.Seed(t)) * queuedScripts
 	var count atomic.Int64
 	for n := range queuedScripts {
 		t.Run(fmt.Sprint(n), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				qr := newQueuedRun(t, seed+int64(n), &count)
+				qr := newQueuedRun(t, seed+int64(n), delays, &count)
 				defer func() { qr.end() }()
-				for range 5 + qr.rnd.Intn(36) {
-					qr.injectRandom()
-					pauses := []int{1, 30, 300, 300, 1500}
-					time.Sleep(time.Duration(pauses[qr.rnd.Intn(len(pauses))]) * time.Millisecond)
-					qr.checkBooks()
-				}
-				qr.table.Faults.Set(standin.Fault{})
-				qr.heal()
-				qr.sendLists()
-				time.Sleep(30 * time.Second)
-				qt.Check(t, qr.checkBooks(), qt.Equals, 0)
-				qr.checkRuns()
+				qr.play()
 			})
 		})
 	}
@@ -322,5 +324,32 @@
 	t.Logf("%d attempts were queued", count.Load())
 }
 
+// play injects random faults, ends them, and checks the outcome.
+func (qr *queuedRun) play() {
+	for range 5 + qr.rnd.Intn(36) {
+		qr.injectRandom()
+		pauses := []int{1, 30, 300, 300, 1500}
+		time.Sleep(time.Duration(pauses[qr.rnd.Intn(len(pauses))]) * time.Millisecond)
+		qr.checkBooks()
+	}
+	qr.table.Faults.Set(standin.Fault{})
+	qr.heal()
+	qr.sendLists()
+	time.Sleep(30 * time.Second)
+	qt.Check(qr.t, qr.checkBooks(), qt.Equals, 0)
+	qr.checkRuns()
+}
+
+// randomDelay returns a function that returns random delays up to most.
+func randomDelay(seed int64, most time.Duration) func() time.Duration {
+	var mu sync.Mutex
+	rnd := rand.New(rand.NewSource(seed))
+	return func() time.Duration {
+		mu.Lock()
+		defer mu.Unlock()
+		return time.Duration(rnd.Int63n(int64(most)))
+	}
+}
+
 // queuedScripts is the number of random sequences; PEPPERHATCH_SEED selects others.
 const queuedScripts = 60
--- a/internal/sched/queuedstart.go
+++ b/internal/sched/queuedstart.go
@@ -13,7 +13,7 @@
 // placement and a write, and until then the worker has unused capacity. Where a service is full
 // and many interrupted tasks wait, some worker always has. So an interrupted task that fits
 // nowhere is queued on a worker that has enough capacity once the attempts which are being
-// stopped there have ended. Its start is durable by then, and its order is sent as soon as the
+// stopped there have ended. Its start is durable by then, and its order is deferred until the
 // worker lists their ends.
 
 // queuedTimeout is added to Limits.StopTime: a task whose order could not be sent by then is
@@ -110,10 +110,21 @@
 	return sum
 }
 
-// hasCapacityNow reports whether the worker has the capacity for a queued attempt by now.
+// hasCapacityNow reports whether the worker has the capacity for a queued attempt by now. The
+// orders of others that were deferred may have been sent already.
 func (wk *workerState) hasCapacityNow(at *attempt) bool {
-	used := wk.reserved.Sub(wk.queuedReserved)
-	return at.step().Reserved().Fits(wk.Capacity.Sub(used))
+	free := wk.freeBeforeQueued()
+	for _, other := range wk.queued {
+		if other.deferral != nil {
+			free = free.Sub(other.step().Reserved())
+		}
+	}
+	return at.step().Reserved().Fits(free)
+}
+
+// freeBeforeQueued returns the capacity that is free if none of the queued attempts has started.
+func (wk *workerState) freeBeforeQueued() worker.Resources {
+	return wk.Capacity.Sub(wk.reserved.Sub(wk.queuedReserved))
 }
 
 // queue adds an attempt to those whose start orders wait.
@@ -133,14 +144,24 @@
 	wk.queuedReserved = wk.queuedReserved.Sub(at.step().Reserved())
 }
 
-// startQueued sends the start orders of the queued attempts whose start is durable and for
-// which the worker has enough capacity by now.
+// mayStartQueued reports whether queued attempts may start on the worker once it has the capacity.
+func (wk *workerState) mayStartQueued(now time.Time) bool {
+	return !wk.dead && wk.failingSince.IsZero() && !wk.inTrial() && !now.Before(wk.quarantinedUntil)
+}
+
+// startQueued sends the start orders of the queued attempts whose start is durable. They are
+// deferred if the worker does not have enough capacity yet.
 func (wk *workerState) startQueued() {
-	if len(wk.queued) == 0 || wk.dead || !wk.failingSince.IsZero() || wk.inTrial() || time.Now().Before(wk.quarantinedUntil) {
+	now := time.Now()
+	if len(wk.queued) == 0 || !wk.mayStartQueued(now) {
 		return
 	}
 	for _, at := range slices.Clone(wk.queued) {
-		if at.queued && at.startWritten && wk.hasCapacityNow(at) {
+		switch {
+		case !at.queued || !at.startWritten || at.deferral != nil:
+		case !wk.hasCapacityNow(at):
+			wk.ow.deferLaunch(at, now)
+		default:
 			wk.unqueue(at)
 			wk.ow.Metrics.Add(telemetry.QueuedStarts, 1, "outcome", "started")
 			wk.ow.beginStart(at)
@@ -156,15 +177,25 @@
 	for _, at := range slices.Clone(wk.queued) {
 		switch {
 		case !at.queued || !at.startWritten:
+		case at.deferral != nil:
+			wk.ow.checkDeferral(at, now)
 		case wk.unlisted || wk.Draining || !wk.failingSince.IsZero():
-			wk.ow.abandonQueued(at, "its worker leaves or does not answer")
-		case now.Sub(at.placedAt) > wk.ow.Limits.StopTime+queuedTimeout:
+			wk.ow.abandonQueued(at, abandonedWorker)
+		case now.After(at.queuedUntil()):
 			wk.ow.abandonQueued(at, "the stopped attempts have not ended in time")
 		}
 	}
 }
 
-// abandonQueued ends a queued attempt.
+// abandonedWorker is why attempts do not stay queued on a worker.
+const abandonedWorker = "its worker leaves or does not answer"
+
+// queuedUntil returns until when a queued attempt waits for capacity.
+func (at *attempt) queuedUntil() time.Time {
+	return at.placedAt.Add(at.wk.ow.Limits.StopTime + queuedTimeout)
+}
+
+// abandonQueued ends a queued attempt whose order was not sent.
 func (ow *Owner) abandonQueued(at *attempt, why string) {
 	ow.Metrics.Add(telemetry.QueuedStarts, 1, "outcome", "abandoned")
 	ow.abandonLaunch(at, why)
--- a/internal/sched/workerstate.go
+++ b/internal/sched/workerstate.go
@@ -108,6 +108,8 @@
 	// order of placement; queuedReserved is the part of reserved that belongs to them.
 	queued         []*attempt
 	queuedReserved worker.Resources
+	// launchesDeferred counts the launches that were deferred for the worker.
+	launchesDeferred int64
 	// freed has the latest ends, for the measurement of capacity in transit.
 	freed freedList
 	// restartReserved is the capacity reserved for interrupted long-running tasks.
--- a/internal/worker/agent.go
+++ b/internal/worker/agent.go
@@ -40,6 +40,34 @@
 	// LeaseUntilMS extends all leases of the worker to this time of its own clock, in
 	// milliseconds. A later end that was set before stays.
 	LeaseUntilMS int64
+	// Deferral, if set, delays the order until the worker has the resources for the attempt.
+	Deferral *Deferral
+}
+
+// Deferral describes resources that are being freed at a worker, for a launch that is to be
+// sent as soon as they suffice. The launch is sent at most once; if it is not sent at all, the
+// error is [ErrNotFreed] or [ErrWithdrawn].
+type Deferral struct {
+	// Need is the resources of the attempt. Free is what the attempt could use when the launch
+	// was deferred; amounts may be negative.
+	Need, Free Resources
+	// Running are the attempts at the worker, each of which adds its resources once a poll
+	// lists its end.
+	Running []Usage
+	// Number rises with each launch that is deferred for the worker. Ahead are attempts with
+	// lower numbers of which it is not known whether their launches were sent. Those that were
+	// have used up a part of the resources, as have those with higher numbers.
+	Number int64
+	Ahead  []Attempt
+	// Wait bounds the delay. Timeout bounds the time for the answer of the worker.
+	Wait, Timeout time.Duration
+}
+
+// Usage is the resources that an attempt uses.
+type Usage struct {
+	Attempt
+
+	Resources Resources
 }
 
 // Halt stops an attempt.
@@ -114,6 +142,9 @@
 type Ack struct {
 	// ClockMS is the time of the worker's clock, in milliseconds.
 	ClockMS int64
+	// FreedMS is the time of that clock since which the worker had the resources for a launch
+	// that was deferred, 0 for any other request.
+	FreedMS int64
 }
 
 // Errors that rule out that the worker carried out the request. After any other error it
@@ -136,6 +167,10 @@
 	ErrMalformed = errors.New("worker cannot decode the request")
 	// ErrNotSent: the request was not sent to the worker.
 	ErrNotSent = errors.New("order was not sent")
+	// ErrNotFreed: a deferred launch was not sent, as the resources were not freed in time.
+	ErrNotFreed = errors.New("resources were not freed in time")
+	// ErrWithdrawn: a deferred launch was not sent, as the attempt was stopped before.
+	ErrWithdrawn = errors.New("attempt was stopped before its launch was sent")
 )
 
 // ErrConnectionLost: the connection to the worker broke off. Other errors that leave the
@@ -148,7 +183,8 @@
 
 // Agent is a client of workers that take one request per attempt.
 type Agent struct {
-	// LaunchFunc starts an attempt. It is idempotent.
+	// LaunchFunc starts an attempt. It is idempotent, except for a deferred launch. Clients of
+	// workers do not defer launches themselves; package deferral adds that to them.
 	LaunchFunc func(context.Context, Addr, Launch) (Ack, error)
 	// HaltFunc stops an attempt, or prevents it from starting if it has not started yet.
 	HaltFunc func(context.Context, Addr, Halt) (Ack, error)
