Await the answer of a deferred launch whose attempt a poll lists first

The answer is now awaited; where it comes late nothing follows from it, as the attempt runs already.

TestStartSeenByPollIsResolved failed before.

--- a/internal/sched/deferredlaunch.go
+++ b/internal/sched/deferredlaunch.go
@@ -39,7 +39,10 @@
 	at.deferral = &deferredLaunch{capacity: at.wk.Capacity, fence: at.wk.currentPath().fence, cancel: cancel}
 	ow.Log.Info("launch deferred", "task", taskID(at), "attempt", at.number, "worker", at.wk.incarnation,
 		"need_millicores", la.Deferral.Need.MilliCores, "free_millicores", la.Deferral.Free.MilliCores, "ahead", len(la.Deferral.Ahead), "wait", wait)
-	go ow.sendDeferred(ctx, at, la)
+	go func() {
+		defer cancel()
+		ow.sendDeferred(ctx, at, la)
+	}()
 }
 
 // newDeferral describes the capacity for which a queued attempt waits.
@@ -83,11 +86,9 @@
 }
 
 // endDeferral removes an attempt from those that are queued, as its order is not deferred any more.
+// The answer to the order may still be on its way.
 func (wk *workerState) endDeferral(at *attempt) {
-	if at.deferral != nil {
-		at.deferral.cancel()
-		at.deferral = nil
-	}
+	at.deferral = nil
 	wk.unqueue(at)
 }
 
--- a/internal/sched/deferredlaunch_test.go
+++ b/internal/sched/deferredlaunch_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -95,3 +96,24 @@
 		},
 	}
 }
+
+// TestStartSeenByPollIsResolved guards against requests about an order whose answer is on its way
+// when a poll lists the attempt.
+func TestStartSeenByPollIsResolved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ll := &logLines{}
+		la, ow, end := interruptedBesideFullWorker(t, func(la *lab) {
+			la.log = slog.New(slog.NewTextHandler(ll, nil))
+			la.wrapOwnerFunc = func(ag worker.Agent) worker.Agent {
+				ag.LaunchFunc = delayed(func() time.Duration { return 50 * time.Millisecond }, ag.LaunchFunc)
+				return ag
+			}
+		})
+		defer end()
+		_, err := ow.Cancel(context.Background(), jobID(1))
+		qt.Assert(t, err, qt.IsNil)
+		time.Sleep(5 * time.Second)
+		qt.Check(t, la.runningOfJob(3), qt.Equals, 1)
+		qt.Check(t, ll.matching(`msg="launch not done"`), qt.HasLen, 0)
+	})
+}
