Keep relays when an owner loses workers

Cause: with the second third of its workers lost the owner has 240, fewer than the 256 that it reaches directly. So 8 s after its claim, while hundreds of tasks start again, it gave up its relays and reached all workers itself: new connections, all orders in progress without an answer, and deferred launches that wait in the busiest process of all.

An owner that uses relays now keeps them down to half of the number of workers from which on it uses them.

TestLostWorkersEndRelaying failed before.

--- a/internal/relay/assigner.go
+++ b/internal/relay/assigner.go
@@ -14,6 +14,11 @@
 	// host. 350 workers with 560 to 900 starts per second take 0.35 of a core, so the limit
 	// corresponds to about a third of the host.
 	maxDirectPerCore = 320
+	// keepRelaysShare is the share of maxDirectPerCore down to which an owner that uses relays
+	// keeps them. It has fewer workers than before after a failure, when their tasks have to start
+	// again, and reaching all others directly would take new connections, most of its processor
+	// time, and the orders in progress.
+	keepRelaysShare = 0.5
 	// maxRelayedPerCore is how many workers a relay is assigned for each core of its host.
 	// Seven requests per second and worker, at 0.2 ms each, take a fifth of the host's
 	// processor time.
@@ -45,11 +50,18 @@
 	// the time since which no host may relay, or zero.
 	direct       map[string]bool
 	noRelaySince time.Time
+	// relaying is set while the owner uses relays.
+	relaying bool
 }
 
-// needsRelays reports whether an owner of this many workers uses relays.
+// needsRelays reports whether an owner of this many workers uses relays, and records it.
 func (as *assigner) needsRelays(workers int) bool {
-	return as.cores > 0 && float64(workers) > maxDirectPerCore*as.cores
+	limit := maxDirectPerCore * as.cores
+	if as.relaying {
+		limit *= keepRelaysShare
+	}
+	as.relaying = as.cores > 0 && float64(workers) > limit
+	return as.relaying
 }
 
 // relayCapacity returns how many workers a host is assigned as a relay.
--- a/internal/relay/assigner_test.go
+++ b/internal/relay/assigner_test.go
@@ -81,3 +81,15 @@
 		qt.Assert(t, as.load["h1"], qt.Equals, 1)
 	})
 }
+
+// TestLostWorkersEndRelaying guards against an owner that reaches all workers another way when it
+// has just lost some.
+func TestLostWorkersEndRelaying(t *testing.T) {
+	as := newAssigner()
+	for _, tc := range []struct {
+		workers int
+		want    bool
+	}{{256, false}, {490, true}, {240, true}, {129, true}, {128, false}, {240, false}} {
+		qt.Check(t, as.needsRelays(tc.workers), qt.Equals, tc.want, qt.Commentf("%d workers", tc.workers))
+	}
+}
