Ask a watch whether it answers while its store does not

It started the watch and expected at once that it has no answer yet, though nothing kept the first answer from being there already.

--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -27,9 +27,16 @@
 }
 
 func startMirror(t *testing.T, test func(mi *mirror)) {
+	t.Helper()
+	startMirrorWithFault(t, standin.Fault{}, test)
+}
+
+// startMirrorWithFault starts a mirror of a store that has the fault from the beginning.
+func startMirrorWithFault(t *testing.T, fault standin.Fault, test func(mi *mirror)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		mi := &mirror{t: t, rows: map[string]string{}}
+		mi.table.Faults.Set(fault)
 		mi.watch = Watch{Table: mi.table.Client(), TableName: "op", Prefix: "op/c0/", OnRows: mi.onRows, Log: slog.New(slog.DiscardHandler)}
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
@@ -138,8 +145,10 @@
 }
 
 func TestAnsweringAcrossOutage(t *testing.T) {
-	startMirror(t, func(mi *mirror) {
+	startMirrorWithFault(t, standin.Fault{Mode: standin.ModeFreeze}, func(mi *mirror) {
+		time.Sleep(time.Second)
 		qt.Assert(t, mi.watch.Answering(), qt.IsFalse)
+		mi.table.Faults.Set(standin.Fault{})
 		time.Sleep(maxFeedWait + time.Second)
 		qt.Assert(t, mi.watch.Answering(), qt.IsTrue)
 		mi.table.Faults.Set(standin.Fault{Mode: standin.ModeFreeze})
