--- a/internal/relay/assigner.go
+++ b/internal/relay/assigner.go
@@ -54,7 +54,8 @@
 	relaying bool
 }
 
-// needsRelays reports whether an owner of this many workers uses relays, and records it.
+// needsRelays decides whether an owner of this many workers uses relays. The answer depends on the
+// one before, see keepRelaysShare.
 func (as *assigner) needsRelays(workers int) bool {
 	limit := maxDirectPerCore * as.cores
 	if as.relaying {
--- a/internal/relay/assigner_test.go
+++ b/internal/relay/assigner_test.go
@@ -82,8 +82,8 @@
 	})
 }
 
-// TestLostWorkersEndRelaying guards against an owner that reaches all workers another way when it
-// has just lost some.
+// TestLostWorkersEndRelaying guards against an owner that gives up its relays when it has just lost
+// workers.
 func TestLostWorkersEndRelaying(t *testing.T) {
 	as := newAssigner()
 	for _, tc := range []struct {
--- a/internal/sched/capacitytransit.go
+++ b/internal/sched/capacitytransit.go
@@ -10,15 +10,15 @@
 
 // Capacity is in transit from the end of an attempt until the next one starts there: it is free
 // for the worker, and by the time that the owner learns of the end, the next start may be on its
-// way already. So the owner's books never show most of that time. The worker's clock does, as the
-// answers to polls and to orders carry it.
+// way already. The owner's reservations therefore show little of that time. The worker's clock does,
+// as the answers to polls and to orders carry it.
 
 const (
 	// transitRetention is how long ends are kept, by the worker's clock. Capacity that has been
 	// free for longer was not passed on.
 	transitRetention = 3 * time.Second
-	// promptAnswer is the time within which a poll counts as answered at once, so that the end
-	// that it lists happened before it arrived.
+	// promptAnswer is the time within which a poll, which may pass through a relay, counts as
+	// answered at once, so that the end that it lists happened before it arrived.
 	promptAnswer = 30 * time.Millisecond
 	// maxTransitSpan bounds the time to which the transit that was added up is related, as it
 	// is logged only while interrupted tasks start.
@@ -82,12 +82,8 @@
 		return
 	}
 	fc, ok := freedCapacity{clockMS: ack.FreedMS}, ack.FreedMS != 0
-	switch {
-	case ok:
-	case at.deferral != nil:
-		// The answer to its order will show the time.
-		return
-	default:
+	// The answer to a deferred order carries the time.
+	if !ok && at.deferral == nil {
 		fc, ok = wk.enablingEnd(at)
 	}
 	if !ok || ack.ClockMS-fc.clockMS > transitRetention.Milliseconds() {
