Wait for the relay in the test of deferred launches

It now waits until the relay answers, orders the stop until the launch is withdrawn, as a stop may overtake it, and asks that a task has not started before the end of the other, where it asked right after it, when the relay may have polled already.

--- a/internal/relay/deferredfor_test.go
+++ b/internal/relay/deferredfor_test.go
@@ -58,12 +58,21 @@
 	nt := newNetwork(t, 1)
 	nt.fleet.RunFunc = runForever
 	ad := nt.add()
-	qt.Assert(t, nt.launch(ad, "a", ""), qt.IsNil)
+	nt.eventually("the relay answers", func() bool { return nt.launch(ad, "a", "") == nil })
 	t.Run("withdrawn", func(t *testing.T) {
+		// An order to stop that overtakes the launch does not withdraw it.
 		done := nt.deferred(ad, "b")
-		time.Sleep(50 * time.Millisecond)
-		nt.halt(ad, "b")
-		qt.Check(t, (<-done).err, qt.ErrorIs, worker.ErrWithdrawn)
+		var an deferredAnswer
+		nt.eventually("the launch is withdrawn", func() bool {
+			nt.halt(ad, "b")
+			select {
+			case an = <-done:
+				return true
+			default:
+				return false
+			}
+		})
+		qt.Check(t, an.err, qt.ErrorIs, worker.ErrWithdrawn)
 	})
 	t.Run("out of time", func(t *testing.T) {
 		qt.Check(t, (<-nt.deferred(ad, "c")).err, qt.ErrorIs, worker.ErrNotFreed)
@@ -84,8 +93,8 @@
 		})
 		done := nt.deferred(ad, "e")
 		time.Sleep(50 * time.Millisecond)
-		nt.halt(ad, "a")
 		qt.Check(t, nt.started("e"), qt.IsFalse)
+		nt.halt(ad, "a")
 		_, err := nt.poll(ad)
 		qt.Assert(t, err, qt.IsNil)
 		an := <-done
