Leave capacity to short work when placing new long-running tasks

Long-running tasks that never ran took all capacity that was freed, so that latency-critical tasks of the same priority waited for seconds: in the owner's log 24,000 of 26,000 cores were reserved by long-running tasks, with at most 15.6 free on one worker.

Package headroom measures the arriving short work and chooses workers that get no new long-running task until its mean, with a margin for its variance, is covered. internal/sched tells it of steps that may start and of tasks that end, leaves the chosen workers out, and names headroom as the reason of the wait, apart from lack of capacity. Such tasks earmark no worker. A new owner seeds the demand from the jobs that it loads. The mechanism headroom switches it off.

--- a/internal/sched/contact.go
+++ b/internal/sched/contact.go
@@ -105,6 +105,7 @@
 	setWorkersGauge(me, nil)
 	setStuckGauge(me, nil)
 	setCoresGauge(me, 0, 0)
+	setHeadroomGauges(me, 0, 0, 0, 0)
 	setIdleGauge(me, [fillerObstacles]int64{})
 }
 
--- a/internal/sched/demand.go
+++ b/internal/sched/demand.go
@@ -11,8 +11,9 @@
 // the workers that may take them.
 type longRunningDemand struct {
 	// jobs and tasks count what waits for capacity; interrupted counts the tasks among them
-	// that ran before.
-	jobs, tasks, interrupted int
+	// that ran before. headroom counts the jobs for which workers have the capacity but keep it
+	// for short work.
+	jobs, tasks, interrupted, headroom int
 	// needMilliCores is the CPU that the tasks reserve, in thousandths of a core, longestWait
 	// the longest time that one of the jobs has waited.
 	needMilliCores int64
@@ -38,7 +39,7 @@
 		return
 	}
 	ow.demandLoggedAt = now
-	ow.Log.Info("room for lasting tasks", "jobs", lrd.jobs, "tasks", lrd.tasks, "again", lrd.interrupted, "need_millicores", lrd.needMilliCores, "longest", lrd.longestWait,
+	ow.Log.Info("room for lasting tasks", "jobs", lrd.jobs, "tasks", lrd.tasks, "again", lrd.interrupted, "for_headroom", lrd.headroom, "need_millicores", lrd.needMilliCores, "longest", lrd.longestWait,
 		"workers", lrd.workers, "kept", lrd.earmarked, "free_millicores", lrd.free, "most_millicores", lrd.mostFree, "passing_millicores", lrd.finite,
 		"promised_millicores", lrd.reserved, "promises_lacking", ow.reservations.unmet)
 }
@@ -48,7 +49,7 @@
 func (ow *Owner) longRunningDemand(now time.Time) longRunningDemand {
 	var lrd longRunningDemand
 	for _, tj := range ow.waitingJobs {
-		if tj.jo.LongRunning() && tj.waitCause == CauseRoom && now.Sub(tj.waitingSince) >= firstWaitLog {
+		if tj.jo.LongRunning() && (tj.waitCause == CauseRoom || tj.waitCause == CauseHeadroom) && now.Sub(tj.waitingSince) >= firstWaitLog {
 			lrd.add(tj, now)
 		}
 	}
@@ -75,6 +76,9 @@
 // add adds the waiting tasks of a long-running job.
 func (lrd *longRunningDemand) add(tj *trackedJob, now time.Time) {
 	lrd.jobs++
+	if tj.waitCause == CauseHeadroom {
+		lrd.headroom++
+	}
 	lrd.longestWait = max(lrd.longestWait, now.Sub(tj.waitingSince))
 	for step := range tj.jo.Spec.Steps {
 		n := tj.waitingIn(step)
--- a/internal/sched/earmark.go
+++ b/internal/sched/earmark.go
@@ -16,8 +16,9 @@
 // fits on no worker. Otherwise short tasks would use each part of it as it becomes free, and
 // the task would wait for as long as they arrive. It chooses the worker that is least short of
 // the capacity and will have it once the tasks there that end by themselves have ended. The
-// next round chooses again, and usually the same worker.
-func (pl *placer) earmark(tj *trackedJob, ref job.TaskRef) {
+// next round chooses again, and usually the same worker. Workers that are kept as headroom
+// stay open to short tasks.
+func (pl *placer) earmark(tj *trackedJob, ref job.TaskRef, hp *headroomPlan) {
 	st := &tj.jo.Spec.Steps[ref.Step]
 	if !st.LongRunning || !pl.ow.enabled(MechReserveCapacity) || pl.earmarks > len(pl.candidates)/earmarkShare || tj.interrupted(ref) {
 		return
@@ -25,7 +26,7 @@
 	var best *candidate
 	var leastMissing int64
 	for _, ca := range pl.candidates {
-		if ca.earmarked || !ca.allowed(tj, ref, st) || !st.Reserved().Fits(ca.free.Add(ca.wk.finiteReserved)) {
+		if ca.earmarked || hp.keeps(ca) || !ca.allowed(tj, ref, st) || !st.Reserved().Fits(ca.free.Add(ca.wk.finiteReserved)) {
 			continue
 		}
 		if missing := st.Each.MilliCores - ca.free.MilliCores; best == nil || missing < leastMissing {
--- a/internal/sched/load.go
+++ b/internal/sched/load.go
@@ -8,6 +8,7 @@
 
 	"github.com/cenkalti/backoff/v5"
 
+	"github.com/pepperhatch/pepperhatch/internal/headroom"
 	"github.com/pepperhatch/pepperhatch/internal/job"
 	"github.com/pepperhatch/pepperhatch/internal/store"
 	"github.com/pepperhatch/pepperhatch/internal/worker"
@@ -46,6 +47,7 @@
 	clear(ow.jobs)
 	clear(ow.unowned)
 	ow.waitingJobs = nil
+	ow.demands = headroom.Demands{}
 	byID := map[string]store.Row{}
 	for _, row := range specs {
 		byID[lastKeySegment(row.Key)] = row
@@ -80,6 +82,7 @@
 		}
 	}
 	ow.recountWaiting(tj)
+	ow.seedDemand(tj)
 	return tj
 }
 
--- a/internal/sched/mechanism.go
+++ b/internal/sched/mechanism.go
@@ -46,6 +46,8 @@
 	MechReserveCapacity
 	// MechQueuedStarts places interrupted tasks on capacity that is being freed.
 	MechQueuedStarts
+	// MechHeadroom keeps workers free of new long-running tasks for short work that arrives.
+	MechHeadroom
 )
 
 // MechanismEntry documents a mechanism.
@@ -74,6 +76,7 @@
 	{MechStall, "stall", "retries attempts without progress on another worker"},
 	{MechReserveCapacity, "keep-room", "reserves capacity for long-running tasks that fit on no worker"},
 	{MechQueuedStarts, "queue-starts", "places interrupted tasks on capacity that is being freed"},
+	{MechHeadroom, "headroom", "keeps workers free of new long-running tasks for short work that arrives"},
 }
 
 // ErrMechanism is returned for a name that is not in Mechanisms.
--- a/internal/sched/nofit.go
+++ b/internal/sched/nofit.go
@@ -22,6 +22,9 @@
 	// interrupted is set for tasks that were interrupted, respectsReservations for those
 	// that must not use capacity reserved for such tasks.
 	interrupted, respectsReservations bool
+	// headroom is the capacity to be left as headroom, in thousandths of a core. In a round, a
+	// larger one leaves out all workers that a smaller one of the same service does.
+	headroom int64
 	// lacksCapacity is set if no worker had the capacity, whatever else the step requires.
 	lacksCapacity bool
 }
@@ -37,7 +40,7 @@
 // requiresNoMoreThan reports whether a worker that has the capacity for both shapes takes this
 // one if it takes the other.
 func (sh shape) requiresNoMoreThan(other shape) bool {
-	if sh.respectsReservations && !other.respectsReservations || sh.service != other.service || sh.st.MaxPerWorker > 0 || sh.st.Label != "" {
+	if sh.respectsReservations && !other.respectsReservations || sh.headroom > other.headroom || sh.service != other.service || sh.st.MaxPerWorker > 0 || sh.st.Label != "" {
 		return false
 	}
 	return !sh.st.Filler || (sh.st.Image == other.st.Image && sh.selective == other.selective)
--- a/internal/sched/owner.go
+++ b/internal/sched/owner.go
@@ -26,6 +26,7 @@
 	"time"
 
 	"github.com/pepperhatch/pepperhatch/internal/clock"
+	"github.com/pepperhatch/pepperhatch/internal/headroom"
 	"github.com/pepperhatch/pepperhatch/internal/interfere"
 	"github.com/pepperhatch/pepperhatch/internal/job"
 	"github.com/pepperhatch/pepperhatch/internal/store"
@@ -142,6 +143,9 @@
 	demandLoggedAt time.Time
 	// idleCapacityAt is when idle capacity was last reported.
 	idleCapacityAt time.Time
+	// demands measures the arriving short work, headroomReport is the state of its reports.
+	demands        headroom.Demands
+	headroomReport headroomReport
 	// reservations holds the capacity reserved for long-running tasks that are to restart.
 	reservations restartReservations
 	// stuckCheckedAt is when stuck tasks were last searched for.
@@ -267,6 +271,7 @@
 	ow.accountTime(now)
 	ow.reserveForRestarts(now)
 	ow.logLongRunningDemand(now)
+	ow.reportHeadroom(now)
 	ow.reportIdleCapacity(now)
 	ow.measureVisibleCapacity(now)
 	ow.reportStuck(now)
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/pepperhatch/pepperhatch/internal/headroom"
 	"github.com/pepperhatch/pepperhatch/internal/job"
 	"github.com/pepperhatch/pepperhatch/internal/telemetry"
 	"github.com/pepperhatch/pepperhatch/internal/worker"
@@ -134,6 +135,8 @@
 	// is set.
 	withStops  []*candidate
 	stopsFound bool
+	// headrooms has the headroom that new long-running tasks leave, by service and priority.
+	headrooms map[headroom.Key]*headroomPlan
 	// claimedPriority is the priority up to which capacity that is being freed is kept for jobs
 	// of higher ones.
 	claimedPriority int
@@ -182,19 +185,24 @@
 }
 
 // placeRanked starts a task on the best worker of a ranking, and reports whether it did. If
-// there is none, it tries the ways that are open to long-running tasks.
+// there is none, it tries the ways that are open to long-running tasks, unless the task waits
+// only for headroom.
 func (pl *placer) placeRanked(tj *trackedJob, ref job.TaskRef, rk *ranking) bool {
 	ca := rk.best()
 	tj.waitCause = rk.cause
 	if ca != nil {
 		pl.start(tj, ref, ca)
+		rk.headroom.recordStart(ca, rk.st)
 		rk.update(ca)
 		return true
 	}
+	if rk.cause == CauseHeadroom {
+		return false
+	}
 	if pl.placeWithoutFreeCapacity(tj, ref) {
 		return true
 	}
-	pl.earmark(tj, ref)
+	pl.earmark(tj, ref, rk.headroom)
 	return false
 }
 
--- a/internal/sched/rank.go
+++ b/internal/sched/rank.go
@@ -24,6 +24,8 @@
 	// limited.
 	counts map[*workerState]int
 	heap   ratingHeap
+	// headroom has the workers to leave out as they are kept for short work, nil if none.
+	headroom *headroomPlan
 	// cause is why no worker can take a task.
 	cause Cause
 }
@@ -34,15 +36,19 @@
 	rk := &ranking{pl: pl, tj: tj, step: step, st: st, selective: st.Filler && pl.selective(tj), interrupted: interrupted, cause: CauseRoom}
 	rk.respectsReservations = st.LongRunning && !interrupted && pl.ow.reservations.appliesTo(tj)
 	sh := shape{st: st, service: tj.jo.Terms.Service, selective: rk.selective, interrupted: interrupted, respectsReservations: rk.respectsReservations}
+	if st.MaxPerWorker > 0 {
+		rk.counts = tj.countBy(step)
+	}
+	rk.leaveHeadroom()
+	if rk.headroom != nil {
+		sh.headroom = rk.headroom.Need
+	}
 	if pl.ow.noFit.has(sh) {
 		if st.Filler {
 			rk.cause = CausePlace
 		}
 		return rk
 	}
-	if st.MaxPerWorker > 0 {
-		rk.counts = tj.countBy(step)
-	}
 	pl.ow.lag.tick.rated += int64(len(pl.candidates))
 	sh.lacksCapacity = true
 	for _, ca := range pl.candidates {
@@ -64,10 +70,7 @@
 // accepts reports whether a worker with enough capacity can take a task of the step now, and
 // records the cause if not.
 func (rk *ranking) accepts(ca *candidate) bool {
-	if !ca.suitable(rk.tj, rk.st) || (rk.counts != nil && rk.counts[ca.wk] >= rk.st.MaxPerWorker) {
-		return false
-	}
-	if rk.respectsReservations && !rk.st.Reserved().Fits(ca.free.Sub(ca.wk.restartReserved)) {
+	if !rk.suits(ca) || !rk.leavesReservations(ca) || !rk.headroom.allows(ca, rk.st) {
 		return false
 	}
 	if rk.selective && !ca.acceptsFiller(rk.st) {
@@ -77,10 +80,24 @@
 	return true
 }
 
+// suits reports whether a task of the step may run on the worker, regardless of free capacity.
+func (rk *ranking) suits(ca *candidate) bool {
+	return ca.suitable(rk.tj, rk.st) && (rk.counts == nil || rk.counts[ca.wk] < rk.st.MaxPerWorker)
+}
+
+// leavesReservations reports whether a task on the worker would leave free what is reserved there
+// for interrupted tasks, if it has to.
+func (rk *ranking) leavesReservations(ca *candidate) bool {
+	return !rk.respectsReservations || rk.st.Reserved().Fits(ca.free.Sub(ca.wk.restartReserved))
+}
+
 // best returns the worker with the highest score, or nil if none can take a task. If there
 // is one, the task waits only for its launch order, so the cause becomes CauseOrder.
 func (rk *ranking) best() *candidate {
 	if len(rk.heap) == 0 {
+		if rk.waitsForHeadroom() {
+			rk.cause = CauseHeadroom
+		}
 		return nil
 	}
 	rk.cause = CauseOrder
--- a/internal/sched/stuck.go
+++ b/internal/sched/stuck.go
@@ -31,9 +31,10 @@
 	// obstacleIsolation: it is suspected of crashing workers and waits for a worker where it
 	// runs isolated, or spread from other such tasks.
 	obstacleIsolation obstacle = "trial"
-	// obstacleCapacity, obstaclePlacement, obstacleOrder and obstacleStore equal the names of
-	// CauseRoom, CausePlace, CauseOrder and CauseStore.
+	// obstacleCapacity, obstacleHeadroom, obstaclePlacement, obstacleOrder and obstacleStore
+	// equal the names of CauseRoom, CauseHeadroom, CausePlace, CauseOrder and CauseStore.
 	obstacleCapacity  obstacle = "room"
+	obstacleHeadroom  obstacle = "headroom"
 	obstaclePlacement obstacle = "place"
 	obstacleOrder     obstacle = "order"
 	obstacleStore     obstacle = "store"
@@ -46,7 +47,7 @@
 
 // obstacles has all values, for the gauges.
 var obstacles = []obstacle{
-	obstacleBackoff, obstacleIsolation, obstacleCapacity, obstaclePlacement, obstacleOrder, obstacleStore, obstacleUnresponsive, obstacleStopping,
+	obstacleBackoff, obstacleIsolation, obstacleCapacity, obstacleHeadroom, obstaclePlacement, obstacleOrder, obstacleStore, obstacleUnresponsive, obstacleStopping,
 }
 
 // stuckJob holds the stuck tasks of one job, counted by obstacle, and the longest wait
--- a/internal/sched/suspect.go
+++ b/internal/sched/suspect.go
@@ -119,7 +119,7 @@
 		return
 	}
 	tj.waitCause = CauseRoom
-	pl.earmark(tj, ref)
+	pl.earmark(tj, ref, nil)
 }
 
 // placeIsolated starts a task isolated once no other trial of its job is unresolved and its
@@ -154,7 +154,7 @@
 	ca := pl.leastOccupied(tj, ref)
 	if ca == nil {
 		tj.waitCause = CauseRoom
-		pl.earmark(tj, ref)
+		pl.earmark(tj, ref, nil)
 		return nil
 	}
 	tj.isolatedTrialAt, ca.isolated = pl.now, true
--- a/internal/sched/timebreakdown.go
+++ b/internal/sched/timebreakdown.go
@@ -36,6 +36,9 @@
 	// backoff to end. The time of such jobs is not accounted, so this cause is not counted
 	// with the others.
 	CauseBackoff = causes
+	// CauseHeadroom: a long-running task that never ran waits because the workers that have the
+	// capacity are kept for short work. It is not counted either.
+	CauseHeadroom = causes + 1
 )
 
 // causeNames are the names of the causes in logs and metrics.
@@ -43,8 +46,11 @@
 
 // String returns the cause's name.
 func (ca Cause) String() string {
-	if ca == CauseBackoff {
+	switch ca {
+	case CauseBackoff:
 		return "rest"
+	case CauseHeadroom:
+		return "headroom"
 	}
 	return causeNames[ca]
 }
@@ -144,7 +150,7 @@
 	if tj.jo.LongRunning() {
 		attrs = append(attrs, slog.Int("again", tj.waitingInterrupted(tj.waitingStep())))
 	}
-	if step := tj.waitingStep(); ca == CauseRoom && step >= 0 {
+	if step := tj.waitingStep(); (ca == CauseRoom || ca == CauseHeadroom) && step >= 0 {
 		attrs = append(attrs, ow.findShortage(tj, step, now).attrs()...)
 	}
 	if !tj.jo.LongRunning() {
--- a/internal/sched/trackedjob.go
+++ b/internal/sched/trackedjob.go
@@ -76,6 +76,8 @@
 	isolatedTrialAt time.Time
 	// waitCause is why the last round of placement left a task waiting.
 	waitCause Cause
+	// demandSteps has a bit for each step that was added to the demand of short work.
+	demandSteps uint64
 	// timeBreakdown accounts for the job's elapsed time by cause.
 	timeBreakdown timeBreakdown
 }
@@ -101,6 +103,7 @@
 		ow.dirtyJobs = append(ow.dirtyJobs, tj)
 	}
 	ow.recountWaiting(tj)
+	ow.observeArrivals(tj)
 	ow.placementDue = true
 }
 
@@ -167,6 +170,9 @@
 	var seen observation
 	if at := tj.attempts[ref]; at != nil && at.number == number {
 		incarnation, seen = at.wk.incarnation, at.observed()
+		if end == job.EndDone {
+			ow.observeDuration(at, time.Now())
+		}
 		at.wk.removeAttempt(at)
 		delete(tj.attempts, ref)
 	}
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -66,6 +66,8 @@
 	StuckTasks      Name = "pepperhatch_stuck_tasks"
 	CellCores       Name = "pepperhatch_cell_cores"
 	FillerIdleCores Name = "pepperhatch_filler_idle_cores"
+	HeadroomCores   Name = "pepperhatch_headroom_cores"
+	HeadroomWorkers Name = "pepperhatch_headroom_workers"
 	ConfigVersion   Name = "pepperhatch_config_version"
 	ConfigConfirmed Name = "pepperhatch_config_confirmed_seconds"
 )
@@ -133,6 +135,8 @@
 	{StuckTasks, "kind, why", "tasks of the owner's cell that have waited for 5 s, or are assumed to run without a report of their worker for as long, by cause", "see \"Tasks are stuck\""},
 	{CellCores, "part", "cores of the workers that get tasks from the cell's owner: their capacity, and what tasks reserve", "stuck tasks although cores are not reserved: look at the label why"},
 	{FillerIdleCores, "obstacle", "cores that no task is expected to use while fillers wait, by the least obstacle that each worker has for any waiting image: none (a filler is about to start), a service over its target for long (held), a service too close to its target (target), too little idle (little), memory", "mostly target: fillers of these images disturb the services that are left; mostly little: services and fillers use what there is"},
+	{HeadroomCores, "part", "cores of short work, which reserves processors and ends by itself: its mean demand, the need with a margin for its variance, and what the workers that get no new long-running task have for it (covered)", "covered below need while long-running tasks wait: it takes until some of them end, or short work needs over half of the capacity"},
+	{HeadroomWorkers, "", "workers that get no new long-running task, as their capacity is kept for short work", "long-running tasks wait for it: look for \"headroom for short work\" in the log"},
 	{ConfigVersion, "", "version of the configuration in force at this host", "differs between hosts for over 2 s: see \"A change is not in force\""},
 	{ConfigConfirmed, "", "Unix time, in seconds, of the last call by which the store confirmed that the configuration is current", "over 3 s ago: see \"A change is not in force\""},
 }
