Record capacity by data centre and service

Capacity was known for the cell as a whole, so that neither admission nor operators could see that one data centre is full or unavailable while others have capacity.

Package capacity sums up workers, those that accept new tasks, their capacity, what long-running and other tasks reserve, and idle processors. The owner computes the summary in each round of placement, exports it as gauges, and logs the figures that have changed notably.

--- a/internal/sched/owner.go
+++ b/internal/sched/owner.go
@@ -146,6 +146,8 @@
 	// demands measures the arriving short work, headroomReport is the state of its reports.
 	demands        headroom.Demands
 	headroomReport headroomReport
+	// dataCentreCapacity has the capacity by data centre and service.
+	dataCentreCapacity dataCentreCapacity
 	// reservations holds the capacity reserved for long-running tasks that are to restart.
 	reservations restartReservations
 	// stuckCheckedAt is when stuck tasks were last searched for.
@@ -193,6 +195,7 @@
 func (ow *Owner) Run(ctx context.Context, loaded func()) error {
 	defer close(ow.ended)
 	defer ResetGauges(ow.Metrics)
+	defer ow.resetCapacityGauges()
 	ow.ctx = ctx
 	ow.startedAt = time.Now()
 	ow.listTrust.untrustedAt = ow.startedAt
@@ -272,6 +275,7 @@
 	ow.reserveForRestarts(now)
 	ow.logLongRunningDemand(now)
 	ow.reportHeadroom(now)
+	ow.reportCapacity(now)
 	ow.reportIdleCapacity(now)
 	ow.measureVisibleCapacity(now)
 	ow.reportStuck(now)
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -65,9 +65,12 @@
 	workers := ow.sortedWorkers()
 	list := make([]candidate, len(workers))
 	pl.candidates = make([]*candidate, 0, len(workers))
+	ta := ow.dataCentreCapacity.groups.Tally()
 	for i, wk := range workers {
 		ca := &list[i]
-		if why := wk.unavailableReason(pl.now); why != "" {
+		why := wk.unavailableReason(pl.now)
+		wk.addTo(ta, why == "")
+		if why != "" {
 			if why == unavailableFailing && wk.trial == nil {
 				*ca = newCandidate(wk)
 				pl.failing = append(pl.failing, ca)
@@ -80,6 +83,7 @@
 		reserved += wk.reserved.MilliCores
 		holds += wk.Capacity.MilliCores
 	}
+	ow.dataCentreCapacity.setSummary(ta.Summary(), pl.now)
 	pl.fillerWait = fillerWaitLimit(share(reserved, holds))
 	return pl
 }
--- a/internal/sched/workerstate.go
+++ b/internal/sched/workerstate.go
@@ -116,6 +116,8 @@
 	restartReserved worker.Resources
 	// restartReady is set if some of these tasks may start now; the worker is then earmarked.
 	restartReady bool
+	// capacityGroup is the number under which its capacity is summed up, 0 if it is not known.
+	capacityGroup int
 	// earmarkedInRound is the last placement round in which the worker was earmarked for a
 	// long-running task that never ran.
 	earmarkedInRound int
@@ -194,7 +196,7 @@
 	if we.Draining && !wk.Draining {
 		wk.leavesAt = time.Now().Add(we.Remaining)
 	}
-	wk.WorkerEntry, wk.unlisted, wk.evacuationLogged = we, false, false
+	wk.WorkerEntry, wk.unlisted, wk.evacuationLogged, wk.capacityGroup = we, false, false, 0
 }
 
 // addWorker adds a worker and starts to poll it.
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -68,6 +68,10 @@
 	FillerIdleCores Name = "pepperhatch_filler_idle_cores"
 	HeadroomCores   Name = "pepperhatch_headroom_cores"
 	HeadroomWorkers Name = "pepperhatch_headroom_workers"
+
+	DataCentreCores   Name = "pepperhatch_data_centre_cores"
+	DataCentreWorkers Name = "pepperhatch_data_centre_workers"
+
 	ConfigVersion   Name = "pepperhatch_config_version"
 	ConfigConfirmed Name = "pepperhatch_config_confirmed_seconds"
 )
@@ -137,6 +141,8 @@
 	{FillerIdleCores, "obstacle", "cores that no task is expected to use while fillers wait, by the least obstacle that each worker has for any waiting image: none (a filler is about to start), a service over its target for long (held), a service too close to its target (target), too little idle (little), memory", "mostly target: fillers of these images disturb the services that are left; mostly little: services and fillers use what there is"},
 	{HeadroomCores, "part", "cores of short work, which reserves processors and ends by itself: its mean demand, the need with a margin for its variance, and what the workers that get no new long-running task have for it (covered)", "covered below need while long-running tasks wait: it takes until some of them end, or short work needs over half of the capacity"},
 	{HeadroomWorkers, "", "workers that get no new long-running task, as their capacity is kept for short work", "long-running tasks wait for it: look for \"headroom for short work\" in the log"},
+	{DataCentreCores, "data_centre, service, part", "cores of the workers in the list, by data centre and service: total, of workers that accept new tasks (usable), reserved by long-running tasks, reserved by tasks that end by themselves (finite), and of usable workers what no task is expected to use (idle)", "usable far below total: look at the workers there; finite low in one data centre and high in another: demand has moved"},
+	{DataCentreWorkers, "data_centre, service, state", "workers in the list (listed), and those of them that accept new tasks (available), by data centre and service", "none available in a data centre: see \"A data centre is cut off\""},
 	{ConfigVersion, "", "version of the configuration in force at this host", "differs between hosts for over 2 s: see \"A change is not in force\""},
 	{ConfigConfirmed, "", "Unix time, in seconds, of the last call by which the store confirmed that the configuration is current", "over 3 s ago: see \"A change is not in force\""},
 }
