Choose data centres that leave orders unanswered last

A worker behind a cut link stays available until a poll times out, up to 2.6 s after the cut. Tasks that are placed there meanwhile wait for its leases to lapse, while workers of other data centres are free. As a task goes to the fullest worker that takes it, each lost worker takes some.

An order is given up after 0.4 s. A worker that has answered nothing since such an order was sent now has a lower score, and so have all workers of a data centre from which nothing was answered since. No worker is excluded, so that an owner that is itself slow goes on placing.

TestDataCentreLost also shows that free capacity of the other data centres is in use within 2 s, which held before.

Run: go test ./internal/sched ./docs, TestDataCentreLost 30 times, and the tests of headroom and data centres with -race.

--- a/internal/sched/launch.go
+++ b/internal/sched/launch.go
@@ -90,6 +90,7 @@
 		return
 	}
 	if err == nil || errors.Is(err, worker.ErrStaleAttempt) {
+		at.wk.recordAnswered(got)
 		at.wk.recordTransit(at, ack)
 		at.wk.markStarted(at, got)
 		ow.Log.Info("attempt launched", "task", taskID(at), "attempt", at.number, "worker", at.wk.incarnation, "took", got.Sub(sent))
@@ -111,6 +112,7 @@
 	}
 	if !at.wk.handleRefusal(err) {
 		at.resolvingOrder = true
+		at.wk.recordUnanswered(sent)
 		go ow.resolveOrder(at.wk, at.name(), func(present bool) { ow.handleLaunchResolved(at, present) })
 		return
 	}
--- a/internal/sched/owner.go
+++ b/internal/sched/owner.go
@@ -148,6 +148,8 @@
 	headroomReport headroomReport
 	// dataCentreCapacity has the capacity by data centre and service.
 	dataCentreCapacity dataCentreCapacity
+	// answers has the last answer and the last order without one by data centre.
+	answers map[string]*answerRecord
 	// reservations holds the capacity reserved for long-running tasks that are to restart.
 	reservations restartReservations
 	// stuckCheckedAt is when stuck tasks were last searched for.
@@ -187,6 +189,7 @@
 	ow.workersByID = map[string][]*workerState{}
 	ow.unowned = map[worker.Incarnation]int{}
 	ow.similarity = map[imagePair]float64{}
+	ow.answers = map[string]*answerRecord{}
 	return ow
 }
 
--- a/internal/sched/polls.go
+++ b/internal/sched/polls.go
@@ -161,6 +161,7 @@
 	wk.supersedeOthers(sent)
 	unpolled := wk.unpolledTime(sent, got)
 	wk.lastAnsweredAt = got
+	wk.recordAnswered(got)
 	wk.recordClock(res.ClockMS, got)
 	wk.lastPollHadEnds = len(res.Ended) > 0
 	wk.pollsHandled++
--- a/internal/sched/score.go
+++ b/internal/sched/score.go
@@ -21,6 +21,9 @@
 	if tj.failedOn[ca.wk.incarnation] {
 		score -= failedPenalty
 	}
+	if ca.wk.answers.missing() || ca.wk.dataCentreAnswers().missing() {
+		score -= unansweredPenalty
+	}
 	return score - float64(ca.wk.failures)*perFailurePenalty
 }
 
@@ -90,6 +93,9 @@
 	otherRackPenalty = 0.5
 	// failedPenalty keeps a job's tasks away from a worker on which one of them failed.
 	failedPenalty = 4
+	// unansweredPenalty keeps tasks away from a worker or a data centre that has answered nothing
+	// since an order which was given up.
+	unansweredPenalty = 4
 	// perFailurePenalty is subtracted for each attempt that has failed there since one
 	// succeeded.
 	perFailurePenalty = 1
--- a/internal/sched/workerstate.go
+++ b/internal/sched/workerstate.go
@@ -74,6 +74,10 @@
 	// began to fail, or zero.
 	lastAnsweredAt time.Time
 	failingSince   time.Time
+	// answers has the last answer and the last order without one, dataCentre those of its data
+	// centre, nil if not looked up yet.
+	answers    answerRecord
+	dataCentre *answerRecord
 	// unresponsive is set if polls fail because the first failed one timed out, rather than
 	// because the connection broke off.
 	unresponsive bool
@@ -196,7 +200,7 @@
 	if we.Draining && !wk.Draining {
 		wk.leavesAt = time.Now().Add(we.Remaining)
 	}
-	wk.WorkerEntry, wk.unlisted, wk.evacuationLogged, wk.capacityGroup = we, false, false, 0
+	wk.WorkerEntry, wk.unlisted, wk.evacuationLogged, wk.capacityGroup, wk.dataCentre = we, false, false, 0, nil
 }
 
 // addWorker adds a worker and starts to poll it.
