Choose slow workers last, move tasks off them, and use learnt durations

The owner observes ends and the progress that polls list. Slow workers get tasks of all kinds only where no other worker fits. Tasks that end by themselves are stopped on a slow worker whose verdict is confirmed, if they are expected to end sooner elsewhere and a worker that is not slow has the capacity. A worker that has just become slow is polled again after 0.3 s, as otherwise most tasks are past the progress up to which they are moved.

Whether a job can be in time is judged by estimates times the learnt ratio. The ratios are stored in a row of their own, as the row of the interference would exceed the store's limit with them. Slowdowns are not stored. Each use can be disabled.

Run: go test ./internal/sched ./internal/lab ./internal/job ./internal/jobhost ./docs; go test -race -count=10 ./internal/sched -run 'SlowWorker|Silent|LearntRatio|TestLateWrite|Mechanism|TestNextOwner'.

--- a/internal/job/criticalpath.go
+++ b/internal/job/criticalpath.go
@@ -3,27 +3,30 @@
 // CriticalPathMS returns the longest path through a job's steps by estimated run time, in
 // milliseconds.
 func (sp *Spec) CriticalPathMS() int64 {
-	return sp.longestPath(func(int) bool { return true })
+	return sp.longestPath(func(step int) int64 { return sp.Steps[step].EstimateMS })
 }
 
-// RemainingMS returns the longest path through the steps that are not done, by estimated
-// run time, in milliseconds.
-func (jo *Job) RemainingMS() int64 {
-	return jo.Spec.longestPath(func(step int) bool { return jo.remaining[step] > 0 })
+// RemainingMS returns the longest path through the steps that are not done, by the run time of
+// a task of each step that expectedMS returns, in milliseconds.
+func (jo *Job) RemainingMS(expectedMS func(*Step) int64) int64 {
+	return jo.Spec.longestPath(func(step int) int64 {
+		if jo.remaining[step] == 0 {
+			return 0
+		}
+		return expectedMS(&jo.Spec.Steps[step])
+	})
 }
 
-// longestPath returns the longest path through the steps, where only those that counts
-// selects add their run time, in milliseconds.
-func (sp *Spec) longestPath(counts func(step int) bool) int64 {
+// longestPath returns the longest path through the steps, each of which takes the time that
+// runMS returns, in milliseconds.
+func (sp *Spec) longestPath(runMS func(step int) int64) int64 {
 	var longest int64
 	until := make([]int64, len(sp.Steps))
 	for i := range sp.Steps {
 		for _, before := range sp.Steps[i].After {
 			until[i] = max(until[i], until[before])
 		}
-		if counts(i) {
-			until[i] += sp.Steps[i].EstimateMS
-		}
+		until[i] += runMS(i)
 		longest = max(longest, until[i])
 	}
 	return longest
--- a/internal/sched/attempt.go
+++ b/internal/sched/attempt.go
@@ -6,6 +6,7 @@
 
 	"github.com/pepperhatch/pepperhatch/internal/interfere"
 	"github.com/pepperhatch/pepperhatch/internal/job"
+	"github.com/pepperhatch/pepperhatch/internal/speed"
 	"github.com/pepperhatch/pepperhatch/internal/worker"
 )
 
@@ -78,6 +79,8 @@
 	// cpuShare is the fraction of its declared CPU that a filler uses at full speed, 0 if
 	// unknown.
 	cpuShare float64
+	// speed has what was observed of its speed.
+	speed speed.Attempt
 }
 
 // name returns the name under which the worker lists the attempt. It is computed once, as each
--- a/internal/sched/contact.go
+++ b/internal/sched/contact.go
@@ -106,6 +106,7 @@
 	setStuckGauge(me, nil)
 	setCoresGauge(me, 0, 0)
 	setIdleGauge(me, [fillerObstacles]int64{})
+	me.Set(telemetry.SlowWorkers, 0)
 }
 
 // logOutage logs workers that get no orders, and the end of such an outage. late is the
--- a/internal/sched/launch.go
+++ b/internal/sched/launch.go
@@ -91,6 +91,7 @@
 	}
 	if err == nil || errors.Is(err, worker.ErrStaleAttempt) {
 		at.wk.recordTransit(at, ack)
+		at.beginObservation(ack, err)
 		at.wk.markStarted(at, got)
 		ow.Log.Info("attempt launched", "task", taskID(at), "attempt", at.number, "worker", at.wk.incarnation, "took", got.Sub(sent))
 		return
--- a/internal/sched/mechanism.go
+++ b/internal/sched/mechanism.go
@@ -46,6 +46,14 @@
 	MechReserveCapacity
 	// MechQueuedStarts places interrupted tasks on capacity that is being freed.
 	MechQueuedStarts
+	// MechSlowLast chooses slow workers last.
+	MechSlowLast
+	// MechMoveOffSlow stops tasks on slow workers that end sooner elsewhere.
+	MechMoveOffSlow
+	// MechLearntDurations corrects estimated times by the learnt ratio of true to estimated ones.
+	MechLearntDurations
+	// MechPersistDurations persists the learnt ratios for the next owner.
+	MechPersistDurations
 )
 
 // MechanismEntry documents a mechanism.
@@ -74,6 +82,10 @@
 	{MechStall, "stall", "retries attempts without progress on another worker"},
 	{MechReserveCapacity, "keep-room", "reserves capacity for long-running tasks that fit on no worker"},
 	{MechQueuedStarts, "queue-starts", "places interrupted tasks on capacity that is being freed"},
+	{MechSlowLast, "slow-last", "chooses slow workers last"},
+	{MechMoveOffSlow, "move-off-slow", "stops tasks on slow workers that end sooner elsewhere"},
+	{MechLearntDurations, "learnt-durations", "corrects estimated times by the learnt ratio of true to estimated ones"},
+	{MechPersistDurations, "persist-durations", "persists the learnt ratios of true to estimated times for the next owner"},
 }
 
 // ErrMechanism is returned for a name that is not in Mechanisms.
--- a/internal/sched/owner.go
+++ b/internal/sched/owner.go
@@ -138,6 +138,8 @@
 	// is in flight.
 	modelSavedAt time.Time
 	savingModel  bool
+	// durations has how long tasks take, compared with their estimates.
+	durations durations
 	// demandLoggedAt is when waiting long-running tasks without capacity were last logged.
 	demandLoggedAt time.Time
 	// idleCapacityAt is when idle capacity was last reported.
@@ -197,7 +199,9 @@
 		return err
 	}
 	ow.loadLeaseRecord(ctx)
+	stored := ow.readDurations(ctx)
 	ow.loadInterference(ctx)
+	ow.restoreDurations(<-stored)
 	ow.model.Fixed = !ow.enabled(MechPairs)
 	ow.Log.Info("cell loaded", "cell", ow.Cell, "epoch", ow.Tenure.Epoch, "jobs", len(ow.jobs), "active", len(ow.waitingJobs), "took", time.Since(ow.startedAt))
 	loaded()
@@ -272,11 +276,14 @@
 	ow.reportStuck(now)
 	ow.sortWaitingJobs(now)
 	ow.moveHeld(now)
+	ow.reportSlow(now)
+	ow.moveOffSlow(now)
 	ow.checkWorkerList(now)
 	ow.evacuate(now)
 	ow.endExpiredUnowned(now)
 	ow.forgetEnded(now)
 	ow.saveInterference(now)
+	ow.saveDurations(now)
 	ow.placementDue = true
 }
 
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -74,7 +74,7 @@
 			continue
 		}
 		*ca = newCandidate(wk)
-		ca.index, ca.earmarked = len(pl.candidates), wk.restartReady
+		ca.index, ca.earmarked, ca.slowdown = len(pl.candidates), wk.restartReady, wk.placementSlowdown(pl.now)
 		pl.candidates = append(pl.candidates, ca)
 		reserved += wk.reserved.MilliCores
 		holds += wk.Capacity.MilliCores
@@ -100,6 +100,8 @@
 	// candidatesWithStops. claimed is set if a job of a higher priority waits for it.
 	stopping worker.Resources
 	claimed  bool
+	// slowdown is that of a slow worker, 0 for any other.
+	slowdown float64
 }
 
 func newCandidate(wk *workerState) candidate {
--- a/internal/sched/polls.go
+++ b/internal/sched/polls.go
@@ -18,6 +18,9 @@
 	pollWait      = time.Second
 	mixedPollWait = 600 * time.Millisecond
 	idlePollWait  = 2 * time.Second
+	// confirmPollWait is the same for a worker that has just become slow, as tasks are moved
+	// only once that is confirmed.
+	confirmPollWait = 300 * time.Millisecond
 	// pollGrace is the extra time for an answer before the connection counts as dead.
 	pollGrace = 600 * time.Millisecond
 	// pollRetry is the longest pause after a failed poll.
@@ -113,6 +116,8 @@
 	case wk.leaseRecorded() && wk.failingSince.IsZero():
 		po.Wait = recordedPollWait
 	case !wk.settled || wk.ackWithheld || wk.clockAt.IsZero() || wk.undurableEnds > 0 || !wk.failingSince.IsZero():
+	case wk.speed.awaitsConfirmation(now):
+		po.Wait = confirmPollWait
 	case wk.hasFillersBesideServices():
 		po.Wait = mixedPollWait
 	case len(wk.attempts) > 0:
@@ -164,8 +169,10 @@
 	wk.recordClock(res.ClockMS, got)
 	wk.lastPollHadEnds = len(res.Ended) > 0
 	wk.pollsHandled++
+	wk.speed.recordPoll(res.ClockMS, unpolled, got)
 	ended := wk.handleEnds(res, unpolled)
 	wk.handleRunning(res, got)
+	wk.judgeSpeed(got)
 	if len(res.Ended) < maxEnds {
 		settles := !wk.settled && fence >= wk.settleFence
 		wk.endMissing(sent, ended, settles)
@@ -308,6 +315,7 @@
 		at.recordObservation(got)
 		at.usage = ra.Usage
 		at.recordProgress(ra.Percent, got)
+		at.observeProgress(got)
 		if ra.Checkpoint != "" {
 			at.tj.jo.Task(at.ref).Checkpoint = ra.Checkpoint
 		}
--- a/internal/sched/queuedstart.go
+++ b/internal/sched/queuedstart.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -21,7 +22,7 @@
 const queuedTimeout = leaveMargin
 
 // placeQueued queues an interrupted long-running task on the worker that will have the fewest
-// free cores left, and reports whether there was one. A suspect task is queued only where no
+// free cores left, on a slow one only if there is no other, and reports whether there was one. A suspect task is queued only where no
 // other attempt is starting.
 func (pl *placer) placeQueued(tj *trackedJob, ref job.TaskRef) bool {
 	if !pl.ow.enabled(MechQueuedStarts) || !tj.interrupted(ref) {
@@ -40,7 +41,8 @@
 		if suspect && ca.wk.occupancy(pl.now).starting > 0 {
 			continue
 		}
-		if n := later.MilliCores - need.MilliCores; best == nil || n < left {
+		n := later.MilliCores - need.MilliCores
+		if best == nil || cmp.Or(cmp.Compare(ca.slowdown, best.slowdown), cmp.Compare(n, left)) < 0 {
 			best, left = ca, n
 		}
 	}
--- a/internal/sched/score.go
+++ b/internal/sched/score.go
@@ -21,6 +21,9 @@
 	if tj.failedOn[ca.wk.incarnation] {
 		score -= failedPenalty
 	}
+	if ca.slowdown > 0 {
+		score -= slowPenalty + ca.slowdown
+	}
 	return score - float64(ca.wk.failures)*perFailurePenalty
 }
 
@@ -93,4 +96,7 @@
 	// perFailurePenalty is subtracted for each attempt that has failed there since one
 	// succeeded.
 	perFailurePenalty = 1
+	// slowPenalty is subtracted from the score of a slow worker. It exceeds all other terms
+	// together, so that slow workers are chosen last.
+	slowPenalty = 20
 )
--- a/internal/sched/suspect.go
+++ b/internal/sched/suspect.go
@@ -174,8 +174,8 @@
 }
 
 // leastOccupied returns the worker with capacity for the task that has the fewest starting
-// attempts, then the fewest with a latency target, then the fewest at all. It returns nil if
-// there is none.
+// attempts, then the fewest with a latency target, then the fewest at all; slow workers come
+// last. It returns nil if there is none.
 func (pl *placer) leastOccupied(tj *trackedJob, ref job.TaskRef) *candidate {
 	st := &tj.jo.Spec.Steps[ref.Step]
 	var best *candidate
@@ -184,15 +184,21 @@
 		if !ca.fits(tj, ref, st) {
 			continue
 		}
-		if oc := ca.wk.occupancy(pl.now); best == nil || oc.compare(least) < 0 {
+		oc := ca.wk.occupancy(pl.now)
+		oc.slowdown = ca.slowdown
+		if best == nil || oc.compare(least) < 0 {
 			best, least = ca, oc
 		}
 	}
 	return best
 }
 
-// occupancy counts the attempts that a crash of a worker would end.
-type occupancy struct{ starting, services, attempts int }
+// occupancy counts the attempts that a crash of a worker would end. slowdown is that of a slow
+// worker, 0 for any other.
+type occupancy struct {
+	starting, services, attempts int
+	slowdown                     float64
+}
 
 // occupancy counts the worker's attempts.
 func (wk *workerState) occupancy(now time.Time) occupancy {
@@ -205,10 +211,10 @@
 	return oc
 }
 
-// compare orders workers by the attempts that a crash would end: first by those in their
-// startup, then by those with a latency target, then by all.
+// compare orders workers by their slowdown, then by the attempts that a crash would end: first by
+// those in their startup, then by those with a latency target, then by all.
 func (oc occupancy) compare(other occupancy) int {
-	return cmp.Or(cmp.Compare(oc.starting, other.starting), cmp.Compare(oc.services, other.services), cmp.Compare(oc.attempts, other.attempts))
+	return cmp.Or(cmp.Compare(oc.slowdown, other.slowdown), cmp.Compare(oc.starting, other.starting), cmp.Compare(oc.services, other.services), cmp.Compare(oc.attempts, other.attempts))
 }
 
 // logGivenUp logs and counts a task that is not retried any more.
--- a/internal/sched/trackedjob.go
+++ b/internal/sched/trackedjob.go
@@ -167,6 +167,9 @@
 	var seen observation
 	if at := tj.attempts[ref]; at != nil && at.number == number {
 		incarnation, seen = at.wk.incarnation, at.observed()
+		if end == job.EndDone {
+			at.observeEnd(time.Now())
+		}
 		at.wk.removeAttempt(at)
 		delete(tj.attempts, ref)
 	}
--- a/internal/sched/workerstate.go
+++ b/internal/sched/workerstate.go
@@ -131,6 +131,8 @@
 	failures               int
 	failedJobs             map[string]bool
 	fillers                fillerStats
+	// speed has what was observed of the speed of the worker's process.
+	speed workerSpeed
 }
 
 // SetWorkers applies entries of the platform's list of workers, and marks the workers with the
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -58,6 +58,7 @@
 	SuspectStarts  Name = "pepperhatch_suspect_starts"
 	TasksGivenUp   Name = "pepperhatch_tasks_given_up"
 	QueuedStarts   Name = "pepperhatch_queued_starts"
+	SlowMoves      Name = "pepperhatch_slow_worker_moves"
 )
 
 // The gauges.
@@ -66,6 +67,7 @@
 	StuckTasks      Name = "pepperhatch_stuck_tasks"
 	CellCores       Name = "pepperhatch_cell_cores"
 	FillerIdleCores Name = "pepperhatch_filler_idle_cores"
+	SlowWorkers     Name = "pepperhatch_slow_workers"
 	ConfigVersion   Name = "pepperhatch_config_version"
 	ConfigConfirmed Name = "pepperhatch_config_confirmed_seconds"
 )
@@ -124,6 +126,7 @@
 	{SuspectStarts, "how", "starts of tasks whose workers ended: spread (apart), or isolated (alone), because after one more crash the task is given up", "alone: a task crashes its workers, or workers crash often"},
 	{TasksGivenUp, "why", "tasks that are not retried, for as many failures as their queue allows or for crashes of their workers", "crashes: notify the job's owner"},
 	{QueuedStarts, "outcome", "interrupted tasks that were placed on the capacity of attempts being stopped: started there, or abandoned to be placed anew", "abandoned: workers stop attempts late or not at all, look for \"halt not done\" in the log"},
+	{SlowMoves, "kind", "tasks that were stopped on a slow worker to end sooner elsewhere: fillers (filler) and others that end by themselves (task)", "growth without slow machines: compare with `--without move-off-slow`"},
 	{TaskEvents, "event", "tasks started, done, failed, evicted, throttled", "evictions: see place.eviction-budget"},
 }
 
@@ -133,6 +136,7 @@
 	{StuckTasks, "kind, why", "tasks of the owner's cell that have waited for 5 s, or are assumed to run without a report of their worker for as long, by cause", "see \"Tasks are stuck\""},
 	{CellCores, "part", "cores of the workers that get tasks from the cell's owner: their capacity, and what tasks reserve", "stuck tasks although cores are not reserved: look at the label why"},
 	{FillerIdleCores, "obstacle", "cores that no task is expected to use while fillers wait, by the least obstacle that each worker has for any waiting image: none (a filler is about to start), a service over its target for long (held), a service too close to its target (target), too little idle (little), memory", "mostly target: fillers of these images disturb the services that are left; mostly little: services and fillers use what there is"},
+	{SlowWorkers, "", "workers of the owner's cell that count as slow, 0 elsewhere", "look for \"worker counts as slow\" in the log; the same workers for minutes: look at their machines"},
 	{ConfigVersion, "", "version of the configuration in force at this host", "differs between hosts for over 2 s: see \"A change is not in force\""},
 	{ConfigConfirmed, "", "Unix time, in seconds, of the last call by which the store confirmed that the configuration is current", "over 3 s ago: see \"A change is not in force\""},
 }
