--- a/internal/sched/contact.go
+++ b/internal/sched/contact.go
@@ -107,6 +107,7 @@
 	setCoresGauge(me, 0, 0)
 	setHeadroomGauges(me, 0, 0, 0, 0)
 	setIdleGauge(me, [fillerObstacles]int64{})
+	me.Set(telemetry.SlowWorkers, 0)
 }
 
 // logOutage logs workers that get no orders, and the end of such an outage. late is the
--- a/internal/sched/mechanism.go
+++ b/internal/sched/mechanism.go
@@ -48,6 +48,14 @@
 	MechQueuedStarts
 	// MechHeadroom keeps workers free of new long-running tasks for short work that arrives.
 	MechHeadroom
+	// MechSlowLast chooses slow workers last.
+	MechSlowLast
+	// MechMoveOffSlow stops tasks on slow workers that end sooner elsewhere.
+	MechMoveOffSlow
+	// MechLearntDurations corrects estimated times by the learnt ratio of true to estimated ones.
+	MechLearntDurations
+	// MechPersistDurations persists the learnt ratios for the next owner.
+	MechPersistDurations
 )
 
 // MechanismEntry documents a mechanism.
@@ -77,6 +85,10 @@
 	{MechReserveCapacity, "keep-room", "reserves capacity for long-running tasks that fit on no worker"},
 	{MechQueuedStarts, "queue-starts", "places interrupted tasks on capacity that is being freed"},
 	{MechHeadroom, "headroom", "keeps workers free of new long-running tasks for short work that arrives"},
+	{MechSlowLast, "slow-last", "chooses slow workers last"},
+	{MechMoveOffSlow, "move-off-slow", "stops tasks on slow workers that end sooner elsewhere"},
+	{MechLearntDurations, "learnt-durations", "corrects estimated times by the learnt ratio of true to estimated ones"},
+	{MechPersistDurations, "persist-durations", "persists the learnt ratios of true to estimated times for the next owner"},
 }
 
 // ErrMechanism is returned for a name that is not in Mechanisms.
--- a/internal/sched/trackedjob.go
+++ b/internal/sched/trackedjob.go
@@ -172,6 +172,7 @@
 		incarnation, seen = at.wk.incarnation, at.observed()
 		if end == job.EndDone {
 			ow.observeDuration(at, time.Now())
+			at.observeEnd(time.Now())
 		}
 		at.wk.removeAttempt(at)
 		delete(tj.attempts, ref)
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -58,6 +58,7 @@
 	SuspectStarts  Name = "pepperhatch_suspect_starts"
 	TasksGivenUp   Name = "pepperhatch_tasks_given_up"
 	QueuedStarts   Name = "pepperhatch_queued_starts"
+	SlowMoves      Name = "pepperhatch_slow_worker_moves"
 )
 
 // The gauges.
@@ -72,6 +73,7 @@
 	DataCentreCores   Name = "pepperhatch_data_centre_cores"
 	DataCentreWorkers Name = "pepperhatch_data_centre_workers"
 
+	SlowWorkers     Name = "pepperhatch_slow_workers"
 	ConfigVersion   Name = "pepperhatch_config_version"
 	ConfigConfirmed Name = "pepperhatch_config_confirmed_seconds"
 )
@@ -130,6 +132,7 @@
 	{SuspectStarts, "how", "starts of tasks whose workers ended: spread (apart), or isolated (alone), because after one more crash the task is given up", "alone: a task crashes its workers, or workers crash often"},
 	{TasksGivenUp, "why", "tasks that are not retried, for as many failures as their queue allows or for crashes of their workers", "crashes: notify the job's owner"},
 	{QueuedStarts, "outcome", "interrupted tasks that were placed on the capacity of attempts being stopped: started there, or abandoned to be placed anew", "abandoned: workers stop attempts late or not at all, look for \"halt not done\" in the log"},
+	{SlowMoves, "kind", "tasks that were stopped on a slow worker to end sooner elsewhere: fillers (filler) and others that end by themselves (task)", "growth without slow machines: compare with `--without move-off-slow`"},
 	{TaskEvents, "event", "tasks started, done, failed, evicted, throttled", "evictions: see place.eviction-budget"},
 }
 
@@ -143,6 +146,7 @@
 	{HeadroomWorkers, "", "workers that get no new long-running task, as their capacity is kept for short work", "long-running tasks wait for it: look for \"headroom for short work\" in the log"},
 	{DataCentreCores, "data_centre, service, part", "cores of the workers in the list, by data centre and service: total, of workers that accept new tasks (usable), reserved by long-running tasks, reserved by tasks that end by themselves (finite), and of usable workers what no task is expected to use (idle)", "usable far below total: look at the workers there; finite low in one data centre and high in another: demand has moved"},
 	{DataCentreWorkers, "data_centre, service, state", "workers in the list (listed), and those of them that accept new tasks (available), by data centre and service", "none available in a data centre: see \"A data centre is cut off\""},
+	{SlowWorkers, "", "workers of the owner's cell that count as slow, 0 elsewhere", "look for \"worker counts as slow\" in the log; the same workers for minutes: look at their machines"},
 	{ConfigVersion, "", "version of the configuration in force at this host", "differs between hosts for over 2 s: see \"A change is not in force\""},
 	{ConfigConfirmed, "", "Unix time, in seconds, of the last call by which the store confirmed that the configuration is current", "over 3 s ago: see \"A change is not in force\""},
 }
