Record a second attempt of a task in the rows of its job

A step may allow copies, but a task had one attempt at a time. A second one, the copy, can now start at another worker while the first runs. The copy becomes the last attempt, so that numbers rise; the first one moves to a field of its own. Each ends by itself: the task waits only once neither runs, the first success completes it, and the other attempt of a done task stays in the row until it has ended, so that the next owner knows of it.

Versions of the program that do not know the field take the copy for the only attempt and find the first one among those that were given up. They stop it where a worker lists it, and count its late end once. Tests read rows with their fields only.

Crash limits now end a task when its last attempt ends, instead of in recordLoss; with one attempt that is the same moment.

--- a/internal/job/giveup.go
+++ b/internal/job/giveup.go
@@ -29,7 +29,7 @@
 const maxGivenUp = 4
 
 // recordLoss records the end of an attempt that the worker did not report as ended.
-func (jo *Job) recordLoss(ta *Task, end End) {
+func (ta *Task) recordLoss(attempt int, end End) {
 	switch end {
 	case EndCrashed:
 		ta.Crashes++
@@ -40,12 +40,9 @@
 		ta.Losses++
 	}
 	if end != EndCrashed {
-		ta.GivenUp = append(ta.GivenUp, ta.Attempt)
+		ta.GivenUp = append(ta.GivenUp, attempt)
 		ta.GivenUp = ta.GivenUp[max(0, len(ta.GivenUp)-maxGivenUp):]
 	}
-	if ta.exceedsEndLimits() {
-		jo.giveUp(ta)
-	}
 }
 
 // exceedsEndLimits reports whether too many workers have ended while they ran the task.
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -30,10 +30,10 @@
 const (
 	// Waiting tasks have no attempt that may run.
 	Waiting TaskState = iota
-	// Started tasks have an attempt that runs or may run.
+	// Started tasks have one or two attempts that run or may run.
 	Started
 	// Done and Abandoned tasks are over. Abandoned ones failed too often, or too many
-	// workers ended while they ran them.
+	// workers ended while they ran them. A second attempt of a done task may still run.
 	Done
 	Abandoned
 )
@@ -84,7 +84,7 @@
 	// EarlierDone is set while an attempt runs if an earlier one, which was given up,
 	// turned out to be done. The task is then done once the running attempt has ended.
 	EarlierDone bool
-	// Phase is how far the running attempt was seen to get.
+	// Phase is how far the last attempt was seen to get.
 	Phase Phase
 	// Worker is the incarnation of the worker of the last attempt.
 	Worker worker.Incarnation
@@ -92,6 +92,11 @@
 	// the last attempt started from.
 	Checkpoint string
 	Base       string
+	// Other is an attempt that may run beside the last one, or without it; its number is 0
+	// if there is none. LastEnded is set while it runs and the last attempt has ended. See
+	// attempts.go.
+	Other     Attempt
+	LastEnded bool
 }
 
 // TaskRef identifies a task within its job.
@@ -238,18 +243,22 @@
 	return ta.Attempt
 }
 
-// End records how an attempt ended and reports whether that was new. Only the running
-// attempt of a task can end.
+// End records how an attempt ended and reports whether that was new. Only a running attempt
+// of a task can end. How it ended does not count once another attempt has completed the
+// task.
 func (jo *Job) End(ref TaskRef, attempt int, end End, checkpoint string) bool {
 	ta := jo.Task(ref)
-	if ta == nil || ta.State != Started || ta.Attempt != attempt {
+	if ta == nil || !ta.runs(attempt) {
 		return false
 	}
+	ta.removeAttempt(attempt)
+	if ta.State == Done {
+		return true
+	}
 	if checkpoint != "" {
 		ta.Checkpoint = checkpoint
 	}
-	ta.State = Waiting
-	if ta.EarlierDone {
+	if ta.State == Waiting && ta.EarlierDone {
 		end = EndDone
 	}
 	switch end {
@@ -258,10 +267,11 @@
 	case EndFailed:
 		ta.Failures++
 	case EndCrashed, EndPresumedCrash, EndLost, EndLapsed:
-		jo.recordLoss(ta, end)
+		ta.recordLoss(attempt, end)
 	}
-	// An earlier attempt may have been reported as failed while this one ran.
-	if ta.State == Waiting && jo.Exhausted(ref) {
+	// An earlier attempt may have been reported as failed while this one ran. While another
+	// one runs, it may still complete the task.
+	if ta.State == Waiting && (jo.Exhausted(ref) || ta.exceedsEndLimits()) {
 		jo.giveUp(ta)
 	}
 	return true
@@ -269,7 +279,7 @@
 
 // RecordLateCompletion records that an attempt was done which had been given up without a
 // report of the worker, and reports whether that was new. If another attempt is running,
-// the task is done once that one has ended.
+// the task is done once that one, or both of two, have ended.
 func (jo *Job) RecordLateCompletion(ref TaskRef, attempt int) bool {
 	ta := jo.Task(ref)
 	if ta == nil || attempt < 1 || attempt > ta.Attempt || jo.State().Final() || jo.Spec.Steps[ref.Step].LongRunning {
@@ -278,7 +288,7 @@
 	switch {
 	case ta.State == Waiting:
 		jo.complete(ref, ta)
-	case ta.State == Started && attempt < ta.Attempt && !ta.EarlierDone:
+	case ta.State == Started && !ta.runs(attempt) && !ta.EarlierDone:
 		ta.EarlierDone = true
 	default:
 		return false
@@ -290,7 +300,10 @@
 	if jo.Spec.Steps[ref.Step].LongRunning {
 		return
 	}
-	ta.State = Done
+	if ta.lastRuns() {
+		ta.Other = ta.last()
+	}
+	ta.State, ta.LastEnded = Done, false
 	ta.Worker, ta.Checkpoint, ta.Base, ta.GivenUp, ta.EarlierDone = worker.Incarnation{}, "", "", nil, false
 	jo.remaining[ref.Step]--
 }
--- a/internal/job/job_test.go
+++ b/internal/job/job_test.go
@@ -102,7 +102,9 @@
 	for _, tc := range [][2]string{{"", "{}"}, {"{}", ""}, {`{"spec":{"steps":[{"tasks":1,"each":{}}]}}`, `{"tasks":[[],[]]}`},
 		{oneTask, `{"steps":[{"s":"w"},{"s":"w"}]}`}, {oneTask, `{"steps":[{"s":"ww"}]}`}, {oneTask, `{"steps":[{"s":""}]}`}, {oneTask, `{"steps":[{"s":"x"}]}`},
 		{oneTask, `{"steps":[{"s":"s","w":["a"]}]}`}, {oneTask, `{"steps":[{"s":"s","w":["a"],"o":[1]}]}`}, {oneTask, `{"state":"running"}`},
-		{oneTask, `{"steps":[{"s":"s","w":["a"],"o":[0],"p":"x"}]}`}, {oneTask, `{"steps":[{"s":"s","w":["a"],"o":[0],"p":"11"}]}`}} {
+		{oneTask, `{"steps":[{"s":"s","w":["a"],"o":[0],"p":"x"}]}`}, {oneTask, `{"steps":[{"s":"s","w":["a"],"o":[0],"p":"11"}]}`},
+		{oneTask, `{"steps":[{"s":"w","w":["a"],"e":{"0":{"n":1}}}]}`}, {oneTask, `{"steps":[{"s":"d","w":["a"],"e":{"0":{"n":1,"o":1}}}]}`},
+		{oneTask, `{"steps":[{"s":"d","w":["a"],"e":{"0":{"n":1,"p":3}}}]}`}, {oneTask, `{"steps":[{"s":"d","w":["a"],"e":{"0":{"o":0}}}]}`}} {
 		_, err := Restore(testID, []byte(tc[0]), []byte(tc[1]))
 		qt.Check(t, err, qt.IsNotNil, qt.Commentf("%s", tc[1]))
 	}
@@ -130,7 +132,7 @@
 func asStored(ta Task) Task {
 	switch ta.State {
 	case Done:
-		return Task{State: Done, Attempt: 1}
+		return Task{State: Done, Attempt: 1, Other: ta.Other}
 	case Started:
 		ta.Checkpoint = ta.Base
 	default:
@@ -140,7 +142,7 @@
 }
 
 func drawTask(rt *rapid.T) Task {
-	return Task{
+	ta := Task{
 		State: TaskState(rapid.IntRange(0, len(stateChars)-1).Draw(rt, "state")), Attempt: rapid.IntRange(0, 3).Draw(rt, "attempt"),
 		Failures: rapid.IntRange(0, 2).Draw(rt, "failures"), Worker: rapid.SampledFrom([]worker.Incarnation{{ID: "i-1"}, {ID: "i-1", StartedMS: 7}, {ID: "i-3", StartedMS: 1787123510000}}).Draw(rt, "worker"),
 		Checkpoint: rapid.SampledFrom([]string{"", "c1"}).Draw(rt, "checkpoint"),
@@ -149,6 +151,11 @@
 		GivenUp:     rapid.SampledFrom([][]int{nil, {1}, {2, 5}}).Draw(rt, "given up"),
 		EarlierDone: rapid.Bool().Draw(rt, "done before"),
 	}
+	if (ta.State == Started || ta.State == Done) && rapid.Bool().Draw(rt, "two attempts") {
+		ta.Other = Attempt{Number: 7, Worker: worker.Incarnation{ID: "i-7"}, Phase: Phase(rapid.IntRange(0, 2).Draw(rt, "phase"))}
+		ta.LastEnded = ta.State == Started && rapid.Bool().Draw(rt, "last ended")
+	}
+	return ta
 }
 
 // assertStart starts a task if it may start, and checks the attempt's number.
--- a/internal/job/jobrow.go
+++ b/internal/job/jobrow.go
@@ -54,7 +54,7 @@
 func (jo *Job) HasActiveTasks() bool {
 	for _, tasks := range jo.Tasks {
 		for i := range tasks {
-			if tasks[i].State == Started {
+			if tasks[i].State == Started || tasks[i].Other.Number > 0 {
 				return true
 			}
 		}
--- a/internal/job/phase.go
+++ b/internal/job/phase.go
@@ -45,10 +45,14 @@
 
 func (jo *Job) advancePhase(ref TaskRef, attempt int, ph Phase) bool {
 	ta := jo.Task(ref)
-	if ta == nil || ta.State != Started || ta.Attempt != attempt || ta.Phase >= ph {
+	if ta == nil {
 		return false
 	}
-	ta.Phase = ph
+	of := ta.phaseOf(attempt)
+	if of == nil || *of >= ph {
+		return false
+	}
+	*of = ph
 	return true
 }
 
--- a/internal/job/spec.go
+++ b/internal/job/spec.go
@@ -2,10 +2,10 @@
 // each task.
 //
 // A [Job] changes only through its methods, which keep these invariants: a task has at
-// most one attempt at a time, the tasks of a step start after all tasks of the steps
-// before it are done, and a task is given up once it has failed as often as its queue
-// allows. The package uses no workers, clock or store, so that its rules can be tested by
-// themselves.
+// most one attempt at a time, or two if its step allows copies; the tasks of a step start
+// after all tasks of the steps before it are done; and a task is given up once it has failed
+// as often as its queue allows. The package uses no workers, clock or store, so that its
+// rules can be tested by themselves.
 package job
 
 import (
--- a/internal/job/steprow.go
+++ b/internal/job/steprow.go
@@ -36,14 +36,29 @@
 	// for each started task in order, the index of its worker in Workers.
 	Workers []worker.Incarnation `json:"w,omitempty"`
 	On      []int                `json:"o,omitempty"`
-	// Phases has the phases of the running attempts, see encodePhases.
+	// Phases has the phases of the last attempts of started tasks, see encodePhases.
 	Phases string `json:"p,omitempty"`
+	// Others has the attempts that may run beside the last ones. Versions of the program
+	// that do not know the field find the last attempt in the other fields, stop the other
+	// one where a worker lists it, and count its end like that of an attempt that was given
+	// up: GivenUp names it too.
+	Others map[int]OtherRow `json:"e,omitempty"`
 	// Checkpoints has the checkpoint that the next attempt of a waiting task starts from,
 	// and the one that the running attempt of a started task started from. Later
 	// checkpoints of running attempts are reported by their workers.
 	Checkpoints map[int]string `json:"c,omitempty"`
 }
 
+// OtherRow is an attempt that may run beside the last one of a task.
+type OtherRow struct {
+	// Number is its number, On the index of its worker in Workers, and Phase its phase.
+	Number int   `json:"n"`
+	On     int   `json:"o,omitempty"`
+	Phase  Phase `json:"p,omitempty"`
+	// LastEnded is set if the last attempt has ended.
+	LastEnded bool `json:"l,omitempty"`
+}
+
 // stateChars has the character of each state in a row, indexed by TaskState.
 const stateChars = "wsdf"
 
@@ -64,6 +79,9 @@
 		if ta.State != Done {
 			sr.add(i, ta)
 		}
+		if ta.Other.Number > 0 {
+			sr.addOther(i, ta)
+		}
 	}
 	sr.States = collapse(states.String())
 	sr.Phases = encodePhases(tasks)
@@ -103,6 +121,35 @@
 	}
 }
 
+// addOther adds the attempt of a task that may run beside the last one.
+func (sr *StepRow) addOther(i int, ta Task) {
+	put(&sr.Others, i, OtherRow{Number: ta.Other.Number, On: sr.index(ta.Other.Worker), Phase: ta.Other.Phase, LastEnded: ta.LastEnded})
+	if ta.State == Started {
+		put(&sr.GivenUp, i, append(slices.Clone(ta.GivenUp), ta.Other.Number))
+	}
+}
+
+// other sets the attempt of a task that may run beside the last one.
+func (sr *StepRow) other(i int, ta *Task) error {
+	or, ok := sr.Others[i]
+	if !ok {
+		return nil
+	}
+	over := ta.State == Waiting || ta.State == Abandoned
+	if over || or.Number < 1 || or.On < 0 || or.On >= len(sr.Workers) || or.Phase < 0 || int(or.Phase) >= len(phaseChars) {
+		return fmt.Errorf("%w: task %d has an invalid second attempt", errRowMismatch, i)
+	}
+	ta.Other = Attempt{Number: or.Number, Worker: sr.Workers[or.On], Phase: or.Phase}
+	ta.LastEnded = or.LastEnded
+	if n := len(ta.GivenUp) - 1; n >= 0 && ta.GivenUp[n] == or.Number {
+		ta.GivenUp = slices.Clone(ta.GivenUp[:n])
+	}
+	if len(ta.GivenUp) == 0 {
+		ta.GivenUp = nil
+	}
+	return nil
+}
+
 // put sets an entry of a map, which it creates if it is nil.
 func put[V any](ma *map[int]V, key int, value V) {
 	if *ma == nil {
@@ -155,6 +202,9 @@
 			ta.Worker, on, ta.Base = sr.Workers[on[0]], on[1:], ta.Checkpoint
 			ta.EarlierDone = slices.Contains(sr.EarlierDone, i)
 		}
+		if err := sr.other(i, &ta); err != nil {
+			return nil, err
+		}
 		tasks[i] = ta
 	}
 	if err := decodePhases(sr.Phases, tasks); err != nil {
