Start copies of late tasks and stop the other attempt

A worker that turned four to six times slower delayed each job that had a task there, as only one attempt of a task ran at a time. At each tick the owner now asks package copies which tasks are late and starts second attempts on healthy workers, where no waiting task of the same or a higher priority could use the capacity. Attempts of a job are kept by task and number instead of by task. Once one attempt is done, another one without an order is withdrawn at once; otherwise it is stopped when the end is durable. A new owner finds both in the row; if the task is done, it stops the other one when its worker lists it. The mechanism "copies" switches this off.

The checks of double runs allow steps with copies two attempts at once, on different workers and with different numbers; no start may be ordered after the end was acknowledged, for which the tests record when orders are sent. Other tasks are checked as before. TestRandomFaults has such steps, and a slow worker.

Taken out one by one, these are noticed by the tests: withdrawal of the unsent copy, the stop of the other attempt, its stop only after the end is durable, its stop by a new owner, the choice of another worker, the capacity of waiting tasks, the limit of failures, and the row of a done task.

--- a/internal/sched/api.go
+++ b/internal/sched/api.go
@@ -132,8 +132,8 @@
 // withdraw removes a job that was never sent to the store, with the starts that wait for its
 // first write, and refuses it.
 func (ow *Owner) withdraw(tj *trackedJob) {
-	for ref, at := range tj.attempts {
-		ow.recordEnd(tj, ref, at.number, job.EndNeverRan, "", "its job was not stored")
+	for _, at := range tj.attempts {
+		ow.recordEnd(tj, at.ref, at.number, job.EndNeverRan, "", "its job was not stored")
 	}
 	tj.removing = true
 	ow.recountWaiting(tj)
--- a/internal/sched/attempt.go
+++ b/internal/sched/attempt.go
@@ -48,6 +48,8 @@
 	// the order was sent again.
 	haltSentAt   time.Time
 	haltRepeated bool
+	// superseded is set once it is durable that another attempt has completed the task.
+	superseded bool
 	// progress is its last reported progress, in percent. usage is the last reported usage: the
 	// tail latency of a service in milliseconds, or the CPU use of another task in thousandths
 	// of a core.
@@ -80,6 +82,17 @@
 	cpuShare float64
 }
 
+// attemptKey identifies an attempt within its job. Two attempts of a task may run at once.
+type attemptKey struct {
+	ref    job.TaskRef
+	number int
+}
+
+func (at *attempt) key() attemptKey { return attemptKey{at.ref, at.number} }
+
+// current reports whether the attempt runs, or may run, by the owner's account.
+func (at *attempt) current() bool { return at.tj.attempts[at.key()] == at }
+
 // name returns the name under which the worker lists the attempt. It is computed once, as each
 // poll of a worker looks up all its attempts.
 func (at *attempt) name() worker.Attempt {
@@ -130,5 +143,5 @@
 		wk.trial = &trial{tj: at.tj, ref: at.ref, at: at}
 	}
 	wk.fillers.invalidate()
-	at.tj.attempts[at.ref] = at
+	at.tj.attempts[at.key()] = at
 }
--- a/internal/sched/deferredlaunch.go
+++ b/internal/sched/deferredlaunch.go
@@ -80,7 +80,7 @@
 		return
 	}
 	ow.Metrics.Add(telemetry.QueuedStarts, 1, "outcome", "abandoned")
-	if at.tj.attempts[at.ref] == at && at.launchedAt.IsZero() {
+	if at.current() && at.launchedAt.IsZero() {
 		ow.recordEnd(at.tj, at.ref, at.number, job.EndNeverRan, "", err.Error())
 	}
 }
--- a/internal/sched/incarnation.go
+++ b/internal/sched/incarnation.go
@@ -125,7 +125,7 @@
 			continue
 		}
 		wk.removeAttempt(at)
-		next.addAttempt(&attempt{ref: at.ref, number: at.number, wk: next, tj: at.tj, orderSent: true, inherited: true, endIfNotRun: end, pace: unknownPace})
+		next.addAttempt(&attempt{ref: at.ref, number: at.number, wk: next, tj: at.tj, orderSent: true, inherited: true, endIfNotRun: end, superseded: at.superseded, pace: unknownPace})
 		next.unsettle()
 	}
 	wk.disconnect()
@@ -136,7 +136,7 @@
 func (wk *workerState) confirmRunning(at *attempt) {
 	wk.ow.Log.Info("order for a life before was carried out", "task", taskID(at), "attempt", at.number, "worker", wk.incarnation)
 	at.endIfNotRun = ""
-	at.task().Worker = wk.incarnation
+	at.tj.jo.SetWorker(at.ref, at.number, wk.incarnation)
 	wk.ow.markDirty(at.tj)
 }
 
--- a/internal/sched/launch.go
+++ b/internal/sched/launch.go
@@ -25,7 +25,7 @@
 // launch sends the start order of an attempt whose start is durable, unless its job has ended or
 // its worker has become unavailable.
 func (ow *Owner) launch(at *attempt) {
-	if at.tj.attempts[at.ref] != at || at.tj.jo.State().Final() {
+	if !at.current() || at.tj.jo.State().Final() {
 		ow.abandonLaunch(at, "job ended before the order was sent")
 		return
 	}
@@ -57,7 +57,7 @@
 
 // abandonLaunch ends an attempt whose order was never sent.
 func (ow *Owner) abandonLaunch(at *attempt, why string) {
-	if at.tj.attempts[at.ref] == at {
+	if at.current() {
 		ow.recordEnd(at.tj, at.ref, at.number, job.EndNeverRan, "", why)
 	}
 }
@@ -86,7 +86,7 @@
 // concludeLaunch handles the outcome of an order that was sent to the worker.
 func (ow *Owner) concludeLaunch(at *attempt, ack worker.Ack, sent, got time.Time, err error) {
 	at.wk.recordClock(ack.ClockMS, got)
-	if at.tj.attempts[at.ref] != at {
+	if !at.current() {
 		return
 	}
 	if err == nil || errors.Is(err, worker.ErrStaleAttempt) {
@@ -166,7 +166,7 @@
 // handleLaunchResolved handles the outcome of a launch without an answer; present is set if the
 // worker has the attempt.
 func (ow *Owner) handleLaunchResolved(at *attempt, present bool) {
-	if at.tj.attempts[at.ref] != at {
+	if !at.current() {
 		return
 	}
 	at.resolvingOrder = false
--- a/internal/sched/load.go
+++ b/internal/sched/load.go
@@ -73,9 +73,9 @@
 	}
 	for step, tasks := range jo.Tasks {
 		for index := range tasks {
-			if tasks[index].State == job.Started {
-				ow.unowned[tasks[index].Worker]++
-				tj.unowned = append(tj.unowned, job.TaskRef{Step: step, Index: index})
+			for _, ra := range tasks[index].Running() {
+				ow.unowned[ra.Worker]++
+				tj.unowned = append(tj.unowned, attemptKey{job.TaskRef{Step: step, Index: index}, ra.Number})
 			}
 		}
 	}
@@ -105,19 +105,23 @@
 }
 
 // adoptOn assigns a job's unowned attempts on the worker to it and returns those on others.
-func (tj *trackedJob) adoptOn(wk *workerState) []job.TaskRef {
+func (tj *trackedJob) adoptOn(wk *workerState) []attemptKey {
 	remaining := tj.unowned[:0]
-	for _, ref := range tj.unowned {
-		ta := tj.jo.Task(ref)
-		if ta.Worker.ID != wk.incarnation.ID {
-			remaining = append(remaining, ref)
+	for _, key := range tj.unowned {
+		ra, ok := tj.runningAttempt(key)
+		if !ok {
 			continue
 		}
-		at := &attempt{ref: ref, number: ta.Attempt, wk: wk, tj: tj, inherited: true, inheritedRunTime: minRunTime(ta.Phase), pace: unknownPace}
-		if ta.Worker.IsOtherIncarnation(wk.incarnation) {
-			at.inheritedRunTime, at.endIfNotRun = 0, unseenEnd(ta.Phase, wk.ow.listReliable(time.Now()))
+		if ra.Worker.ID != wk.incarnation.ID {
+			remaining = append(remaining, key)
+			continue
+		}
+		at := &attempt{ref: key.ref, number: key.number, wk: wk, tj: tj, inherited: true, inheritedRunTime: minRunTime(ra.Phase), pace: unknownPace}
+		if ra.Worker.IsOtherIncarnation(wk.incarnation) {
+			at.inheritedRunTime, at.endIfNotRun = 0, unseenEnd(ra.Phase, wk.ow.listReliable(time.Now()))
 		}
 		wk.addAttempt(at)
+		wk.ow.adoptSuperseded(at)
 	}
 	return remaining
 }
@@ -145,15 +149,18 @@
 	var le lostEnds
 	for _, tj := range ow.jobs {
 		remaining := tj.unowned[:0]
-		for _, ref := range tj.unowned {
-			ta := tj.jo.Task(ref)
-			if ta.Worker != incarnation {
-				remaining = append(remaining, ref)
+		for _, key := range tj.unowned {
+			ra, ok := tj.runningAttempt(key)
+			if !ok {
+				continue
+			}
+			if ra.Worker != incarnation {
+				remaining = append(remaining, key)
 				continue
 			}
-			end := unseenEnd(ta.Phase, reliable)
-			le.add(&tj.jo.Spec.Steps[ref.Step], end)
-			ow.recordEnd(tj, ref, ta.Attempt, end, "", unseenReason)
+			end := unseenEnd(ra.Phase, reliable)
+			le.add(&tj.jo.Spec.Steps[key.ref.Step], end)
+			ow.recordEnd(tj, key.ref, key.number, end, "", unseenReason)
 		}
 		tj.unowned = remaining
 	}
--- a/internal/sched/mechanism.go
+++ b/internal/sched/mechanism.go
@@ -46,6 +46,8 @@
 	MechReserveCapacity
 	// MechQueuedStarts places interrupted tasks on capacity that is being freed.
 	MechQueuedStarts
+	// MechCopies starts second attempts of late tasks, in steps that allow it.
+	MechCopies
 )
 
 // MechanismEntry documents a mechanism.
@@ -74,6 +76,7 @@
 	{MechStall, "stall", "retries attempts without progress on another worker"},
 	{MechReserveCapacity, "keep-room", "reserves capacity for long-running tasks that fit on no worker"},
 	{MechQueuedStarts, "queue-starts", "places interrupted tasks on capacity that is being freed"},
+	{MechCopies, "copies", "starts second attempts of tasks that are late because of their workers, in steps that allow it"},
 }
 
 // ErrMechanism is returned for a name that is not in Mechanisms.
--- a/internal/sched/pace.go
+++ b/internal/sched/pace.go
@@ -186,7 +186,7 @@
 func (ow *Owner) handlePaceResult(at *attempt, percent int, err error) {
 	at.paceInFlight = false
 	switch {
-	case at.tj.attempts[at.ref] != at:
+	case !at.current():
 	case at.pace != percent && at.pace != unknownPace:
 		ow.orderPace(at)
 	case err != nil:
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -276,8 +276,8 @@
 // countAt counts the attempts of a step on a worker.
 func (tj *trackedJob) countAt(step int, wk *workerState) int {
 	n := 0
-	for ref, at := range tj.attempts {
-		if ref.Step == step && at.wk == wk {
+	for key, at := range tj.attempts {
+		if key.ref.Step == step && at.wk == wk {
 			n++
 		}
 	}
@@ -307,6 +307,11 @@
 		return
 	}
 	tj.restartsTask = tj.restartsTask || interrupted
+	pl.begin(tj, ref, number, ca, queued)
+}
+
+// begin places an attempt that its job has recorded as started.
+func (pl *placer) begin(tj *trackedJob, ref job.TaskRef, number int, ca *candidate, queued bool) {
 	at := &attempt{ref: ref, number: number, wk: ca.wk, tj: tj, pace: fullPace, placedAt: pl.now}
 	ca.wk.addAttempt(at)
 	if queued {
--- a/internal/sched/polls.go
+++ b/internal/sched/polls.go
@@ -311,7 +311,10 @@
 		if ra.Checkpoint != "" {
 			at.tj.jo.Task(at.ref).Checkpoint = ra.Checkpoint
 		}
-		if at.tj.jo.State().Final() {
+		switch {
+		case at.superseded:
+			wk.ow.halt(at, supersededReason)
+		case at.tj.jo.State().Final() && !at.tj.isDone(at.ref):
 			wk.ow.halt(at, "still running after the end of its job")
 		}
 		if !at.haltSentAt.IsZero() {
--- a/internal/sched/rank.go
+++ b/internal/sched/rank.go
@@ -139,8 +139,8 @@
 // countBy counts the attempts of a step by worker.
 func (tj *trackedJob) countBy(step int) map[*workerState]int {
 	counts := map[*workerState]int{}
-	for ref, at := range tj.attempts {
-		if ref.Step == step {
+	for key, at := range tj.attempts {
+		if key.ref.Step == step {
 			counts[at.wk]++
 		}
 	}
--- a/internal/sched/reservation.go
+++ b/internal/sched/reservation.go
@@ -198,8 +198,8 @@
 // appendUnownedRestarts appends the job's tasks on workers that were not seen since the
 // takeover.
 func (tj *trackedJob) appendUnownedRestarts(list []pendingRestart) []pendingRestart {
-	for _, ref := range tj.unowned {
-		if st := &tj.jo.Spec.Steps[ref.Step]; st.LongRunning {
+	for _, key := range tj.unowned {
+		if st := &tj.jo.Spec.Steps[key.ref.Step]; st.LongRunning {
 			list = append(list, pendingRestart{tj: tj, st: st})
 		}
 	}
--- a/internal/sched/timebreakdown.go
+++ b/internal/sched/timebreakdown.go
@@ -108,6 +108,7 @@
 	worst := CauseWork
 	for _, at := range tj.attempts {
 		switch {
+		case at.superseded:
 		case !at.haltSentAt.IsZero():
 			return CauseStop
 		case at.launchedAt.IsZero():
--- a/internal/sched/trackedjob.go
+++ b/internal/sched/trackedjob.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/pepperhatch/pepperhatch/internal/copies"
 	"github.com/pepperhatch/pepperhatch/internal/interfere"
 	"github.com/pepperhatch/pepperhatch/internal/job"
 	"github.com/pepperhatch/pepperhatch/internal/telemetry"
@@ -56,9 +57,9 @@
 	// waitingSince is since when there have been such tasks without interruption.
 	waitingSince time.Time
 	// attempts has the attempts that run, or may run.
-	attempts map[job.TaskRef]*attempt
+	attempts map[attemptKey]*attempt
 	// unowned are attempts of former owners on workers that this owner has not seen yet.
-	unowned []job.TaskRef
+	unowned []attemptKey
 	// failedOn has the workers on which a task of the job failed.
 	failedOn map[worker.Incarnation]bool
 	// tracks has the load history of the steps that run services, by index.
@@ -67,6 +68,8 @@
 	endedAt time.Time
 	// acceptedAt is when the job was submitted to this owner, or loaded by it.
 	acceptedAt time.Time
+	// endedTimes has the run times of tasks that are done, by step, for steps that allow copies.
+	endedTimes map[int]copies.Ended
 	// stallCounts counts the stalled attempts of each task.
 	stallCounts map[job.TaskRef]int
 	// backoffs holds the restart delays of long-running tasks that failed repeatedly.
@@ -150,7 +153,7 @@
 // addJob adds a job to the owner's state.
 func (ow *Owner) addJob(jo *job.Job) *trackedJob {
 	ow.seq++
-	tj := &trackedJob{ow: ow, jo: jo, order: ow.seq, targetMS: jo.TargetDurationMS(), work: jo.Work(), sortKey: math.MaxInt, attempts: map[job.TaskRef]*attempt{}, acceptedAt: time.Now()}
+	tj := &trackedJob{ow: ow, jo: jo, order: ow.seq, targetMS: jo.TargetDurationMS(), work: jo.Work(), sortKey: math.MaxInt, attempts: map[attemptKey]*attempt{}, acceptedAt: time.Now()}
 	ow.jobs[jo.ID] = tj
 	if !jo.LongRunning() && tj.work > 0 {
 		ow.statsOf(jo.Terms.Queue).add(tj.work)
@@ -160,15 +163,17 @@
 
 // recordEnd records the end of an attempt. It reports false if the end was already known.
 func (ow *Owner) recordEnd(tj *trackedJob, ref job.TaskRef, number int, end job.End, checkpoint, reason string) bool {
+	over := tj.isDone(ref)
 	if !tj.jo.End(ref, number, end, checkpoint) {
 		return false
 	}
 	var incarnation worker.Incarnation
 	var seen observation
-	if at := tj.attempts[ref]; at != nil && at.number == number {
+	if at := tj.attempts[attemptKey{ref, number}]; at != nil {
 		incarnation, seen = at.wk.incarnation, at.observed()
 		at.wk.removeAttempt(at)
-		delete(tj.attempts, ref)
+		delete(tj.attempts, at.key())
+		ow.countEnd(at, over, time.Now())
 	}
 	if end == job.EndFailed {
 		tj.timeBreakdown.failed++
@@ -182,6 +187,7 @@
 	ow.Log.Info("attempt ended", "job", tj.jo.ID, "task", tj.jo.TaskID(ref), "attempt", number, "worker", incarnation, "end", end, "why", reason, "state", tj.jo.State(),
 		"acked", seen.acked, "ran_at_least", seen.ran, "crashes", tj.jo.Task(ref).Crashes, "presumed", tj.jo.Task(ref).PresumedCrashes, "losses", tj.jo.Task(ref).Losses)
 	ow.logGivenUp(tj, ref, end)
+	ow.stopSuperseded(tj, ref)
 	ow.stopFinished(tj)
 	ow.markDirty(tj)
 	return true
@@ -207,9 +213,7 @@
 	ow.Metrics.Add(telemetry.AttemptEnds, 1, "end", "failed-late")
 	ow.Log.Info("abandoned attempt had failed", "job", tj.jo.ID, "task", tj.jo.TaskID(ref), "attempt", number, "worker", incarnation,
 		"failures", tj.jo.Task(ref).Failures, "state", tj.jo.State())
-	if at := tj.attempts[ref]; at != nil && tj.jo.Exhausted(ref) && !at.orderSent && !at.inherited {
-		ow.recordEnd(tj, ref, at.number, job.EndNeverRan, "", "an earlier attempt had failed")
-	} else {
+	if !tj.jo.Exhausted(ref) || !ow.withdrawUnsent(tj, ref, number, "an earlier attempt had failed") {
 		ow.logGivenUp(tj, ref, job.EndFailed)
 	}
 	ow.stopFinished(tj)
@@ -219,15 +223,13 @@
 // recordLateSuccess records that an attempt which had been given up had succeeded. The next
 // attempt is withdrawn if no order for it was sent, and stopped otherwise.
 func (ow *Owner) recordLateSuccess(tj *trackedJob, ref job.TaskRef, number int, incarnation worker.Incarnation) {
-	if at := tj.attempts[ref]; at != nil && at.number > number && !at.orderSent && !at.inherited {
-		ow.recordEnd(tj, ref, at.number, job.EndNeverRan, "", "an earlier attempt had succeeded")
-	}
+	ow.withdrawUnsent(tj, ref, number, "an earlier attempt had succeeded")
 	if !tj.jo.RecordLateCompletion(ref, number) {
 		return
 	}
 	ow.Metrics.Add(telemetry.AttemptEnds, 1, "end", "done-late")
 	ow.Log.Info("abandoned attempt had succeeded", "job", tj.jo.ID, "task", tj.jo.TaskID(ref), "attempt", number, "worker", incarnation, "state", tj.jo.State())
-	if at := tj.attempts[ref]; at != nil {
+	for _, at := range tj.attemptsOf(ref) {
 		tj.onWritten = append(tj.onWritten, func() { ow.halt(at, "an earlier attempt had succeeded") })
 	}
 	ow.stopFinished(tj)
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -58,6 +58,11 @@
 	SuspectStarts  Name = "pepperhatch_suspect_starts"
 	TasksGivenUp   Name = "pepperhatch_tasks_given_up"
 	QueuedStarts   Name = "pepperhatch_queued_starts"
+
+	CopiesStarted Name = "pepperhatch_copies_started"
+	CopyFirstEnds Name = "pepperhatch_copy_first_ends"
+	CopiesStopped Name = "pepperhatch_copies_stopped"
+	CopyWaste     Name = "pepperhatch_copy_wasted_core_milliseconds"
 )
 
 // The gauges.
@@ -124,6 +129,10 @@
 	{SuspectStarts, "how", "starts of tasks whose workers ended: spread (apart), or isolated (alone), because after one more crash the task is given up", "alone: a task crashes its workers, or workers crash often"},
 	{TasksGivenUp, "why", "tasks that are not retried, for as many failures as their queue allows or for crashes of their workers", "crashes: notify the job's owner"},
 	{QueuedStarts, "outcome", "interrupted tasks that were placed on the capacity of attempts being stopped: started there, or abandoned to be placed anew", "abandoned: workers stop attempts late or not at all, look for \"halt not done\" in the log"},
+	{CopiesStarted, "for", "second attempts of late tasks, by what they are expected to do for their job: meet its target (in-time), be of value (of-value), end sooner, or neither (too-late)", "many: workers are slow or silent, look for \"copy of a late task\" in the log"},
+	{CopyFirstEnds, "attempt", "tasks that were done while two attempts ran, by the attempt that was first", "mostly original: copies do not pay, switch off the mechanism `copies`"},
+	{CopiesStopped, "attempt", "attempts that were stopped because the other one had completed the task", "compare with `pepperhatch_copies_started`"},
+	{CopyWaste, "", "core time of attempts of tasks that another attempt had completed, in milliseconds", "much beside the cores in use: switch off the mechanism `copies`"},
 	{TaskEvents, "event", "tasks started, done, failed, evicted, throttled", "evictions: see place.eviction-budget"},
 }
 
