--- a/internal/sched/mechanism.go
+++ b/internal/sched/mechanism.go
@@ -56,6 +56,8 @@
 	MechLearntDurations
 	// MechPersistDurations persists the learnt ratios for the next owner.
 	MechPersistDurations
+	// MechCopies starts second attempts of late tasks, in steps that allow it.
+	MechCopies
 )
 
 // MechanismEntry documents a mechanism.
@@ -89,6 +91,7 @@
 	{MechMoveOffSlow, "move-off-slow", "stops tasks on slow workers that end sooner elsewhere"},
 	{MechLearntDurations, "learnt-durations", "corrects estimated times by the learnt ratio of true to estimated ones"},
 	{MechPersistDurations, "persist-durations", "persists the learnt ratios of true to estimated times for the next owner"},
+	{MechCopies, "copies", "starts second attempts of tasks that are late because of their workers, in steps that allow it"},
 }
 
 // ErrMechanism is returned for a name that is not in Mechanisms.
