--- a/internal/sched/copies.go
+++ b/internal/sched/copies.go
@@ -99,10 +99,7 @@
 
 // expected returns how long a task of the step is expected to take on a healthy worker.
 func (tj *trackedJob) expected(st *job.Step) time.Duration {
-	if fn := tj.ow.ExpectedFunc; fn != nil {
-		return fn(tj.jo.Terms.Queue, st.Image, st.EstimateMS)
-	}
-	return time.Duration(st.EstimateMS) * time.Millisecond
+	return time.Duration(tj.expectedMS(st)) * time.Millisecond
 }
 
 // copyJob returns what the decision needs to know of the job.
@@ -121,13 +118,13 @@
 	for key := range tj.attempts {
 		ta := tj.jo.Task(key.ref)
 		if ta.State == job.Started {
-			current = max(current, tj.jo.Spec.Steps[key.ref.Step].EstimateMS)
+			current = max(current, tj.expectedMS(&tj.jo.Spec.Steps[key.ref.Step]))
 		}
 		if key.number == ta.Attempt && len(ta.Running()) == 2 {
 			jo.Copies++
 		}
 	}
-	jo.After = time.Duration(max(tj.jo.RemainingMS()-current, 0)) * time.Millisecond
+	jo.After = time.Duration(max(tj.jo.RemainingMS(tj.expectedMS)-current, 0)) * time.Millisecond
 	return jo
 }
 
--- a/internal/sched/owner.go
+++ b/internal/sched/owner.go
@@ -68,9 +68,6 @@
 	// ListFunc returns when the list of workers was last known to be current, and since when
 	// it has been read without an error. If nil, the list is always current.
 	ListFunc func() (last, since time.Time)
-	// ExpectedFunc returns how long a task with the given queue, image and estimate takes on a
-	// healthy worker. If nil, that is the estimate.
-	ExpectedFunc func(queue, image string, estimateMS int64) time.Duration
 	// Without is the set of mechanisms that are switched off.
 	Without Mechanism
 	// Metrics receives counters and gauges.
