--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -67,6 +67,8 @@
 	CellCores       Name = "pepperhatch_cell_cores"
 	FillerIdleCores Name = "pepperhatch_filler_idle_cores"
 	ConfigVersion   Name = "pepperhatch_config_version"
+	Evacuations     Name = "pepperhatch_evacuated_data_centres"
+	EvacuatedTasks  Name = "pepperhatch_evacuated_tasks"
 	ConfigConfirmed Name = "pepperhatch_config_confirmed_seconds"
 )
 
@@ -112,7 +114,7 @@
 	{PollFailures, "outcome", "failed polls of workers", "growth: workers are unavailable"},
 	{PlacementRounds, "", "rounds of placement of a cell, each over all its workers", "many a second: the owner is short of processor time, see CAPACITY.md"},
 	{Stalls, "", "attempts that were stopped because they made no progress", "look for the workers in the log: \"attempts stand still\""},
-	{Evacuated, "why", "long-running tasks that were stopped to continue elsewhere, because their worker drains or has been without an entry for too long (unlisted)", "unlisted: look for \"emptying a worker without an entry\" in the log"},
+	{Evacuated, "why", "long-running tasks that were stopped to continue elsewhere, because their worker drains, has been without an entry for too long (unlisted), or its data centre is evacuated (evacuated)", "unlisted: look for \"emptying a worker without an entry\" in the log"},
 	{JobTime, "cause", "time of finished jobs, in milliseconds, by cause", "mostly room or place: too little free capacity; mostly store or order: the store or the owner is slow"},
 	{OwnerEvents, "", "events that the owner of a cell handled: answers of workers and of the store, submitted jobs, timers", "compare with `pepperhatch_owner_event_wait_seconds`"},
 	{WorkersRated, "", "workers that were rated for tasks of a step in rounds of placement", "many per started attempt: much work waits for room"},
@@ -134,6 +136,8 @@
 	{CellCores, "part", "cores of the workers that get tasks from the cell's owner: their capacity, and what tasks reserve", "stuck tasks although cores are not reserved: look at the label why"},
 	{FillerIdleCores, "obstacle", "cores that no task is expected to use while fillers wait, by the least obstacle that each worker has for any waiting image: none (a filler is about to start), a service over its target for long (held), a service too close to its target (target), too little idle (little), memory", "mostly target: fillers of these images disturb the services that are left; mostly little: services and fillers use what there is"},
 	{ConfigVersion, "", "version of the configuration in force at this host", "differs between hosts for over 2 s: see \"A change is not in force\""},
+	{Evacuations, "", "data centres whose evacuation is in force at this host", "differs between hosts for over 5 s: see \"Evacuating a data centre\""},
+	{EvacuatedTasks, "data_centre, kind", "tasks that run, or may run, on workers of an evacuated data centre, on the owner of the cell: long-running ones, which move while there is capacity elsewhere, and others, which end there", "long-running ones that stay: see \"Evacuating a data centre\""},
 	{ConfigConfirmed, "", "Unix time, in seconds, of the last call by which the store confirmed that the configuration is current", "over 3 s ago: see \"A change is not in force\""},
 }
 
--- a/internal/worker/agent.go
+++ b/internal/worker/agent.go
@@ -25,6 +25,8 @@
 	Incarnation Incarnation
 	// Via is the entry host that relays to the worker; empty for a direct connection.
 	Via string
+	// DataCentre is the data centre of the worker; empty if it is not known.
+	DataCentre string
 }
 
 // Launch starts an attempt.
@@ -181,6 +183,9 @@
 // where the request was certainly not sent.
 var ErrNoListener = fmt.Errorf("nothing listens there: %w: %w", ErrNotSent, ErrConnectionLost)
 
+// ErrEvacuated: the request was not sent, as nothing is to be started in the worker's data centre.
+var ErrEvacuated = fmt.Errorf("worker's data centre is evacuated: %w", ErrNotSent)
+
 // Agent is a client of workers that take one request per attempt.
 type Agent struct {
 	// LaunchFunc starts an attempt. It is idempotent, except for a deferred launch. Clients of
