Refuse launches at relays in evacuated data centres

A start that waits at a relay for capacity, or that its owner orders before it has read the request, would be sent there. Orders name the data centre of their worker, once for each worker and stream, and a relay refuses launches by its own reading of the rows with an error that says that nothing was sent. The field is left out by older owners and ignored by older relays, which then refuse nothing.

--- a/internal/relay/deferredfor_test.go
+++ b/internal/relay/deferredfor_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -106,3 +107,24 @@
 	}
 	qt.Check(t, nt.started("e"), qt.IsTrue)
 }
+
+// TestRelayRefusesLaunchInEvacuatedDataCentre guards against starts, deferred ones included, that a
+// relay sends although it has read the request, as the owner may not have read it yet.
+func TestRelayRefusesLaunchInEvacuatedDataCentre(t *testing.T) {
+	nt := newNetwork(t, 1)
+	nt.fleet.RunFunc = runForever
+	var evacuated atomic.Bool
+	nt.relays[0].EvacuatedFunc = func(dataCentre string) bool { return dataCentre == "a" && evacuated.Load() }
+	ad := nt.add()
+	ad.DataCentre = "a"
+	nt.eventually("the relay answers", func() bool { return nt.launch(ad, "a", "") == nil })
+	done := nt.deferred(ad, "b")
+	time.Sleep(50 * time.Millisecond)
+	evacuated.Store(true)
+	nt.halt(ad, "a")
+	qt.Check(t, (<-done).err, qt.ErrorIs, worker.ErrEvacuated)
+	qt.Check(t, nt.launch(ad, "c", ""), qt.ErrorIs, worker.ErrEvacuated)
+	qt.Check(t, nt.started("b") || nt.started("c"), qt.IsFalse)
+	evacuated.Store(false)
+	qt.Check(t, nt.launch(ad, "d", ""), qt.IsNil)
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -6,7 +6,8 @@
 // holds one stream to each of a few entry hosts, its relays, and each frame on a stream
 // carries many orders or answers. A relay executes each order as the owner would have done and
 // returns the worker's answer; a launch that is deferred waits at the relay until the worker has
-// the resources. A relay makes no decisions and keeps no state whose loss matters: if a stream
+// the resources. A relay makes one decision, to refuse launches in data centres that it knows to be
+// evacuated before the owner may, and keeps no state whose loss matters: if a stream
 // ends, the orders in progress get no answer, as after a lost connection to the worker itself,
 // and the owner resolves them over another path.
 //
@@ -72,10 +73,11 @@
 	// Kind determines which of the other fields are set.
 	Kind kind `json:"k"`
 	// Worker is the number of the worker on the stream. HostPort and Incarnation identify the
-	// worker; they are sent only with its first order.
+	// worker, DataCentre is where it runs; they are sent only with its first order.
 	Worker      int                `json:"w"`
 	HostPort    string             `json:"addr,omitempty"`
 	Incarnation worker.Incarnation `json:"inc,omitzero"`
+	DataCentre  string             `json:"dc,omitempty"`
 	// Fence is the fencing token, left out if it equals that of the previous order to the same
 	// worker.
 	Fence int64 `json:"f,omitempty"`
@@ -205,6 +207,7 @@
 	{"broke-off", worker.ErrConnectionLost},
 	{"not-freed", worker.ErrNotFreed},
 	{"withdrawn", worker.ErrWithdrawn},
+	{"evacuated", worker.ErrEvacuated},
 }
 
 // withError returns the answer with the code and the text of err.
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/pepperhatch/pepperhatch/internal/deferral"
+	"github.com/pepperhatch/pepperhatch/internal/evacuation"
 	"github.com/pepperhatch/pepperhatch/internal/worker"
 )
 
@@ -37,6 +38,9 @@
 type Server struct {
 	// Agent reaches workers from this host.
 	Agent worker.Agent
+	// EvacuatedFunc reports whether a data centre is evacuated: launches to its workers are
+	// refused, also those that were deferred before. Nil means that none is.
+	EvacuatedFunc func(dataCentre string) bool
 	// Log receives messages on streams that start and end.
 	Log *slog.Logger
 
@@ -118,7 +122,7 @@
 // newStream returns the state of a stream that lasts as long as ctx, which end cancels.
 func (sv *Server) newStream(ctx context.Context, end context.CancelFunc) *ownerStream {
 	return &ownerStream{
-		sv: sv, ctx: ctx, end: end, out: newOutbox[answer](), agent: deferral.Wrap(sv.Agent),
+		sv: sv, ctx: ctx, end: end, out: newOutbox[answer](), agent: deferral.Wrap(evacuation.Guard(sv.Agent, sv.EvacuatedFunc)),
 		workers: map[int]*streamWorker{}, payloads: map[int]string{},
 	}
 }
@@ -199,7 +203,7 @@
 func (se *ownerStream) startOrder(or order) {
 	sw := se.workers[or.Worker]
 	if sw == nil || or.HostPort != "" {
-		sw = &streamWorker{number: or.Worker, addr: worker.Addr{HostPort: or.HostPort, Incarnation: or.Incarnation}}
+		sw = &streamWorker{number: or.Worker, addr: worker.Addr{HostPort: or.HostPort, Incarnation: or.Incarnation, DataCentre: or.DataCentre}}
 		se.workers[or.Worker] = sw
 	}
 	if or.Fence == 0 {
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -224,7 +224,7 @@
 	if wr == nil {
 		wr = &workerRef{number: len(st.workers) + 1}
 		st.workers[ad] = wr
-		or.HostPort, or.Incarnation = ad.HostPort, ad.Incarnation
+		or.HostPort, or.Incarnation, or.DataCentre = ad.HostPort, ad.Incarnation, ad.DataCentre
 	}
 	or.Worker = wr.number
 	if or.Fence == wr.fence {
