Start nothing in data centres that an operator evacuates

Owners place tasks on every worker, whatever the operator requests. The watch of op// now applies the rows of requests on every host, and a new owner reads them before its first start. Workers there are unavailable as evacuated, ahead of the reasons with exceptions; starts in a write, queued or deferred are withdrawn. Long-running tasks move by the code that empties draining workers, whose choice is evacuation.Select now: two a tick, the largest first, while their step may miss one more and no task of the service waits for capacity. Those of draining and unlisted workers move as before. A worker whose entry says that it is cold gets only what no warm one can take, one unanswered start at a time.

The random tests of faults and queued starts evacuate data centres, and check that no launch is sent there while the owner knows.

The tests fail without the check in launch, the check of deferrals, the read at the load, the limit of starts on cold workers, and the penalty of these.

--- a/internal/jobhost/cell.go
+++ b/internal/jobhost/cell.go
@@ -5,6 +5,7 @@
 	"errors"
 	"strings"
 
+	"github.com/pepperhatch/pepperhatch/internal/evacuation"
 	"github.com/pepperhatch/pepperhatch/internal/registry"
 	"github.com/pepperhatch/pepperhatch/internal/relay"
 	"github.com/pepperhatch/pepperhatch/internal/sched"
@@ -26,7 +27,7 @@
 func (ho *Host) serveCell(ctx context.Context, te tenure.Tenure) (map[string]int64, error) {
 	se := ho.settings.Load()
 	po := &relay.Pool{
-		Self: se.Name, Cores: se.EffectiveCores(), Epoch: te.Epoch, HTTP: ho.relayClient, Direct: platform.NewAgent(ho.workerClient),
+		Self: se.Name, Cores: se.EffectiveCores(), Epoch: te.Epoch, HTTP: ho.relayClient, Direct: evacuation.Guard(platform.NewAgent(ho.workerClient), ho.evacuations.Contains),
 		FormerOwner: te.Former.Owner, FormerOwnerProcess: te.Former.Process, Metrics: ho.metrics, Log: ho.log,
 	}
 	workers := &watch.Watch{Table: ho.table, TableName: platform.WorkerTable, Prefix: platform.WorkerPrefix, Log: ho.log}
@@ -34,8 +35,8 @@
 		Cell: cellName, Tenure: te, Table: ho.table, Agent: po.Agent(), Without: ho.Without, Metrics: ho.metrics, Log: ho.log,
 		ViaFunc:     func(we sched.WorkerEntry) string { return po.RelayFor(we.Incarnation.String(), we.DataCentre) },
 		DroppedFunc: func(in worker.Incarnation) { po.Drop(in.String()) },
-		ListFunc:    workers.Contact,
-		Limits:      sched.Limits{MaxLease: millis(se.MaxLeaseMS), StopTime: millis(se.StopMS), HarmAfter: millis(se.HarmMS), KeepEnded: seconds(se.KeepEndedS)},
+		ListFunc:    workers.Contact, EvacuatedFunc: ho.readEvacuations,
+		Limits: sched.Limits{MaxLease: millis(se.MaxLeaseMS), StopTime: millis(se.StopMS), HarmAfter: millis(se.HarmMS), KeepEnded: seconds(se.KeepEndedS)},
 	})
 	workers.OnRows = func(rows []store.FeedRow, complete bool) { ho.onWorkers(ow, po, rows, complete) }
 	po.ChangedFunc = ow.Reroute
@@ -43,7 +44,7 @@
 	defer end()
 	go po.Run(wctx)
 	loaded := func() {
-		ho.owner.Store(ow)
+		ho.storeOwner(ow)
 		ho.watchCell(wctx, ow, po, te.SetHosts)
 		go workers.Run(wctx)
 	}
--- a/internal/jobhost/config.go
+++ b/internal/jobhost/config.go
@@ -17,9 +17,10 @@
 	}
 }
 
-// onConfig puts a newer configuration in force. One that can't be decoded is logged and
-// ignored.
-func (ho *Host) onConfig(rows []store.FeedRow, _ bool) {
+// onConfig puts a newer configuration and changes of evacuations in force. A configuration that
+// can't be decoded is logged and ignored.
+func (ho *Host) onConfig(rows []store.FeedRow, complete bool) {
+	ho.onEvacuations(rows, complete, ho.configWatch.Version())
 	for _, row := range rows {
 		if row.Key != platform.ConfigKey || row.Deleted {
 			continue
--- a/internal/jobhost/host.go
+++ b/internal/jobhost/host.go
@@ -13,6 +13,7 @@
 	"github.com/google/uuid"
 
 	"github.com/pepperhatch/pepperhatch/internal/clock"
+	"github.com/pepperhatch/pepperhatch/internal/evacuation"
 	"github.com/pepperhatch/pepperhatch/internal/frontend"
 	"github.com/pepperhatch/pepperhatch/internal/jobapi"
 	"github.com/pepperhatch/pepperhatch/internal/port"
@@ -79,6 +80,10 @@
 	configWatch *watch.Watch
 	owner       atomic.Pointer[sched.Owner]
 	stopping    atomic.Bool
+	// evacuations are the requests to evacuate data centres; evacuationMu makes the owner
+	// receive their states in the order in which they come into force.
+	evacuations  evacuation.Tracker
+	evacuationMu sync.Mutex
 }
 
 // New returns a host with the given settings. It doesn't listen or connect yet.
@@ -90,6 +95,7 @@
 	sched.ResetGauges(me)
 	ho := &Host{log: log, metrics: me, metricsHandler: metricsHandler, workerClient: transport.NewClient(workerConns, log)}
 	ho.settings.Store(&se)
+	ho.evacuations.Log = log
 	ho.table = platform.NewTable(platform.Client{
 		HTTP: transport.NewClient(storeConns, log), StoreAddrFunc: func() string { return ho.settings.Load().StoreAddr },
 	})
@@ -103,7 +109,7 @@
 		Local: ho.owner.Load, ConfigFunc: ho.config.Load, ContactFunc: ho.configWatch.Contact, Metrics: me, Log: log,
 	}
 	ho.keeper.AskFunc, ho.keeper.ConfirmFunc = ho.frontEnd.ProbeHost, ho.frontEnd.ConfirmOwner
-	ho.relay = &relay.Server{Agent: platform.NewAgent(ho.workerClient), Log: log}
+	ho.relay = &relay.Server{Agent: platform.NewAgent(ho.workerClient), EvacuatedFunc: ho.evacuations.Contains, Log: log}
 	ho.relayClient = transport.NewClient(1, log)
 	return ho, nil
 }
--- a/internal/sched/deferredlaunch.go
+++ b/internal/sched/deferredlaunch.go
@@ -72,7 +72,7 @@
 // handleDeferredAnswer handles the answer to a deferred launch, or its failure.
 func (ow *Owner) handleDeferredAnswer(at *attempt, ack worker.Ack, sent, got time.Time, err error) {
 	at.wk.endDeferral(at)
-	notSent := errors.Is(err, worker.ErrNotFreed) || errors.Is(err, worker.ErrWithdrawn)
+	notSent := errors.Is(err, worker.ErrNotFreed) || errors.Is(err, worker.ErrWithdrawn) || errors.Is(err, worker.ErrEvacuated)
 	if !notSent {
 		ow.Metrics.Add(telemetry.Launches, 1, "outcome", launchOutcome(err))
 		ow.Metrics.Add(telemetry.QueuedStarts, 1, "outcome", "started")
@@ -99,7 +99,7 @@
 	case at.deferral.fence != wk.currentPath().fence:
 		// The former path does not poll the worker any more.
 		at.deferral.cancel()
-	case wk.unlisted || wk.Draining || !wk.mayStartQueued(now):
+	case wk.refusesStarts() || !wk.mayStartQueued(now):
 		ow.withdrawDeferred(at, abandonedWorker)
 	case wk.Capacity != at.deferral.capacity:
 		ow.withdrawDeferred(at, "the capacity of its worker has changed")
--- a/internal/sched/evacuate.go
+++ b/internal/sched/evacuate.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/pepperhatch/pepperhatch/internal/evacuation"
 	"github.com/pepperhatch/pepperhatch/internal/job"
 	"github.com/pepperhatch/pepperhatch/internal/telemetry"
 )
@@ -12,36 +13,39 @@
 	// leaveMargin is added to the time to stop an attempt. It covers the delivery of the
 	// order, the poll that lists the end, and the write of the end.
 	leaveMargin = 700 * time.Millisecond
-	// maxEvacuationsPerTick bounds the moves of long-running tasks per tick, so that the tasks
-	// of a step are not all interrupted at once.
-	maxEvacuationsPerTick = 6
 	// maxReservedWaiting bounds the waiting tasks for which capacity is reserved; each can
 	// take a search of all workers.
 	maxReservedWaiting = 100
 )
 
 // evacuate moves tasks off workers that leave, because they are draining or because their
-// entry was removed. A long-running task is stopped as soon as another worker has capacity for
-// it. Tasks that end by themselves are left running.
+// entry was removed, and off those of evacuated data centres. A long-running task is stopped as
+// soon as another worker has capacity for it, see [evacuation.Select]. Tasks that end by
+// themselves are left running.
 func (ow *Owner) evacuate(now time.Time) {
 	if ow.storeDown() {
 		return
 	}
-	evac := evacuation{ow: ow, now: now, noCapacity: map[*job.Step]bool{}}
+	em := emptying{ow: ow, now: now}
 	for _, wk := range ow.sortedWorkers() {
-		if wk.evacuationReason(now) != "" {
-			evac.leaving = append(evac.leaving, wk)
+		if cause := wk.evacuationReason(now); cause != "" {
+			em.workers = append(em.workers, wk)
+			em.add(wk, cause)
 		}
 	}
-	for _, wk := range evac.leaving {
-		evac.evacuateWorker(wk)
+	if len(em.tasks) == 0 {
+		return
+	}
+	for _, i := range evacuation.Select(em.tasks, em.reserve) {
+		em.move(em.attempts[i])
 	}
 }
 
 // Reasons of evacuations, as counted in the metrics.
 const (
-	reasonDraining = "drains"
-	reasonUnlisted = "unlisted"
+	reasonDraining  = "drains"
+	reasonUnlisted  = "unlisted"
+	reasonEvacuated = "evacuated"
 )
 
 // evacuationReason returns why a worker is to be evacuated, or "" if it is not.
@@ -55,85 +59,121 @@
 	case wk.lostFromList(now):
 		// Its host may stop at any moment without notice.
 		return reasonUnlisted
+	case wk.isEvacuated() && !wk.unlisted:
+		return reasonEvacuated
 	}
 	return ""
 }
 
-// evacuation is the evacuation of workers during one tick.
-type evacuation struct {
+// emptying is the evacuation of workers during one tick.
+type emptying struct {
 	ow  *Owner
 	now time.Time
-	// leaving are the workers to be evacuated.
-	leaving      []*workerState
+	// workers are the workers to be evacuated.
+	workers []*workerState
+	// tasks are the long-running tasks there that may be moved now, attempts has their attempts
+	// at the same indices, and steps their steps.
+	tasks    []evacuation.Task
+	attempts []*attempt
+	steps    map[longRunningStep]*evacuation.Step
+	// contended has the services with tasks that wait for capacity, nil until it is needed.
+	contended    map[string]bool
 	cachedPlacer *placer
-	// moves counts the long-running tasks stopped so far, to be started elsewhere.
-	moves int
-	// noCapacity has the steps whose tasks fit on no worker.
-	noCapacity map[*job.Step]bool
 }
 
-// evacuateWorker evacuates a worker. Shortly before a draining worker leaves, all its remaining
-// attempts are stopped, so that their end and their last checkpoint are known. Otherwise they
-// would end there anyway, and that would be known only after their leases have expired.
-func (evac *evacuation) evacuateWorker(wk *workerState) {
-	cause := wk.evacuationReason(evac.now)
+// add adds the long-running tasks of a worker. Shortly before a draining worker leaves, all its
+// remaining attempts are stopped instead, so that their end and their last checkpoint are known.
+// Otherwise they would end there anyway, and that would be known only after their leases have
+// expired.
+func (em *emptying) add(wk *workerState, cause string) {
 	if cause == reasonUnlisted {
-		wk.logEvacuation(evac.now)
+		wk.logEvacuation(em.now)
 	}
-	stopAll := cause == reasonDraining && evac.now.After(wk.leavesAt.Add(-evac.ow.Limits.StopTime-leaveMargin))
+	stopAll := cause == reasonDraining && em.now.After(wk.leavesAt.Add(-em.ow.Limits.StopTime-leaveMargin))
 	for at := range wk.attempts {
 		switch {
 		case stopAll:
-			evac.ow.halt(at, "its worker leaves")
-		case at.step().LongRunning && !evac.stopping(at) && evac.moves < maxEvacuationsPerTick:
-			evac.move(at, cause)
+			em.ow.halt(at, "its worker leaves")
+		case !at.step().LongRunning || at.stopping(em.now):
+		case cause != reasonEvacuated || at.serves(em.now):
+			ta := evacuation.Task{Need: at.step().Reserved(), Step: em.step(at), Leaving: cause != reasonEvacuated}
+			ta.Contended = !ta.Leaving && em.isContended(wk.Service)
+			em.tasks = append(em.tasks, ta)
+			em.attempts = append(em.attempts, at)
+		}
+	}
+}
+
+// isContended reports whether tasks of a service wait for capacity.
+func (em *emptying) isContended(service string) bool {
+	if em.contended == nil {
+		em.contended = em.ow.contendedServices()
+	}
+	return em.contended[service]
+}
+
+// step returns the state of the step of an attempt.
+func (em *emptying) step(at *attempt) *evacuation.Step {
+	key := longRunningStep{at.tj, at.ref.Step}
+	st := em.steps[key]
+	if st == nil {
+		st = at.tj.evacuationStep(at.ref.Step, em.now)
+		if em.steps == nil {
+			em.steps = map[longRunningStep]*evacuation.Step{}
 		}
+		em.steps[key] = st
 	}
+	return st
 }
 
 // stopping reports whether an order to stop the attempt may still take effect. After that time
 // the order is considered lost.
-func (evac *evacuation) stopping(at *attempt) bool {
-	return !at.haltSentAt.IsZero() && evac.now.Sub(at.haltSentAt) < evac.ow.Limits.StopTime+leaveMargin
+func (at *attempt) stopping(now time.Time) bool {
+	return !at.haltSentAt.IsZero() && now.Sub(at.haltSentAt) < at.wk.ow.Limits.StopTime+leaveMargin
 }
 
-// move stops a long-running task if another worker has capacity for it.
-func (evac *evacuation) move(at *attempt, cause string) {
-	if evac.noCapacity[at.step()] {
-		return
-	}
-	if !evac.placer().reserveElsewhere(at) {
-		evac.noCapacity[at.step()] = true
-		return
+// reserve reserves capacity for a task on another worker, and reports whether there was any. A
+// task of a worker that does not leave has time to wait for a warm one.
+func (em *emptying) reserve(index int) bool {
+	if em.tasks[index].Leaving {
+		return em.placer().reserveElsewhere(em.attempts[index])
 	}
-	evac.moves++
+	return em.placer().reserveWarm(em.attempts[index])
+}
+
+// move stops a long-running task for which another worker has capacity.
+func (em *emptying) move(at *attempt) {
+	cause := at.wk.evacuationReason(em.now)
 	if at.haltSentAt.IsZero() {
-		evac.ow.Metrics.Add(telemetry.Evacuated, 1, "why", cause)
+		em.ow.Metrics.Add(telemetry.Evacuated, 1, "why", cause)
 	}
 	why := "its worker leaves and another has capacity"
-	if cause == reasonUnlisted {
+	switch cause {
+	case reasonUnlisted:
 		why = "its worker has no entry and another has room"
+	case reasonEvacuated:
+		why = "its data centre is evacuated and another worker has capacity"
 	}
-	evac.ow.halt(at, why)
+	em.ow.halt(at, why)
 }
 
 // placer returns a placer from whose free capacity that of the tasks which are being stopped or
 // wait was subtracted. Without those reservations, the same free capacity would be counted at
 // every tick until a task starts there.
-func (evac *evacuation) placer() *placer {
-	if evac.cachedPlacer != nil {
-		return evac.cachedPlacer
+func (em *emptying) placer() *placer {
+	if em.cachedPlacer != nil {
+		return em.cachedPlacer
 	}
-	evac.cachedPlacer = evac.ow.newPlacer()
-	for _, wk := range evac.leaving {
+	em.cachedPlacer = em.ow.newPlacer()
+	for _, wk := range em.workers {
 		for at := range wk.attempts {
-			if at.step().LongRunning && evac.stopping(at) {
-				evac.cachedPlacer.reserveElsewhere(at)
+			if at.step().LongRunning && at.stopping(em.now) {
+				em.cachedPlacer.reserveElsewhere(at)
 			}
 		}
 	}
-	evac.cachedPlacer.reserveForWaiting()
-	return evac.cachedPlacer
+	em.cachedPlacer.reserveForWaiting()
+	return em.cachedPlacer
 }
 
 // reserveForWaiting reserves capacity for long-running tasks that wait for placement.
@@ -146,7 +186,7 @@
 			}
 			for range min(tj.waitingIn(step), remaining) {
 				remaining--
-				if !pl.reserve(tj, job.TaskRef{Step: step}, nil) {
+				if !pl.reserve(tj, job.TaskRef{Step: step}, func(*candidate) bool { return true }) {
 					break
 				}
 			}
@@ -156,14 +196,21 @@
 
 // reserveElsewhere reserves capacity for an attempt on another worker, and reports whether
 // there was any.
-func (pl *placer) reserveElsewhere(at *attempt) bool { return pl.reserve(at.tj, at.ref, at.wk) }
+func (pl *placer) reserveElsewhere(at *attempt) bool {
+	return pl.reserve(at.tj, at.ref, func(ca *candidate) bool { return ca.wk != at.wk })
+}
+
+// reserveWarm is reserveElsewhere without workers that are cold.
+func (pl *placer) reserveWarm(at *attempt) bool {
+	return pl.reserve(at.tj, at.ref, func(ca *candidate) bool { return ca.wk != at.wk && !ca.cold })
+}
 
-// reserve reserves capacity for a task on any worker except one, and reports whether there
-// was any.
-func (pl *placer) reserve(tj *trackedJob, ref job.TaskRef, except *workerState) bool {
+// reserve reserves capacity for a task on a worker that qualifies, and reports whether there was
+// any.
+func (pl *placer) reserve(tj *trackedJob, ref job.TaskRef, qualifies func(*candidate) bool) bool {
 	st := &tj.jo.Spec.Steps[ref.Step]
 	for _, ca := range pl.candidates {
-		if ca.wk == except || !ca.fits(tj, ref, st) {
+		if !qualifies(ca) || !ca.fits(tj, ref, st) {
 			continue
 		}
 		ca.free = ca.free.Sub(st.Reserved())
--- /dev/null
+++ b/internal/sched/evacuated_test.go
@@ -0,0 +1,235 @@
+package sched
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/pepperhatch/pepperhatch/internal/evacuation"
+	"github.com/pepperhatch/pepperhatch/internal/job"
+	"github.com/pepperhatch/pepperhatch/internal/standin"
+	"github.com/pepperhatch/pepperhatch/internal/worker"
+)
+
+// dataCentre returns the data centre of the worker with an index in a lab.
+func dataCentre(i int) string { return fmt.Sprint("d", i%2) }
+
+// evacuationRequests are the requests that the owners of a lab know of, and the launches that
+// were sent against them.
+type evacuationRequests struct {
+	mu       sync.Mutex
+	set      evacuation.Set
+	since    map[string]time.Time
+	problems []string
+	// failing counts the reads that are yet to fail.
+	failing int
+}
+
+// launchWay is how long a launch may be on its way to a worker, or the order that withdraws it.
+const launchWay = 2 * overtakingDelay
+
+func (er *evacuationRequests) current() evacuation.Set {
+	er.mu.Lock()
+	defer er.mu.Unlock()
+	return er.set
+}
+
+// read is the EvacuatedFunc of owners.
+func (er *evacuationRequests) read(context.Context) (evacuation.Set, error) {
+	er.mu.Lock()
+	defer er.mu.Unlock()
+	if er.failing > 0 {
+		er.failing--
+		return evacuation.Set{}, errors.New("no answer")
+	}
+	return er.set, nil
+}
+
+func (er *evacuationRequests) violations() []string {
+	er.mu.Lock()
+	defer er.mu.Unlock()
+	return er.problems
+}
+
+// checkLaunches returns the agent with a check that nothing is launched in a data centre while
+// the owner knows that it is evacuated. A launch that was overtaken by the order to stop the
+// attempt still reaches the worker, which refuses it.
+func (er *evacuationRequests) checkLaunches(ag worker.Agent) worker.Agent {
+	launch := ag.LaunchFunc
+	ag.LaunchFunc = func(ctx context.Context, ad worker.Addr, la worker.Launch) (worker.Ack, error) {
+		er.mu.Lock()
+		late, evacuated := time.Since(er.since[ad.DataCentre]), er.set.Contains(ad.DataCentre)
+		er.mu.Unlock()
+		ack, err := launch(ctx, ad, la)
+		if evacuated && late > launchWay && !errors.Is(err, worker.ErrStaleAttempt) {
+			er.mu.Lock()
+			defer er.mu.Unlock()
+			er.problems = append(er.problems, fmt.Sprintf("task %s launched at %s %v after the evacuation of %s: %v", la.Task, ad.HostPort, late, ad.DataCentre, err))
+		}
+		return ack, err
+	}
+	return ag
+}
+
+// evacuate makes the requests known to an owner.
+func (la *lab) evacuate(ow *Owner, se evacuation.Set) {
+	er := &la.requests
+	er.mu.Lock()
+	since := map[string]time.Time{}
+	for _, name := range se.DataCentres() {
+		since[name] = time.Now()
+		if er.set.Contains(name) {
+			since[name] = er.since[name]
+		}
+	}
+	er.set, er.since = se, since
+	er.mu.Unlock()
+	ow.SetEvacuated(se)
+}
+
+// assertStarts asserts how many attempts were started in each of the two data centres.
+func (la *lab) assertStarts(want ...int) {
+	la.t.Helper()
+	got := make([]int, 2)
+	for i, fw := range la.fleetWorkers {
+		for _, ru := range la.fleet.Runs() {
+			if ru.Worker == fw.Addr.Incarnation {
+				got[i%2]++
+			}
+		}
+	}
+	qt.Assert(la.t, got, qt.DeepEquals, want)
+	la.assertRunsConsistent()
+}
+
+// TestNothingStartsInEvacuatedDataCentre guards against starts there on any way, and against
+// workers that stay unused after the request was withdrawn.
+func TestNothingStartsInEvacuatedDataCentre(t *testing.T) {
+	d0 := evacuation.Set{}.With("d0")
+	for name, play := range map[string]func(la *lab){
+		"owner that has just claimed": func(la *lab) {
+			la.requests.set, la.requests.failing = d0, 3
+			ow, end := la.startOwner()
+			defer end()
+			la.submit(ow, 1, batch(1, 30))
+			time.Sleep(3 * time.Second)
+			la.assertStarts(0, 30)
+		},
+		"start in a write": func(la *lab) {
+			ow, end := la.startOwner()
+			defer end()
+			time.Sleep(time.Second)
+			la.table.Faults.Set(standin.Fault{Mode: standin.ModeSlow, DelayMS: 400})
+			go la.submit(ow, 1, batch(1, 30))
+			time.Sleep(200 * time.Millisecond)
+			la.evacuate(ow, d0)
+			time.Sleep(5 * time.Second)
+			la.assertStarts(0, 30)
+		},
+		"two at once, then one": func(la *lab) {
+			ow, end := la.startOwner()
+			defer end()
+			la.evacuate(ow, d0.With("d1"))
+			la.submit(ow, 1, batch(1, 4))
+			time.Sleep(3 * time.Second)
+			la.assertStarts(0, 0)
+			la.evacuate(ow, d0)
+			time.Sleep(2 * time.Second)
+			la.assertStarts(0, 4)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { play(newLab(t, 4)) })
+		})
+	}
+	t.Run("deferred behind a stop", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			la, ow, end := interruptedBesideFullWorker(t)
+			defer end()
+			_, err := ow.Cancel(context.Background(), jobID(1))
+			qt.Assert(t, err, qt.IsNil)
+			time.Sleep(300 * time.Millisecond)
+			la.evacuate(ow, d0)
+			time.Sleep(3 * time.Second)
+			qt.Check(t, la.runningOfJob(3), qt.Equals, 0)
+			la.evacuate(ow, evacuation.Set{})
+			time.Sleep(time.Second)
+			qt.Check(t, la.runningOfJob(3), qt.Equals, 1)
+			la.assertRunsConsistent()
+		})
+	})
+}
+
+// TestTasksOfEvacuatedDataCentre guards against tasks that are stopped there without need: those
+// that end by themselves, and long-running ones for which there is no capacity elsewhere.
+func TestTasksOfEvacuatedDataCentre(t *testing.T) {
+	for _, tc := range []struct{ workers, moved int }{{2, 0}, {4, 4}} {
+		synctest.Test(t, func(t *testing.T) {
+			la := newLab(t, 2)
+			la.fleet.RunFunc = func(at worker.Attempt) (time.Duration, string) {
+				if id, _, _ := job.ParseTaskID(at.Task); id == jobID(1) {
+					return -1, ""
+				}
+				return 2 * time.Second, "done"
+			}
+			ow, end := la.startOwner()
+			defer end()
+			time.Sleep(time.Second)
+			la.submit(ow, 1, longRunningOf(8, 7))
+			la.submit(ow, 2, batch(1, 2))
+			time.Sleep(time.Second)
+			for i := 2; i < tc.workers; i++ {
+				la.addWorker(2*i + 1)
+				la.fleetWorkers[i].Capacity.MilliCores = 16_000
+			}
+			list := la.workerEntries()
+			for i := 2; i < tc.workers; i++ {
+				list[i].DataCentre = "d1"
+			}
+			ow.SetWorkers(list, nil, true)
+			time.Sleep(500 * time.Millisecond)
+			la.evacuate(ow, evacuation.Set{}.With("d0"))
+			time.Sleep(10 * time.Second)
+			stopped := 0
+			for _, ru := range la.fleet.Runs() {
+				if ru.Outcome == "stopped" {
+					stopped++
+				}
+			}
+			qt.Check(t, []int{stopped, la.runningOfJob(1)}, qt.DeepEquals, []int{tc.moved, 8})
+			qt.Check(t, la.state(ow, 2), qt.Equals, job.Succeeded)
+			la.assertRunsConsistent()
+		})
+	}
+}
+
+// TestColdWorkers guards against cold workers that get tasks which a warm one could take, or
+// several starts at once.
+func TestColdWorkers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		la := newLab(t, 2)
+		la.fleet.RunFunc = runUntilStopped
+		la.wrapOwnerFunc = delayOwner(func() time.Duration { return 100 * time.Millisecond })
+		ow, end := la.startOwner()
+		defer end()
+		list := la.workerEntries()
+		list[0].ColdRemaining = time.Hour
+		ow.SetWorkers(list, nil, true)
+		time.Sleep(time.Second)
+		la.submit(ow, 1, longRunning(14))
+		time.Sleep(2 * time.Second)
+		la.assertStarts(0, 14)
+		la.submit(ow, 2, longRunning(6))
+		time.Sleep(500 * time.Millisecond)
+		starts := len(la.fleet.Runs()) - 16
+		qt.Check(t, starts >= 1 && starts <= 3, qt.IsTrue, qt.Commentf("%d starts on the cold worker", starts))
+		time.Sleep(3 * time.Second)
+		la.assertStarts(4, 16)
+	})
+}
--- a/internal/sched/lab_test.go
+++ b/internal/sched/lab_test.go
@@ -57,6 +57,8 @@
 	// when it last accepted a heartbeat.
 	listFunc                   func() (last, since time.Time)
 	confirmedFunc, writtenFunc func() time.Time
+	// requests are the evacuations that owners know of.
+	requests evacuationRequests
 	// formerOwnerCeased makes owners know that the former one has ceased to act.
 	formerOwnerCeased bool
 }
@@ -87,7 +89,7 @@
 }
 
 func (la *lab) agent() worker.Agent {
-	ag := la.fleet.Agent()
+	ag := la.requests.checkLaunches(la.fleet.Agent())
 	if la.wrapAgentFunc != nil {
 		ag = la.wrapAgentFunc(ag)
 	}
@@ -126,8 +128,8 @@
 
 func (la *lab) workerEntries() []WorkerEntry {
 	var list []WorkerEntry
-	for _, fw := range la.fleetWorkers {
-		list = append(list, WorkerEntry{Addr: fw.Addr, Service: testService, Rack: "r1", Labels: []string{"a", "r1"}, Capacity: fw.Capacity})
+	for i, fw := range la.fleetWorkers {
+		list = append(list, WorkerEntry{Addr: fw.Addr, Service: testService, DataCentre: dataCentre(i), Rack: "r1", Labels: []string{"a", "r1"}, Capacity: fw.Capacity})
 	}
 	return list
 }
@@ -195,7 +197,7 @@
 	}
 	ow := New(&Owner{
 		Cell: "c0", Tenure: te, Table: la.client(), Agent: la.agent(), Metrics: la.metrics, Log: la.log,
-		ViaFunc: la.currentVia, ListFunc: la.listFunc,
+		ViaFunc: la.currentVia, ListFunc: la.listFunc, EvacuatedFunc: la.requests.read,
 		Limits: Limits{MaxLease: 6 * time.Second, StopTime: 900 * time.Millisecond, HarmAfter: 4 * time.Second, KeepEnded: 2 * time.Minute},
 	})
 	loaded := make(chan error, 2)
@@ -250,7 +252,7 @@
 // runProblems lists the violations for which assertRunsConsistent fails a test.
 func (la *lab) runProblems() []string {
 	runs := la.fleet.Runs()
-	list := standin.RunViolations(runs)
+	list := append(standin.RunViolations(runs), la.requests.violations()...)
 	doneAt := map[string]time.Time{}
 	for _, ru := range runs {
 		if ru.Outcome == "done" {
--- a/internal/sched/launch.go
+++ b/internal/sched/launch.go
@@ -30,8 +30,8 @@
 		return
 	}
 	// The write of the start took time, in which the worker may have left the list.
-	if at.wk.unlisted || at.wk.Draining {
-		ow.abandonLaunch(at, "its worker drains or left the list before the order was sent")
+	if at.wk.refusesStarts() {
+		ow.abandonLaunch(at, "its worker drains, left the list or is evacuated before the order was sent")
 		return
 	}
 	if at.wk.leaseRecorded() {
@@ -132,6 +132,9 @@
 	case errors.Is(err, worker.ErrNoListener):
 		// No process got the order, so it does not count as a crash under the task.
 		wk.quarantine(unfitQuarantine, "nothing listens there")
+	case errors.Is(err, worker.ErrEvacuated):
+		// A relay has read the request before this owner.
+		wk.quarantine(unfitQuarantine, "its data centre is evacuated")
 	case errors.Is(err, worker.ErrNotSent):
 		wk.quarantine(unfitQuarantine, "there is no way to it now")
 	default:
@@ -151,7 +154,7 @@
 	}{
 		{worker.ErrFenced, "fenced"}, {worker.ErrStaleAttempt, "old"}, {worker.ErrLeaseExpired, "late"},
 		{worker.ErrNoCapacity, "no-room"}, {worker.ErrUnhealthy, "unfit"}, {worker.ErrOtherIncarnation, "other-life"}, {worker.ErrMalformed, "malformed"},
-		{worker.ErrNotSent, "not-sent"},
+		{worker.ErrEvacuated, "evacuated"}, {worker.ErrNotSent, "not-sent"},
 	} {
 		if errors.Is(err, known.err) {
 			return known.outcome
--- a/internal/sched/load.go
+++ b/internal/sched/load.go
@@ -35,6 +35,9 @@
 	if err := ow.loadWriteMark(ctx); err != nil {
 		return err
 	}
+	if err := ow.loadEvacuated(ctx); err != nil {
+		return err
+	}
 	progress, err := ow.Table.List(ctx, ow.progressKey(""))
 	if err != nil {
 		return err
--- a/internal/sched/move.go
+++ b/internal/sched/move.go
@@ -62,7 +62,7 @@
 // services, and subtracts the filler from the idle time there.
 func (pl *placer) reserveIdleElsewhere(at *attempt) bool {
 	for _, ca := range pl.candidates {
-		if ca.wk == at.wk || !ca.fits(at.tj, job.TaskRef{Step: at.ref.Step, Index: at.ref.Index}, at.step()) || !ca.acceptsFiller(at.step()) {
+		if ca.wk == at.wk || ca.cold || !ca.fits(at.tj, job.TaskRef{Step: at.ref.Step, Index: at.ref.Index}, at.step()) || !ca.acceptsFiller(at.step()) {
 			continue
 		}
 		ca.idle -= likelyUse(at.step())
--- a/internal/sched/owner.go
+++ b/internal/sched/owner.go
@@ -26,6 +26,7 @@
 	"time"
 
 	"github.com/pepperhatch/pepperhatch/internal/clock"
+	"github.com/pepperhatch/pepperhatch/internal/evacuation"
 	"github.com/pepperhatch/pepperhatch/internal/interfere"
 	"github.com/pepperhatch/pepperhatch/internal/job"
 	"github.com/pepperhatch/pepperhatch/internal/store"
@@ -67,6 +68,9 @@
 	// ListFunc returns when the list of workers was last known to be current, and since when
 	// it has been read without an error. If nil, the list is always current.
 	ListFunc func() (last, since time.Time)
+	// EvacuatedFunc reads the requests to evacuate data centres that are in force when the owner
+	// loads the cell; see [Owner.SetEvacuated] for later ones. If nil, there are none.
+	EvacuatedFunc func(context.Context) (evacuation.Set, error)
 	// Without is the set of mechanisms that are switched off.
 	Without Mechanism
 	// Metrics receives counters and gauges.
@@ -150,6 +154,10 @@
 	listTrust listTrust
 	// outage tracks an outage of workers that receive no orders.
 	outage outage
+	// evacuated are the data centres on whose workers nothing may start, evacuationMonitor
+	// reports on them.
+	evacuated         evacuation.Set
+	evacuationMonitor evacuation.Monitor
 	// lag measures how far the owner is behind.
 	lag loopLag
 	// visibleCapacity measures how long interrupted tasks wait while workers have capacity.
@@ -181,6 +189,7 @@
 	ow.workersByID = map[string][]*workerState{}
 	ow.unowned = map[worker.Incarnation]int{}
 	ow.similarity = map[imagePair]float64{}
+	ow.evacuationMonitor = evacuation.Monitor{Metrics: ow.Metrics, Log: ow.Log}
 	return ow
 }
 
@@ -189,6 +198,7 @@
 func (ow *Owner) Run(ctx context.Context, loaded func()) error {
 	defer close(ow.ended)
 	defer ResetGauges(ow.Metrics)
+	defer ow.evacuationMonitor.Reset()
 	ow.ctx = ctx
 	ow.startedAt = time.Now()
 	ow.listTrust.untrustedAt = ow.startedAt
@@ -274,6 +284,7 @@
 	ow.moveHeld(now)
 	ow.checkWorkerList(now)
 	ow.evacuate(now)
+	ow.monitorEvacuations(now)
 	ow.endExpiredUnowned(now)
 	ow.forgetEnded(now)
 	ow.saveInterference(now)
--- a/internal/sched/path.go
+++ b/internal/sched/path.go
@@ -21,7 +21,7 @@
 // worker may have been known before and been dropped.
 func (ow *Owner) newPath(we WorkerEntry) *path {
 	addr := we.Addr
-	addr.Via = ow.relayOf(we)
+	addr.Via, addr.DataCentre = ow.relayOf(we), we.DataCentre
 	return &path{addr: addr, fence: ow.nextFence()}
 }
 
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -100,10 +100,15 @@
 	// candidatesWithStops. claimed is set if a job of a higher priority waits for it.
 	stopping worker.Resources
 	claimed  bool
+	// cold is set if the worker is slow for a while, and starting if a start has no answer yet
+	// there; it is only set for cold workers.
+	cold, starting bool
 }
 
 func newCandidate(wk *workerState) candidate {
-	return candidate{wk: wk, free: wk.Capacity.Sub(wk.reserved), idle: wk.Capacity.MilliCores - wk.expectedUse}
+	ca := candidate{wk: wk, free: wk.Capacity.Sub(wk.reserved), idle: wk.Capacity.MilliCores - wk.expectedUse, cold: wk.isCold()}
+	ca.starting = ca.cold && wk.hasUnansweredStart()
+	return ca
 }
 
 // likelyUse returns the processor time that a task of the step is expected to use, in
@@ -220,7 +225,7 @@
 // Earmarked capacity stays open to fillers and to interrupted tasks, as the task that it is
 // earmarked for may never get enough of it.
 func (ca *candidate) hasCapacity(st *job.Step, interrupted bool) bool {
-	return st.Reserved().Fits(ca.free) && (!ca.earmarked || st.Filler || interrupted) && !ca.isolated
+	return st.Reserved().Fits(ca.free) && (!ca.earmarked || st.Filler || interrupted) && !ca.isolated && !ca.starting
 }
 
 // allowed reports whether a task may run on the worker, regardless of free capacity.
@@ -317,6 +322,7 @@
 	st := &tj.jo.Spec.Steps[ref.Step]
 	ca.free = ca.free.Sub(st.Reserved())
 	ca.idle -= likelyUse(st)
+	ca.starting = ca.cold
 	pl.ow.Log.Info("attempt placed", "task", taskID(at), "attempt", number, "worker", ca.wk.incarnation, "free_millicores", ca.free.MilliCores, "queued", queued)
 	tj.onWritten = append(tj.onWritten, func() { pl.ow.launch(at) })
 	pl.ow.markDirty(tj)
--- a/internal/sched/queuedrandom_test.go
+++ b/internal/sched/queuedrandom_test.go
@@ -14,6 +14,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/pepperhatch/pepperhatch/internal/evacuation"
 	"github.com/pepperhatch/pepperhatch/internal/job"
 	"github.com/pepperhatch/pepperhatch/internal/proptest"
 	"github.com/pepperhatch/pepperhatch/internal/standin"
@@ -27,6 +28,9 @@
 
 	rnd  *rand.Rand
 	jobs int
+	// evacuationRnd decides on evacuations. It is separate, so that a seed injects the same faults
+	// as before there were evacuations.
+	evacuationRnd *rand.Rand
 	// cancelledAt has when the cancellations of jobs were accepted, by number.
 	cancelledAt map[int]time.Time
 	// draining has the workers that report that they drain, and lost those that were killed.
@@ -67,7 +71,7 @@
 // newQueuedRun starts a run. If delays is set, each order and each answer takes up to overtakingDelay.
 func newQueuedRun(t *testing.T, seed int64, delays bool, count *atomic.Int64) *queuedRun {
 	t.Helper()
-	qr := &queuedRun{rnd: rand.New(rand.NewSource(seed)), cancelledAt: map[int]time.Time{}, draining: map[int]bool{}, lost: map[int]bool{}}
+	qr := &queuedRun{rnd: rand.New(rand.NewSource(seed)), evacuationRnd: rand.New(rand.NewSource(seed)), cancelledAt: map[int]time.Time{}, draining: map[int]bool{}, lost: map[int]bool{}}
 	var wrapOwner func(worker.Agent) worker.Agent
 	if delays {
 		wrapOwner = delayOwner(randomDelay(seed, overtakingDelay))
@@ -215,6 +219,16 @@
 	qr.sendLists()
 }
 
+// changeEvacuations requests an evacuation, or withdraws all requests, after one in six faults.
+func (qr *queuedRun) changeEvacuations() {
+	switch qr.evacuationRnd.Intn(12) {
+	case 0:
+		qr.evacuate(qr.ow, qr.requests.current().With(dataCentre(qr.evacuationRnd.Intn(2))))
+	case 1:
+		qr.evacuate(qr.ow, evacuation.Set{})
+	}
+}
+
 func (qr *queuedRun) heal() {
 	for _, fw := range qr.fleetWorkers {
 		fw.Faults.Set(standin.Fault{})
@@ -333,12 +347,14 @@
 func (qr *queuedRun) play() {
 	for range 5 + qr.rnd.Intn(36) {
 		qr.injectRandom()
+		qr.changeEvacuations()
 		pauses := []int{1, 30, 300, 300, 1500}
 		time.Sleep(time.Duration(pauses[qr.rnd.Intn(len(pauses))]) * time.Millisecond)
 		qr.checkBooks()
 	}
 	qr.table.Faults.Set(standin.Fault{})
 	qr.heal()
+	qr.evacuate(qr.ow, evacuation.Set{})
 	qr.sendLists()
 	time.Sleep(30 * time.Second)
 	qt.Check(qr.t, qr.checkBooks(), qt.Equals, 0)
--- a/internal/sched/queuedstart.go
+++ b/internal/sched/queuedstart.go
@@ -34,7 +34,7 @@
 	pl.claimStops(tj.jo.Terms.Priority)
 	for _, ca := range pl.candidatesWithStops() {
 		later := ca.free.Add(ca.stopping)
-		if ca.isolated || ca.claimed || !need.Fits(later) || !ca.allowed(tj, ref, st) {
+		if ca.isolated || ca.claimed || ca.cold || !need.Fits(later) || !ca.allowed(tj, ref, st) {
 			continue
 		}
 		if suspect && ca.wk.occupancy(pl.now).starting > 0 {
@@ -146,7 +146,7 @@
 
 // mayStartQueued reports whether queued attempts may start on the worker once it has the capacity.
 func (wk *workerState) mayStartQueued(now time.Time) bool {
-	return !wk.dead && wk.failingSince.IsZero() && !wk.inTrial() && !now.Before(wk.quarantinedUntil)
+	return !wk.dead && !wk.isEvacuated() && wk.failingSince.IsZero() && !wk.inTrial() && !now.Before(wk.quarantinedUntil)
 }
 
 // startQueued sends the start orders of the queued attempts whose start is durable. They are
@@ -179,7 +179,7 @@
 		case !at.queued || !at.startWritten:
 		case at.deferral != nil:
 			wk.ow.checkDeferral(at, now)
-		case wk.unlisted || wk.Draining || !wk.failingSince.IsZero():
+		case wk.refusesStarts() || !wk.failingSince.IsZero():
 			wk.ow.abandonQueued(at, abandonedWorker)
 		case now.After(at.queuedUntil()):
 			wk.ow.abandonQueued(at, "the stopped attempts have not ended in time")
--- a/internal/sched/random_test.go
+++ b/internal/sched/random_test.go
@@ -13,6 +13,7 @@
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
 
+	"github.com/pepperhatch/pepperhatch/internal/evacuation"
 	"github.com/pepperhatch/pepperhatch/internal/job"
 	"github.com/pepperhatch/pepperhatch/internal/proptest"
 	"github.com/pepperhatch/pepperhatch/internal/standin"
@@ -92,6 +93,7 @@
 		"store down", "store lost", "store slow", "store heal", "replace owner", "read states", "reroute",
 		"entry lapses", "all entries lapse", "entries back",
 		"restart", "restart elsewhere", "restart, entry late", "restart, former entry again",
+		"evacuate", "evacuate", "evacuations end",
 	}).Draw(fr.rt, "action") {
 	case "submit":
 		fr.jobs++
@@ -149,6 +151,11 @@
 		fr.ow.SetWorkers(fr.workerEntries(), nil, true)
 		time.Sleep(time.Duration(rapid.SampledFrom([]int{1, 100, 1000}).Draw(fr.rt, "former entry after ms")) * time.Millisecond)
 		fr.ow.SetWorkers([]WorkerEntry{former}, nil, false)
+	case "evacuate":
+		dc := dataCentre(rapid.IntRange(0, 1).Draw(fr.rt, "data centre"))
+		fr.evacuate(fr.ow, fr.requests.current().With(dc))
+	case "evacuations end":
+		fr.evacuate(fr.ow, evacuation.Set{})
 	}
 }
 
@@ -282,6 +289,7 @@
 func (fr *faultRun) clearFaultsAndCheck() {
 	fr.table.Faults.Set(standin.Fault{})
 	fr.clearFaults()
+	fr.evacuate(fr.ow, evacuation.Set{})
 	fr.ow.SetWorkers(fr.workerEntries(), nil, true)
 	for range 45 {
 		time.Sleep(time.Second)
--- a/internal/sched/score.go
+++ b/internal/sched/score.go
@@ -21,6 +21,9 @@
 	if tj.failedOn[ca.wk.incarnation] {
 		score -= failedPenalty
 	}
+	if ca.cold {
+		score -= coldPenalty
+	}
 	return score - float64(ca.wk.failures)*perFailurePenalty
 }
 
@@ -93,4 +96,7 @@
 	// perFailurePenalty is subtracted for each attempt that has failed there since one
 	// succeeded.
 	perFailurePenalty = 1
+	// coldPenalty outweighs everything else, so that a cold worker gets only what no warm one
+	// can take.
+	coldPenalty = 1000
 )
--- a/internal/sched/suspect.go
+++ b/internal/sched/suspect.go
@@ -173,9 +173,9 @@
 	tj.waitCause = CauseOrder
 }
 
-// leastOccupied returns the worker with capacity for the task that has the fewest starting
-// attempts, then the fewest with a latency target, then the fewest at all. It returns nil if
-// there is none.
+// leastOccupied returns the warm worker with capacity for the task that has the fewest starting
+// attempts, then the fewest with a latency target, then the fewest at all, or such a cold worker
+// if no warm one has the capacity. It returns nil if there is none.
 func (pl *placer) leastOccupied(tj *trackedJob, ref job.TaskRef) *candidate {
 	st := &tj.jo.Spec.Steps[ref.Step]
 	var best *candidate
@@ -184,7 +184,10 @@
 		if !ca.fits(tj, ref, st) {
 			continue
 		}
-		if oc := ca.wk.occupancy(pl.now); best == nil || oc.compare(least) < 0 {
+		if best != nil && ca.cold && !best.cold {
+			continue
+		}
+		if oc := ca.wk.occupancy(pl.now); best == nil || (best.cold && !ca.cold) || oc.compare(least) < 0 {
 			best, least = ca, oc
 		}
 	}
--- a/internal/sched/visiblecapacity.go
+++ b/internal/sched/visiblecapacity.go
@@ -220,7 +220,7 @@
 func (ow *Owner) visibleWorkers() []candidate {
 	var list []candidate
 	for _, wk := range ow.sortedWorkers() {
-		if wk.dead || wk.unlisted || wk.Draining || !wk.settled || !wk.failingSince.IsZero() {
+		if wk.dead || wk.refusesStarts() || !wk.settled || !wk.failingSince.IsZero() {
 			continue
 		}
 		ca := newCandidate(wk)
--- a/internal/sched/workerstate.go
+++ b/internal/sched/workerstate.go
@@ -32,6 +32,8 @@
 	// Draining workers get no new attempts and may leave once Remaining has passed.
 	Draining  bool
 	Remaining time.Duration
+	// ColdRemaining is how much longer the worker is slow because it got no work for a while.
+	ColdRemaining time.Duration
 }
 
 // workerState is the owner's state of one incarnation of a worker of the cell.
@@ -51,6 +53,8 @@
 	inheritedUntil     time.Time
 	// leavesAt is the earliest time at which a draining worker may leave.
 	leavesAt time.Time
+	// coldUntil is until when the worker is slow, as it got no work for a while; zero if it is not.
+	coldUntil time.Time
 	// unlisted is set while the list has no entry of the worker, unlistedAt is when its
 	// removal was seen. evacuationLogged is set once the evacuation of the unlisted worker was
 	// logged.
@@ -195,6 +199,7 @@
 		wk.leavesAt = time.Now().Add(we.Remaining)
 	}
 	wk.WorkerEntry, wk.unlisted, wk.evacuationLogged = we, false, false
+	wk.setCold()
 }
 
 // addWorker adds a worker and starts to poll it.
@@ -207,6 +212,7 @@
 		firstSeen: time.Now(), attempts: map[*attempt]bool{}, failedJobs: map[string]bool{},
 	}
 	wk.leavesAt = time.Now().Add(we.Remaining)
+	wk.setCold()
 	wk.path.Store(ow.newPath(we))
 	ow.workers[we.Incarnation] = wk
 	ow.sortedWorkerCache = nil
@@ -285,6 +291,10 @@
 	return reason == "" || reason == unavailableTrial
 }
 
+// unavailableEvacuated: the data centre of the worker is evacuated. It holds for every task, so
+// it takes precedence over the reasons that do not.
+const unavailableEvacuated = "evacuated"
+
 // Reasons of unavailableReason that do not hold for every task.
 const (
 	// unavailableTrial: a suspect task runs isolated there.
@@ -302,6 +312,8 @@
 		return "unlisted"
 	case wk.Draining:
 		return "draining"
+	case wk.isEvacuated():
+		return unavailableEvacuated
 	case !wk.settled:
 		return "unsettled"
 	case !wk.failingSince.IsZero() || wk.leaseRecorded():
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -96,6 +96,10 @@
 	return wa.contact, wa.regained
 }
 
+// Version returns the version up to which rows were reported, those being reported included. It
+// may only be called by OnRows.
+func (wa *Watch) Version() int64 { return wa.version }
+
 // Answering reports whether the store answered the last call, and did so within the time
 // that one call may take.
 func (wa *Watch) Answering() bool {
