--- a/internal/sched/score.go
+++ b/internal/sched/score.go
@@ -27,6 +27,9 @@
 	if ca.slowdown > 0 {
 		score -= slowPenalty + ca.slowdown
 	}
+	if ca.cold {
+		score -= coldPenalty
+	}
 	return score - float64(ca.wk.failures)*perFailurePenalty
 }
 
@@ -105,4 +108,7 @@
 	// slowPenalty is subtracted from the score of a slow worker. It exceeds all other terms
 	// together, so that slow workers are chosen last.
 	slowPenalty = 20
+	// coldPenalty outweighs everything else, so that a cold worker gets only what no warm one
+	// can take.
+	coldPenalty = 1000
 )
--- a/internal/sched/suspect.go
+++ b/internal/sched/suspect.go
@@ -174,8 +174,8 @@
 }
 
 // leastOccupied returns the worker with capacity for the task that has the fewest starting
-// attempts, then the fewest with a latency target, then the fewest at all; slow workers come
-// last. It returns nil if there is none.
+// attempts, then the fewest with a latency target, then the fewest at all. Slow workers come after
+// all others, and cold workers after those. It returns nil if there is none.
 func (pl *placer) leastOccupied(tj *trackedJob, ref job.TaskRef) *candidate {
 	st := &tj.jo.Spec.Steps[ref.Step]
 	var best *candidate
@@ -184,9 +184,12 @@
 		if !ca.fits(tj, ref, st) {
 			continue
 		}
+		if best != nil && ca.cold && !best.cold {
+			continue
+		}
 		oc := ca.wk.occupancy(pl.now)
 		oc.slowdown = ca.slowdown
-		if best == nil || oc.compare(least) < 0 {
+		if best == nil || (best.cold && !ca.cold) || oc.compare(least) < 0 {
 			best, least = ca, oc
 		}
 	}
