--- a/internal/sched/admission.go
+++ b/internal/sched/admission.go
@@ -45,7 +45,8 @@
 	return sl
 }
 
-// decide decides about a submitted job, and logs a refusal and the return in a turn.
+// decide decides about a submitted job, and logs a refusal and the return of a
+// refused caller.
 func (ow *Owner) decide(jo *job.Job, now time.Time) admission.Decision {
 	if !ow.enabled(MechAdmission) || jo.LongRunning() {
 		return admission.Decision{Admitted: true, FirstTry: now}
@@ -76,11 +77,10 @@
 		outcome = "refused"
 	}
 	ow.Metrics.Add(telemetry.AdmissionDecisions, 1, "outcome", outcome, "why", string(de.Cause))
-	ow.Metrics.Set(telemetry.AdmissionTurns, int64(ow.admission.controller.Turns(now)))
 	if fo.Total > 0 {
 		ow.Metrics.Observe(telemetry.AdmissionWait, de.Wait)
 	}
-	if de.Admitted && de.Cause != admission.CauseTurn {
+	if de.Admitted && !de.FirstTry.Before(now) {
 		return
 	}
 	ow.Log.Info("decision on capacity", "job", re.ID, "outcome", outcome, "why", de.Cause, "retry_after", de.RetryAfter, "turn", de.HasTurn,
@@ -155,11 +155,12 @@
 	return re
 }
 
-// observeThroughput measures the throughput while tasks wait.
+// observeThroughput measures the throughput while tasks wait, and reports the turns.
 func (ow *Owner) observeThroughput(now time.Time) {
 	if !ow.enabled(MechAdmission) {
 		return
 	}
+	ow.Metrics.Set(telemetry.AdmissionTurns, int64(ow.admission.controller.Turns(now)))
 	if len(ow.waitingJobs) > 0 {
 		ow.takeLoad(now)
 		return
--- a/internal/sched/contact.go
+++ b/internal/sched/contact.go
@@ -99,13 +99,14 @@
 	}
 }
 
-// ResetGauges sets the gauges of workers, stuck tasks and cores to zero, for a host that
+// ResetGauges sets the gauges of workers, stuck tasks, cores and turns to zero, for a host that
 // owns no cell.
 func ResetGauges(me *telemetry.Metrics) {
 	setWorkersGauge(me, nil)
 	setStuckGauge(me, nil)
 	setCoresGauge(me, 0, 0)
 	setIdleGauge(me, [fillerObstacles]int64{})
+	me.Set(telemetry.AdmissionTurns, 0)
 }
 
 // logOutage logs workers that get no orders, and the end of such an outage. late is the
