--- a/internal/sched/mechanism.go
+++ b/internal/sched/mechanism.go
@@ -58,6 +58,8 @@
 	MechPersistDurations
 	// MechCopies starts second attempts of late tasks, in steps that allow it.
 	MechCopies
+	// MechAdmission refuses jobs that cannot be done by their time limit.
+	MechAdmission
 )
 
 // MechanismEntry documents a mechanism.
@@ -92,6 +94,7 @@
 	{MechLearntDurations, "learnt-durations", "corrects estimated times by the learnt ratio of true to estimated ones"},
 	{MechPersistDurations, "persist-durations", "persists the learnt ratios of true to estimated times for the next owner"},
 	{MechCopies, "copies", "starts second attempts of tasks that are late because of their workers, in steps that allow it"},
+	{MechAdmission, "admission", "refuses jobs that cannot be done by their time limit, with the time to retry"},
 }
 
 // ErrMechanism is returned for a name that is not in Mechanisms.
--- a/internal/sched/owner.go
+++ b/internal/sched/owner.go
@@ -172,6 +172,8 @@
 	lag loopLag
 	// visibleCapacity measures how long interrupted tasks wait while workers have capacity.
 	visibleCapacity visibleCapacity
+	// admission decides which submitted jobs are accepted.
+	admission admissionState
 }
 
 // Timing of the loop.
@@ -308,6 +310,7 @@
 	ow.forgetEnded(now)
 	ow.saveInterference(now)
 	ow.saveDurations(now)
+	ow.observeThroughput(now)
 	ow.placementDue = true
 }
 
--- a/internal/sched/trackedjob.go
+++ b/internal/sched/trackedjob.go
@@ -70,6 +70,8 @@
 	acceptedAt time.Time
 	// endedTimes has the run times of tasks that are done, by step, for steps that allow copies.
 	endedTimes map[int]copies.Ended
+	// waitedBefore is how long before that its caller first tried, if it was refused.
+	waitedBefore time.Duration
 	// stallCounts counts the stalled attempts of each task.
 	stallCounts map[job.TaskRef]int
 	// backoffs holds the restart delays of long-running tasks that failed repeatedly.
@@ -182,6 +184,9 @@
 		delete(tj.attempts, at.key())
 		ow.countEnd(at, over, time.Now())
 	}
+	if end == job.EndDone && !over {
+		ow.recordThroughput(tj, ref.Step)
+	}
 	if end == job.EndFailed {
 		tj.timeBreakdown.failed++
 		if tj.failedOn == nil {
@@ -251,7 +256,7 @@
 	if tj.endedAt.IsZero() {
 		tj.endedAt = time.Now()
 		if tj.jo.State() == job.Succeeded {
-			tj.recordOutcome(tj.endedAt.Sub(tj.acceptedAt).Milliseconds() <= maxLateFactor*tj.targetMS)
+			tj.recordOutcome((tj.endedAt.Sub(tj.acceptedAt) + tj.waitedBefore).Milliseconds() <= maxLateFactor*tj.targetMS)
 		}
 		ow.logJobTime(tj, tj.endedAt)
 	}
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -64,6 +64,8 @@
 	CopyFirstEnds Name = "pepperhatch_copy_first_ends"
 	CopiesStopped Name = "pepperhatch_copies_stopped"
 	CopyWaste     Name = "pepperhatch_copy_wasted_core_milliseconds"
+
+	AdmissionDecisions Name = "pepperhatch_admission_decisions"
 )
 
 // The gauges.
@@ -83,6 +85,7 @@
 	Evacuations     Name = "pepperhatch_evacuated_data_centres"
 	EvacuatedTasks  Name = "pepperhatch_evacuated_tasks"
 	ConfigConfirmed Name = "pepperhatch_config_confirmed_seconds"
+	AdmissionTurns  Name = "pepperhatch_admission_turns"
 )
 
 // The histograms, in seconds.
@@ -93,6 +96,7 @@
 
 	VisibleCapacityWait Name = "pepperhatch_visible_capacity_wait_seconds"
 	CapacityTransit     Name = "pepperhatch_capacity_transit_seconds"
+	AdmissionWait       Name = "pepperhatch_admission_wait_seconds"
 )
 
 // Entry documents one instrument.
@@ -144,6 +148,7 @@
 	{CopyFirstEnds, "attempt", "tasks that were done while two attempts ran, by the attempt that was first", "mostly original: copies do not pay, switch off the mechanism `copies`"},
 	{CopiesStopped, "attempt", "attempts that were stopped because the other one had completed the task", "compare with `pepperhatch_copies_started`"},
 	{CopyWaste, "", "core time of attempts of tasks that another attempt had completed, in milliseconds", "much beside the cores in use: switch off the mechanism `copies`"},
+	{AdmissionDecisions, "outcome, why", "decisions on submitted jobs by the capacity that there is for them: admitted because they have no limit (no-limit), the capacity is not known yet (unknown), some is free (free), the forecast is in time (in-time), their caller came in its turn (turn) or large jobs were refused too often (size); refused as too late (too-late) or before their turn (early)", "refused: more demand than capacity, look for \"decision on capacity\" in the log"},
 	{TaskEvents, "event", "tasks started, done, failed, evicted, throttled", "evictions: see place.eviction-budget"},
 }
 
@@ -158,6 +163,7 @@
 	{DataCentreCores, "data_centre, service, part", "cores of the workers in the list, by data centre and service: total, of workers that accept new tasks (usable), reserved by long-running tasks, reserved by tasks that end by themselves (finite), and of usable workers what no task is expected to use (idle)", "usable far below total: look at the workers there; finite low in one data centre and high in another: demand has moved"},
 	{DataCentreWorkers, "data_centre, service, state", "workers in the list (listed), and those of them that accept new tasks (available), by data centre and service", "none available in a data centre: see \"A data centre is cut off\""},
 	{SlowWorkers, "", "workers of the owner's cell that count as slow, 0 elsewhere", "look for \"worker counts as slow\" in the log; the same workers for minutes: look at their machines"},
+	{AdmissionTurns, "", "turns that the cell's owner keeps for the callers of refused jobs", "1,024 is the limit: callers beyond it are asked to return after 10 s and have no turn"},
 	{ConfigVersion, "", "version of the configuration in force at this host", "differs between hosts for over 2 s: see \"A change is not in force\""},
 	{Evacuations, "", "data centres whose evacuation is in force at this host", "differs between hosts for over 5 s: see \"Evacuating a data centre\""},
 	{EvacuatedTasks, "data_centre, kind", "tasks that run, or may run, on workers of an evacuated data centre, on the owner of the cell: long-running ones, which move while there is capacity elsewhere, and others, which end there", "long-running ones that stay: see \"Evacuating a data centre\""},
@@ -171,6 +177,7 @@
 	{ChangeWait, "", "histogram of the longest time that the change of a job waited until it was written, of each 0.1 s", "over 0.1: see \"The owner is behind\""},
 	{VisibleCapacityWait, "workers", "histogram of the longest time that an interrupted long-running task waited while at least one or two workers had the capacity for it by their own account, from when it may start until its worker confirms the start", "over 1 for two: look for \"capacity for interrupted tasks\" in the log"},
 	{CapacityTransit, "", "histogram of the time from when a worker had the capacity for an interrupted long-running task until it started the task, by the worker's clock; where no poll was waiting for the end that freed the capacity, half of the time without a poll", "times the starts a second this is the capacity that users see unused at any time: over 0.05, compare `transit` and `unpolled` in \"capacity for interrupted tasks\""},
+	{AdmissionWait, "", "histogram of the forecast time until the work ahead of a submitted job has drained", "compare with the time limits of the queues"},
 }
 
 // Metrics has the instruments. Create it with [New]; nil counts nothing.
