--- a/internal/sched/attempt.go
+++ b/internal/sched/attempt.go
@@ -6,6 +6,7 @@
 
 	"github.com/pepperhatch/pepperhatch/internal/interfere"
 	"github.com/pepperhatch/pepperhatch/internal/job"
+	"github.com/pepperhatch/pepperhatch/internal/speed"
 	"github.com/pepperhatch/pepperhatch/internal/worker"
 )
 
@@ -48,6 +49,8 @@
 	// the order was sent again.
 	haltSentAt   time.Time
 	haltRepeated bool
+	// superseded is set once it is durable that another attempt has completed the task.
+	superseded bool
 	// progress is its last reported progress, in percent. usage is the last reported usage: the
 	// tail latency of a service in milliseconds, or the CPU use of another task in thousandths
 	// of a core.
@@ -78,8 +81,21 @@
 	// cpuShare is the fraction of its declared CPU that a filler uses at full speed, 0 if
 	// unknown.
 	cpuShare float64
+	// speed has what was observed of its speed.
+	speed speed.Attempt
 }
 
+// attemptKey identifies an attempt within its job. Two attempts of a task may run at once.
+type attemptKey struct {
+	ref    job.TaskRef
+	number int
+}
+
+func (at *attempt) key() attemptKey { return attemptKey{at.ref, at.number} }
+
+// current reports whether the attempt runs, or may run, by the owner's account.
+func (at *attempt) current() bool { return at.tj.attempts[at.key()] == at }
+
 // name returns the name under which the worker lists the attempt. It is computed once, as each
 // poll of a worker looks up all its attempts.
 func (at *attempt) name() worker.Attempt {
@@ -105,6 +121,9 @@
 	wk.services = slices.DeleteFunc(wk.services, func(other *attempt) bool { return other == at })
 	wk.reserved = wk.reserved.Sub(at.step().Reserved())
 	wk.expectedUse -= likelyUse(at.step())
+	if at.step().Filler {
+		wk.fillerUse -= likelyUse(at.step())
+	}
 	if !at.step().LongRunning {
 		wk.finiteReserved = wk.finiteReserved.Sub(at.step().Reserved())
 	}
@@ -119,6 +138,9 @@
 	wk.attempts[at], wk.attemptsByName[at.fullName] = true, at
 	wk.reserved = wk.reserved.Add(at.step().Reserved())
 	wk.expectedUse += likelyUse(at.step())
+	if at.step().Filler {
+		wk.fillerUse += likelyUse(at.step())
+	}
 	if !at.step().LongRunning {
 		wk.finiteReserved = wk.finiteReserved.Add(at.step().Reserved())
 	}
@@ -130,5 +152,5 @@
 		wk.trial = &trial{tj: at.tj, ref: at.ref, at: at}
 	}
 	wk.fillers.invalidate()
-	at.tj.attempts[at.ref] = at
+	at.tj.attempts[at.key()] = at
 }
--- a/internal/sched/launch.go
+++ b/internal/sched/launch.go
@@ -25,13 +25,13 @@
 // launch sends the start order of an attempt whose start is durable, unless its job has ended or
 // its worker has become unavailable.
 func (ow *Owner) launch(at *attempt) {
-	if at.tj.attempts[at.ref] != at || at.tj.jo.State().Final() {
+	if !at.current() || at.tj.jo.State().Final() {
 		ow.abandonLaunch(at, "job ended before the order was sent")
 		return
 	}
 	// The write of the start took time, in which the worker may have left the list.
-	if at.wk.unlisted || at.wk.Draining {
-		ow.abandonLaunch(at, "its worker drains or left the list before the order was sent")
+	if at.wk.refusesStarts() {
+		ow.abandonLaunch(at, "its worker drains, left the list or is evacuated before the order was sent")
 		return
 	}
 	if at.wk.leaseRecorded() {
@@ -57,7 +57,7 @@
 
 // abandonLaunch ends an attempt whose order was never sent.
 func (ow *Owner) abandonLaunch(at *attempt, why string) {
-	if at.tj.attempts[at.ref] == at {
+	if at.current() {
 		ow.recordEnd(at.tj, at.ref, at.number, job.EndNeverRan, "", why)
 	}
 }
@@ -86,12 +86,13 @@
 // concludeLaunch handles the outcome of an order that was sent to the worker.
 func (ow *Owner) concludeLaunch(at *attempt, ack worker.Ack, sent, got time.Time, err error) {
 	at.wk.recordClock(ack.ClockMS, got)
-	if at.tj.attempts[at.ref] != at {
+	if !at.current() {
 		return
 	}
 	if err == nil || errors.Is(err, worker.ErrStaleAttempt) {
 		at.wk.recordAnswered(got)
 		at.wk.recordTransit(at, ack)
+		at.beginObservation(ack, err)
 		at.wk.markStarted(at, got)
 		ow.Log.Info("attempt launched", "task", taskID(at), "attempt", at.number, "worker", at.wk.incarnation, "took", got.Sub(sent))
 		return
@@ -134,6 +135,9 @@
 	case errors.Is(err, worker.ErrNoListener):
 		// No process got the order, so it does not count as a crash under the task.
 		wk.quarantine(unfitQuarantine, "nothing listens there")
+	case errors.Is(err, worker.ErrEvacuated):
+		// A relay has read the request before this owner.
+		wk.quarantine(unfitQuarantine, "its data centre is evacuated")
 	case errors.Is(err, worker.ErrNotSent):
 		wk.quarantine(unfitQuarantine, "there is no way to it now")
 	default:
@@ -153,7 +157,7 @@
 	}{
 		{worker.ErrFenced, "fenced"}, {worker.ErrStaleAttempt, "old"}, {worker.ErrLeaseExpired, "late"},
 		{worker.ErrNoCapacity, "no-room"}, {worker.ErrUnhealthy, "unfit"}, {worker.ErrOtherIncarnation, "other-life"}, {worker.ErrMalformed, "malformed"},
-		{worker.ErrNotSent, "not-sent"},
+		{worker.ErrEvacuated, "evacuated"}, {worker.ErrNotSent, "not-sent"},
 	} {
 		if errors.Is(err, known.err) {
 			return known.outcome
@@ -168,7 +172,7 @@
 // handleLaunchResolved handles the outcome of a launch without an answer; present is set if the
 // worker has the attempt.
 func (ow *Owner) handleLaunchResolved(at *attempt, present bool) {
-	if at.tj.attempts[at.ref] != at {
+	if !at.current() {
 		return
 	}
 	at.resolvingOrder = false
--- a/internal/sched/mechanism.go
+++ b/internal/sched/mechanism.go
@@ -48,6 +48,18 @@
 	MechQueuedStarts
 	// MechHeadroom keeps workers free of new long-running tasks for short work that arrives.
 	MechHeadroom
+	// MechSlowLast chooses slow workers last.
+	MechSlowLast
+	// MechMoveOffSlow stops tasks on slow workers that end sooner elsewhere.
+	MechMoveOffSlow
+	// MechLearntDurations corrects estimated times by the learnt ratio of true to estimated ones.
+	MechLearntDurations
+	// MechPersistDurations persists the learnt ratios for the next owner.
+	MechPersistDurations
+	// MechCopies starts second attempts of late tasks, in steps that allow it.
+	MechCopies
+	// MechAdmission refuses jobs that cannot be done by their time limit.
+	MechAdmission
 )
 
 // MechanismEntry documents a mechanism.
@@ -77,6 +89,12 @@
 	{MechReserveCapacity, "keep-room", "reserves capacity for long-running tasks that fit on no worker"},
 	{MechQueuedStarts, "queue-starts", "places interrupted tasks on capacity that is being freed"},
 	{MechHeadroom, "headroom", "keeps workers free of new long-running tasks for short work that arrives"},
+	{MechSlowLast, "slow-last", "chooses slow workers last"},
+	{MechMoveOffSlow, "move-off-slow", "stops tasks on slow workers that end sooner elsewhere"},
+	{MechLearntDurations, "learnt-durations", "corrects estimated times by the learnt ratio of true to estimated ones"},
+	{MechPersistDurations, "persist-durations", "persists the learnt ratios of true to estimated times for the next owner"},
+	{MechCopies, "copies", "starts second attempts of tasks that are late because of their workers, in steps that allow it"},
+	{MechAdmission, "admission", "refuses jobs that cannot be done by their time limit, with the time to retry"},
 }
 
 // ErrMechanism is returned for a name that is not in Mechanisms.
--- a/internal/sched/owner.go
+++ b/internal/sched/owner.go
@@ -26,6 +26,7 @@
 	"time"
 
 	"github.com/pepperhatch/pepperhatch/internal/clock"
+	"github.com/pepperhatch/pepperhatch/internal/evacuation"
 	"github.com/pepperhatch/pepperhatch/internal/headroom"
 	"github.com/pepperhatch/pepperhatch/internal/interfere"
 	"github.com/pepperhatch/pepperhatch/internal/job"
@@ -68,6 +69,9 @@
 	// ListFunc returns when the list of workers was last known to be current, and since when
 	// it has been read without an error. If nil, the list is always current.
 	ListFunc func() (last, since time.Time)
+	// EvacuatedFunc reads the requests to evacuate data centres that are in force when the owner
+	// loads the cell; see [Owner.SetEvacuated] for later ones. If nil, there are none.
+	EvacuatedFunc func(context.Context) (evacuation.Set, error)
 	// Without is the set of mechanisms that are switched off.
 	Without Mechanism
 	// Metrics receives counters and gauges.
@@ -139,6 +143,8 @@
 	// is in flight.
 	modelSavedAt time.Time
 	savingModel  bool
+	// durations has how long tasks take, compared with their estimates.
+	durations durations
 	// demandLoggedAt is when waiting long-running tasks without capacity were last logged.
 	demandLoggedAt time.Time
 	// idleCapacityAt is when idle capacity was last reported.
@@ -158,10 +164,16 @@
 	listTrust listTrust
 	// outage tracks an outage of workers that receive no orders.
 	outage outage
+	// evacuated are the data centres on whose workers nothing may start, evacuationMonitor
+	// reports on them.
+	evacuated         evacuation.Set
+	evacuationMonitor evacuation.Monitor
 	// lag measures how far the owner is behind.
 	lag loopLag
 	// visibleCapacity measures how long interrupted tasks wait while workers have capacity.
 	visibleCapacity visibleCapacity
+	// admission decides which submitted jobs are accepted.
+	admission admissionState
 }
 
 // Timing of the loop.
@@ -190,6 +202,7 @@
 	ow.unowned = map[worker.Incarnation]int{}
 	ow.similarity = map[imagePair]float64{}
 	ow.answers = map[string]*answerRecord{}
+	ow.evacuationMonitor = evacuation.Monitor{Metrics: ow.Metrics, Log: ow.Log}
 	return ow
 }
 
@@ -199,6 +212,7 @@
 	defer close(ow.ended)
 	defer ResetGauges(ow.Metrics)
 	defer ow.resetCapacityGauges()
+	defer ow.evacuationMonitor.Reset()
 	ow.ctx = ctx
 	ow.startedAt = time.Now()
 	ow.listTrust.untrustedAt = ow.startedAt
@@ -207,7 +221,9 @@
 		return err
 	}
 	ow.loadLeaseRecord(ctx)
+	stored := ow.readDurations(ctx)
 	ow.loadInterference(ctx)
+	ow.restoreDurations(<-stored)
 	ow.model.Fixed = !ow.enabled(MechPairs)
 	ow.Log.Info("cell loaded", "cell", ow.Cell, "epoch", ow.Tenure.Epoch, "jobs", len(ow.jobs), "active", len(ow.waitingJobs), "took", time.Since(ow.startedAt))
 	loaded()
@@ -284,11 +300,17 @@
 	ow.reportStuck(now)
 	ow.sortWaitingJobs(now)
 	ow.moveHeld(now)
+	ow.reportSlow(now)
+	ow.moveOffSlow(now)
+	ow.startCopies(now)
 	ow.checkWorkerList(now)
 	ow.evacuate(now)
+	ow.monitorEvacuations(now)
 	ow.endExpiredUnowned(now)
 	ow.forgetEnded(now)
 	ow.saveInterference(now)
+	ow.saveDurations(now)
+	ow.observeThroughput(now)
 	ow.placementDue = true
 }
 
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -78,7 +78,7 @@
 			continue
 		}
 		*ca = newCandidate(wk)
-		ca.index, ca.earmarked = len(pl.candidates), wk.restartReady
+		ca.index, ca.earmarked, ca.slowdown = len(pl.candidates), wk.restartReady, wk.placementSlowdown(pl.now)
 		pl.candidates = append(pl.candidates, ca)
 		reserved += wk.reserved.MilliCores
 		holds += wk.Capacity.MilliCores
@@ -105,10 +105,17 @@
 	// candidatesWithStops. claimed is set if a job of a higher priority waits for it.
 	stopping worker.Resources
 	claimed  bool
+	// slowdown is that of a slow worker, 0 for any other.
+	slowdown float64
+	// cold is set if the worker is slow for a while, and starting if a start has no answer yet
+	// there; it is only set for cold workers.
+	cold, starting bool
 }
 
 func newCandidate(wk *workerState) candidate {
-	return candidate{wk: wk, free: wk.Capacity.Sub(wk.reserved), idle: wk.Capacity.MilliCores - wk.expectedUse}
+	ca := candidate{wk: wk, free: wk.Capacity.Sub(wk.reserved), idle: wk.Capacity.MilliCores - wk.expectedUse, cold: wk.isCold()}
+	ca.starting = ca.cold && wk.hasUnansweredStart()
+	return ca
 }
 
 // likelyUse returns the processor time that a task of the step is expected to use, in
@@ -232,7 +239,7 @@
 // Earmarked capacity stays open to fillers and to interrupted tasks, as the task that it is
 // earmarked for may never get enough of it.
 func (ca *candidate) hasCapacity(st *job.Step, interrupted bool) bool {
-	return st.Reserved().Fits(ca.free) && (!ca.earmarked || st.Filler || interrupted) && !ca.isolated
+	return st.Reserved().Fits(ca.free) && (!ca.earmarked || st.Filler || interrupted) && !ca.isolated && !ca.starting
 }
 
 // allowed reports whether a task may run on the worker, regardless of free capacity.
@@ -288,8 +295,8 @@
 // countAt counts the attempts of a step on a worker.
 func (tj *trackedJob) countAt(step int, wk *workerState) int {
 	n := 0
-	for ref, at := range tj.attempts {
-		if ref.Step == step && at.wk == wk {
+	for key, at := range tj.attempts {
+		if key.ref.Step == step && at.wk == wk {
 			n++
 		}
 	}
@@ -319,6 +326,11 @@
 		return
 	}
 	tj.restartsTask = tj.restartsTask || interrupted
+	pl.begin(tj, ref, number, ca, queued)
+}
+
+// begin places an attempt that its job has recorded as started.
+func (pl *placer) begin(tj *trackedJob, ref job.TaskRef, number int, ca *candidate, queued bool) {
 	at := &attempt{ref: ref, number: number, wk: ca.wk, tj: tj, pace: fullPace, placedAt: pl.now}
 	ca.wk.addAttempt(at)
 	if queued {
@@ -329,6 +341,7 @@
 	st := &tj.jo.Spec.Steps[ref.Step]
 	ca.free = ca.free.Sub(st.Reserved())
 	ca.idle -= likelyUse(st)
+	ca.starting = ca.cold
 	pl.ow.Log.Info("attempt placed", "task", taskID(at), "attempt", number, "worker", ca.wk.incarnation, "free_millicores", ca.free.MilliCores, "queued", queued)
 	tj.onWritten = append(tj.onWritten, func() { pl.ow.launch(at) })
 	pl.ow.markDirty(tj)
--- a/internal/sched/queuedstart.go
+++ b/internal/sched/queuedstart.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -21,7 +22,7 @@
 const queuedTimeout = leaveMargin
 
 // placeQueued queues an interrupted long-running task on the worker that will have the fewest
-// free cores left, and reports whether there was one. A suspect task is queued only where no
+// free cores left, on a slow one only if there is no other, and reports whether there was one. A suspect task is queued only where no
 // other attempt is starting.
 func (pl *placer) placeQueued(tj *trackedJob, ref job.TaskRef) bool {
 	if !pl.ow.enabled(MechQueuedStarts) || !tj.interrupted(ref) {
@@ -34,13 +35,14 @@
 	pl.claimStops(tj.jo.Terms.Priority)
 	for _, ca := range pl.candidatesWithStops() {
 		later := ca.free.Add(ca.stopping)
-		if ca.isolated || ca.claimed || !need.Fits(later) || !ca.allowed(tj, ref, st) {
+		if ca.isolated || ca.claimed || ca.cold || !need.Fits(later) || !ca.allowed(tj, ref, st) {
 			continue
 		}
 		if suspect && ca.wk.occupancy(pl.now).starting > 0 {
 			continue
 		}
-		if n := later.MilliCores - need.MilliCores; best == nil || n < left {
+		n := later.MilliCores - need.MilliCores
+		if best == nil || cmp.Or(cmp.Compare(ca.slowdown, best.slowdown), cmp.Compare(n, left)) < 0 {
 			best, left = ca, n
 		}
 	}
@@ -146,7 +148,7 @@
 
 // mayStartQueued reports whether queued attempts may start on the worker once it has the capacity.
 func (wk *workerState) mayStartQueued(now time.Time) bool {
-	return !wk.dead && wk.failingSince.IsZero() && !wk.inTrial() && !now.Before(wk.quarantinedUntil)
+	return !wk.dead && !wk.isEvacuated() && wk.failingSince.IsZero() && !wk.inTrial() && !now.Before(wk.quarantinedUntil)
 }
 
 // startQueued sends the start orders of the queued attempts whose start is durable. They are
@@ -179,7 +181,7 @@
 		case !at.queued || !at.startWritten:
 		case at.deferral != nil:
 			wk.ow.checkDeferral(at, now)
-		case wk.unlisted || wk.Draining || !wk.failingSince.IsZero():
+		case wk.refusesStarts() || !wk.failingSince.IsZero():
 			wk.ow.abandonQueued(at, abandonedWorker)
 		case now.After(at.queuedUntil()):
 			wk.ow.abandonQueued(at, "the stopped attempts have not ended in time")
--- a/internal/sched/score.go
+++ b/internal/sched/score.go
@@ -24,6 +24,12 @@
 	if ca.wk.answers.missing() || ca.wk.dataCentreAnswers().missing() {
 		score -= unansweredPenalty
 	}
+	if ca.slowdown > 0 {
+		score -= slowPenalty + ca.slowdown
+	}
+	if ca.cold {
+		score -= coldPenalty
+	}
 	return score - float64(ca.wk.failures)*perFailurePenalty
 }
 
@@ -99,4 +105,10 @@
 	// perFailurePenalty is subtracted for each attempt that has failed there since one
 	// succeeded.
 	perFailurePenalty = 1
+	// slowPenalty is subtracted from the score of a slow worker. It exceeds all other terms
+	// together, so that slow workers are chosen last.
+	slowPenalty = 20
+	// coldPenalty outweighs everything else, so that a cold worker gets only what no warm one
+	// can take.
+	coldPenalty = 1000
 )
--- a/internal/sched/workerstate.go
+++ b/internal/sched/workerstate.go
@@ -32,6 +32,8 @@
 	// Draining workers get no new attempts and may leave once Remaining has passed.
 	Draining  bool
 	Remaining time.Duration
+	// ColdRemaining is how much longer the worker is slow because it got no work for a while.
+	ColdRemaining time.Duration
 }
 
 // workerState is the owner's state of one incarnation of a worker of the cell.
@@ -51,6 +53,8 @@
 	inheritedUntil     time.Time
 	// leavesAt is the earliest time at which a draining worker may leave.
 	leavesAt time.Time
+	// coldUntil is until when the worker is slow, as it got no work for a while; zero if it is not.
+	coldUntil time.Time
 	// unlisted is set while the list has no entry of the worker, unlistedAt is when its
 	// removal was seen. evacuationLogged is set once the evacuation of the unlisted worker was
 	// logged.
@@ -104,8 +108,10 @@
 	services []*attempt
 	// reserved is the capacity reserved by the attempts. expectedUse is the processor time
 	// that they are likely to use, in thousandths of a core.
+	// fillerUse is the part of expectedUse that belongs to fillers.
 	reserved    worker.Resources
 	expectedUse int64
+	fillerUse   int64
 	// finiteReserved is the part of reserved that belongs to tasks which end by themselves.
 	finiteReserved worker.Resources
 	// queued are the attempts placed here whose start orders wait for others to be stopped, in
@@ -137,6 +143,8 @@
 	failures               int
 	failedJobs             map[string]bool
 	fillers                fillerStats
+	// speed has what was observed of the speed of the worker's process.
+	speed workerSpeed
 }
 
 // SetWorkers applies entries of the platform's list of workers, and marks the workers with the
@@ -201,6 +209,7 @@
 		wk.leavesAt = time.Now().Add(we.Remaining)
 	}
 	wk.WorkerEntry, wk.unlisted, wk.evacuationLogged, wk.capacityGroup, wk.dataCentre = we, false, false, 0, nil
+	wk.setCold()
 }
 
 // addWorker adds a worker and starts to poll it.
@@ -213,6 +222,7 @@
 		firstSeen: time.Now(), attempts: map[*attempt]bool{}, failedJobs: map[string]bool{},
 	}
 	wk.leavesAt = time.Now().Add(we.Remaining)
+	wk.setCold()
 	wk.path.Store(ow.newPath(we))
 	ow.workers[we.Incarnation] = wk
 	ow.sortedWorkerCache = nil
@@ -291,6 +301,10 @@
 	return reason == "" || reason == unavailableTrial
 }
 
+// unavailableEvacuated: the data centre of the worker is evacuated. It holds for every task, so
+// it takes precedence over the reasons that do not.
+const unavailableEvacuated = "evacuated"
+
 // Reasons of unavailableReason that do not hold for every task.
 const (
 	// unavailableTrial: a suspect task runs isolated there.
@@ -308,6 +322,8 @@
 		return "unlisted"
 	case wk.Draining:
 		return "draining"
+	case wk.isEvacuated():
+		return unavailableEvacuated
 	case !wk.settled:
 		return "unsettled"
 	case !wk.failingSince.IsZero() || wk.leaseRecorded():
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -58,6 +58,14 @@
 	SuspectStarts  Name = "pepperhatch_suspect_starts"
 	TasksGivenUp   Name = "pepperhatch_tasks_given_up"
 	QueuedStarts   Name = "pepperhatch_queued_starts"
+	SlowMoves      Name = "pepperhatch_slow_worker_moves"
+
+	CopiesStarted Name = "pepperhatch_copies_started"
+	CopyFirstEnds Name = "pepperhatch_copy_first_ends"
+	CopiesStopped Name = "pepperhatch_copies_stopped"
+	CopyWaste     Name = "pepperhatch_copy_wasted_core_milliseconds"
+
+	AdmissionDecisions Name = "pepperhatch_admission_decisions"
 )
 
 // The gauges.
@@ -72,8 +80,12 @@
 	DataCentreCores   Name = "pepperhatch_data_centre_cores"
 	DataCentreWorkers Name = "pepperhatch_data_centre_workers"
 
+	SlowWorkers     Name = "pepperhatch_slow_workers"
 	ConfigVersion   Name = "pepperhatch_config_version"
+	Evacuations     Name = "pepperhatch_evacuated_data_centres"
+	EvacuatedTasks  Name = "pepperhatch_evacuated_tasks"
 	ConfigConfirmed Name = "pepperhatch_config_confirmed_seconds"
+	AdmissionTurns  Name = "pepperhatch_admission_turns"
 )
 
 // The histograms, in seconds.
@@ -84,6 +96,7 @@
 
 	VisibleCapacityWait Name = "pepperhatch_visible_capacity_wait_seconds"
 	CapacityTransit     Name = "pepperhatch_capacity_transit_seconds"
+	AdmissionWait       Name = "pepperhatch_admission_wait_seconds"
 )
 
 // Entry documents one instrument.
@@ -118,7 +131,7 @@
 	{PollFailures, "outcome", "failed polls of workers", "growth: workers are unavailable"},
 	{PlacementRounds, "", "rounds of placement of a cell, each over all its workers", "many a second: the owner is short of processor time, see CAPACITY.md"},
 	{Stalls, "", "attempts that were stopped because they made no progress", "look for the workers in the log: \"attempts stand still\""},
-	{Evacuated, "why", "long-running tasks that were stopped to continue elsewhere, because their worker drains or has been without an entry for too long (unlisted)", "unlisted: look for \"emptying a worker without an entry\" in the log"},
+	{Evacuated, "why", "long-running tasks that were stopped to continue elsewhere, because their worker drains, has been without an entry for too long (unlisted), or its data centre is evacuated (evacuated)", "unlisted: look for \"emptying a worker without an entry\" in the log"},
 	{JobTime, "cause", "time of finished jobs, in milliseconds, by cause", "mostly room or place: too little free capacity; mostly store or order: the store or the owner is slow"},
 	{OwnerEvents, "", "events that the owner of a cell handled: answers of workers and of the store, submitted jobs, timers", "compare with `pepperhatch_owner_event_wait_seconds`"},
 	{WorkersRated, "", "workers that were rated for tasks of a step in rounds of placement", "many per started attempt: much work waits for room"},
@@ -130,6 +143,12 @@
 	{SuspectStarts, "how", "starts of tasks whose workers ended: spread (apart), or isolated (alone), because after one more crash the task is given up", "alone: a task crashes its workers, or workers crash often"},
 	{TasksGivenUp, "why", "tasks that are not retried, for as many failures as their queue allows or for crashes of their workers", "crashes: notify the job's owner"},
 	{QueuedStarts, "outcome", "interrupted tasks that were placed on the capacity of attempts being stopped: started there, or abandoned to be placed anew", "abandoned: workers stop attempts late or not at all, look for \"halt not done\" in the log"},
+	{SlowMoves, "kind", "tasks that were stopped on a slow worker to end sooner elsewhere: fillers (filler) and others that end by themselves (task)", "growth without slow machines: compare with `--without move-off-slow`"},
+	{CopiesStarted, "for", "second attempts of late tasks, by what they are expected to do for their job: meet its target (in-time), be of value (of-value), end sooner, or neither (too-late)", "many: workers are slow or silent, look for \"copy of a late task\" in the log"},
+	{CopyFirstEnds, "attempt", "tasks that were done while two attempts ran, by the attempt that was first", "mostly original: copies do not pay, switch off the mechanism `copies`"},
+	{CopiesStopped, "attempt", "attempts that were stopped because the other one had completed the task", "compare with `pepperhatch_copies_started`"},
+	{CopyWaste, "", "core time of attempts of tasks that another attempt had completed, in milliseconds", "much beside the cores in use: switch off the mechanism `copies`"},
+	{AdmissionDecisions, "outcome, why", "decisions on submitted jobs by the capacity that there is for them: admitted because they have no limit (no-limit), the capacity is not known yet (unknown), some is free (free), the forecast is in time (in-time), their caller came in its turn (turn) or large jobs were refused too often (size); refused as too late (too-late) or before their turn (early)", "refused: more demand than capacity, look for \"decision on capacity\" in the log"},
 	{TaskEvents, "event", "tasks started, done, failed, evicted, throttled", "evictions: see place.eviction-budget"},
 }
 
@@ -143,7 +162,11 @@
 	{HeadroomWorkers, "", "workers that get no new long-running task, as their capacity is kept for short work", "long-running tasks wait for it: look for \"headroom for short work\" in the log"},
 	{DataCentreCores, "data_centre, service, part", "cores of the workers in the list, by data centre and service: total, of workers that accept new tasks (usable), reserved by long-running tasks, reserved by tasks that end by themselves (finite), and of usable workers what no task is expected to use (idle)", "usable far below total: look at the workers there; finite low in one data centre and high in another: demand has moved"},
 	{DataCentreWorkers, "data_centre, service, state", "workers in the list (listed), and those of them that accept new tasks (available), by data centre and service", "none available in a data centre: see \"A data centre is cut off\""},
+	{SlowWorkers, "", "workers of the owner's cell that count as slow, 0 elsewhere", "look for \"worker counts as slow\" in the log; the same workers for minutes: look at their machines"},
+	{AdmissionTurns, "", "turns that the cell's owner keeps for the callers of refused jobs", "1,024 is the limit: callers beyond it are asked to return after 10 s and have no turn"},
 	{ConfigVersion, "", "version of the configuration in force at this host", "differs between hosts for over 2 s: see \"A change is not in force\""},
+	{Evacuations, "", "data centres whose evacuation is in force at this host", "differs between hosts for over 5 s: see \"Evacuating a data centre\""},
+	{EvacuatedTasks, "data_centre, kind", "tasks that run, or may run, on workers of an evacuated data centre, on the owner of the cell: long-running ones, which move while there is capacity elsewhere, and others, which end there", "long-running ones that stay: see \"Evacuating a data centre\""},
 	{ConfigConfirmed, "", "Unix time, in seconds, of the last call by which the store confirmed that the configuration is current", "over 3 s ago: see \"A change is not in force\""},
 }
 
@@ -154,6 +177,7 @@
 	{ChangeWait, "", "histogram of the longest time that the change of a job waited until it was written, of each 0.1 s", "over 0.1: see \"The owner is behind\""},
 	{VisibleCapacityWait, "workers", "histogram of the longest time that an interrupted long-running task waited while at least one or two workers had the capacity for it by their own account, from when it may start until its worker confirms the start", "over 1 for two: look for \"capacity for interrupted tasks\" in the log"},
 	{CapacityTransit, "", "histogram of the time from when a worker had the capacity for an interrupted long-running task until it started the task, by the worker's clock; where no poll was waiting for the end that freed the capacity, half of the time without a poll", "times the starts a second this is the capacity that users see unused at any time: over 0.05, compare `transit` and `unpolled` in \"capacity for interrupted tasks\""},
+	{AdmissionWait, "", "histogram of the forecast time until the work ahead of a submitted job has drained", "compare with the time limits of the queues"},
 }
 
 // Metrics has the instruments. Create it with [New]; nil counts nothing.
