Stop tasks on slow workers only for capacity that is free for them

Capacity for a task that was being stopped was counted again at every tick until its end was listed, so that more tasks were stopped than could run elsewhere. Cold workers counted as a place to go. An attempt whose task has another one was stopped too, even before it was durable that the other one had completed the task.

--- a/internal/sched/attempt.go
+++ b/internal/sched/attempt.go
@@ -51,6 +51,8 @@
 	haltRepeated bool
 	// superseded is set once it is durable that another attempt has completed the task.
 	superseded bool
+	// leavesSlow is set once it was stopped because its worker is slow.
+	leavesSlow bool
 	// progress is its last reported progress, in percent. usage is the last reported usage: the
 	// tail latency of a service in milliseconds, or the CPU use of another task in thousandths
 	// of a core.
--- /dev/null
+++ b/internal/sched/movesoff_test.go
@@ -0,0 +1,98 @@
+package sched
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/pepperhatch/pepperhatch/internal/job"
+	"github.com/pepperhatch/pepperhatch/internal/speed"
+	"github.com/pepperhatch/pepperhatch/internal/worker"
+)
+
+// slowTasks is an owner without a loop that has a worker which is confirmed to be slow, with four
+// tasks, and a healthy one without any.
+type slowTasks struct {
+	ow            *Owner
+	slow, healthy *workerState
+	list          []*attempt
+}
+
+func newSlowTasks(t *testing.T) *slowTasks {
+	t.Helper()
+	ow := ownerWithoutLoop(t)
+	ow.Agent.HaltFunc = func(context.Context, worker.Addr, worker.Halt) (worker.Ack, error) { return worker.Ack{}, nil }
+	ow.restoreDurations(storedDurations{durationsRow: durationsRow{Kinds: []speed.KindEstimate{{First: 31, Weights: []int{50, 50}}}}})
+	sl := &slowTasks{ow: ow, slow: addEmptyWorker(ow, "slow"), healthy: addEmptyWorker(ow, "healthy")}
+	sl.slow.path.Store(ow.newPath(sl.slow.WorkerEntry))
+	for n := range 4 {
+		tj := addJob(ow, n, job.Step{Tasks: 1, EstimateMS: 1000, Copies: true, Each: worker.Resources{MilliCores: 2000, MemMB: 1000}})
+		tj.jo.Terms.MaxFailures = 3
+		at := &attempt{wk: sl.slow, tj: tj, number: tj.jo.Start(job.TaskRef{}, sl.slow.incarnation), pace: fullPace, launchedAt: time.Now()}
+		at.speed.Begin(time.Now())
+		sl.slow.addAttempt(at)
+		sl.list = append(sl.list, at)
+	}
+	for range 3 {
+		time.Sleep(300 * time.Millisecond)
+		now := time.Now()
+		sl.slow.speed.recordPoll(0, 0, now)
+		for _, at := range sl.list {
+			at.progress, at.lastSeenAt = at.progress+6, now
+			at.observeProgress(now)
+		}
+		sl.slow.judgeSpeed(now)
+	}
+	qt.Assert(t, sl.slow.speed.Confirmed(time.Now()), qt.IsTrue)
+	return sl
+}
+
+// stopped moves tasks off the slow worker and returns how many were stopped so far.
+func (sl *slowTasks) stopped() int {
+	sl.ow.moveOffSlow(time.Now())
+	n := 0
+	for _, at := range sl.list {
+		if !at.haltSentAt.IsZero() {
+			n++
+		}
+	}
+	return n
+}
+
+// TestMovesShareCapacityOnce guards against tasks that are stopped for capacity which is meant for
+// a task that was stopped a tick before.
+func TestMovesShareCapacityOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sl := newSlowTasks(t)
+		sl.healthy.Capacity.MilliCores = 2000
+		qt.Assert(t, sl.stopped(), qt.Equals, 1)
+		time.Sleep(100 * time.Millisecond)
+		qt.Check(t, sl.stopped(), qt.Equals, 1)
+	})
+}
+
+// TestNoMoveToColdWorker guards against tasks that are stopped though only a cold worker, which is
+// slow too, could run them.
+func TestNoMoveToColdWorker(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sl := newSlowTasks(t)
+		sl.healthy.coldUntil = time.Now().Add(time.Minute)
+		qt.Check(t, sl.stopped(), qt.Equals, 0)
+	})
+}
+
+// TestNoMoveBesideOtherAttempt guards against stops of an attempt whose task has another one: both
+// could be stopped at once, or the other one of a task that is done before that is durable.
+func TestNoMoveBesideOtherAttempt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sl := newSlowTasks(t)
+		for _, at := range sl.list {
+			qt.Assert(t, at.tj.jo.StartCopy(at.ref, sl.healthy.incarnation), qt.Equals, 2)
+		}
+		sl.list[0].tj.jo.End(job.TaskRef{}, 2, job.EndDone, "")
+		qt.Check(t, sl.stopped(), qt.Equals, 0)
+	})
+}
--- a/internal/sched/slowworker.go
+++ b/internal/sched/slowworker.go
@@ -186,7 +186,7 @@
 				continue
 			}
 			if pl == nil {
-				pl = ow.newPlacer()
+				pl = ow.placerBesideMoves(now)
 			}
 			if pl.reserveForSlow(at) {
 				moves++
@@ -196,6 +196,21 @@
 	}
 }
 
+// placerBesideMoves returns a placer from whose free capacity that for the tasks which are being
+// stopped on slow workers was subtracted. Otherwise the same capacity would be counted at every
+// tick until their ends are listed.
+func (ow *Owner) placerBesideMoves(now time.Time) *placer {
+	pl := ow.newPlacer()
+	for _, wk := range ow.sortedWorkers() {
+		for at := range wk.attempts {
+			if at.leavesSlow && at.stopping(now) {
+				pl.reserveForSlow(at)
+			}
+		}
+	}
+	return pl
+}
+
 // moveSlow stops an attempt on a slow worker.
 func (ow *Owner) moveSlow(at *attempt) {
 	kind := "task"
@@ -204,21 +219,29 @@
 	}
 	ow.Metrics.Add(telemetry.SlowMoves, 1, "kind", kind)
 	at.tj.timeBreakdown.moved++
+	at.leavesSlow = true
 	ow.halt(at, "its worker is slow, and another can end it sooner")
 }
 
 // endsSoonerElsewhere reports whether an attempt on a slow worker that ends by itself is expected
-// to end sooner if it is stopped. Held fillers are left to moveHeld.
+// to end sooner if it is stopped. Held fillers are left to moveHeld. An attempt of a task with
+// another one, or of a task that is done, stays until that one ends or the end is durable.
 func (at *attempt) endsSoonerElsewhere(now time.Time) bool {
 	st := at.step()
-	if st.LongRunning || st.Gang || at.lastSeenAt.IsZero() || !at.haltSentAt.IsZero() || at.task().Suspect() || (st.Filler && at.pace < fullPace) {
+	if at.besideOther() || st.LongRunning || st.Gang || at.lastSeenAt.IsZero() || !at.haltSentAt.IsZero() || at.task().Suspect() || (st.Filler && at.pace < fullPace) {
 		return false
 	}
 	return at.wk.ow.durations.model.Escape(&at.wk.speed.Worker, &at.speed, at.observation(), at.hasCheckpoint(), now).Worthwhile()
 }
 
-// reserveForSlow reserves capacity for an attempt on a worker that is not slow, and reports whether
-// there was any. A task with reserved processors would wait behind the waiting ones of its
+// besideOther reports whether another attempt of the task runs too, or has completed it.
+func (at *attempt) besideOther() bool {
+	ta := at.task()
+	return ta.State == job.Done || (ta.Other.Number != 0 && !ta.LastEnded)
+}
+
+// reserveForSlow reserves capacity for an attempt on a worker that is neither slow nor cold, and
+// reports whether there was any. A task with reserved processors would wait behind the waiting ones of its
 // priority, so there must be none.
 func (pl *placer) reserveForSlow(at *attempt) bool {
 	if at.step().Filler {
@@ -228,7 +251,7 @@
 		return false
 	}
 	for _, ca := range pl.candidates {
-		if ca.wk != at.wk && !ca.wk.speed.Slow(pl.now) && ca.fits(at.tj, at.ref, at.step()) {
+		if ca.wk != at.wk && !ca.cold && !ca.wk.speed.Slow(pl.now) && ca.fits(at.tj, at.ref, at.step()) {
 			ca.free = ca.free.Sub(at.step().Reserved())
 			return true
 		}
