--- a/internal/sched/copies.go
+++ b/internal/sched/copies.go
@@ -129,14 +129,14 @@
 }
 
 // startCopy places a second attempt of a task on a healthy worker, if one has capacity that no
-// waiting task needs.
+// waiting task needs. Workers that are cold, or slow by package speed, get none.
 func (pl *placer) startCopy(first *attempt, plan *copies.Plan, ch copies.Choice) {
 	tj, ref := first.tj, first.ref
 	st := &tj.jo.Spec.Steps[ref.Step]
 	var best *candidate
 	var bestScore float64
 	for _, ca := range pl.candidates {
-		if ca.wk.incarnation.ID == first.wk.incarnation.ID || !ca.fits(tj, ref, st) || !plan.Healthy(ca.wk.incarnation.String()) {
+		if ca.wk.incarnation.ID == first.wk.incarnation.ID || ca.cold || ca.slowdown > 0 || !ca.fits(tj, ref, st) || !plan.Healthy(ca.wk.incarnation.String()) {
 			continue
 		}
 		if score := ca.score(tj, st); (best == nil || score > bestScore) && !pl.neededByWaiting(ca, tj.jo.Terms.Priority) {
--- a/internal/sched/movesoff_test.go
+++ b/internal/sched/movesoff_test.go
@@ -8,6 +8,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/pepperhatch/pepperhatch/internal/copies"
 	"github.com/pepperhatch/pepperhatch/internal/job"
 	"github.com/pepperhatch/pepperhatch/internal/speed"
 	"github.com/pepperhatch/pepperhatch/internal/worker"
@@ -96,3 +97,22 @@
 		qt.Check(t, sl.stopped(), qt.Equals, 0)
 	})
 }
+
+// TestNoCopyOnSlowWorker guards against copies on workers that count as slow or are cold.
+func TestNoCopyOnSlowWorker(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sl := newSlowTasks(t)
+		tj := addJob(sl.ow, 9, job.Step{Tasks: 1, EstimateMS: 1000, Copies: true})
+		tj.jo.Terms.MaxFailures = 3
+		at := &attempt{wk: sl.healthy, tj: tj, number: tj.jo.Start(job.TaskRef{}, sl.healthy.incarnation)}
+		sl.healthy.addAttempt(at)
+		cold := addEmptyWorker(sl.ow, "cold")
+		cold.coldUntil = time.Now().Add(time.Minute)
+		sl.ow.sortedWorkerCache = nil
+		sl.ow.newPlacer().startCopy(at, &copies.Plan{}, copies.Choice{})
+		qt.Assert(t, tj.attempts, qt.HasLen, 1)
+		cold.coldUntil = time.Time{}
+		sl.ow.newPlacer().startCopy(at, &copies.Plan{}, copies.Choice{})
+		qt.Assert(t, tj.attempts, qt.HasLen, 2)
+	})
+}
