Count the progress of a task with two attempts once in its remaining work

The progress of both attempts was subtracted, as was that of the other attempt of a task that is done, so admission took jobs for smaller than they are.

--- a/internal/sched/admission.go
+++ b/internal/sched/admission.go
@@ -235,7 +235,7 @@
 	list := tj.ow.admissionWork(tj.jo)
 	for _, at := range tj.attempts {
 		st := at.step()
-		if at.launchedAt.IsZero() || st.EstimateMS == 0 {
+		if at.launchedAt.IsZero() || st.EstimateMS == 0 || at.task().State != job.Started || at.isCopy() {
 			continue
 		}
 		work := tj.ow.likelyTaskWork(&tj.jo.Terms, st)
--- a/internal/sched/copies.go
+++ b/internal/sched/copies.go
@@ -236,6 +236,12 @@
 	return ta != nil && ta.State == job.Done
 }
 
+// isCopy reports whether the attempt runs beside the first one of its task.
+func (at *attempt) isCopy() bool {
+	other := at.task().Other.Number
+	return other != 0 && other != at.number
+}
+
 // attemptsOf returns the attempts of a task.
 func (tj *trackedJob) attemptsOf(ref job.TaskRef) []*attempt {
 	var list []*attempt
--- a/internal/sched/movesoff_test.go
+++ b/internal/sched/movesoff_test.go
@@ -116,3 +116,22 @@
 		qt.Assert(t, tj.attempts, qt.HasLen, 2)
 	})
 }
+
+// TestRemainingWorkCountsTaskOnce guards against work that is subtracted for both attempts of a
+// task, or for the rest of a task that is done.
+func TestRemainingWorkCountsTaskOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sl := newSlowTasks(t)
+		at := sl.list[0]
+		left := func() int64 { return at.tj.remainingWork(time.Now())[kindOf(at.step())].Left }
+		before := left()
+		number := at.tj.jo.StartCopy(at.ref, sl.healthy.incarnation)
+		other := &attempt{wk: sl.healthy, tj: at.tj, number: number, launchedAt: time.Now(), progress: 10}
+		sl.healthy.addAttempt(other)
+		qt.Check(t, left(), qt.Equals, before)
+		at.tj.jo.End(at.ref, number, job.EndDone, "")
+		sl.healthy.removeAttempt(other)
+		delete(at.tj.attempts, other.key())
+		qt.Check(t, left(), qt.Equals, int64(0))
+	})
+}
