Test that a late write of learnt durations changes nothing

TestLateWriteChangesNothing no longer reaches this write, as kinds are stored from 50 ends on. The new test fails without the condition on the row's version.

--- a/internal/sched/latewrite_test.go
+++ b/internal/sched/latewrite_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -10,6 +11,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/pepperhatch/pepperhatch/internal/job"
+	"github.com/pepperhatch/pepperhatch/internal/speed"
 	"github.com/pepperhatch/pepperhatch/internal/store"
 )
 
@@ -67,3 +69,35 @@
 		}
 	})
 }
+
+// TestLateWriteOfDurationsChangesNothing guards against learnt durations that an earlier try of
+// their write, carried out after a later write, sets back.
+func TestLateWriteOfDurationsChangesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		la := newLab(t, 1)
+		lw := &lateWrites{tbl: la.table.Client()}
+		ow, end := la.startOwnerOn(lw.table())
+		defer end()
+		for first := range 2 {
+			ow.post(func() {
+				ow.durations.model = speed.Restore([]speed.KindEstimate{{Kind: speed.Kind{Queue: "q"}, First: 30 + first, Weights: []int{100}}}, time.Now())
+				ow.durations.savedEnds = -1
+			})
+			time.Sleep(2*saveDurationsInterval + time.Second)
+		}
+		late := 0
+		for _, txn := range lw.held {
+			if !slices.ContainsFunc(txn.Puts, func(pu store.Put) bool { return pu.Key == ow.durationsKey() }) {
+				continue
+			}
+			late++
+			_, err := lw.tbl.CommitFunc(context.Background(), txn)
+			qt.Check(t, errors.Is(err, store.ErrConflict), qt.IsTrue, qt.Commentf("%v", err))
+		}
+		qt.Check(t, late >= 2, qt.IsTrue, qt.Commentf("%d writes", late))
+		var row durationsRow
+		_, err := lw.tbl.Get(context.Background(), ow.durationsKey(), &row)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, row.Kinds[0].First, qt.Equals, 31)
+	})
+}
