Measure the progress of attempts by the worker's clock in the decision on copies

With the owner's clock, a poll whose answer was late made all tasks of a worker seem slow. A later attempt that did not begin from a checkpoint is now measured from its beginning too.

--- a/internal/sched/attempt.go
+++ b/internal/sched/attempt.go
@@ -66,6 +66,10 @@
 	workingSince         time.Time
 	initialProgress      int
 	pollsWithoutProgress int
+	// beganClock is when the worker acknowledged the order, zero if that is not known or the
+	// attempt began from a checkpoint; workingClock and seenClock are when it was at workingSince
+	// and at lastSeenAt. All are by the worker's clock.
+	beganClock, workingClock, seenClock time.Time
 	// replica has the measurements of a service replica.
 	replica interfere.Replica
 	// overTargetSince is since when a service has been over its latency target, or zero.
--- a/internal/sched/bench_test.go
+++ b/internal/sched/bench_test.go
@@ -196,7 +196,7 @@
 				tj.jo.Terms.MaxFailures = 3
 				for i := range st.Tasks {
 					wk, ref := workers[(30*n+i)%len(workers)], job.TaskRef{Index: i}
-					wk.addAttempt(&attempt{ref: ref, number: tj.jo.Start(ref, wk.incarnation), wk: wk, tj: tj, launchedAt: now, lastSeenAt: now.Add(time.Second), progress: 90})
+					wk.addAttempt(&attempt{ref: ref, number: tj.jo.Start(ref, wk.incarnation), wk: wk, tj: tj, launchedAt: now, lastSeenAt: now.Add(time.Second), progress: 90, beganClock: now, seenClock: now.Add(time.Second)})
 				}
 			}
 			b.ReportAllocs()
--- a/internal/sched/copies.go
+++ b/internal/sched/copies.go
@@ -104,14 +104,7 @@
 		Expected: at.tj.expected(st), Left: 100 - at.progress,
 		MayCopy: at.mayCopy(),
 	}
-	began, from := at.launchedAt, 0
-	if at.inherited || at.number > 1 {
-		// It may have begun earlier, or from a checkpoint.
-		began, from = at.workingSince, at.initialProgress
-	}
-	if at.lastSeenAt.After(began) {
-		ca.Worked, ca.Done = at.lastSeenAt.Sub(began), at.progress-from
-	}
+	ca.Worked, ca.Done = at.worked()
 	ca.SinceSeen = elapsedSince(now, at.lastSeenAt)
 	if !at.wk.failingSince.IsZero() {
 		ca.SilentFor = max(now.Sub(at.wk.failingSince), 1)
@@ -122,6 +115,19 @@
 	return ca
 }
 
+// worked returns for how long the attempt was seen to work, and its progress in that time. The
+// worker's clock is used, as answers may be delayed on their way.
+func (at *attempt) worked() (time.Duration, int) {
+	began, from := at.beganClock, 0
+	if began.IsZero() {
+		began, from = at.workingClock, at.initialProgress
+	}
+	if !at.seenClock.After(began) {
+		return 0, 0
+	}
+	return at.seenClock.Sub(began), at.progress - from
+}
+
 // expected returns how long a task of the step is expected to take on a healthy worker.
 func (tj *trackedJob) expected(st *job.Step) time.Duration {
 	return time.Duration(tj.expectedMS(st)) * time.Millisecond
--- a/internal/sched/movesoff_test.go
+++ b/internal/sched/movesoff_test.go
@@ -135,3 +135,32 @@
 		qt.Check(t, left(), qt.Equals, int64(0))
 	})
 }
+
+// TestLateAnswerIsNoSlowness guards against copies of tasks that seem slow because the answer to a
+// poll was late.
+func TestLateAnswerIsNoSlowness(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ow := ownerWithoutLoop(t)
+		wk, tj := addEmptyWorker(ow, "w"), addJob(ow, 1, job.Step{Tasks: 2, EstimateMS: 1000})
+		for index, inherited := range []bool{false, true} {
+			ref := job.TaskRef{Index: index}
+			at := &attempt{ref: ref, wk: wk, tj: tj, number: tj.jo.Start(ref, wk.incarnation), inherited: inherited, pace: fullPace}
+			wk.addAttempt(at)
+			poll := func(clock time.Time, percent int) {
+				wk.speed.recordPoll(clock.UnixMilli(), 0, time.Now())
+				wk.handleRunning(worker.PollResult{ClockMS: clock.UnixMilli(), Running: []worker.RunningAttempt{{Attempt: at.name(), Percent: percent}}}, time.Now())
+			}
+			began := time.Now()
+			if inherited {
+				poll(began, 0)
+			} else {
+				at.beginObservation(worker.Ack{ClockMS: began.UnixMilli()}, nil)
+				wk.markStarted(at, began)
+			}
+			time.Sleep(900 * time.Millisecond)
+			poll(began.Add(300*time.Millisecond), 30)
+			ca := at.copyInput("w", time.Now())
+			qt.Check(t, []any{ca.Worked, ca.Done}, qt.DeepEquals, []any{300 * time.Millisecond, 30})
+		}
+	})
+}
--- a/internal/sched/slowworker.go
+++ b/internal/sched/slowworker.go
@@ -100,7 +100,8 @@
 // from a checkpoint is followed from its first listed progress instead.
 func (at *attempt) beginObservation(ack worker.Ack, err error) {
 	if err == nil && at.launchedAt.IsZero() && ack.ClockMS != 0 && !at.hasCheckpoint() {
-		at.speed.Begin(time.UnixMilli(ack.ClockMS))
+		at.beganClock = time.UnixMilli(ack.ClockMS)
+		at.speed.Begin(at.beganClock)
 	}
 }
 
--- a/internal/sched/stall.go
+++ b/internal/sched/stall.go
@@ -32,14 +32,14 @@
 func (at *attempt) recordProgress(percent int, now time.Time) {
 	begins := at.progressedAt.IsZero() || at.effectivePace() <= heldMaxPace
 	if begins {
-		at.workingSince, at.initialProgress = now, percent
+		at.workingSince, at.workingClock, at.initialProgress = now, at.wk.speed.clock, percent
 	}
 	if begins || percent != at.progress {
 		at.progressedAt, at.pollsWithoutProgress = now, 0
 	} else {
 		at.pollsWithoutProgress++
 	}
-	at.progress = percent
+	at.progress, at.seenClock = percent, at.wk.speed.clock
 }
 
 // stalled reports whether an attempt has made no progress for too long.
