--- a/internal/sched/copies.go
+++ b/internal/sched/copies.go
@@ -64,7 +64,7 @@
 
 // mayCopy reports whether the task of the attempt may get a copy beside it.
 func (at *attempt) mayCopy() bool {
-	return at.step().Copies && !at.launchedAt.IsZero() && at.haltSentAt.IsZero() && at.wk.settled && at.tj.jo.MayCopy(at.ref)
+	return at.step().Copies && !at.step().Filler && !at.launchedAt.IsZero() && at.haltSentAt.IsZero() && at.wk.settled && at.tj.jo.MayCopy(at.ref)
 }
 
 // attemptRef identifies a task in the inputs of a decision.
