Let the first end of two attempts count for the class of further copies

The remaining time of a job was that of its slowest attempt even where the copy ends sooner, so jobs that further copies bring in time were taken for late.

--- a/internal/copies/copies_test.go
+++ b/internal/copies/copies_test.go
@@ -73,6 +73,16 @@
 	qt.Check(t, []bool{pl.Healthy("a"), pl.Healthy("b"), pl.Healthy("unknown")}, qt.DeepEquals, []bool{false, true, true})
 }
 
+// TestClassCountsFirstEndOfTask guards against a job that is taken for late because of an attempt
+// whose copy ends sooner.
+func TestClassCountsFirstEndOfTask(t *testing.T) {
+	list := []Attempt{running(0, "a", 6), running(0, "b", 1), running(1, "a", 5), running(2, "c", 1)}
+	list[0].MayCopy, list[1].MayCopy = false, false
+	plan := Decide(list, map[string]Job{"j": {Tasks: 8, Copies: 1, Age: time.Second, Target: 2400 * time.Millisecond, Limit: 7 * time.Second}})
+	qt.Assert(t, plan.Choices, qt.HasLen, 1)
+	qt.Check(t, plan.Choices[0].Class, qt.Equals, InTime)
+}
+
 // TestJobsThatCanBeInTimeGoFirst guards against copies for jobs that they do not help.
 func TestJobsThatCanBeInTimeGoFirst(t *testing.T) {
 	jobs := map[string]Job{}
--- a/internal/copies/evidence.go
+++ b/internal/copies/evidence.go
@@ -186,28 +186,33 @@
 // one copy may be of no use without the others.
 func (ev *evidence) classify(late []Choice) {
 	type ends struct{ without, with time.Duration }
-	copied := map[stepKey]map[int]time.Duration{}
-	byJob := map[string]ends{}
+	type taskKey struct {
+		stepKey
+		index int
+	}
+	byTask, byJob := map[taskKey]ends{}, map[string]ends{}
 	for _, ch := range late {
-		key := ch.Attempt.stepKey()
-		if copied[key] == nil {
-			copied[key] = map[int]time.Duration{}
-		}
-		copied[key][ch.Attempt.Index] = startDelay + ch.Fresh
 		byJob[ch.Attempt.Job] = ends{}
 	}
 	for i := range ev.attempts {
 		at := &ev.attempts[i]
-		en, ok := byJob[at.Job]
-		if !ok {
+		if _, ok := byJob[at.Job]; !ok {
 			continue
 		}
-		without := ev.remaining(i)
-		with := without
-		if d, ok := copied[at.stepKey()][at.Index]; ok {
-			with = d
+		key, left := taskKey{at.stepKey(), at.Index}, ev.remaining(i)
+		if en, ok := byTask[key]; ok {
+			// Of two attempts, the first that is done completes the task.
+			left = min(left, en.without)
 		}
-		byJob[at.Job] = ends{max(en.without, without), max(en.with, with)}
+		byTask[key] = ends{left, left}
+	}
+	for _, ch := range late {
+		key := taskKey{ch.Attempt.stepKey(), ch.Attempt.Index}
+		byTask[key] = ends{byTask[key].without, startDelay + ch.Fresh}
+	}
+	for key, ta := range byTask {
+		en := byJob[key.job]
+		byJob[key.job] = ends{max(en.without, ta.without), max(en.with, ta.with)}
 	}
 	for i := range late {
 		jo, en := ev.jobs[late[i].Attempt.Job], byJob[late[i].Attempt.Job]
