--- a/internal/sched/attempt.go
+++ b/internal/sched/attempt.go
@@ -51,6 +51,8 @@
 	haltRepeated bool
 	// superseded is set once it is durable that another attempt has completed the task.
 	superseded bool
+	// leavesSlow is set once it was stopped because its worker is slow.
+	leavesSlow bool
 	// progress is its last reported progress, in percent. usage is the last reported usage: the
 	// tail latency of a service in milliseconds, or the CPU use of another task in thousandths
 	// of a core.
@@ -64,6 +66,10 @@
 	workingSince         time.Time
 	initialProgress      int
 	pollsWithoutProgress int
+	// beganClock is when the worker acknowledged the order, zero if that is not known or the
+	// attempt began from a checkpoint; workingClock and seenClock are when it was at workingSince
+	// and at lastSeenAt. All are by the worker's clock.
+	beganClock, workingClock, seenClock time.Time
 	// replica has the measurements of a service replica.
 	replica interfere.Replica
 	// overTargetSince is since when a service has been over its latency target, or zero.
--- a/internal/sched/copies.go
+++ b/internal/sched/copies.go
@@ -12,9 +12,17 @@
 // attempts. The owner starts a copy only on capacity that no waiting task needs, and stops the
 // other attempt once it is durable that one of them is done.
 
+// copiesInterval is the time between two decisions. Each compares all attempts, while a worker
+// lists new progress only when an attempt ends there, or after 0.3 to 1 s.
+const copiesInterval = 200 * time.Millisecond
+
 // startCopies starts second attempts of tasks that are late.
 func (ow *Owner) startCopies(now time.Time) {
-	if !ow.enabled(MechCopies) || ow.storeDown() || ow.window.full() {
+	if now.Sub(ow.copiesDecidedAt) < copiesInterval || !ow.enabled(MechCopies) || ow.storeDown() || ow.window.full() {
+		return
+	}
+	ow.copiesDecidedAt = now
+	if !ow.anyMayCopy() {
 		return
 	}
 	attempts, list := ow.copyInputs(now)
@@ -42,6 +50,23 @@
 	}
 }
 
+// anyMayCopy reports whether any running task may get a copy.
+func (ow *Owner) anyMayCopy() bool {
+	for _, wk := range ow.workers {
+		for at := range wk.attempts {
+			if at.mayCopy() {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// mayCopy reports whether the task of the attempt may get a copy beside it.
+func (at *attempt) mayCopy() bool {
+	return at.step().Copies && !at.step().Filler && !at.launchedAt.IsZero() && at.haltSentAt.IsZero() && at.wk.settled && at.tj.jo.MayCopy(at.ref)
+}
+
 // attemptRef identifies a task in the inputs of a decision.
 type attemptRef struct {
 	job string
@@ -77,16 +102,9 @@
 	ca := copies.Attempt{
 		Job: at.tj.jo.ID, Step: at.ref.Step, Index: at.ref.Index, Worker: on,
 		Expected: at.tj.expected(st), Left: 100 - at.progress,
-		MayCopy: st.Copies && at.haltSentAt.IsZero() && at.wk.settled && at.tj.jo.MayCopy(at.ref),
-	}
-	began, from := at.launchedAt, 0
-	if at.inherited || at.number > 1 {
-		// It may have begun earlier, or from a checkpoint.
-		began, from = at.workingSince, at.initialProgress
-	}
-	if at.lastSeenAt.After(began) {
-		ca.Worked, ca.Done = at.lastSeenAt.Sub(began), at.progress-from
+		MayCopy: at.mayCopy(),
 	}
+	ca.Worked, ca.Done = at.worked()
 	ca.SinceSeen = elapsedSince(now, at.lastSeenAt)
 	if !at.wk.failingSince.IsZero() {
 		ca.SilentFor = max(now.Sub(at.wk.failingSince), 1)
@@ -97,6 +115,19 @@
 	return ca
 }
 
+// worked returns for how long the attempt was seen to work, and its progress in that time. The
+// worker's clock is used, as answers may be delayed on their way.
+func (at *attempt) worked() (time.Duration, int) {
+	began, from := at.beganClock, 0
+	if began.IsZero() {
+		began, from = at.workingClock, at.initialProgress
+	}
+	if !at.seenClock.After(began) {
+		return 0, 0
+	}
+	return at.seenClock.Sub(began), at.progress - from
+}
+
 // expected returns how long a task of the step is expected to take on a healthy worker.
 func (tj *trackedJob) expected(st *job.Step) time.Duration {
 	return time.Duration(tj.expectedMS(st)) * time.Millisecond
@@ -129,14 +160,14 @@
 }
 
 // startCopy places a second attempt of a task on a healthy worker, if one has capacity that no
-// waiting task needs.
+// waiting task needs. Workers that are cold, or slow by package speed, get none.
 func (pl *placer) startCopy(first *attempt, plan *copies.Plan, ch copies.Choice) {
 	tj, ref := first.tj, first.ref
 	st := &tj.jo.Spec.Steps[ref.Step]
 	var best *candidate
 	var bestScore float64
 	for _, ca := range pl.candidates {
-		if ca.wk.incarnation.ID == first.wk.incarnation.ID || !ca.fits(tj, ref, st) || !plan.Healthy(ca.wk.incarnation.String()) {
+		if ca.wk.incarnation.ID == first.wk.incarnation.ID || ca.cold || ca.slowdown > 0 || !ca.fits(tj, ref, st) || !plan.Healthy(ca.wk.incarnation.String()) {
 			continue
 		}
 		if score := ca.score(tj, st); (best == nil || score > bestScore) && !pl.neededByWaiting(ca, tj.jo.Terms.Priority) {
@@ -236,6 +267,12 @@
 	return ta != nil && ta.State == job.Done
 }
 
+// isCopy reports whether the attempt runs beside the first one of its task.
+func (at *attempt) isCopy() bool {
+	other := at.task().Other.Number
+	return other != 0 && other != at.number
+}
+
 // attemptsOf returns the attempts of a task.
 func (tj *trackedJob) attemptsOf(ref job.TaskRef) []*attempt {
 	var list []*attempt
