Count the answer to what became of an order as an answer

After an order without an answer the owner asks the worker what became of it. That answer did not count, so a worker that had lost one answer, and a data centre of idle workers, were chosen last until a poll in progress ended, up to 2 s later. An order that was sent earlier and is given up later, like a deferred one, no longer hides one that was sent after it.

--- a/internal/sched/answers.go
+++ b/internal/sched/answers.go
@@ -17,7 +17,8 @@
 // missing reports whether nothing was answered since an order that was given up.
 func (ar *answerRecord) missing() bool { return ar.unansweredSent.After(ar.answeredAt) }
 
-// recordAnswered records that the worker has answered a poll or an order.
+// recordAnswered records that the worker has answered a poll or an order, or the question whether
+// it has an attempt.
 func (wk *workerState) recordAnswered(now time.Time) {
 	wk.answers.answeredAt = now
 	wk.dataCentreAnswers().answeredAt = now
@@ -25,7 +26,9 @@
 
 // recordUnanswered records that an order sent at the given time was given up.
 func (wk *workerState) recordUnanswered(sent time.Time) {
-	wk.answers.unansweredSent = sent
+	if sent.After(wk.answers.unansweredSent) {
+		wk.answers.unansweredSent = sent
+	}
 	ar := wk.dataCentreAnswers()
 	known := ar.missing()
 	if sent.After(ar.unansweredSent) {
--- a/internal/sched/launch.go
+++ b/internal/sched/launch.go
@@ -217,6 +217,8 @@
 		wk.reportIncarnation(err)
 		return false, err
 	}
+	answered := time.Now()
+	ow.post(func() { wk.recordAnswered(answered) })
 	for _, ra := range res.Running {
 		if ra.Attempt == wa {
 			return true, nil
