Choose unanswered workers last also for services with replicas there

The affinity of a service to its replicas and to similar images differs by up to 7 between two workers, the penalty of a lost worker was 4. So interrupted services went to workers from which nothing was answered, and waited there for their leases. The penalty of slow workers is raised as well, as it has to exceed all other terms together.

--- a/internal/sched/place_test.go
+++ b/internal/sched/place_test.go
@@ -251,3 +251,20 @@
 		qt.Assert(t, started, qt.IsTrue)
 	})
 }
+
+// TestUnansweredWorkerIsChosenLast guards against long-running tasks that go to a worker from which
+// nothing is answered because it runs services of the same image.
+func TestUnansweredWorkerIsChosenLast(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ow := ownerWithoutLoop(t)
+		silent, other := addEmptyWorker(ow, "silent"), addEmptyWorker(ow, "other")
+		silent.DataCentre, other.DataCentre = "a", "b"
+		tj := addJob(ow, 1, serviceStep(2, "s"))
+		silent.addAttempt(&attempt{wk: silent, tj: tj, number: 1})
+		other.addAttempt(&attempt{wk: other, tj: addJob(ow, 2, serviceStep(1, "other")), number: 1})
+		silent.recordAnswered(time.Now())
+		time.Sleep(time.Second)
+		silent.recordUnanswered(time.Now())
+		qt.Assert(t, ow.newPlacer().rank(tj, 0, false).best().wk.incarnation.ID, qt.Equals, "other")
+	})
+}
--- a/internal/sched/score.go
+++ b/internal/sched/score.go
@@ -100,14 +100,15 @@
 	// failedPenalty keeps a job's tasks away from a worker on which one of them failed.
 	failedPenalty = 4
 	// unansweredPenalty keeps tasks away from a worker or a data centre that has answered nothing
-	// since an order which was given up.
-	unansweredPenalty = 4
+	// since an order which was given up. It exceeds the affinity, which differs by up to 7 between
+	// two workers, so that services don't follow their replicas to a lost worker.
+	unansweredPenalty = 10
 	// perFailurePenalty is subtracted for each attempt that has failed there since one
 	// succeeded.
 	perFailurePenalty = 1
 	// slowPenalty is subtracted from the score of a slow worker. It exceeds all other terms
 	// together, so that slow workers are chosen last.
-	slowPenalty = 20
+	slowPenalty = 40
 	// coldPenalty outweighs everything else, so that a cold worker gets only what no warm one
 	// can take.
 	coldPenalty = 1000
