Keep headroom on warm workers before cold ones

When the evacuation of a data centre was withdrawn, its empty workers were selected at once as headroom, and long-running tasks took the warm workers that were selected before. Short tasks get cold workers last, and one start at a time.

--- a/internal/headroom/headroom_test.go
+++ b/internal/headroom/headroom_test.go
@@ -91,7 +91,7 @@
 
 func TestSelect(t *testing.T) {
 	lo := Load{Mean: 30_000, sized: 30_000 * 7000}
-	list := []Worker{{64_000, 60_000, 60_000}, {64_000, 40_000, 40_000}, {64_000, 64_000, 52_000}, {64_000, 61_000, 61_000}}
+	list := []Worker{{64_000, 60_000, 60_000, false}, {64_000, 40_000, 40_000, false}, {64_000, 64_000, 52_000, false}, {64_000, 61_000, 61_000, false}}
 	t.Run("most unused first, in whole tasks", func(t *testing.T) {
 		se := Select(list, lo)
 		qt.Check(t, se.chosen, qt.DeepEquals, []bool{false, true, true, false})
@@ -103,43 +103,56 @@
 		qt.Check(t, []bool{se.Allows(1, 10_000), se.Allows(1, 11_000), se.Allows(0, 11_000)}, qt.DeepEquals, []bool{true, false, true})
 		qt.Check(t, se.With(1, 10_000).Allows(1, 1), qt.IsFalse)
 	})
+	// A cold worker gets short tasks last, and one start at a time.
+	t.Run("cold workers last", func(t *testing.T) {
+		empty := append([]Worker{{Capacity: 64_000, Cold: true}}, list...)
+		qt.Check(t, Select(empty, lo).chosen, qt.DeepEquals, []bool{false, false, true, true, false})
+		full := Worker{Capacity: 64_000, Reserved: 64_000, LongRunning: 64_000}
+		qt.Check(t, Select([]Worker{{Capacity: 64_000, Cold: true}, full, full}, lo).chosen, qt.DeepEquals, []bool{true, false, false})
+	})
 	t.Run("no demand", func(t *testing.T) {
 		qt.Check(t, Select(list, Load{}).Workers, qt.Equals, 0)
 	})
 	t.Run("much is free", func(t *testing.T) {
-		qt.Check(t, Select([]Worker{{64_000, 31_000, 31_000}}, lo).Workers, qt.Equals, 0)
+		qt.Check(t, Select([]Worker{{64_000, 31_000, 31_000, false}}, lo).Workers, qt.Equals, 0)
 	})
 	t.Run("only worker", func(t *testing.T) {
-		qt.Check(t, Select([]Worker{{64_000, 60_000, 0}}, lo).Workers, qt.Equals, 0)
+		qt.Check(t, Select([]Worker{{64_000, 60_000, 0, false}}, lo).Workers, qt.Equals, 0)
 	})
 }
 
 // TestSelectProperties checks that a selection is at most half of the capacity, has no worker with
-// less unused capacity than one left out, is no larger than needed, and grows with the demand.
+// less unused capacity than one left out, no cold one while a warm one that could run a task is left
+// out, is no larger than needed, and grows with the demand.
 func TestSelectProperties(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		list := rapid.SliceOfN(rapid.Custom(func(rt *rapid.T) Worker {
 			capacity := rapid.Int64Range(1, 96_000).Draw(rt, "capacity")
 			long := rapid.Int64Range(0, capacity).Draw(rt, "long")
-			return Worker{Capacity: capacity, LongRunning: long, Reserved: rapid.Int64Range(long, capacity).Draw(rt, "reserved")}
+			return Worker{Capacity: capacity, LongRunning: long, Reserved: rapid.Int64Range(long, capacity).Draw(rt, "reserved"), Cold: rapid.Bool().Draw(rt, "cold")}
 		}), 0, 40).Draw(rt, "workers")
 		mean, task := rapid.Float64Range(0, 1e6).Draw(rt, "mean"), rapid.Float64Range(1, 20_000).Draw(rt, "task")
-		se, more := Select(list, Load{Mean: mean, sized: mean * task}), Select(list, Load{Mean: 2 * mean, sized: 2 * mean * task})
-		var capacity, selected, least, most int64
-		least = 1 << 40
+		lo := Load{Mean: mean, sized: mean * task}
+		se, more := Select(list, lo), Select(list, Load{Mean: 2 * mean, sized: 2 * mean * task})
+		var capacity, selected int64
 		for i, wk := range list {
 			capacity += wk.Capacity
 			if se.Contains(i) {
 				selected += wk.Capacity
-				least = min(least, wk.unused())
-			} else {
-				most = max(most, wk.unused())
 			}
 			if se.Contains(i) && !more.Contains(i) {
 				rt.Fatalf("worker %d is not selected for more", i)
 			}
+			for j, other := range list {
+				if !se.Contains(i) || se.Contains(j) || other.unused() < max(lo.Task(), 1) {
+					continue
+				}
+				if wk.Cold && !other.Cold || wk.Cold == other.Cold && wk.unused() < other.unused() {
+					rt.Fatalf("worker %d is selected before %d: %+v of %+v", i, j, se, list)
+				}
+			}
 		}
-		if 2*selected > capacity || se.Workers > 0 && (most > least || se.Covered-least >= int64(mean)) {
+		if 2*selected > capacity || se.Workers > 0 && se.Covered-list[se.last].unused() >= int64(mean) {
 			rt.Fatalf("%+v of %+v", se, list)
 		}
 	})
--- a/internal/headroom/select.go
+++ b/internal/headroom/select.go
@@ -17,6 +17,8 @@
 	// Capacity is all that it has. Reserved is the part that tasks reserve, and LongRunning the
 	// part of it that long-running tasks do.
 	Capacity, Reserved, LongRunning int64
+	// Cold is set if short tasks start slowly there for a while.
+	Cold bool
 }
 
 // Selection is a set of workers, given by their indices in a list. The zero value is empty.
@@ -52,7 +54,8 @@
 
 // Select selects the workers that get no new long-running task: those with the most capacity not
 // used by long-running tasks, until the need is covered. They stay the same from one round to the
-// next, as other workers get long-running tasks meanwhile. For equal sizes of a task, a larger
+// next, as other workers get long-running tasks meanwhile. Cold workers are selected after all others:
+// a data centre whose evacuation was withdrawn has the most unused capacity, but is slow at first. For equal sizes of a task, a larger
 // demand selects a superset. It selects none while much of the capacity is free, and at most half
 // of the capacity.
 func Select(list []Worker, lo Load) Selection {
@@ -69,8 +72,12 @@
 	for _, index := range byUnused(list) {
 		wk := list[index]
 		usable := wk.unused() / task * task
+		if usable == 0 {
+			// Cold workers come last, so others may follow.
+			continue
+		}
 		limit -= wk.Capacity
-		if se.Covered >= need || usable == 0 || limit < 0 {
+		if se.Covered >= need || limit < 0 {
 			break
 		}
 		se.chosen[index], se.last = true, index
@@ -84,16 +91,23 @@
 // unused returns the capacity that long-running tasks do not use.
 func (wk Worker) unused() int64 { return max(wk.Capacity-wk.LongRunning, 0) }
 
-// indexBits is the number of bits for an index in a sort key.
-const indexBits = 20
+const (
+	// indexBits is the number of bits for an index in a sort key.
+	indexBits = 20
+	// coldKey is added to the sort key of a cold worker. It exceeds the key of any other.
+	coldKey = 1 << 62
+)
 
-// byUnused returns the indices of the workers, the most unused capacity first and the lowest index
-// among equals. Sorting numbers takes a fraction of the time of sorting with a comparison
+// byUnused returns the indices of the workers, cold ones last, then the most unused capacity first
+// and the lowest index among equals. Sorting numbers takes a fraction of the time of sorting with a comparison
 // function.
 func byUnused(list []Worker) []int {
 	keys := make([]int64, len(list))
 	for i, wk := range list {
 		keys[i] = -wk.unused()<<indexBits + int64(i)
+		if wk.Cold {
+			keys[i] += coldKey
+		}
 	}
 	slices.Sort(keys)
 	order := make([]int, len(list))
--- a/internal/sched/headroom.go
+++ b/internal/sched/headroom.go
@@ -105,6 +105,7 @@
 	return headroom.Worker{
 		Capacity: wk.Capacity.MilliCores, Reserved: wk.reserved.MilliCores,
 		LongRunning: wk.reserved.MilliCores - wk.finiteReserved.MilliCores,
+		Cold:        wk.isCold(),
 	}
 }
 
--- a/internal/sched/headroom_test.go
+++ b/internal/sched/headroom_test.go
@@ -314,3 +314,27 @@
 		qt.Check(t, []Cause{jobs[1].waitCause, jobs[2].waitCause}, qt.DeepEquals, []Cause{CauseHeadroom, CauseRoom})
 	})
 }
+
+// TestHeadroomIsOnWarmWorkers guards against long-running tasks that take the headroom on warm
+// workers because an evacuated data centre, whose workers are empty but cold, is used again.
+func TestHeadroomIsOnWarmWorkers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ow := nearlyFullOwner(t)
+		for i := range 2 {
+			addEmptyWorker(ow, fmt.Sprint("cold", i)).coldUntil = time.Now().Add(time.Minute)
+		}
+		ow.sortedWorkerCache = nil
+		tj := addJob(ow, 2, job.Step{Tasks: 4, Each: coresOf(4), LongRunning: true})
+		tj.jo.Terms.Priority = 1
+		ow.markDirty(tj)
+		ow.place()
+		free := 0
+		for _, wk := range ow.workers {
+			if !wk.isCold() && wk.Capacity.MilliCores-wk.reserved.MilliCores >= 4000 {
+				free++
+			}
+		}
+		qt.Check(t, free, qt.Equals, 1)
+		qt.Check(t, tj.waitingTasks, qt.Equals, 0)
+	})
+}
