Move the window of starts out of sched

The marks on attempts that make each start count once stay in sched. The test of a full window fills it by Begin, as the count is no longer visible to it.

--- a/internal/sched/window.go
+++ b/internal/congestion/congestion.go
@@ -1,4 +1,9 @@
-package sched
+// Package congestion bounds how many starts of tasks are in flight, so that an owner whose link or
+// processor is saturated does not start more than it gets answers for.
+//
+// [Window] sees only how long answers took. It cannot tell a saturated owner from many slow
+// workers, and treats both alike; a lost answer counts like one that took as long as its timeout.
+package congestion
 
 import "time"
 
@@ -22,11 +27,11 @@
 	shrinkFactor   = 0.6
 )
 
-// startWindow bounds the starts in flight: those of tasks that are placed and whose workers
+// Window bounds the starts in flight: those of tasks that are placed and whose workers
 // have not answered yet. When the owner's link or CPU is saturated, answers arrive later and
 // later until all of them time out. The window therefore shrinks while answers are slow, and
 // grows while they are not. The zero value is ready.
-type startWindow struct {
+type Window struct {
 	inFlight int
 	// size is the size of the window in starts, 0 before the first answer.
 	size float64
@@ -36,46 +41,42 @@
 	shrunkAt time.Time
 }
 
-// full reports whether no more starts may be in flight.
-func (sw *startWindow) full() bool { return sw.inFlight >= sw.limit() }
+// Begin adds a start to those in flight.
+func (wi *Window) Begin() { wi.inFlight++ }
 
-func (sw *startWindow) limit() int {
-	if sw.size == 0 {
+// End removes a start from those in flight.
+func (wi *Window) End() { wi.inFlight-- }
+
+// InFlight returns the number of starts in flight.
+func (wi *Window) InFlight() int { return wi.inFlight }
+
+// Full reports whether no more starts may be in flight.
+func (wi *Window) Full() bool { return wi.inFlight >= wi.Limit() }
+
+// Limit returns how many starts may be in flight.
+func (wi *Window) Limit() int {
+	if wi.size == 0 {
 		return initialWindow
 	}
-	return int(sw.size)
+	return int(wi.size)
 }
 
-// recordAnswer adjusts the window to how long an answer took, and reports whether it shrank.
-func (sw *startWindow) recordAnswer(took time.Duration, now time.Time) bool {
+// RecordAnswer adjusts the window to how long an answer took, and reports whether it shrank.
+func (wi *Window) RecordAnswer(took time.Duration, now time.Time) bool {
 	slow := 0.0
 	if took >= slowAnswer {
 		slow = 1
 	}
-	sw.slowRate += (slow - sw.slowRate) / slowSamples
-	size := float64(sw.limit())
-	if sw.slowRate < slowShare {
-		sw.size = min(size+1, maxWindow)
+	wi.slowRate += (slow - wi.slowRate) / slowSamples
+	size := float64(wi.Limit())
+	if wi.slowRate < slowShare {
+		wi.size = min(size+1, maxWindow)
 		return false
 	}
-	if now.Sub(sw.shrunkAt) < shrinkInterval {
+	if now.Sub(wi.shrunkAt) < shrinkInterval {
 		return false
 	}
-	sw.shrunkAt = now
-	sw.size = max(size*shrinkFactor, minWindow)
+	wi.shrunkAt = now
+	wi.size = max(size*shrinkFactor, minWindow)
 	return true
 }
-
-// beginStart adds an attempt to the starts in flight.
-func (ow *Owner) beginStart(at *attempt) {
-	at.inFlight = true
-	ow.window.inFlight++
-}
-
-// endStart removes an attempt from the starts in flight, if it is one of them.
-func (ow *Owner) endStart(at *attempt) {
-	if at.inFlight {
-		at.inFlight = false
-		ow.window.inFlight--
-	}
-}
--- a/internal/sched/attempt.go
+++ b/internal/sched/attempt.go
@@ -154,3 +154,17 @@
 	wk.fillers.invalidate()
 	at.tj.attempts[at.key()] = at
 }
+
+// beginStart adds an attempt to the starts in flight.
+func (ow *Owner) beginStart(at *attempt) {
+	at.inFlight = true
+	ow.window.Begin()
+}
+
+// endStart removes an attempt from the starts in flight, if it is one of them.
+func (ow *Owner) endStart(at *attempt) {
+	if at.inFlight {
+		at.inFlight = false
+		ow.window.End()
+	}
+}
--- a/internal/sched/copies.go
+++ b/internal/sched/copies.go
@@ -14,7 +14,7 @@
 
 // startCopies starts second attempts of tasks that are late.
 func (ow *Owner) startCopies(now time.Time) {
-	if !ow.enabled(MechCopies) || ow.storeDown() || ow.window.full() {
+	if !ow.enabled(MechCopies) || ow.storeDown() || ow.window.Full() {
 		return
 	}
 	attempts, list := ow.copyInputs(now)
@@ -34,7 +34,7 @@
 	}
 	pl := ow.newPlacer()
 	for _, ch := range plan.Choices {
-		if ow.window.full() {
+		if ow.window.Full() {
 			return
 		}
 		key := attemptRef{ch.Attempt.Job, job.TaskRef{Step: ch.Attempt.Step, Index: ch.Attempt.Index}}
--- a/internal/sched/launch.go
+++ b/internal/sched/launch.go
@@ -77,8 +77,8 @@
 func (ow *Owner) handleLaunchAnswer(at *attempt, ack worker.Ack, sent, got time.Time, err error) {
 	ow.Metrics.Add(telemetry.Launches, 1, "outcome", launchOutcome(err))
 	ow.endStart(at)
-	if ow.window.recordAnswer(got.Sub(sent), got) {
-		ow.Log.Info("fewer starts at once, as answers are slow", "cell", ow.Cell, "most", ow.window.limit(), "under_way", ow.window.inFlight, "took", got.Sub(sent))
+	if ow.window.RecordAnswer(got.Sub(sent), got) {
+		ow.Log.Info("fewer starts at once, as answers are slow", "cell", ow.Cell, "most", ow.window.Limit(), "under_way", ow.window.InFlight(), "took", got.Sub(sent))
 	}
 	ow.concludeLaunch(at, ack, sent, got, err)
 }
--- a/internal/sched/looplag.go
+++ b/internal/sched/looplag.go
@@ -90,7 +90,7 @@
 		}
 		ow.Log.Warn("owner is behind", "cell", ow.Cell, "over", elapsedSince(now, ll.loggedAt), "event_wait", sum.eventWait, "change_wait", sum.changeWait,
 			"events", sum.events, "rounds", sum.rounds, "rated", sum.rated, "writes", sum.writes, "written", sum.written, "changed_jobs", len(ow.dirtyJobs),
-			"waiting_jobs", len(ow.waitingJobs), "starts_in_flight", ow.window.inFlight, "store_down", ow.storeDown())
+			"waiting_jobs", len(ow.waitingJobs), "starts_in_flight", ow.window.InFlight(), "store_down", ow.storeDown())
 	case !ll.behindSince.IsZero():
 		ow.Log.Info("owner keeps up again", "cell", ow.Cell, "after", now.Sub(ll.behindSince))
 		ll.behindSince = time.Time{}
--- a/internal/sched/owner.go
+++ b/internal/sched/owner.go
@@ -26,6 +26,7 @@
 	"time"
 
 	"github.com/pepperhatch/pepperhatch/internal/clock"
+	"github.com/pepperhatch/pepperhatch/internal/congestion"
 	"github.com/pepperhatch/pepperhatch/internal/evacuation"
 	"github.com/pepperhatch/pepperhatch/internal/headroom"
 	"github.com/pepperhatch/pepperhatch/internal/interfere"
@@ -121,7 +122,7 @@
 	writeMarkVersion int64
 	writeCount       int64
 	// window bounds the starts in flight.
-	window startWindow
+	window congestion.Window
 	// writesFailingSince is the start of the first of the writes that have failed in a row,
 	// or zero while writes succeed.
 	writesFailingSince time.Time
@@ -237,7 +238,7 @@
 			ow.drainEvents()
 		}
 		// Starts placed during a write have to wait for its end anyway.
-		if ow.placementDue && ow.writesInFlight < maxConcurrentWrites && !ow.window.full() {
+		if ow.placementDue && ow.writesInFlight < maxConcurrentWrites && !ow.window.Full() {
 			ow.place()
 		}
 		ow.flush()
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -45,7 +45,7 @@
 // placeJobs places the waiting tasks of the jobs, in their order.
 func (pl *placer) placeJobs(list []*trackedJob) {
 	for _, tj := range list {
-		if pl.ow.window.full() {
+		if pl.ow.window.Full() {
 			// The next round continues once some launches have been answered.
 			pl.ow.placementDue = true
 			tj.waitCause = CauseOrder
@@ -175,7 +175,7 @@
 			tj.waitCause = CauseBackoff
 			continue
 		}
-		if pl.ow.window.full() {
+		if pl.ow.window.Full() {
 			tj.waitCause = CauseOrder
 			return
 		}
--- a/internal/sched/queuedrandom_test.go
+++ b/internal/sched/queuedrandom_test.go
@@ -266,7 +266,7 @@
 				list = append(list, wk.incarnation.String())
 			}
 		}
-		if inFlight != qr.ow.window.inFlight {
+		if inFlight != qr.ow.window.InFlight() {
 			list = append(list, "starts in flight")
 		}
 		queued <- count
--- a/internal/sched/shortage_test.go
+++ b/internal/sched/shortage_test.go
@@ -97,7 +97,12 @@
 		ow := la.startLongRunning(16)
 		la.submit(ow, 2, longRunning(1))
 		time.Sleep(500 * time.Millisecond)
-		ow.post(func() { ow.window.inFlight = ow.window.limit(); ow.place() })
+		ow.post(func() {
+			for !ow.window.Full() {
+				ow.window.Begin()
+			}
+			ow.place()
+		})
 		time.Sleep(time.Second)
 		waitLine := `msg="lasting tasks wait"`
 		qt.Assert(t, ll.matching(waitLine, "job="+jobID(2), "for=order"), qt.HasLen, 1)
