Move the backoffs of failed tasks out of sched

That only long-running tasks have them is now said where a failure is recorded. The test with an owner stays in sched.

--- a/internal/sched/backoff_test.go
+++ b/internal/sched/backoff_test.go
@@ -7,6 +7,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/pepperhatch/pepperhatch/internal/restart"
 	"github.com/pepperhatch/pepperhatch/internal/worker"
 )
 
@@ -31,7 +32,7 @@
 		time.Sleep(20 * time.Second)
 		t.Logf("%d runs in 20 s", len(la.fleet.Runs()))
 		qt.Check(t, len(la.fleet.Runs()) <= 15, qt.IsTrue, qt.Commentf("%d runs", len(la.fleet.Runs())))
-		time.Sleep(backoffMax + time.Second)
+		time.Sleep(restart.Max + time.Second)
 		la.assertRunning(1)
 	})
 }
--- a/internal/sched/copies.go
+++ b/internal/sched/copies.go
@@ -169,7 +169,7 @@
 			if !st.Reserved().Fits(ca.free) || !ca.allowed(tj, ref, st) {
 				continue
 			}
-			if tj.countWaiting(step, func(ref job.TaskRef) bool { return !tj.backoffs.active(ref, pl.now) }) > 0 {
+			if tj.countWaiting(step, func(ref job.TaskRef) bool { return !tj.backoffs.Active(ref, pl.now) }) > 0 {
 				return true
 			}
 		}
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -171,7 +171,7 @@
 		if ta.State != job.Waiting || tj.interrupted(ref) != interrupted {
 			continue
 		}
-		if tj.backoffs.active(ref, pl.now) {
+		if tj.backoffs.Active(ref, pl.now) {
 			tj.waitCause = CauseBackoff
 			continue
 		}
--- a/internal/sched/proof.go
+++ b/internal/sched/proof.go
@@ -19,7 +19,7 @@
 	ran := at.observed().ran
 	switch {
 	case ran >= crashBlameLimit && at.tj.jo.MarkStable(at.ref, at.number):
-		at.tj.backoffs.reset(at.ref)
+		at.tj.backoffs.Reset(at.ref)
 		at.tj.scheduleProofWrite(now)
 	case ran >= startupDuration && at.tj.jo.MarkStarted(at.ref, at.number) && at.needsEarlyProof():
 		at.tj.scheduleProofWrite(now)
--- a/internal/sched/queuedstart.go
+++ b/internal/sched/queuedstart.go
@@ -92,7 +92,7 @@
 		if st.Filler || !st.Reserved().Fits(ca.free.Add(ca.stopping)) || !ca.allowed(tj, ref, st) {
 			continue
 		}
-		if tj.countWaiting(step, func(ref job.TaskRef) bool { return !tj.backoffs.active(ref, now) }) > 0 {
+		if tj.countWaiting(step, func(ref job.TaskRef) bool { return !tj.backoffs.Active(ref, now) }) > 0 {
 			return true
 		}
 	}
--- a/internal/sched/reservation.go
+++ b/internal/sched/reservation.go
@@ -187,7 +187,7 @@
 		}
 		for index := range tasks {
 			ref := job.TaskRef{Step: step, Index: index}
-			if tasks[index].State == job.Waiting && tj.interrupted(ref) && !tj.backoffs.active(ref, now) {
+			if tasks[index].State == job.Waiting && tj.interrupted(ref) && !tj.backoffs.Active(ref, now) {
 				list = append(list, pendingRestart{tj: tj, st: st, ready: true})
 			}
 		}
--- a/internal/sched/stuck.go
+++ b/internal/sched/stuck.go
@@ -151,7 +151,7 @@
 				continue
 			}
 			switch {
-			case tj.backoffs.active(job.TaskRef{Step: step, Index: index}, now):
+			case tj.backoffs.Active(job.TaskRef{Step: step, Index: index}, now):
 				counts[obstacleBackoff]++
 			case tasks[index].Suspect():
 				counts[obstacleIsolation]++
--- a/internal/sched/trackedjob.go
+++ b/internal/sched/trackedjob.go
@@ -8,6 +8,7 @@
 	"github.com/pepperhatch/pepperhatch/internal/copies"
 	"github.com/pepperhatch/pepperhatch/internal/interfere"
 	"github.com/pepperhatch/pepperhatch/internal/job"
+	"github.com/pepperhatch/pepperhatch/internal/restart"
 	"github.com/pepperhatch/pepperhatch/internal/telemetry"
 	"github.com/pepperhatch/pepperhatch/internal/worker"
 )
@@ -75,7 +76,7 @@
 	// stallCounts counts the stalled attempts of each task.
 	stallCounts map[job.TaskRef]int
 	// backoffs holds the restart delays of long-running tasks that failed repeatedly.
-	backoffs backoffs
+	backoffs restart.Backoffs
 	// isolatedTrialAt is when a worker was last chosen to run a suspect task of the job in
 	// isolation.
 	isolatedTrialAt time.Time
@@ -193,7 +194,9 @@
 			tj.failedOn = map[worker.Incarnation]bool{}
 		}
 		tj.failedOn[incarnation] = true
-		tj.backoffs.recordFailure(tj, ref, time.Now())
+		if tj.jo.Spec.Steps[ref.Step].LongRunning {
+			tj.backoffs.RecordFailure(ref, time.Now())
+		}
 	}
 	ow.Metrics.Add(telemetry.AttemptEnds, 1, "end", string(end))
 	ow.Log.Info("attempt ended", "job", tj.jo.ID, "task", tj.jo.TaskID(ref), "attempt", number, "worker", incarnation, "end", end, "why", reason, "state", tj.jo.State(),
--- a/internal/sched/visiblecapacity.go
+++ b/internal/sched/visiblecapacity.go
@@ -207,7 +207,7 @@
 		}
 		for index := range tasks {
 			ref := job.TaskRef{Step: step, Index: index}
-			if tasks[index].State == job.Waiting && tj.interrupted(ref) && !tj.backoffs.active(ref, now) {
+			if tasks[index].State == job.Waiting && tj.interrupted(ref) && !tj.backoffs.Active(ref, now) {
 				list = append(list, taskKey{tj, ref})
 			}
 		}
