--- a/internal/sched/owner.go
+++ b/internal/sched/owner.go
@@ -31,6 +31,7 @@
 	"github.com/pepperhatch/pepperhatch/internal/headroom"
 	"github.com/pepperhatch/pepperhatch/internal/interfere"
 	"github.com/pepperhatch/pepperhatch/internal/job"
+	"github.com/pepperhatch/pepperhatch/internal/nofit"
 	"github.com/pepperhatch/pepperhatch/internal/store"
 	"github.com/pepperhatch/pepperhatch/internal/telemetry"
 	"github.com/pepperhatch/pepperhatch/internal/tenure"
@@ -137,7 +138,7 @@
 	model interfere.Model
 	// noFit has the shapes of tasks for which no worker was found, in this round of
 	// placement or recently.
-	noFit noFitCache
+	noFit nofit.Cache
 	// similarity caches the similarity of pairs of images for one round of placement.
 	similarity map[imagePair]float64
 	// modelSavedAt is when the model was last written; savingModel is set while a write of it
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -60,7 +60,7 @@
 func (ow *Owner) newPlacer() *placer {
 	pl := &placer{ow: ow, now: time.Now()}
 	clear(ow.similarity)
-	ow.noFit.startRound(pl.now, len(ow.workers))
+	ow.noFit.StartRound(pl.now, len(ow.workers))
 	var reserved, holds int64
 	workers := ow.sortedWorkers()
 	list := make([]candidate, len(workers))
--- a/internal/sched/rank.go
+++ b/internal/sched/rank.go
@@ -4,6 +4,7 @@
 	"container/heap"
 
 	"github.com/pepperhatch/pepperhatch/internal/job"
+	"github.com/pepperhatch/pepperhatch/internal/nofit"
 )
 
 // ranking orders the workers that can take a task of one step, the best first. The tasks of
@@ -35,33 +36,33 @@
 	st := &tj.jo.Spec.Steps[step]
 	rk := &ranking{pl: pl, tj: tj, step: step, st: st, selective: st.Filler && pl.selective(tj), interrupted: interrupted, cause: CauseRoom}
 	rk.respectsReservations = st.LongRunning && !interrupted && pl.ow.reservations.appliesTo(tj)
-	sh := shape{st: st, service: tj.jo.Terms.Service, selective: rk.selective, interrupted: interrupted, respectsReservations: rk.respectsReservations}
+	sh := nofit.Shape{Step: st, Service: tj.jo.Terms.Service, Selective: rk.selective, Interrupted: interrupted, RespectsReservations: rk.respectsReservations}
 	if st.MaxPerWorker > 0 {
 		rk.counts = tj.countBy(step)
 	}
 	rk.leaveHeadroom()
 	if rk.headroom != nil {
-		sh.headroom = rk.headroom.Need
+		sh.Headroom = rk.headroom.Need
 	}
-	if pl.ow.noFit.has(sh) {
+	if pl.ow.noFit.Has(sh) {
 		if st.Filler {
 			rk.cause = CausePlace
 		}
 		return rk
 	}
 	pl.ow.lag.tick.rated += int64(len(pl.candidates))
-	sh.lacksCapacity = true
+	sh.LacksCapacity = true
 	for _, ca := range pl.candidates {
 		if !ca.hasCapacity(st, interrupted) {
 			continue
 		}
-		sh.lacksCapacity = false
+		sh.LacksCapacity = false
 		if rk.accepts(ca) {
 			rk.heap = append(rk.heap, rating{ca: ca, score: ca.score(tj, st)})
 		}
 	}
 	if len(rk.heap) == 0 {
-		pl.ow.noFit.add(sh)
+		pl.ow.noFit.Add(sh)
 	}
 	heap.Init(&rk.heap)
 	return rk
