Move the statistics of queues out of sched

What a job is worth, and which sizes of jobs are served, depend only on works and outcomes, so they are package queuestats, with their tests.

--- a/internal/sched/sizeoutcomes.go
+++ b/internal/queuestats/outcomes.go
@@ -1,4 +1,4 @@
-package sched
+package queuestats
 
 import (
 	"cmp"
@@ -6,7 +6,7 @@
 	"slices"
 )
 
-// Parameters of sizeOutcomes.
+// Parameters of outcomes.
 const (
 	// outcomesKept is how many of a queue's last jobs are remembered, leastOutcomes from how many
 	// on they are judged: the largest tenth of fewer is one or two jobs.
@@ -22,62 +22,52 @@
 	neglectedRatio = 0.7
 )
 
-// jobOutcome is the work of a job, in thousandths of a core times milliseconds, and whether it was
+// Outcome is the work of a job, in thousandths of a core times milliseconds, and whether it was
 // served: that it ended while it was of value to its caller.
-type jobOutcome struct {
-	work   int64
-	served bool
+type Outcome struct {
+	Work   int64
+	Served bool
 }
 
-// sizeOutcomes remembers which of the last jobs of a queue were served. Where capacity is short, the
+// outcomes remembers which of the last jobs of a queue were served. Where capacity is short, the
 // order by cost serves most jobs, at the expense of the largest; these must not be served less than
 // half as often as all. The zero value remembers none.
-type sizeOutcomes struct {
-	list []jobOutcome
+type outcomes struct {
+	list []Outcome
 	next int
 }
 
 // add remembers an outcome in place of the oldest.
-func (so *sizeOutcomes) add(jo jobOutcome) {
-	if len(so.list) < outcomesKept {
-		so.list = append(so.list, jo)
+func (ou *outcomes) add(oc Outcome) {
+	if len(ou.list) < outcomesKept {
+		ou.list = append(ou.list, oc)
 		return
 	}
-	so.list[so.next] = jo
-	so.next = (so.next + 1) % outcomesKept
+	ou.list[ou.next] = oc
+	ou.next = (ou.next + 1) % outcomesKept
 }
 
 // neglectsLargest reports whether large jobs are served much less often than all.
-func (so *sizeOutcomes) neglectsLargest() bool {
-	n := len(so.list)
+func (ou *outcomes) neglectsLargest() bool {
+	n := len(ou.list)
 	if n < leastOutcomes {
 		return false
 	}
-	list := slices.Clone(so.list)
-	slices.SortFunc(list, func(a, b jobOutcome) int { return cmp.Compare(b.work, a.work) })
+	list := slices.Clone(ou.list)
+	slices.SortFunc(list, func(a, b Outcome) int { return cmp.Compare(b.Work, a.Work) })
 	largest := int(math.Ceil(largestPart * float64(n)))
 	large := largest + int(math.Ceil(largePart*float64(n)))
-	least := neglectedRatio * servedShare(list)
-	return servedShare(list[:largest]) < least || servedShare(list[largest:large]) < least
+	least := neglectedRatio * ServedShare(list)
+	return ServedShare(list[:largest]) < least || ServedShare(list[largest:large]) < least
 }
 
-// servedShare returns the share of jobs that were served.
-func servedShare(list []jobOutcome) float64 {
+// ServedShare returns the share of jobs that were served.
+func ServedShare(list []Outcome) float64 {
 	n := 0
-	for _, jo := range list {
-		if jo.served {
+	for _, oc := range list {
+		if oc.Served {
 			n++
 		}
 	}
 	return float64(n) / float64(len(list))
 }
-
-// recordOutcome remembers whether a job was served, once it is known. Long-running jobs have
-// none.
-func (tj *trackedJob) recordOutcome(served bool) {
-	if tj.outcomeKnown || tj.targetMS <= 0 || tj.jo.LongRunning() {
-		return
-	}
-	tj.outcomeKnown = true
-	tj.ow.statsOf(tj.jo.Terms.Queue).outcomes.add(jobOutcome{work: tj.work, served: served})
-}
--- a/internal/sched/admission.go
+++ b/internal/sched/admission.go
@@ -114,7 +114,7 @@
 func (ow *Owner) admissionWork(jo *job.Job) [2]admission.Work {
 	cost := 0.0
 	if ow.enabled(MechLeastWork) {
-		cost = float64(jo.RemainingWork()) / ow.statsOf(jo.Terms.Queue).value(jo.Work())
+		cost = float64(jo.RemainingWork()) / ow.statsOf(jo.Terms.Queue).Value(jo.Work())
 	}
 	var list [2]admission.Work
 	for ki := range list {
--- a/internal/sched/order.go
+++ b/internal/sched/order.go
@@ -5,6 +5,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/pepperhatch/pepperhatch/internal/queuestats"
 )
 
 // compareJobs compares by priority, then by feasibility, then by sort key.
@@ -79,8 +81,8 @@
 // queuesNeglectingLargest returns the queues whose large jobs are served much less often than all.
 func (ow *Owner) queuesNeglectingLargest() map[string]bool {
 	var queues map[string]bool
-	for queue, qs := range ow.queueStats {
-		if qs.outcomes.neglectsLargest() {
+	for queue, qu := range ow.queueStats {
+		if qu.NeglectsLargest() {
 			if queues == nil {
 				queues = map[string]bool{}
 			}
@@ -116,3 +118,34 @@
 
 // bySizePerTurn is how many jobs are taken in order of their cost for each one that takes a turn.
 const bySizePerTurn = 2
+
+// statsOf returns the statistics of a queue.
+func (ow *Owner) statsOf(queue string) *queuestats.Queue {
+	qu := ow.queueStats[queue]
+	if qu == nil {
+		qu = &queuestats.Queue{}
+		ow.queueStats[queue] = qu
+	}
+	return qu
+}
+
+// costPerValue returns the work that is left of the job for each unit of its value: jobs with the
+// lowest bring their callers most in the capacity that there is. That of long-running tasks is
+// unbounded, so among jobs of equal priority they are ordered by age: a short task that waits
+// behind them misses its target, while they lose only the time that they wait.
+func (tj *trackedJob) costPerValue() float64 {
+	if tj.jo.LongRunning() {
+		return math.Inf(1)
+	}
+	return float64(tj.jo.RemainingWork()) / tj.ow.statsOf(tj.jo.Terms.Queue).Value(tj.work)
+}
+
+// recordOutcome remembers whether a job was served, once it is known. Long-running jobs have
+// none.
+func (tj *trackedJob) recordOutcome(served bool) {
+	if tj.outcomeKnown || tj.targetMS <= 0 || tj.jo.LongRunning() {
+		return
+	}
+	tj.outcomeKnown = true
+	tj.ow.statsOf(tj.jo.Terms.Queue).RecordOutcome(tj.work, served)
+}
--- a/internal/sched/owner.go
+++ b/internal/sched/owner.go
@@ -32,6 +32,7 @@
 	"github.com/pepperhatch/pepperhatch/internal/interfere"
 	"github.com/pepperhatch/pepperhatch/internal/job"
 	"github.com/pepperhatch/pepperhatch/internal/nofit"
+	"github.com/pepperhatch/pepperhatch/internal/queuestats"
 	"github.com/pepperhatch/pepperhatch/internal/store"
 	"github.com/pepperhatch/pepperhatch/internal/telemetry"
 	"github.com/pepperhatch/pepperhatch/internal/tenure"
@@ -100,7 +101,7 @@
 	waitingJobs []*trackedJob
 	seq         int64
 	// queueStats has what is known of the jobs of each queue.
-	queueStats map[string]*queueStats
+	queueStats map[string]*queuestats.Queue
 	workers    map[worker.Incarnation]*workerState
 	// pathCount counts the paths to workers created so far.
 	pathCount int64
@@ -197,7 +198,7 @@
 	ow.events = make(chan event, maxEvents)
 	ow.ended = make(chan struct{})
 	ow.jobs = map[string]*trackedJob{}
-	ow.queueStats = map[string]*queueStats{}
+	ow.queueStats = map[string]*queuestats.Queue{}
 	ow.workers = map[worker.Incarnation]*workerState{}
 	ow.workersByAddr = map[string][]*workerState{}
 	ow.workersByID = map[string][]*workerState{}
--- a/internal/sched/trackedjob.go
+++ b/internal/sched/trackedjob.go
@@ -162,7 +162,7 @@
 	tj := &trackedJob{ow: ow, jo: jo, order: ow.seq, targetMS: jo.TargetDurationMS(), work: jo.Work(), sortKey: math.MaxInt, attempts: map[attemptKey]*attempt{}, acceptedAt: time.Now()}
 	ow.jobs[jo.ID] = tj
 	if !jo.LongRunning() && tj.work > 0 {
-		ow.statsOf(jo.Terms.Queue).add(tj.work)
+		ow.statsOf(jo.Terms.Queue).Add(tj.work)
 	}
 	return tj
 }
