--- a/internal/headroom/headroom_test.go
+++ b/internal/headroom/headroom_test.go
@@ -143,13 +143,8 @@
 			if se.Contains(i) && !more.Contains(i) {
 				rt.Fatalf("worker %d is not selected for more", i)
 			}
-			for j, other := range list {
-				if !se.Contains(i) || se.Contains(j) || other.unused() < max(lo.Task(), 1) {
-					continue
-				}
-				if wk.Cold && !other.Cold || wk.Cold == other.Cold && wk.unused() < other.unused() {
-					rt.Fatalf("worker %d is selected before %d: %+v of %+v", i, j, se, list)
-				}
+			if j := leftOut(list, se, wk, max(lo.Task(), 1)); se.Contains(i) && j >= 0 {
+				rt.Fatalf("worker %d is selected before %d: %+v of %+v", i, j, se, list)
 			}
 		}
 		if 2*selected > capacity || se.Workers > 0 && se.Covered-list[se.last].unused() >= int64(mean) {
@@ -158,6 +153,20 @@
 	})
 }
 
+// leftOut returns the index of a worker that could run a task and should be selected before another
+// one, but is not, or -1.
+func leftOut(list []Worker, se Selection, wk Worker, task int64) int {
+	for i, other := range list {
+		if se.Contains(i) || other.unused() < task {
+			continue
+		}
+		if wk.Cold && !other.Cold || wk.Cold == other.Cold && wk.unused() < other.unused() {
+			return i
+		}
+	}
+	return -1
+}
+
 // BenchmarkSelect measures a selection from as many workers as a cell may have.
 func BenchmarkSelect(b *testing.B) {
 	list := make([]Worker, 1000)
