--- a/internal/sched/answers_test.go
+++ b/internal/sched/answers_test.go
@@ -41,7 +41,7 @@
 		reply := make(chan [2]bool)
 		ow.post(func() {
 			wk := ow.sortedWorkers()[0]
-			reply <- [2]bool{wk.answers.missing(), wk.dataCentreAnswers().missing()}
+			reply <- [2]bool{wk.answers.Missing(), wk.dataCentreAnswers().Missing()}
 		})
 		qt.Check(t, <-reply, qt.Equals, [2]bool{})
 		qt.Check(t, launches, qt.Equals, 1)
--- a/internal/sched/owner.go
+++ b/internal/sched/owner.go
@@ -25,6 +25,7 @@
 	"sync"
 	"time"
 
+	"github.com/pepperhatch/pepperhatch/internal/answers"
 	"github.com/pepperhatch/pepperhatch/internal/clock"
 	"github.com/pepperhatch/pepperhatch/internal/congestion"
 	"github.com/pepperhatch/pepperhatch/internal/evacuation"
@@ -158,7 +159,7 @@
 	// dataCentreCapacity has the capacity by data centre and service.
 	dataCentreCapacity dataCentreCapacity
 	// answers has the last answer and the last order without one by data centre.
-	answers map[string]*answerRecord
+	answers map[string]*answers.Record
 	// reservations holds the capacity reserved for long-running tasks that are to restart.
 	reservations restartReservations
 	// stuckCheckedAt is when stuck tasks were last searched for.
@@ -204,7 +205,7 @@
 	ow.workersByID = map[string][]*workerState{}
 	ow.unowned = map[worker.Incarnation]int{}
 	ow.similarity = map[imagePair]float64{}
-	ow.answers = map[string]*answerRecord{}
+	ow.answers = map[string]*answers.Record{}
 	ow.evacuationMonitor = evacuation.Monitor{Metrics: ow.Metrics, Log: ow.Log}
 	return ow
 }
--- a/internal/sched/score.go
+++ b/internal/sched/score.go
@@ -21,7 +21,7 @@
 	if tj.failedOn[ca.wk.incarnation] {
 		score -= failedPenalty
 	}
-	if ca.wk.answers.missing() || ca.wk.dataCentreAnswers().missing() {
+	if ca.wk.answers.Missing() || ca.wk.dataCentreAnswers().Missing() {
 		score -= unansweredPenalty
 	}
 	if ca.slowdown > 0 {
--- a/internal/sched/workerstate.go
+++ b/internal/sched/workerstate.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pepperhatch/pepperhatch/internal/answers"
 	"github.com/pepperhatch/pepperhatch/internal/tenure"
 	"github.com/pepperhatch/pepperhatch/internal/worker"
 )
@@ -80,8 +81,8 @@
 	failingSince   time.Time
 	// answers has the last answer and the last order without one, dataCentre those of its data
 	// centre, nil if not looked up yet.
-	answers    answerRecord
-	dataCentre *answerRecord
+	answers    answers.Record
+	dataCentre *answers.Record
 	// unresponsive is set if polls fail because the first failed one timed out, rather than
 	// because the connection broke off.
 	unresponsive bool
