Move the measurement of waits beside free capacity out of sched

How a wait is measured and how users' checks are simulated is package capacitywait, with their tests. Which tasks wait and which workers have the capacity stays in sched.

--- a/internal/sched/visiblecapacity.go
+++ b/internal/sched/visiblecapacity.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/pepperhatch/pepperhatch/internal/capacitywait"
 	"github.com/pepperhatch/pepperhatch/internal/job"
 	"github.com/pepperhatch/pepperhatch/internal/telemetry"
 	"github.com/pepperhatch/pepperhatch/internal/worker"
@@ -20,29 +21,15 @@
 // which workers have capacity.
 const visibleCapacityLogInterval = time.Second
 
-// maxVisibleWorkers is the largest number of workers for which waits are recorded: for
-// capacity on at least one worker, and on at least two.
-const maxVisibleWorkers = 2
-
-// Users check at intervals whether an interrupted task runs, and miss it if each of several
-// checks in a row finds that it does not while two workers have the capacity. Such checks are
-// simulated with all phases, as it is not known when users check.
-const (
-	checkInterval = 1500 * time.Millisecond
-	checkPhases   = int(checkInterval / tickInterval)
-	// missedAfter is the number of checks in a row after which a task is missed.
-	missedAfter = 3
-)
-
 // visibleCapacity measures how long interrupted tasks wait while workers have the capacity for
 // them. The zero value is ready to use.
 type visibleCapacity struct {
-	waits    map[taskKey]*capacityWait
+	waits    map[taskKey]*capacitywait.Wait
 	loggedAt time.Time
 	// ended counts the waits that ended since loggedAt, endedLongest holds the longest of their
 	// times. missed counts the tasks missed since loggedAt, with each phase of the checks.
 	ended        int
-	endedLongest [maxVisibleWorkers]time.Duration
+	endedLongest [capacitywait.MaxWorkers]time.Duration
 	missed       int
 	// transit adds up since loggedAt.
 	transit transitSum
@@ -56,63 +43,6 @@
 
 func (tk taskKey) step() *job.Step { return &tk.tj.jo.Spec.Steps[tk.ref.Step] }
 
-// capacityWait is the wait of one interrupted task.
-type capacityWait struct {
-	seenAt time.Time
-	// since has at index n-1 since when at least n workers have had the capacity without
-	// interruption, or zero; longest has the longest such time.
-	since   [maxVisibleWorkers]time.Time
-	longest [maxVisibleWorkers]time.Duration
-	// checked numbers the last simulated check. found counts the checks in a row, with each
-	// phase, that found the capacity on two workers.
-	checked int64
-	found   [checkPhases]int
-}
-
-// record records that the given number of workers have the capacity now.
-func (cw *capacityWait) record(workers int, now time.Time) {
-	cw.seenAt = now
-	for i := range cw.since {
-		switch {
-		case workers <= i:
-			cw.since[i] = time.Time{}
-		case cw.since[i].IsZero():
-			cw.since[i] = now
-		default:
-			cw.longest[i] = max(cw.longest[i], now.Sub(cw.since[i]))
-		}
-	}
-}
-
-// check simulates the checks up to now and returns how many of them find that the task is
-// missed.
-func (cw *capacityWait) check(workers int, now time.Time) int {
-	missed, last := 0, now.UnixNano()/int64(tickInterval)
-	if last-cw.checked > int64(checkPhases) {
-		// This is the first check, or the first one after a pause of the owner.
-		cw.checked, cw.found = last-1, [checkPhases]int{}
-	}
-	for ; cw.checked < last; cw.checked++ {
-		found := &cw.found[(cw.checked+1)%int64(checkPhases)]
-		*found++
-		if workers < maxVisibleWorkers {
-			*found = 0
-		}
-		if *found == missedAfter {
-			missed++
-		}
-	}
-	return missed
-}
-
-// current returns for how long at least n workers have had the capacity without interruption.
-func (cw *capacityWait) current(n int, now time.Time) time.Duration {
-	if since := cw.since[n-1]; !since.IsZero() {
-		return now.Sub(since)
-	}
-	return 0
-}
-
 // measureVisibleCapacity measures the waits of the interrupted tasks that may start.
 func (ow *Owner) measureVisibleCapacity(now time.Time) {
 	vc := &ow.visibleCapacity
@@ -139,41 +69,37 @@
 func (ow *Owner) recordVisible(tk taskKey, workers int, now time.Time) {
 	vc := &ow.visibleCapacity
 	if vc.waits == nil {
-		vc.waits = map[taskKey]*capacityWait{}
-	}
-	cw := vc.waits[tk]
-	if cw == nil {
-		cw = &capacityWait{seenAt: now}
-		vc.waits[tk] = cw
+		vc.waits = map[taskKey]*capacitywait.Wait{}
 	}
-	if now.Sub(cw.seenAt) > checkInterval {
-		// The owner paused and does not know what it missed.
-		cw.seenAt, cw.since = now, [maxVisibleWorkers]time.Time{}
+	wa := vc.waits[tk]
+	if wa == nil {
+		wa = &capacitywait.Wait{}
+		vc.waits[tk] = wa
 	}
-	ow.Metrics.Add(telemetry.InterruptedTime, now.Sub(cw.seenAt).Milliseconds(), "workers", visibleNames[workers])
-	cw.record(workers, now)
-	if n := cw.check(workers, now); n > 0 {
-		vc.missed += n
-		ow.Metrics.Add(telemetry.InterruptedMissed, int64(n))
+	elapsed, missed := wa.Observe(workers, now)
+	ow.Metrics.Add(telemetry.InterruptedTime, elapsed.Milliseconds(), "workers", visibleNames[workers])
+	if missed > 0 {
+		vc.missed += missed
+		ow.Metrics.Add(telemetry.InterruptedMissed, int64(missed))
 	}
 }
 
 // visibleNames are the names of numbers of workers in metrics.
-var visibleNames = [maxVisibleWorkers + 1]string{"none", "one", "two"}
+var visibleNames = [capacitywait.MaxWorkers + 1]string{"none", "one", "two"}
 
 // endVisibleWaits passes the waits of the tasks that no longer wait to the metrics.
 func (ow *Owner) endVisibleWaits(now time.Time) {
 	vc := &ow.visibleCapacity
-	for tk, cw := range vc.waits {
-		if cw.seenAt.Equal(now) {
+	for tk, wa := range vc.waits {
+		if wa.ObservedAt().Equal(now) {
 			continue
 		}
 		delete(vc.waits, tk)
 		vc.ended++
-		for i, d := range cw.longest {
+		for i, d := range wa.Longest() {
 			vc.endedLongest[i] = max(vc.endedLongest[i], d)
 		}
-		for i, d := range cw.longest {
+		for i, d := range wa.Longest() {
 			ow.Metrics.Observe(telemetry.VisibleCapacityWait, d, "workers", visibleNames[i+1])
 		}
 	}
@@ -243,13 +169,13 @@
 	return sum
 }
 
-// countVisible counts the workers that have the capacity for a task, up to maxVisibleWorkers.
+// countVisible counts the workers that have the capacity for a task, up to capacitywait.MaxWorkers.
 func countVisible(workers []candidate, tk taskKey) int {
 	need := tk.step().Reserved()
 	n := 0
 	for i := range workers {
 		ca := &workers[i]
-		if n == maxVisibleWorkers || ca.free.MilliCores < need.MilliCores {
+		if n == capacitywait.MaxWorkers || ca.free.MilliCores < need.MilliCores {
 			break
 		}
 		if need.Fits(ca.free) && ca.allowed(tk.tj, tk.ref, tk.step()) {
@@ -279,21 +205,21 @@
 		attrs = append(attrs, ow.visibleAttrs(workers, longest, now)...)
 	}
 	ow.Log.LogAttrs(ow.ctx, slog.LevelInfo, "capacity for interrupted tasks", attrs...)
-	vc.loggedAt, vc.ended, vc.endedLongest, vc.missed, vc.transit = now, 0, [maxVisibleWorkers]time.Duration{}, 0, transitSum{}
+	vc.loggedAt, vc.ended, vc.endedLongest, vc.missed, vc.transit = now, 0, [capacitywait.MaxWorkers]time.Duration{}, 0, transitSum{}
 }
 
 // longestWait returns the task for which at least two workers have had the capacity for
 // longest, or else one worker, and the number of tasks for which any has it. The task is zero
 // if none has it for any.
 func (vc *visibleCapacity) longestWait(now time.Time) (longest taskKey, waiting int) {
-	var most capacityWait
-	for tk, cw := range vc.waits {
-		if cw.since[0].IsZero() {
+	most := &capacitywait.Wait{}
+	for tk, wa := range vc.waits {
+		if !wa.HasCapacity() {
 			continue
 		}
 		waiting++
-		if longest.tj == nil || cmp.Or(cmp.Compare(cw.current(2, now), most.current(2, now)), cmp.Compare(cw.current(1, now), most.current(1, now))) > 0 {
-			longest, most = tk, *cw
+		if longest.tj == nil || cmp.Or(cmp.Compare(wa.Current(2, now), most.Current(2, now)), cmp.Compare(wa.Current(1, now), most.Current(1, now))) > 0 {
+			longest, most = tk, wa
 		}
 	}
 	return longest, waiting
@@ -302,7 +228,7 @@
 // visibleAttrs returns the wait of a task, and why the owner passes over the workers that have
 // the capacity, as attributes of a log line.
 func (ow *Owner) visibleAttrs(workers []candidate, tk taskKey, now time.Time) []slog.Attr {
-	cw, need := ow.visibleCapacity.waits[tk], tk.step().Reserved()
+	wa, need := ow.visibleCapacity.waits[tk], tk.step().Reserved()
 	visible, usable, reasons := 0, 0, map[string]int{}
 	for i := range workers {
 		ca := &workers[i]
@@ -320,7 +246,7 @@
 	task := tk.tj.jo.Task(tk.ref)
 	return []slog.Attr{
 		slog.String("task", tk.tj.jo.TaskID(tk.ref)), slog.Int64("need_millicores", need.MilliCores), slog.Int64("need_mem_mb", need.MemMB),
-		slog.Duration("one", cw.current(1, now)), slog.Duration("two", cw.current(2, now)),
+		slog.Duration("one", wa.Current(1, now)), slog.Duration("two", wa.Current(2, now)),
 		slog.Bool("placed", task.State != job.Waiting), slog.Bool("suspect", task.Suspect()),
 		slog.Int("workers", visible), slog.Int("usable", usable), slog.String("barred", formatCounts(reasons)),
 	}
