Move the measurement of capacity in transit out of sched

Which end made the capacity for a start free, and the sums over starts, depend only on ends by a worker's clock, so they are package transit, with tests of their own; there were only those with an owner, which stay.

--- a/internal/sched/visiblecapacity.go
+++ b/internal/sched/visiblecapacity.go
@@ -9,6 +9,7 @@
 	"github.com/pepperhatch/pepperhatch/internal/capacitywait"
 	"github.com/pepperhatch/pepperhatch/internal/job"
 	"github.com/pepperhatch/pepperhatch/internal/telemetry"
+	"github.com/pepperhatch/pepperhatch/internal/transit"
 	"github.com/pepperhatch/pepperhatch/internal/worker"
 )
 
@@ -32,7 +33,7 @@
 	endedLongest [capacitywait.MaxWorkers]time.Duration
 	missed       int
 	// transit adds up since loggedAt.
-	transit transitSum
+	transit transit.Sum
 }
 
 // taskKey identifies a task of the cell.
@@ -192,7 +193,7 @@
 		return
 	}
 	longest, waiting := vc.longestWait(now)
-	if longest.tj == nil && vc.ended == 0 && vc.transit.starts == 0 {
+	if longest.tj == nil && vc.ended == 0 && vc.transit.Starts() == 0 {
 		return
 	}
 	attrs := []slog.Attr{
@@ -200,12 +201,12 @@
 		slog.Int("ended", vc.ended), slog.Duration("ended_one", vc.endedLongest[0]), slog.Duration("ended_two", vc.endedLongest[1]),
 		slog.Int("missed", vc.missed),
 	}
-	attrs = append(attrs, vc.transit.attrs(min(now.Sub(vc.loggedAt), maxTransitSpan))...)
+	attrs = append(attrs, vc.transit.Attrs(min(now.Sub(vc.loggedAt), maxTransitSpan))...)
 	if longest.tj != nil {
 		attrs = append(attrs, ow.visibleAttrs(workers, longest, now)...)
 	}
 	ow.Log.LogAttrs(ow.ctx, slog.LevelInfo, "capacity for interrupted tasks", attrs...)
-	vc.loggedAt, vc.ended, vc.endedLongest, vc.missed, vc.transit = now, 0, [capacitywait.MaxWorkers]time.Duration{}, 0, transitSum{}
+	vc.loggedAt, vc.ended, vc.endedLongest, vc.missed, vc.transit = now, 0, [capacitywait.MaxWorkers]time.Duration{}, 0, transit.Sum{}
 }
 
 // longestWait returns the task for which at least two workers have had the capacity for
--- a/internal/sched/workerstate.go
+++ b/internal/sched/workerstate.go
@@ -10,6 +10,7 @@
 
 	"github.com/pepperhatch/pepperhatch/internal/answers"
 	"github.com/pepperhatch/pepperhatch/internal/tenure"
+	"github.com/pepperhatch/pepperhatch/internal/transit"
 	"github.com/pepperhatch/pepperhatch/internal/worker"
 )
 
@@ -122,7 +123,7 @@
 	// launchesDeferred counts the launches that were deferred for the worker.
 	launchesDeferred int64
 	// freed has the latest ends, for the measurement of capacity in transit.
-	freed freedList
+	freed transit.Ends
 	// restartReserved is the capacity reserved for interrupted long-running tasks.
 	restartReserved worker.Resources
 	// restartReady is set if some of these tasks may start now; the worker is then earmarked.
