--- /dev/null
+++ b/internal/looplag/looplag.go
@@ -0,0 +1,125 @@
+// Package looplag measures how far an event loop is behind: how long events wait for it, how long
+// changes wait until they are durable, and how much work it does.
+//
+// It knows the longest waits only. An event that is still queued counts once it is handled, so a loop
+// that stands still is not reported until it goes on.
+package looplag
+
+import "time"
+
+// Limits on the reports of a loop that falls behind.
+const (
+	// eventsBehindAfter is the wait of an event for the loop from which the loop counts as
+	// behind, changesBehindAfter the wait of a job's change until it is durable.
+	eventsBehindAfter  = 25 * time.Millisecond
+	changesBehindAfter = 100 * time.Millisecond
+	// logInterval is the least time between two log lines about a loop that is behind.
+	logInterval = time.Second
+)
+
+// Workload counts the loop's work, and holds the longest waits, over some time.
+type Workload struct {
+	// EventWait is the longest wait of an event for the loop, ChangeWait the longest time from
+	// a job's change to the end of the write that includes it.
+	EventWait, ChangeWait time.Duration
+	// Events, Rounds and Rated count events, placement rounds, and the workers rated in them.
+	Events, Rounds, Rated int64
+	// Writes counts completed writes, Written the jobs in them.
+	Writes, Written int64
+}
+
+func (wl Workload) plus(other Workload) Workload {
+	return Workload{
+		EventWait: max(wl.EventWait, other.EventWait), ChangeWait: max(wl.ChangeWait, other.ChangeWait),
+		Events: wl.Events + other.Events, Rounds: wl.Rounds + other.Rounds, Rated: wl.Rated + other.Rated,
+		Writes: wl.Writes + other.Writes, Written: wl.Written + other.Written,
+	}
+}
+
+func (wl Workload) behind() bool {
+	return wl.EventWait >= eventsBehindAfter || wl.ChangeWait >= changesBehindAfter
+}
+
+// Meter measures a loop. Its zero value is ready to use.
+type Meter struct {
+	// tick is the workload since the last tick, sinceLog that of the ticks since loggedAt.
+	tick, sinceLog Workload
+	loggedAt       time.Time
+	// behindSince is when the loop was first reported as behind, or zero once it keeps up.
+	behindSince time.Time
+}
+
+// RecordEvent records that an event waited for the given time.
+func (me *Meter) RecordEvent(wait time.Duration) {
+	me.tick.Events++
+	me.tick.EventWait = max(me.tick.EventWait, wait)
+}
+
+// RecordRound records a placement round.
+func (me *Meter) RecordRound() { me.tick.Rounds++ }
+
+// RecordRated records that workers were rated.
+func (me *Meter) RecordRated(workers int) { me.tick.Rated += int64(workers) }
+
+// RecordWrite records that a write of the given number of jobs has ended.
+func (me *Meter) RecordWrite(jobs int) {
+	me.tick.Writes++
+	me.tick.Written += int64(jobs)
+}
+
+// RecordChange records that a change waited for the given time until it was durable.
+func (me *Meter) RecordChange(wait time.Duration) {
+	me.tick.ChangeWait = max(me.tick.ChangeWait, wait)
+}
+
+// Current returns the workload since the last tick.
+func (me *Meter) Current() Workload { return me.tick }
+
+// State is what is to be logged about a loop.
+type State int
+
+// States of a loop.
+const (
+	// Unchanged: there is nothing to log.
+	Unchanged State = iota
+	// Behind: the loop is behind.
+	Behind
+	// CaughtUp: the loop keeps up again.
+	CaughtUp
+)
+
+// Report is what is to be logged about a loop.
+type Report struct {
+	State State
+	// Workload is that since the last report, Over the time for which it counts, 0 if this is
+	// the first report.
+	Workload Workload
+	Over     time.Duration
+	// BehindFor is how long the loop was behind, if it keeps up again.
+	BehindFor time.Duration
+}
+
+// Tick returns the workload since the last tick, and what is to be logged.
+func (me *Meter) Tick(now time.Time) (Workload, Report) {
+	wl := me.tick
+	me.tick, me.sinceLog = Workload{}, me.sinceLog.plus(wl)
+	if now.Sub(me.loggedAt) < logInterval {
+		return wl, Report{}
+	}
+	re := Report{Workload: me.sinceLog}
+	if !me.loggedAt.IsZero() {
+		re.Over = now.Sub(me.loggedAt)
+	}
+	switch {
+	case me.sinceLog.behind():
+		if me.behindSince.IsZero() {
+			me.behindSince = now
+		}
+		re.State = Behind
+	case !me.behindSince.IsZero():
+		re.State, re.BehindFor = CaughtUp, now.Sub(me.behindSince)
+		me.behindSince = time.Time{}
+	}
+	me.loggedAt, me.sinceLog = now, Workload{}
+	return wl, re
+}
--- a/internal/sched/commit.go
+++ b/internal/sched/commit.go
@@ -229,7 +229,7 @@
 		ow.writesFailingSince = time.Time{}
 	}
 	ow.Metrics.Add(telemetry.CellWrites, 1, "outcome", "done")
-	ow.lag.recordWrite(wr, time.Now())
+	ow.recordWrite(wr, time.Now())
 	for _, jw := range wr.jobs {
 		jw.tj.writing = false
 		jw.tj.progressVersion = version
--- a/internal/sched/nofit_test.go
+++ b/internal/sched/nofit_test.go
@@ -21,9 +21,9 @@
 		time.Sleep(time.Second)
 		rated := make(chan int64)
 		ow.post(func() {
-			before := ow.lag.tick.rated
+			before := ow.lag.Current().Rated
 			ow.place()
-			rated <- ow.lag.tick.rated - before
+			rated <- ow.lag.Current().Rated - before
 		})
 		qt.Check(t, <-rated, qt.Equals, int64(len(la.fleetWorkers)))
 	})
--- a/internal/sched/owner.go
+++ b/internal/sched/owner.go
@@ -32,6 +32,7 @@
 	"github.com/pepperhatch/pepperhatch/internal/headroom"
 	"github.com/pepperhatch/pepperhatch/internal/interfere"
 	"github.com/pepperhatch/pepperhatch/internal/job"
+	"github.com/pepperhatch/pepperhatch/internal/looplag"
 	"github.com/pepperhatch/pepperhatch/internal/nofit"
 	"github.com/pepperhatch/pepperhatch/internal/queuestats"
 	"github.com/pepperhatch/pepperhatch/internal/store"
@@ -173,7 +174,7 @@
 	evacuated         evacuation.Set
 	evacuationMonitor evacuation.Monitor
 	// lag measures how far the owner is behind.
-	lag loopLag
+	lag looplag.Meter
 	// visibleCapacity measures how long interrupted tasks wait while workers have capacity.
 	visibleCapacity visibleCapacity
 	// admission decides which submitted jobs are accepted.
@@ -269,7 +270,7 @@
 }
 
 func (ow *Owner) handle(ev event) {
-	ow.lag.recordEvent(ev, time.Now())
+	ow.lag.RecordEvent(time.Since(ev.queuedAt))
 	ev.fn()
 }
 
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -21,7 +21,7 @@
 		return
 	}
 	ow.placementRounds++
-	ow.lag.tick.rounds++
+	ow.lag.RecordRound()
 	ow.Metrics.Add(telemetry.PlacementRounds, 1)
 	pl := ow.newPlacer()
 	for jobs := slices.Clone(ow.waitingJobs); len(jobs) > 0; {
--- a/internal/sched/rank.go
+++ b/internal/sched/rank.go
@@ -50,7 +50,7 @@
 		}
 		return rk
 	}
-	pl.ow.lag.tick.rated += int64(len(pl.candidates))
+	pl.ow.lag.RecordRated(len(pl.candidates))
 	sh.LacksCapacity = true
 	for _, ca := range pl.candidates {
 		if !ca.hasCapacity(st, interrupted) {
