--- a/internal/sched/copies.go
+++ b/internal/sched/copies.go
@@ -18,7 +18,7 @@
 
 // startCopies starts second attempts of tasks that are late.
 func (ow *Owner) startCopies(now time.Time) {
-	if now.Sub(ow.copiesDecidedAt) < copiesInterval || !ow.enabled(MechCopies) || ow.storeDown() || ow.window.full() {
+	if now.Sub(ow.copiesDecidedAt) < copiesInterval || !ow.enabled(MechCopies) || ow.storeDown() || ow.window.Full() {
 		return
 	}
 	ow.copiesDecidedAt = now
@@ -42,7 +42,7 @@
 	}
 	pl := ow.newPlacer()
 	for _, ch := range plan.Choices {
-		if ow.window.full() {
+		if ow.window.Full() {
 			return
 		}
 		key := attemptRef{ch.Attempt.Job, job.TaskRef{Step: ch.Attempt.Step, Index: ch.Attempt.Index}}
@@ -200,7 +200,7 @@
 			if !st.Reserved().Fits(ca.free) || !ca.allowed(tj, ref, st) {
 				continue
 			}
-			if tj.countWaiting(step, func(ref job.TaskRef) bool { return !tj.backoffs.active(ref, pl.now) }) > 0 {
+			if tj.countWaiting(step, func(ref job.TaskRef) bool { return !tj.backoffs.Active(ref, pl.now) }) > 0 {
 				return true
 			}
 		}
--- a/internal/sched/owner.go
+++ b/internal/sched/owner.go
@@ -25,11 +25,16 @@
 	"sync"
 	"time"
 
+	"github.com/pepperhatch/pepperhatch/internal/answers"
 	"github.com/pepperhatch/pepperhatch/internal/clock"
+	"github.com/pepperhatch/pepperhatch/internal/congestion"
 	"github.com/pepperhatch/pepperhatch/internal/evacuation"
 	"github.com/pepperhatch/pepperhatch/internal/headroom"
 	"github.com/pepperhatch/pepperhatch/internal/interfere"
 	"github.com/pepperhatch/pepperhatch/internal/job"
+	"github.com/pepperhatch/pepperhatch/internal/looplag"
+	"github.com/pepperhatch/pepperhatch/internal/nofit"
+	"github.com/pepperhatch/pepperhatch/internal/queuestats"
 	"github.com/pepperhatch/pepperhatch/internal/store"
 	"github.com/pepperhatch/pepperhatch/internal/telemetry"
 	"github.com/pepperhatch/pepperhatch/internal/tenure"
@@ -98,7 +103,7 @@
 	waitingJobs []*trackedJob
 	seq         int64
 	// queueStats has what is known of the jobs of each queue.
-	queueStats map[string]*queueStats
+	queueStats map[string]*queuestats.Queue
 	workers    map[worker.Incarnation]*workerState
 	// pathCount counts the paths to workers created so far.
 	pathCount int64
@@ -121,7 +126,7 @@
 	writeMarkVersion int64
 	writeCount       int64
 	// window bounds the starts in flight.
-	window startWindow
+	window congestion.Window
 	// writesFailingSince is the start of the first of the writes that have failed in a row,
 	// or zero while writes succeed.
 	writesFailingSince time.Time
@@ -136,7 +141,7 @@
 	model interfere.Model
 	// noFit has the shapes of tasks for which no worker was found, in this round of
 	// placement or recently.
-	noFit noFitCache
+	noFit nofit.Cache
 	// similarity caches the similarity of pairs of images for one round of placement.
 	similarity map[imagePair]float64
 	// modelSavedAt is when the model was last written; savingModel is set while a write of it
@@ -157,7 +162,7 @@
 	// dataCentreCapacity has the capacity by data centre and service.
 	dataCentreCapacity dataCentreCapacity
 	// answers has the last answer and the last order without one by data centre.
-	answers map[string]*answerRecord
+	answers map[string]*answers.Record
 	// reservations holds the capacity reserved for long-running tasks that are to restart.
 	reservations restartReservations
 	// stuckCheckedAt is when stuck tasks were last searched for.
@@ -171,7 +176,7 @@
 	evacuated         evacuation.Set
 	evacuationMonitor evacuation.Monitor
 	// lag measures how far the owner is behind.
-	lag loopLag
+	lag looplag.Meter
 	// visibleCapacity measures how long interrupted tasks wait while workers have capacity.
 	visibleCapacity visibleCapacity
 	// admission decides which submitted jobs are accepted.
@@ -197,13 +202,13 @@
 	ow.events = make(chan event, maxEvents)
 	ow.ended = make(chan struct{})
 	ow.jobs = map[string]*trackedJob{}
-	ow.queueStats = map[string]*queueStats{}
+	ow.queueStats = map[string]*queuestats.Queue{}
 	ow.workers = map[worker.Incarnation]*workerState{}
 	ow.workersByAddr = map[string][]*workerState{}
 	ow.workersByID = map[string][]*workerState{}
 	ow.unowned = map[worker.Incarnation]int{}
 	ow.similarity = map[imagePair]float64{}
-	ow.answers = map[string]*answerRecord{}
+	ow.answers = map[string]*answers.Record{}
 	ow.evacuationMonitor = evacuation.Monitor{Metrics: ow.Metrics, Log: ow.Log}
 	return ow
 }
@@ -239,7 +244,7 @@
 			ow.drainEvents()
 		}
 		// Starts placed during a write have to wait for its end anyway.
-		if ow.placementDue && ow.writesInFlight < maxConcurrentWrites && !ow.window.full() {
+		if ow.placementDue && ow.writesInFlight < maxConcurrentWrites && !ow.window.Full() {
 			ow.place()
 		}
 		ow.flush()
@@ -267,7 +272,7 @@
 }
 
 func (ow *Owner) handle(ev event) {
-	ow.lag.recordEvent(ev, time.Now())
+	ow.lag.RecordEvent(time.Since(ev.queuedAt))
 	ev.fn()
 }
 
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -21,7 +21,7 @@
 		return
 	}
 	ow.placementRounds++
-	ow.lag.tick.rounds++
+	ow.lag.RecordRound()
 	ow.Metrics.Add(telemetry.PlacementRounds, 1)
 	pl := ow.newPlacer()
 	for jobs := slices.Clone(ow.waitingJobs); len(jobs) > 0; {
@@ -45,7 +45,7 @@
 // placeJobs places the waiting tasks of the jobs, in their order.
 func (pl *placer) placeJobs(list []*trackedJob) {
 	for _, tj := range list {
-		if pl.ow.window.full() {
+		if pl.ow.window.Full() {
 			// The next round continues once some launches have been answered.
 			pl.ow.placementDue = true
 			tj.waitCause = CauseOrder
@@ -60,7 +60,7 @@
 func (ow *Owner) newPlacer() *placer {
 	pl := &placer{ow: ow, now: time.Now()}
 	clear(ow.similarity)
-	ow.noFit.startRound(pl.now, len(ow.workers))
+	ow.noFit.StartRound(pl.now, len(ow.workers))
 	var reserved, holds int64
 	workers := ow.sortedWorkers()
 	list := make([]candidate, len(workers))
@@ -171,11 +171,11 @@
 		if ta.State != job.Waiting || tj.interrupted(ref) != interrupted {
 			continue
 		}
-		if tj.backoffs.active(ref, pl.now) {
+		if tj.backoffs.Active(ref, pl.now) {
 			tj.waitCause = CauseBackoff
 			continue
 		}
-		if pl.ow.window.full() {
+		if pl.ow.window.Full() {
 			tj.waitCause = CauseOrder
 			return
 		}
--- a/internal/sched/workerstate.go
+++ b/internal/sched/workerstate.go
@@ -8,7 +8,9 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pepperhatch/pepperhatch/internal/answers"
 	"github.com/pepperhatch/pepperhatch/internal/tenure"
+	"github.com/pepperhatch/pepperhatch/internal/transit"
 	"github.com/pepperhatch/pepperhatch/internal/worker"
 )
 
@@ -80,8 +82,8 @@
 	failingSince   time.Time
 	// answers has the last answer and the last order without one, dataCentre those of its data
 	// centre, nil if not looked up yet.
-	answers    answerRecord
-	dataCentre *answerRecord
+	answers    answers.Record
+	dataCentre *answers.Record
 	// unresponsive is set if polls fail because the first failed one timed out, rather than
 	// because the connection broke off.
 	unresponsive bool
@@ -121,7 +123,7 @@
 	// launchesDeferred counts the launches that were deferred for the worker.
 	launchesDeferred int64
 	// freed has the latest ends, for the measurement of capacity in transit.
-	freed freedList
+	freed transit.Ends
 	// restartReserved is the capacity reserved for interrupted long-running tasks.
 	restartReserved worker.Resources
 	// restartReady is set if some of these tasks may start now; the worker is then earmarked.
