Do not repeat lost orders to move for an evacuation

A poll that still lists an attempt which was ordered to stop repeats the order. For a task that moves because of an evacuation this ignored what the move depends on: the request may have been withdrawn since, or other tasks of the step have become unavailable. Such an order now counts as lost once a poll lists the attempt after the time to stop, and the task is selected anew. Until then the task counts as unavailable, not only for a fixed time.

Run: go test -run 'TestMove|Evacuat|ColdWorkers' ./internal/sched passes; TestMoveWhoseOrderIsLost fails without the change.

--- a/internal/sched/attempt.go
+++ b/internal/sched/attempt.go
@@ -49,6 +49,9 @@
 	// the order was sent again.
 	haltSentAt   time.Time
 	haltRepeated bool
+	// moving is set if it was ordered to stop only because its data centre is evacuated. Such an
+	// order is not repeated, as what it depends on may have changed.
+	moving bool
 	// superseded is set once it is durable that another attempt has completed the task.
 	superseded bool
 	// progress is its last reported progress, in percent. usage is the last reported usage: the
--- a/internal/sched/evacuate.go
+++ b/internal/sched/evacuate.go
@@ -95,7 +95,7 @@
 		case stopAll:
 			em.ow.halt(at, "its worker leaves")
 		case !at.step().LongRunning || at.stopping(em.now):
-		case cause != reasonEvacuated || at.serves(em.now):
+		case cause != reasonEvacuated || at.serves():
 			ta := evacuation.Task{Need: at.step().Reserved(), Step: em.step(at), Leaving: cause != reasonEvacuated}
 			ta.Contended = !ta.Leaving && em.isContended(wk.Service)
 			em.tasks = append(em.tasks, ta)
@@ -117,7 +117,7 @@
 	key := longRunningStep{at.tj, at.ref.Step}
 	st := em.steps[key]
 	if st == nil {
-		st = at.tj.evacuationStep(at.ref.Step, em.now)
+		st = at.tj.evacuationStep(at.ref.Step)
 		if em.steps == nil {
 			em.steps = map[longRunningStep]*evacuation.Step{}
 		}
@@ -155,6 +155,7 @@
 		why = "its data centre is evacuated and another worker has capacity"
 	}
 	em.ow.halt(at, why)
+	at.moving = cause == reasonEvacuated
 }
 
 // placer returns a placer from whose free capacity that of the tasks which are being stopped or
--- a/internal/sched/evacuated.go
+++ b/internal/sched/evacuated.go
@@ -70,22 +70,22 @@
 }
 
 // evacuationStep returns the state of a long-running step for a choice of tasks to move.
-func (tj *trackedJob) evacuationStep(step int, now time.Time) *evacuation.Step {
+func (tj *trackedJob) evacuationStep(step int) *evacuation.Step {
 	st := &tj.jo.Spec.Steps[step]
 	serving := 0
 	for key, at := range tj.attempts {
-		if key.ref.Step == step && at.serves(now) {
+		if key.ref.Step == step && at.serves() {
 			serving++
 		}
 	}
 	return &evacuation.Step{MaxUnavailable: st.MaxUnavailable, Unavailable: st.Tasks - serving}
 }
 
-// serves reports whether a long-running attempt serves requests, as far as is known, and is not
-// being stopped.
-func (at *attempt) serves(now time.Time) bool {
+// serves reports whether a long-running attempt serves requests, as far as is known, and was not
+// ordered to stop.
+func (at *attempt) serves() bool {
 	const serving = 100
-	return !at.launchedAt.IsZero() && at.progress >= serving && !at.stopping(now) && at.wk.settled && at.wk.failingSince.IsZero()
+	return !at.launchedAt.IsZero() && at.progress >= serving && at.haltSentAt.IsZero() && at.wk.settled && at.wk.failingSince.IsZero()
 }
 
 // contendedServices returns the services with tasks that wait for capacity, apart from fillers,
--- a/internal/sched/evacuated_test.go
+++ b/internal/sched/evacuated_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -233,3 +234,45 @@
 		la.assertStarts(4, 16)
 	})
 }
+
+// TestMoveWhoseOrderIsLost guards against an order to move that is repeated although the request
+// was withdrawn, and against a task that is not moved as the first order was lost.
+func TestMoveWhoseOrderIsLost(t *testing.T) {
+	for _, withdrawn := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			la := newLab(t, 3)
+			la.fleet.RunFunc = runUntilStopped
+			var orders atomic.Int64
+			la.wrapAgentFunc = func(ag worker.Agent) worker.Agent {
+				halt := ag.HaltFunc
+				ag.HaltFunc = func(ctx context.Context, ad worker.Addr, ha worker.Halt) (worker.Ack, error) {
+					if orders.Add(1) == 1 {
+						return worker.Ack{}, errors.New("lost")
+					}
+					return halt(ctx, ad, ha)
+				}
+				return ag
+			}
+			ow, end := la.startOwner()
+			defer end()
+			ow.SetWorkers(la.workerEntries()[:1], nil, true)
+			time.Sleep(time.Second)
+			la.submit(ow, 1, longRunning(1))
+			time.Sleep(time.Second)
+			ow.SetWorkers(la.workerEntries(), nil, true)
+			time.Sleep(500 * time.Millisecond)
+			la.evacuate(ow, evacuation.Set{}.With("d0"))
+			time.Sleep(500 * time.Millisecond)
+			if withdrawn {
+				la.evacuate(ow, evacuation.Set{})
+			}
+			time.Sleep(5 * time.Second)
+			want := []int{1, 1}
+			if withdrawn {
+				want = []int{1, 0}
+			}
+			la.assertStarts(want...)
+			qt.Check(t, la.runningOfJob(1), qt.Equals, 1)
+		})
+	}
+}
--- a/internal/sched/polls.go
+++ b/internal/sched/polls.go
@@ -326,7 +326,12 @@
 		case at.tj.jo.State().Final() && !at.tj.isDone(at.ref):
 			wk.ow.halt(at, "still running after the end of its job")
 		}
-		if !at.haltSentAt.IsZero() {
+		switch {
+		case at.haltSentAt.IsZero() || (at.moving && at.stopping(got)):
+		case at.moving:
+			// The order is lost, so the attempt serves again.
+			at.haltSentAt, at.moving = time.Time{}, false
+		default:
 			wk.ow.halt(at, "still running after it was ordered to stop")
 		}
 		if at.stalled(got) {
