Move no tasks for an evacuation while the store is unhealthy

Moves stopped only once writes had failed for 0.3 s. In a cell without writes nothing fails, so the first tasks to move were stopped during an outage of the store and could not start again until its end. They now wait while the heartbeat, the confirmation of the tenure or the list of workers is overdue, or a write fails.

Run: go test -run 'TestNoMove|TestMoveW|Evacuat|ColdWorkers' ./internal/sched passes; TestNoMoveWhileStoreDoesNotServe fails without the change.

--- a/internal/sched/evacuate.go
+++ b/internal/sched/evacuate.go
@@ -26,7 +26,7 @@
 	if ow.storeDown() {
 		return
 	}
-	em := emptying{ow: ow, now: now}
+	em := emptying{ow: ow, now: now, storeUnhealthy: ow.storeUnhealthy(now)}
 	for _, wk := range ow.sortedWorkers() {
 		if cause := wk.evacuationReason(now); cause != "" {
 			em.workers = append(em.workers, wk)
@@ -69,6 +69,9 @@
 type emptying struct {
 	ow  *Owner
 	now time.Time
+	// storeUnhealthy is set while the store does not serve the owner. A task that moves because of
+	// a request has time to wait until it may start again.
+	storeUnhealthy bool
 	// workers are the workers to be evacuated.
 	workers []*workerState
 	// tasks are the long-running tasks there that may be moved now, attempts has their attempts
@@ -95,7 +98,7 @@
 		case stopAll:
 			em.ow.halt(at, "its worker leaves")
 		case !at.step().LongRunning || at.stopping(em.now):
-		case cause != reasonEvacuated || at.serves():
+		case cause != reasonEvacuated || (at.serves() && !em.storeUnhealthy):
 			ta := evacuation.Task{Need: at.step().Reserved(), Step: em.step(at), Leaving: cause != reasonEvacuated}
 			ta.Contended = !ta.Leaving && em.isContended(wk.Service)
 			em.tasks = append(em.tasks, ta)
--- a/internal/sched/evacuated_test.go
+++ b/internal/sched/evacuated_test.go
@@ -276,3 +276,35 @@
 		})
 	}
 }
+
+// TestNoMoveWhileStoreDoesNotServe guards against tasks that are stopped while they may not start
+// again, as the store does not serve the owner.
+func TestNoMoveWhileStoreDoesNotServe(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		la := newLab(t, 2)
+		la.fleet.RunFunc = runUntilStopped
+		var lost atomic.Pointer[time.Time]
+		la.writtenFunc = func() time.Time {
+			if at := lost.Load(); at != nil {
+				return *at
+			}
+			return time.Now()
+		}
+		ow, end := la.startOwner()
+		defer end()
+		ow.SetWorkers(la.workerEntries()[:1], nil, true)
+		time.Sleep(time.Second)
+		la.submit(ow, 1, longRunning(1))
+		time.Sleep(time.Second)
+		ow.SetWorkers(la.workerEntries(), nil, true)
+		now := time.Now()
+		lost.Store(&now)
+		time.Sleep(5 * time.Second)
+		la.evacuate(ow, evacuation.Set{}.With("d0"))
+		time.Sleep(2 * time.Second)
+		la.assertStarts(1, 0)
+		lost.Store(nil)
+		time.Sleep(2 * time.Second)
+		la.assertStarts(1, 1)
+	})
+}
