Count tasks per worker when capacity is reserved for moves

Two tasks of a step that allows one of them per worker were both stopped to move to the same worker, and one of them then found no place. The reservations of a tick now count toward the limit.

Run: go test -run 'TestMove|TestNoMove|Evacuat|Drain|Unlisted|Cold' ./internal/sched passes; TestMovesLeaveRoomPerWorker fails without the change.

--- a/internal/sched/evacuate.go
+++ b/internal/sched/evacuate.go
@@ -209,15 +209,27 @@
 	return pl.reserve(at.tj, at.ref, func(ca *candidate) bool { return ca.wk != at.wk && !ca.cold })
 }
 
+// stepOnWorker is a step of long-running tasks on one worker.
+type stepOnWorker struct {
+	longRunningStep
+
+	wk *workerState
+}
+
 // reserve reserves capacity for a task on a worker that qualifies, and reports whether there was
 // any.
 func (pl *placer) reserve(tj *trackedJob, ref job.TaskRef, qualifies func(*candidate) bool) bool {
 	st := &tj.jo.Spec.Steps[ref.Step]
 	for _, ca := range pl.candidates {
-		if !qualifies(ca) || !ca.fits(tj, ref, st) {
+		key := stepOnWorker{longRunningStep{tj, ref.Step}, ca.wk}
+		if !qualifies(ca) || !ca.fits(tj, ref, st) || (st.MaxPerWorker > 0 && tj.countAt(ref.Step, ca.wk)+pl.reservedFor[key] >= st.MaxPerWorker) {
 			continue
 		}
 		ca.free = ca.free.Sub(st.Reserved())
+		if pl.reservedFor == nil {
+			pl.reservedFor = map[stepOnWorker]int{}
+		}
+		pl.reservedFor[key]++
 		return true
 	}
 	return false
--- a/internal/sched/evacuated_test.go
+++ b/internal/sched/evacuated_test.go
@@ -308,3 +308,27 @@
 		la.assertStarts(1, 1)
 	})
 }
+
+// TestMovesLeaveRoomPerWorker guards against tasks that are stopped for the same place on a worker
+// that may run only one of their step.
+func TestMovesLeaveRoomPerWorker(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		la := newLab(t, 3)
+		la.fleet.RunFunc = runUntilStopped
+		ow, end := la.startOwner()
+		defer end()
+		list := la.workerEntries()
+		ow.SetWorkers([]WorkerEntry{list[0], list[2]}, nil, true)
+		time.Sleep(time.Second)
+		sp := longRunning(2)
+		sp.Steps[0].MaxPerWorker, sp.Steps[0].MaxUnavailable = 1, 2
+		la.submit(ow, 1, sp)
+		time.Sleep(time.Second)
+		ow.SetWorkers(list, nil, true)
+		time.Sleep(500 * time.Millisecond)
+		la.evacuate(ow, evacuation.Set{}.With("d0"))
+		time.Sleep(5 * time.Second)
+		la.assertStarts(2, 1)
+		qt.Check(t, la.runningOfJob(1), qt.Equals, 2)
+	})
+}
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -148,6 +148,8 @@
 	stopsFound bool
 	// headrooms has the headroom that new long-running tasks leave, by service and priority.
 	headrooms map[headroom.Key]*headroomPlan
+	// reservedFor counts the tasks for which reserve reserved capacity.
+	reservedFor map[stepOnWorker]int
 	// claimedPriority is the priority up to which capacity that is being freed is kept for jobs
 	// of higher ones.
 	claimedPriority int
