Start no copies on cold workers

A copy is to end before the first attempt does, and a worker that is cold gets only what no warm one can take. Copies were placed there if it was the best worker left.

Run: go test -run 'TestColdWorkersGetNo|Cop' ./internal/sched passes; TestColdWorkersGetNoCopies fails without the change.

--- a/internal/sched/copies.go
+++ b/internal/sched/copies.go
@@ -128,7 +128,7 @@
 	return jo
 }
 
-// startCopy places a second attempt of a task on a healthy worker, if one has capacity that no
+// startCopy places a second attempt of a task on a healthy, warm worker, if one has capacity that no
 // waiting task needs.
 func (pl *placer) startCopy(first *attempt, plan *copies.Plan, ch copies.Choice) {
 	tj, ref := first.tj, first.ref
@@ -136,7 +136,7 @@
 	var best *candidate
 	var bestScore float64
 	for _, ca := range pl.candidates {
-		if ca.wk.incarnation.ID == first.wk.incarnation.ID || !ca.fits(tj, ref, st) || !plan.Healthy(ca.wk.incarnation.String()) {
+		if ca.cold || ca.wk.incarnation.ID == first.wk.incarnation.ID || !ca.fits(tj, ref, st) || !plan.Healthy(ca.wk.incarnation.String()) {
 			continue
 		}
 		if score := ca.score(tj, st); (best == nil || score > bestScore) && !pl.neededByWaiting(ca, tj.jo.Terms.Priority) {
--- a/internal/sched/evacuated_test.go
+++ b/internal/sched/evacuated_test.go
@@ -235,6 +235,22 @@
 	})
 }
 
+// TestColdWorkersGetNoCopies guards against second attempts on workers that are slow for a while.
+func TestColdWorkersGetNoCopies(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cl := newCopyLab(t, 1, map[int]time.Duration{1: 5 * time.Second, 2: time.Second}, "done")
+		defer func() { cl.end() }()
+		list := cl.workerEntries()
+		for i := range list {
+			list[i].ColdRemaining = time.Hour
+		}
+		cl.ow.SetWorkers(list, nil, true)
+		cl.copyTask()
+		time.Sleep(300 * time.Millisecond)
+		cl.assertRunning(1)
+	})
+}
+
 // TestMoveWhoseOrderIsLost guards against an order to move that is repeated although the request
 // was withdrawn, and against a task that is not moved as the first order was lost.
 func TestMoveWhoseOrderIsLost(t *testing.T) {
