Read the rows of requests for a new owner as the watch does

The owner read the range of keys from evacuate/ to evacuate/ and 0x7f, and applied it as a complete list. A data centre whose name begins with a character beyond ASCII is not in that range, so its request was withdrawn when a host claimed the cell. No other read uses the end of a range; if that fails, the owner does not begin. It now reads all rows of op//.

Run: go test -count=3 -run Evacuation ./internal/jobhost passes; TestOwnerReadsAllEvacuations fails without the change.

--- a/internal/jobhost/evacuation.go
+++ b/internal/jobhost/evacuation.go
@@ -30,7 +30,8 @@
 // readEvacuations reads the requests from the store, and returns those in force, for an owner
 // that loads the cell: the watch may not have read them yet.
 func (ho *Host) readEvacuations(ctx context.Context) (evacuation.Set, error) {
-	listed, version, err := ho.table.ListFrom(ctx, platform.EvacuationPrefix)
+	// The same rows as the watch reads, as both apply what they read as complete lists.
+	listed, version, err := ho.table.ListFrom(ctx, platform.ConfigPrefix)
 	if err != nil {
 		return evacuation.Set{}, err
 	}
--- a/internal/jobhost/evacuation_test.go
+++ b/internal/jobhost/evacuation_test.go
@@ -32,3 +32,16 @@
 	qt.Assert(t, err, qt.IsNil)
 	th.eventually("all tasks start", func() bool { return len(th.fleet.Runs()) == 3 })
 }
+
+// TestOwnerReadsAllEvacuations guards against a request that the owner's own reading withdraws,
+// because the range of keys that it reads does not have all that the watch reads.
+func TestOwnerReadsAllEvacuations(t *testing.T) {
+	th := newTestHost(t, 0)
+	for _, name := range []string{"évry", "z"} {
+		qt.Assert(t, platformtest.Put(&th.table, platform.EvacuationPrefix+name, struct{}{}), qt.IsNil)
+		th.eventually("the row is read", func() bool { return th.host.evacuations.Contains(name) })
+	}
+	se, err := th.host.readEvacuations(t.Context())
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, se.DataCentres(), qt.DeepEquals, []string{"z", "évry"})
+}
