Keep requests that a list of an empty copy lacks

A list from a copy of the store without any writes has the version 0. It was taken for a removal whose version the feed does not tell, and withdrew all requests. That rule now holds for rows alone.

Run: go test ./internal/evacuation passes; TestListOfEmptyCopy fails without the change.

--- a/internal/evacuation/evacuation_test.go
+++ b/internal/evacuation/evacuation_test.go
@@ -62,6 +62,15 @@
 	}
 }
 
+// TestListOfEmptyCopy guards against a request that is withdrawn by a list from a copy of the store
+// which has received no writes yet.
+func TestListOfEmptyCopy(t *testing.T) {
+	tr := Tracker{Log: slog.New(slog.DiscardHandler)}
+	tr.Apply([]Request{{DataCentre: "a", Version: 5}}, true, 5)
+	tr.Apply(nil, true, 0)
+	qt.Check(t, tr.Contains("a"), qt.IsTrue)
+}
+
 // TestSelect guards against moves that do harm: of too many tasks of a step or at once, to
 // capacity that others need, or without capacity.
 func TestSelect(t *testing.T) {
--- a/internal/evacuation/tracker.go
+++ b/internal/evacuation/tracker.go
@@ -58,6 +58,10 @@
 	listed := map[string]bool{}
 	for _, re := range list {
 		listed[re.DataCentre] = true
+		if re.Removed && re.Version == 0 {
+			// A feed that does not have the version of a removal lists it after the state known.
+			re.Version = tr.rows[re.DataCentre].version + 1
+		}
 		tr.apply(re, "row")
 	}
 	if !complete {
@@ -79,10 +83,6 @@
 		return
 	}
 	known, seen := tr.rows[re.DataCentre]
-	if re.Removed && re.Version == 0 {
-		// A feed that does not have the version of a removal lists it after the state known.
-		re.Version = known.version + 1
-	}
 	if seen && re.Version <= known.version {
 		if re.Removed != known.removed {
 			tr.Log.Warn("older state of an evacuation ignored", "data_centre", re.DataCentre, "row_version", re.Version,
