--- a/internal/sched/queuedstart.go
+++ b/internal/sched/queuedstart.go
@@ -190,7 +190,7 @@
 }
 
 // abandonedWorker is why attempts do not stay queued on a worker.
-const abandonedWorker = "its worker leaves or does not answer"
+const abandonedWorker = "its worker leaves, is evacuated or does not answer"
 
 // queuedUntil returns until when a queued attempt waits for capacity.
 func (at *attempt) queuedUntil() time.Time {
