Count no evacuated workers in the share that may be quarantined

One in four workers of a service may be quarantined because tasks fail there. Those of an evacuated data centre, which get no tasks, counted as the others, so that of the rest more than a quarter could be quarantined, and short tasks waited.

Run: go test -run 'Quarantine|Failing' ./internal/sched passes; TestQuarantineLeavesWorkersDuringEvacuation fails without the change.

--- a/internal/sched/quarantine.go
+++ b/internal/sched/quarantine.go
@@ -28,12 +28,12 @@
 }
 
 // mayQuarantine reports whether one more worker of a service may be quarantined for failures,
-// see quarantineShare. If more of them fail tasks of several jobs, the tasks are at fault and
+// see quarantineShare. Workers of evacuated data centres do not count, as they get no tasks. If more of them fail tasks of several jobs, the tasks are at fault and
 // not the workers.
 func (ow *Owner) mayQuarantine(wk *workerState) bool {
 	now, all, quarantined := time.Now(), 0, 0
 	for _, other := range ow.workers {
-		if other.Service != wk.Service || other.dead || other.unlisted {
+		if other.Service != wk.Service || other.dead || other.unlisted || other.isEvacuated() {
 			continue
 		}
 		all++
--- a/internal/sched/quarantine_test.go
+++ b/internal/sched/quarantine_test.go
@@ -8,6 +8,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/pepperhatch/pepperhatch/internal/evacuation"
 	"github.com/pepperhatch/pepperhatch/internal/job"
 	"github.com/pepperhatch/pepperhatch/internal/worker"
 )
@@ -46,6 +47,36 @@
 	})
 }
 
+// TestQuarantineLeavesWorkersDuringEvacuation guards against more than the share of workers that
+// may be quarantined for failures, because the workers of an evacuated data centre count too.
+func TestQuarantineLeavesWorkersDuringEvacuation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		la := newLab(t, 8)
+		failTasksOfJobs(la, runUntilStopped)
+		ow, end := la.startOwner()
+		defer end()
+		time.Sleep(time.Second)
+		la.evacuate(ow, evacuation.Set{}.With("d0"))
+		most := 0
+		for n := range 40 {
+			la.submit(ow, firstFailingJob+n, batch(1, 4))
+			time.Sleep(100 * time.Millisecond)
+			quarantined := make(chan int, 1)
+			ow.post(func() {
+				count := 0
+				for _, wk := range ow.workers {
+					if wk.quarantinedForFailures(time.Now()) {
+						count++
+					}
+				}
+				quarantined <- count
+			})
+			most = max(most, <-quarantined)
+		}
+		qt.Check(t, most, qt.Equals, 1)
+	})
+}
+
 // TestLongRunningTaskStartsOnQuarantinedWorker guards against a service that does not run for
 // 12 s while a worker has capacity. That worker is quarantined because tasks of two jobs failed
 // there, and all other workers are full. The task must not wait for the end of the quarantine:
