Test what limits moves for an evacuation at the owner

Only the choice was tested on its own, not what the owner passes to it: no test failed if tasks that are away, or tasks that wait for capacity, were left out there.

Run: go test -run 'NoMove|TasksOfEvac' ./internal/sched passes; the tests fail with either left out.

--- a/internal/sched/evacuated_test.go
+++ b/internal/sched/evacuated_test.go
@@ -168,7 +168,8 @@
 }
 
 // TestTasksOfEvacuatedDataCentre guards against tasks that are stopped there without need: those
-// that end by themselves, and long-running ones for which there is no capacity elsewhere.
+// that end by themselves, and long-running ones for which there is no capacity elsewhere. It also
+// guards against more tasks of a step that are away at once than may be.
 func TestTasksOfEvacuatedDataCentre(t *testing.T) {
 	for _, tc := range []struct{ workers, moved int }{{2, 0}, {4, 4}} {
 		synctest.Test(t, func(t *testing.T) {
@@ -195,8 +196,13 @@
 			}
 			ow.SetWorkers(list, nil, true)
 			time.Sleep(500 * time.Millisecond)
+			// Stopped tasks take long to start again.
+			la.table.Faults.Set(standin.Fault{Mode: standin.ModeSlow, DelayMS: 200})
 			la.evacuate(ow, evacuation.Set{}.With("d0"))
-			time.Sleep(10 * time.Second)
+			for range 200 {
+				time.Sleep(50 * time.Millisecond)
+				qt.Assert(t, la.runningOfJob(1) >= 7, qt.IsTrue, qt.Commentf("over one task away"))
+			}
 			stopped := 0
 			for _, ru := range la.fleet.Runs() {
 				if ru.Outcome == "stopped" {
@@ -235,6 +241,37 @@
 	})
 }
 
+// TestNoMoveWhileTasksWaitForCapacity guards against moves that take capacity for which a task of
+// the service waits.
+func TestNoMoveWhileTasksWaitForCapacity(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		la := newLab(t, 2)
+		la.fleet.RunFunc = runUntilStopped
+		ow, end := la.startOwner()
+		defer end()
+		ow.SetWorkers(la.workerEntries()[:1], nil, true)
+		time.Sleep(time.Second)
+		la.submit(ow, 1, longRunning(1))
+		time.Sleep(time.Second)
+		ow.SetWorkers(la.workerEntries(), nil, true)
+		time.Sleep(500 * time.Millisecond)
+		whole := batch(1, 2)
+		whole.Steps[0].Each.MilliCores = 20_000
+		la.submit(ow, 2, whole)
+		time.Sleep(500 * time.Millisecond)
+		large := batch(1, 1)
+		large.Steps[0].Each.MilliCores = 20_000
+		la.submit(ow, 3, large)
+		la.evacuate(ow, evacuation.Set{}.With("d0"))
+		time.Sleep(3 * time.Second)
+		la.assertStarts(2, 1)
+		_, err := ow.Cancel(context.Background(), jobID(3))
+		qt.Assert(t, err, qt.IsNil)
+		time.Sleep(3 * time.Second)
+		la.assertStarts(2, 2)
+	})
+}
+
 // TestColdWorkersGetNoCopies guards against second attempts on workers that are slow for a while.
 func TestColdWorkersGetNoCopies(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
