--- a/internal/sched/evacuate.go
+++ b/internal/sched/evacuate.go
@@ -26,7 +26,7 @@
 	if ow.storeDown() {
 		return
 	}
-	em := emptying{ow: ow, now: now}
+	em := emptying{ow: ow, now: now, storeUnhealthy: ow.storeUnhealthy(now)}
 	for _, wk := range ow.sortedWorkers() {
 		if cause := wk.evacuationReason(now); cause != "" {
 			em.workers = append(em.workers, wk)
@@ -69,6 +69,9 @@
 type emptying struct {
 	ow  *Owner
 	now time.Time
+	// storeUnhealthy is set while the store does not serve the owner. A task that moves because of
+	// a request has time to wait until it may start again.
+	storeUnhealthy bool
 	// workers are the workers to be evacuated.
 	workers []*workerState
 	// tasks are the long-running tasks there that may be moved now, attempts has their attempts
@@ -95,7 +98,7 @@
 		case stopAll:
 			em.ow.halt(at, "its worker leaves")
 		case !at.step().LongRunning || at.stopping(em.now):
-		case cause != reasonEvacuated || at.serves(em.now):
+		case cause != reasonEvacuated || (at.serves() && !em.storeUnhealthy):
 			ta := evacuation.Task{Need: at.step().Reserved(), Step: em.step(at), Leaving: cause != reasonEvacuated}
 			ta.Contended = !ta.Leaving && em.isContended(wk.Service)
 			em.tasks = append(em.tasks, ta)
@@ -117,7 +120,7 @@
 	key := longRunningStep{at.tj, at.ref.Step}
 	st := em.steps[key]
 	if st == nil {
-		st = at.tj.evacuationStep(at.ref.Step, em.now)
+		st = at.tj.evacuationStep(at.ref.Step)
 		if em.steps == nil {
 			em.steps = map[longRunningStep]*evacuation.Step{}
 		}
@@ -155,6 +158,7 @@
 		why = "its data centre is evacuated and another worker has capacity"
 	}
 	em.ow.halt(at, why)
+	at.moving = cause == reasonEvacuated
 }
 
 // placer returns a placer from whose free capacity that of the tasks which are being stopped or
@@ -205,15 +209,27 @@
 	return pl.reserve(at.tj, at.ref, func(ca *candidate) bool { return ca.wk != at.wk && !ca.cold })
 }
 
+// stepOnWorker is a step of long-running tasks on one worker.
+type stepOnWorker struct {
+	longRunningStep
+
+	wk *workerState
+}
+
 // reserve reserves capacity for a task on a worker that qualifies, and reports whether there was
 // any.
 func (pl *placer) reserve(tj *trackedJob, ref job.TaskRef, qualifies func(*candidate) bool) bool {
 	st := &tj.jo.Spec.Steps[ref.Step]
 	for _, ca := range pl.candidates {
-		if !qualifies(ca) || !ca.fits(tj, ref, st) {
+		key := stepOnWorker{longRunningStep{tj, ref.Step}, ca.wk}
+		if !qualifies(ca) || !ca.fits(tj, ref, st) || (st.MaxPerWorker > 0 && tj.countAt(ref.Step, ca.wk)+pl.reservedFor[key] >= st.MaxPerWorker) {
 			continue
 		}
 		ca.free = ca.free.Sub(st.Reserved())
+		if pl.reservedFor == nil {
+			pl.reservedFor = map[stepOnWorker]int{}
+		}
+		pl.reservedFor[key]++
 		return true
 	}
 	return false
--- a/internal/sched/evacuated_test.go
+++ b/internal/sched/evacuated_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -166,8 +167,20 @@
 	})
 }
 
+// fewestRunningOfJob returns the smallest number of running attempts of a job during d.
+func (la *lab) fewestRunningOfJob(n int, d time.Duration) int {
+	const interval = 50 * time.Millisecond
+	fewest := la.runningOfJob(n)
+	for range d / interval {
+		time.Sleep(interval)
+		fewest = min(fewest, la.runningOfJob(n))
+	}
+	return fewest
+}
+
 // TestTasksOfEvacuatedDataCentre guards against tasks that are stopped there without need: those
-// that end by themselves, and long-running ones for which there is no capacity elsewhere.
+// that end by themselves, and long-running ones for which there is no capacity elsewhere. It also
+// guards against more tasks of a step that are away at once than may be.
 func TestTasksOfEvacuatedDataCentre(t *testing.T) {
 	for _, tc := range []struct{ workers, moved int }{{2, 0}, {4, 4}} {
 		synctest.Test(t, func(t *testing.T) {
@@ -194,8 +207,11 @@
 			}
 			ow.SetWorkers(list, nil, true)
 			time.Sleep(500 * time.Millisecond)
+			// Stopped tasks take long to start again.
+			la.table.Faults.Set(standin.Fault{Mode: standin.ModeSlow, DelayMS: 200})
 			la.evacuate(ow, evacuation.Set{}.With("d0"))
-			time.Sleep(10 * time.Second)
+			fewest := la.fewestRunningOfJob(1, 10*time.Second)
+			qt.Check(t, fewest >= 7, qt.IsTrue, qt.Commentf("%d tasks ran", fewest))
 			stopped := 0
 			for _, ru := range la.fleet.Runs() {
 				if ru.Outcome == "stopped" {
@@ -233,3 +249,148 @@
 		la.assertStarts(4, 16)
 	})
 }
+
+// TestNoMoveWhileTasksWaitForCapacity guards against moves that take capacity for which a task of
+// the service waits.
+func TestNoMoveWhileTasksWaitForCapacity(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		la := newLab(t, 2)
+		la.fleet.RunFunc = runUntilStopped
+		ow, end := la.startOwner()
+		defer end()
+		ow.SetWorkers(la.workerEntries()[:1], nil, true)
+		time.Sleep(time.Second)
+		la.submit(ow, 1, longRunning(1))
+		time.Sleep(time.Second)
+		ow.SetWorkers(la.workerEntries(), nil, true)
+		time.Sleep(500 * time.Millisecond)
+		whole := batch(1, 2)
+		whole.Steps[0].Each.MilliCores = 20_000
+		la.submit(ow, 2, whole)
+		time.Sleep(500 * time.Millisecond)
+		large := batch(1, 1)
+		large.Steps[0].Each.MilliCores = 20_000
+		la.submit(ow, 3, large)
+		la.evacuate(ow, evacuation.Set{}.With("d0"))
+		time.Sleep(3 * time.Second)
+		la.assertStarts(2, 1)
+		_, err := ow.Cancel(context.Background(), jobID(3))
+		qt.Assert(t, err, qt.IsNil)
+		time.Sleep(3 * time.Second)
+		la.assertStarts(2, 2)
+	})
+}
+
+// TestColdWorkersGetNoCopies guards against second attempts on workers that are slow for a while.
+func TestColdWorkersGetNoCopies(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cl := newCopyLab(t, 1, map[int]time.Duration{1: 5 * time.Second, 2: time.Second}, "done")
+		defer func() { cl.end() }()
+		list := cl.workerEntries()
+		for i := range list {
+			list[i].ColdRemaining = time.Hour
+		}
+		cl.ow.SetWorkers(list, nil, true)
+		cl.copyTask()
+		time.Sleep(300 * time.Millisecond)
+		cl.assertRunning(1)
+	})
+}
+
+// TestMoveWhoseOrderIsLost guards against an order to move that is repeated although the request
+// was withdrawn, and against a task that is not moved as the first order was lost.
+func TestMoveWhoseOrderIsLost(t *testing.T) {
+	for _, withdrawn := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			la := newLab(t, 3)
+			la.fleet.RunFunc = runUntilStopped
+			var orders atomic.Int64
+			la.wrapAgentFunc = func(ag worker.Agent) worker.Agent {
+				halt := ag.HaltFunc
+				ag.HaltFunc = func(ctx context.Context, ad worker.Addr, ha worker.Halt) (worker.Ack, error) {
+					if orders.Add(1) == 1 {
+						return worker.Ack{}, errors.New("lost")
+					}
+					return halt(ctx, ad, ha)
+				}
+				return ag
+			}
+			ow, end := la.startOwner()
+			defer end()
+			ow.SetWorkers(la.workerEntries()[:1], nil, true)
+			time.Sleep(time.Second)
+			la.submit(ow, 1, longRunning(1))
+			time.Sleep(time.Second)
+			ow.SetWorkers(la.workerEntries(), nil, true)
+			time.Sleep(500 * time.Millisecond)
+			la.evacuate(ow, evacuation.Set{}.With("d0"))
+			time.Sleep(500 * time.Millisecond)
+			if withdrawn {
+				la.evacuate(ow, evacuation.Set{})
+			}
+			time.Sleep(5 * time.Second)
+			want := []int{1, 1}
+			if withdrawn {
+				want = []int{1, 0}
+			}
+			la.assertStarts(want...)
+			qt.Check(t, la.runningOfJob(1), qt.Equals, 1)
+		})
+	}
+}
+
+// TestNoMoveWhileStoreDoesNotServe guards against tasks that are stopped while they may not start
+// again, as the store does not serve the owner.
+func TestNoMoveWhileStoreDoesNotServe(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		la := newLab(t, 2)
+		la.fleet.RunFunc = runUntilStopped
+		var lost atomic.Pointer[time.Time]
+		la.writtenFunc = func() time.Time {
+			if at := lost.Load(); at != nil {
+				return *at
+			}
+			return time.Now()
+		}
+		ow, end := la.startOwner()
+		defer end()
+		ow.SetWorkers(la.workerEntries()[:1], nil, true)
+		time.Sleep(time.Second)
+		la.submit(ow, 1, longRunning(1))
+		time.Sleep(time.Second)
+		ow.SetWorkers(la.workerEntries(), nil, true)
+		now := time.Now()
+		lost.Store(&now)
+		time.Sleep(5 * time.Second)
+		la.evacuate(ow, evacuation.Set{}.With("d0"))
+		time.Sleep(2 * time.Second)
+		la.assertStarts(1, 0)
+		lost.Store(nil)
+		time.Sleep(2 * time.Second)
+		la.assertStarts(1, 1)
+	})
+}
+
+// TestMovesLeaveRoomPerWorker guards against tasks that are stopped for the same place on a worker
+// that may run only one of their step.
+func TestMovesLeaveRoomPerWorker(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		la := newLab(t, 3)
+		la.fleet.RunFunc = runUntilStopped
+		ow, end := la.startOwner()
+		defer end()
+		list := la.workerEntries()
+		ow.SetWorkers([]WorkerEntry{list[0], list[2]}, nil, true)
+		time.Sleep(time.Second)
+		sp := longRunning(2)
+		sp.Steps[0].MaxPerWorker, sp.Steps[0].MaxUnavailable = 1, 2
+		la.submit(ow, 1, sp)
+		time.Sleep(time.Second)
+		ow.SetWorkers(list, nil, true)
+		time.Sleep(500 * time.Millisecond)
+		la.evacuate(ow, evacuation.Set{}.With("d0"))
+		time.Sleep(5 * time.Second)
+		la.assertStarts(2, 1)
+		qt.Check(t, la.runningOfJob(1), qt.Equals, 2)
+	})
+}
