sched: count the grace of admission from the end of the load

An owner that waited for the store for more than 3 s before it had read its cell refused jobs by the capacity of the few workers that had answered so far.

--- a/internal/sched/admission.go
+++ b/internal/sched/admission.go
@@ -10,8 +10,9 @@
 	"github.com/pepperhatch/pepperhatch/internal/worker"
 )
 
-// admissionGrace is how long after its start an owner refuses nothing for capacity. Until its
-// workers have answered it, it does not know the capacity, and it has measured no throughput.
+// admissionGrace is how long an owner refuses nothing for capacity once it has loaded the cell.
+// Until its workers have answered it, it does not know the capacity, and it has measured no
+// throughput.
 const admissionGrace = 3 * time.Second
 
 // admissionState is what the owner keeps to decide about submitted jobs. The zero value is
@@ -57,7 +58,7 @@
 	}
 	sl, re := ow.admission.of(jo.Terms.Service), ow.admissionRequest(jo)
 	fo := sl.load.Forecast(re)
-	if now.Sub(ow.startedAt) < admissionGrace {
+	if now.Sub(ow.loadedAt) < admissionGrace {
 		fo = admission.Forecast{}
 	}
 	de := ow.admission.controller.Decide(re, fo, now)
--- a/internal/sched/admission_test.go
+++ b/internal/sched/admission_test.go
@@ -130,6 +130,26 @@
 	})
 }
 
+// TestSlowLoadBeforeFirstDecision guards against an owner that refuses jobs while it does not know
+// its workers yet, because it had to wait for the store before it could begin.
+func TestSlowLoadBeforeFirstDecision(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		la := newLab(t, 1)
+		la.stretch = 1
+		la.requests.failing = 30
+		began := time.Now()
+		ow, loaded, stop := la.startLoading()
+		defer stop()
+		qt.Assert(t, <-loaded, qt.IsNil)
+		qt.Assert(t, time.Since(began) > admissionGrace, qt.IsTrue, qt.Commentf("%v", time.Since(began)))
+		ow.SetWorkers(la.workerEntries(), nil, true)
+		time.Sleep(admissionGrace / 2)
+		for n := 1; n < 20; n++ {
+			qt.Assert(t, la.submit(ow, n, batch(1, 15)).Outcome, qt.Equals, Accepted)
+		}
+	})
+}
+
 // BenchmarkDecide measures decisions with as many workers as jobs. A new load is taken each tick.
 func BenchmarkDecide(b *testing.B) {
 	const size = 1000
--- a/internal/sched/owner.go
+++ b/internal/sched/owner.go
@@ -128,8 +128,8 @@
 	// unowned counts the attempts of former owners on workers that no list has named since
 	// the takeover, by incarnation.
 	unowned map[worker.Incarnation]int
-	// startedAt is when Run was called.
-	startedAt time.Time
+	// startedAt is when Run was called, loadedAt when it had read the state of the cell.
+	startedAt, loadedAt time.Time
 	// leaseRecord tracks the stored lease expiries of unresponsive workers.
 	leaseRecord leaseRecord
 	// model predicts the interference of fillers with services.
@@ -226,6 +226,7 @@
 	ow.restoreDurations(<-stored)
 	ow.model.Fixed = !ow.enabled(MechPairs)
 	ow.Log.Info("cell loaded", "cell", ow.Cell, "epoch", ow.Tenure.Epoch, "jobs", len(ow.jobs), "active", len(ow.waitingJobs), "took", time.Since(ow.startedAt))
+	ow.loadedAt = time.Now()
 	loaded()
 	go ow.ticks()
 	for {
