sched: count running work in admission only where its capacity counts

Tasks that end on a draining worker or in an evacuated data centre were counted as work for the other workers. The progress of both attempts of a task was subtracted from its work.

--- a/internal/sched/admission.go
+++ b/internal/sched/admission.go
@@ -231,25 +231,34 @@
 }
 
 // remainingWork returns the remaining work of a job by kind, without what its running attempts
-// have done by their progress, or by their age if they have reported none.
+// have done by their progress, or by their age if they have reported none. Tasks that run on
+// workers which do not count as capacity and still answer are left out: they end there.
 func (tj *trackedJob) remainingWork(now time.Time) [2]admission.Work {
 	list := tj.ow.admissionWork(tj.jo)
 	for _, at := range tj.attempts {
-		st := at.step()
-		if at.launchedAt.IsZero() || st.EstimateMS == 0 {
+		st, ta := at.step(), at.task()
+		isCopy := ta.Other.Number > 0 && ta.Other.Number != at.number
+		if at.launchedAt.IsZero() || st.EstimateMS == 0 || isCopy || ta.State == job.Done {
 			continue
 		}
-		work := tj.ow.likelyTaskWork(&tj.jo.Terms, st)
+		likelyMS := float64(st.EstimateMS) * tj.ow.ratio(&tj.jo.Terms, st)
 		done := float64(at.progress) / 100
 		if at.progress == 0 {
-			likelyMS := float64(st.EstimateMS) * tj.ow.ratio(&tj.jo.Terms, st)
 			done = min(float64(now.Sub(at.launchedAt).Milliseconds())/max(likelyMS, 1), maxAssumedProgress)
 		}
-		list[kindOf(st)].Left -= int64(done * float64(work))
+		if at.wk.answersWithoutCapacity(now) {
+			done = 1
+		}
+		list[kindOf(st)].Left -= int64(done * likelyMS * float64(st.Each.MilliCores))
 	}
 	return list
 }
 
+// answersWithoutCapacity reports whether the worker runs what it has, but gets no new attempts.
+func (wk *workerState) answersWithoutCapacity(now time.Time) bool {
+	return !wk.dead && wk.settled && wk.failingSince.IsZero() && !wk.leaseRecorded() && wk.unavailableReason(now) != ""
+}
+
 // maxAssumedProgress bounds the progress that is assumed by the age of an attempt, as estimates
 // are off by up to nine tenths.
 const maxAssumedProgress = 0.9
--- a/internal/sched/admission_test.go
+++ b/internal/sched/admission_test.go
@@ -8,6 +8,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/pepperhatch/pepperhatch/internal/admission"
 	"github.com/pepperhatch/pepperhatch/internal/job"
 	"github.com/pepperhatch/pepperhatch/internal/standin"
 	"github.com/pepperhatch/pepperhatch/internal/worker"
@@ -150,6 +151,44 @@
 	})
 }
 
+// TestRemainingWork guards against work that is forecast to use capacity that it does not use, or
+// is counted as done twice.
+func TestRemainingWork(t *testing.T) {
+	const task = 2000 * 1000
+	now := time.UnixMilli(1_000_000)
+	for _, tc := range []struct {
+		name   string
+		change func(wk *workerState, at, other *attempt)
+		want   int64
+	}{
+		{"healthy worker", func(*workerState, *attempt, *attempt) {}, 4 * task},
+		{"half done", func(_ *workerState, at, _ *attempt) { at.progress = 50 }, 3.5 * task},
+		{"draining worker", func(wk *workerState, _, _ *attempt) { wk.Draining = true }, 3 * task},
+		{"silent worker", func(wk *workerState, _, _ *attempt) { wk.failingSince = now }, 4 * task},
+		{"first attempt and copy", func(_ *workerState, at, other *attempt) { at.progress, other.progress = 80, 50 }, 3.2 * task},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			ow := New(&Owner{Log: newLab(t, 0).log})
+			sp := batch(1, 4)
+			sp.Steps[0].Copies = true
+			tj := ow.addJob(job.New(jobID(1), job.Terms{Service: testService, MaxFailures: 3}, sp))
+			var list [2]*attempt
+			for i := range list {
+				wk := addEmptyWorker(ow, fmt.Sprint(i))
+				list[i] = &attempt{wk: wk, tj: tj, number: i + 1, launchedAt: now}
+			}
+			tj.jo.Start(job.TaskRef{}, list[0].wk.incarnation)
+			tj.attempts[list[0].key()] = list[0]
+			if tc.name == "first attempt and copy" {
+				qt.Assert(t, tj.jo.StartCopy(job.TaskRef{}, list[1].wk.incarnation), qt.Equals, 2)
+				tj.attempts[list[1].key()] = list[1]
+			}
+			tc.change(list[0].wk, list[0], list[1])
+			qt.Assert(t, tj.remainingWork(now)[admission.Reserving].Left, qt.Equals, tc.want)
+		})
+	}
+}
+
 // BenchmarkDecide measures decisions with as many workers as jobs. A new load is taken each tick.
 func BenchmarkDecide(b *testing.B) {
 	const size = 1000
