admission: measure throughput of running tasks, and only while capacity is short

Tasks longer than the 4 s window counted as no work until they ended, so that a burst of long tasks was forecast to take up to four times as long as it does. A low efficiency was kept for good once nothing waited, and was measured while a few tasks waited that fit nowhere.

--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -164,6 +165,43 @@
 	qt.Check(t, observe(0, true), qt.Equals, minEfficiency)
 }
 
+// TestEfficiencyIsMeasuredOfRunningTasks guards against jobs that are refused at the begin of a
+// burst of long tasks, as none of these has ended yet.
+func TestEfficiencyIsMeasuredOfRunningTasks(t *testing.T) {
+	var th Throughput
+	for tick := range 100 {
+		th.SetRunning(int64(100_000 * (tick + 1)))
+		th.Observe(1000, true, start().Add(time.Duration(tick)*100*time.Millisecond))
+	}
+	qt.Check(t, th.Efficiency(1000), qt.Equals, 1.0)
+	th.SetRunning(0)
+	th.Complete(100 * 100_000)
+	th.Observe(1000, true, start().Add(10*time.Second))
+	qt.Check(t, math.Abs(th.Efficiency(1000)-1) < 0.05, qt.IsTrue, qt.Commentf("%v after the end", th.Efficiency(1000)))
+}
+
+// TestLowEfficiencyIsForgotten guards against jobs that are refused because of an overload long
+// ago, in which workers were slow.
+func TestLowEfficiencyIsForgotten(t *testing.T) {
+	var th Throughput
+	now := start()
+	for tick := range 1000 {
+		now = now.Add(100 * time.Millisecond)
+		th.Observe(1000, tick < 100, now)
+	}
+	qt.Check(t, th.Efficiency(1000) > 0.9, qt.IsTrue, qt.Commentf("%v", th.Efficiency(1000)))
+}
+
+// TestWaitingWithFreeCapacity guards against an efficiency that is measured while the capacity is
+// not used because the few tasks that wait fit nowhere, as for a label that no worker has.
+func TestWaitingWithFreeCapacity(t *testing.T) {
+	hosts := []Host{{Usable: worker.Resources{MilliCores: 10_000}, Free: worker.Resources{MilliCores: 5000}}}
+	for waiting, want := range map[int64]bool{0: false, 4000: false, 6000: true} {
+		_, got := NewLoad(hosts, []Work{{Waiting: waiting}}, nil).Total(Reserving)
+		qt.Check(t, got, qt.Equals, want, qt.Commentf("%d waiting", waiting))
+	}
+}
+
 // TestTurnsAddUp guards against promised work that stays when its turn is gone, which would refuse
 // jobs for ever, and against times to retry out of bounds.
 func TestTurnsAddUp(t *testing.T) {
--- a/internal/sched/admission.go
+++ b/internal/sched/admission.go
@@ -29,9 +29,10 @@
 	load       *admission.Load
 	arrivals   admission.Arrivals
 	throughput [2]admission.Throughput
-	// hosts and work are collected for the next load.
-	hosts []admission.Host
-	work  []admission.Work
+	// hosts and work are collected for the next load, running is what running tasks have done.
+	hosts   []admission.Host
+	work    []admission.Work
+	running [2]int64
 }
 
 // of returns the state of a service.
@@ -189,12 +190,15 @@
 		}
 	}
 	for _, tj := range ow.jobs {
-		if tj.endedAt.IsZero() && !tj.removing && !tj.jo.LongRunning() && !tj.jo.State().Final() && tj.evaluateFeasibility(now) != tooLate {
-			sl := as.of(tj.jo.Terms.Service)
-			for _, wo := range tj.remainingWork(now) {
-				if wo.Left > 0 {
-					sl.work = append(sl.work, wo)
-				}
+		if !tj.endedAt.IsZero() || tj.removing || tj.jo.LongRunning() || tj.jo.State().Final() {
+			continue
+		}
+		sl, ofValue := as.of(tj.jo.Terms.Service), tj.evaluateFeasibility(now) != tooLate
+		list, running := tj.remainingWork(now)
+		for i, wo := range list {
+			sl.running[i] += running[i]
+			if ofValue && wo.Left > 0 {
+				sl.work = append(sl.work, wo)
 			}
 		}
 	}
@@ -211,9 +215,11 @@
 	for i := range sl.throughput {
 		ki := admission.Kind(i)
 		total, waiting := sl.load.Total(ki)
+		sl.throughput[i].SetRunning(sl.running[i])
 		sl.throughput[i].Observe(total, waiting && measure, now)
 		sl.load.SetEfficiency(ki, sl.throughput[i].Efficiency(total))
 	}
+	sl.running = [2]int64{}
 }
 
 // admissionHost returns the capacity of a worker. Capacity that is reserved for interrupted
@@ -231,10 +237,11 @@
 }
 
 // remainingWork returns the remaining work of a job by kind, without what its running attempts
-// have done by their progress, or by their age if they have reported none. Tasks that run on
-// workers which do not count as capacity and still answer are left out: they end there.
-func (tj *trackedJob) remainingWork(now time.Time) [2]admission.Work {
-	list := tj.ow.admissionWork(tj.jo)
+// have done by their progress, or by their age if they have reported none; running is that part.
+// Tasks that run on workers which do not count as capacity and still answer are left out of the
+// remaining work: they end there.
+func (tj *trackedJob) remainingWork(now time.Time) (list [2]admission.Work, running [2]int64) {
+	list = tj.ow.admissionWork(tj.jo)
 	for _, at := range tj.attempts {
 		st, ta := at.step(), at.task()
 		isCopy := ta.Other.Number > 0 && ta.Other.Number != at.number
@@ -246,12 +253,14 @@
 		if at.progress == 0 {
 			done = min(float64(now.Sub(at.launchedAt).Milliseconds())/max(likelyMS, 1), maxAssumedProgress)
 		}
+		work := likelyMS * float64(st.Each.MilliCores)
+		running[kindOf(st)] += int64(done * work)
 		if at.wk.answersWithoutCapacity(now) {
 			done = 1
 		}
-		list[kindOf(st)].Left -= int64(done * likelyMS * float64(st.Each.MilliCores))
+		list[kindOf(st)].Left -= int64(done * work)
 	}
-	return list
+	return list, running
 }
 
 // answersWithoutCapacity reports whether the worker runs what it has, but gets no new attempts.
--- a/internal/sched/admission_test.go
+++ b/internal/sched/admission_test.go
@@ -159,13 +159,14 @@
 	for _, tc := range []struct {
 		name   string
 		change func(wk *workerState, at, other *attempt)
-		want   int64
+		// want is the work that remains, running what the running task has done.
+		want, running int64
 	}{
-		{"healthy worker", func(*workerState, *attempt, *attempt) {}, 4 * task},
-		{"half done", func(_ *workerState, at, _ *attempt) { at.progress = 50 }, 3.5 * task},
-		{"draining worker", func(wk *workerState, _, _ *attempt) { wk.Draining = true }, 3 * task},
-		{"silent worker", func(wk *workerState, _, _ *attempt) { wk.failingSince = now }, 4 * task},
-		{"first attempt and copy", func(_ *workerState, at, other *attempt) { at.progress, other.progress = 80, 50 }, 3.2 * task},
+		{"healthy worker", func(*workerState, *attempt, *attempt) {}, 4 * task, 0},
+		{"half done", func(_ *workerState, at, _ *attempt) { at.progress = 50 }, 3.5 * task, 0.5 * task},
+		{"draining worker", func(wk *workerState, _, _ *attempt) { wk.Draining = true }, 3 * task, 0},
+		{"silent worker", func(wk *workerState, _, _ *attempt) { wk.failingSince = now }, 4 * task, 0},
+		{"first attempt and copy", func(_ *workerState, at, other *attempt) { at.progress, other.progress = 80, 50 }, 3.2 * task, 0.8 * task},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			ow := New(&Owner{Log: newLab(t, 0).log})
@@ -184,7 +185,9 @@
 				tj.attempts[list[1].key()] = list[1]
 			}
 			tc.change(list[0].wk, list[0], list[1])
-			qt.Assert(t, tj.remainingWork(now)[admission.Reserving].Left, qt.Equals, tc.want)
+			left, running := tj.remainingWork(now)
+			qt.Check(t, left[admission.Reserving].Left, qt.Equals, tc.want)
+			qt.Check(t, running[admission.Reserving], qt.Equals, tc.running)
 		})
 	}
 }
