admission: bound only the work of the largest step by the capacity for its tasks

A job of many small tasks and a large one was forecast to run only where the large one fits. The chain was scaled by the learnt ratio of the whole job rather than of its steps.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -55,9 +55,11 @@
 	// Work is the work of the job, Chain its longest chain of steps.
 	Work  int64
 	Chain time.Duration
-	// Each is the size of the tasks of its largest step, Label the label that these require.
-	Each  worker.Resources
-	Label string
+	// Each is the size of the tasks of its largest step, Label the label that these require,
+	// LargestWork the part of Work in steps of that size.
+	Each        worker.Resources
+	Label       string
+	LargestWork int64
 	// Limit is how long after its first try the job is of value; 0 is no limit.
 	Limit time.Duration
 }
@@ -88,12 +90,21 @@
 
 // drainTime returns how long the capacity needs for an amount of work.
 func (fo Forecast) drainTime(work, capacity int64) time.Duration {
+	if work <= 0 {
+		return 0
+	}
 	if capacity <= 0 {
 		return forever
 	}
 	return milliseconds(float64(work) / fo.effective(capacity))
 }
 
+// ownTime returns how long the job takes once the work ahead has drained. The capacity for whole
+// tasks of the largest step bounds only the work of such tasks: the others fit elsewhere too.
+func (fo Forecast) ownTime(re Request) time.Duration {
+	return max(re.Chain, fo.drainTime(re.LargestWork, fo.Capacity), fo.drainTime(re.Work, fo.Total))
+}
+
 // wait returns how long it takes until the work ahead has drained, if work goes on to arrive
 // for at most arrivalHorizon at the rate at which it did.
 func (fo Forecast) wait(ahead int64) time.Duration {
@@ -198,7 +209,7 @@
 	}
 	de.Promised = co.turns.ahead(re, tu)
 	de.Wait = fo.wait(fo.Ahead + de.Promised)
-	own, used := max(re.Chain, fo.drainTime(re.Work, fo.Capacity)), now.Sub(de.FirstTry)
+	own, used := fo.ownTime(re), now.Sub(de.FirstTry)
 	de.End = de.Wait + own
 	de.Cause = co.judge(re, fo, used, de.End)
 	switch {
--- a/internal/sched/admission.go
+++ b/internal/sched/admission.go
@@ -140,16 +140,19 @@
 	}
 	re := admission.Request{
 		ID: jo.ID, Queue: jo.Terms.Queue, Service: jo.Terms.Service, Kind: wo.Kind, Priority: wo.Priority, Cost: wo.Cost, Work: wo.Left,
-		Chain: time.Duration(jo.Spec.CriticalPathMS()) * time.Millisecond,
+		Chain: time.Duration(jo.RemainingMS(func(st *job.Step) int64 { return int64(float64(st.EstimateMS) * ow.ratio(&jo.Terms, st)) })) * time.Millisecond,
 		Limit: maxLateFactor * time.Duration(jo.TargetDurationMS()) * time.Millisecond,
 	}
-	if estimated := jo.Work(); estimated > 0 {
-		likely := list[admission.Reserving].Left + list[admission.Filler].Left
-		re.Chain = time.Duration(float64(re.Chain) * float64(likely) / float64(estimated))
-	}
 	for i := range jo.Spec.Steps {
-		if st := &jo.Spec.Steps[i]; kindOf(st) == re.Kind && st.Each.MilliCores > re.Each.MilliCores {
-			re.Each, re.Label = st.Each, st.Label
+		st := &jo.Spec.Steps[i]
+		if kindOf(st) != re.Kind {
+			continue
+		}
+		if st.Each.MilliCores > re.Each.MilliCores {
+			re.Each, re.Label, re.LargestWork = st.Each, st.Label, 0
+		}
+		if st.Each == re.Each && st.Label == re.Label {
+			re.LargestWork += int64(st.Tasks) * ow.likelyTaskWork(&jo.Terms, st)
 		}
 	}
 	return re
--- a/internal/sched/admission_test.go
+++ b/internal/sched/admission_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/pepperhatch/pepperhatch/internal/admission"
 	"github.com/pepperhatch/pepperhatch/internal/job"
+	"github.com/pepperhatch/pepperhatch/internal/speed"
 	"github.com/pepperhatch/pepperhatch/internal/standin"
 	"github.com/pepperhatch/pepperhatch/internal/worker"
 )
@@ -151,6 +152,30 @@
 	})
 }
 
+// TestAdmissionRequest guards against jobs that are judged as if all of their tasks were as large
+// as the largest, or as if all of their steps took as much longer than estimated as most of them.
+func TestAdmissionRequest(t *testing.T) {
+	ow := New(&Owner{Log: newLab(t, 0).log})
+	te, now := job.Terms{Queue: "q", Service: testService, Stretch: 2}, time.UnixMilli(0)
+	for n := range 100 {
+		var wk speed.Worker
+		var at speed.Attempt
+		at.Begin(now)
+		end := now.Add(400 * time.Millisecond)
+		ow.durations.model.ObserveEnd(&wk, &at, speed.Observation{
+			Kind: speed.Kind{Queue: "q", Image: "slow"}, Job: fmt.Sprint(n), Estimate: 100 * time.Millisecond, Share: 1, At: end,
+		}, end)
+	}
+	small, large := worker.Resources{MilliCores: 1000}, worker.Resources{MilliCores: 16_000}
+	re := ow.admissionRequest(job.New(jobID(1), te, job.Spec{Steps: []job.Step{
+		{Tasks: 100, Each: small, EstimateMS: 1000, Image: "slow"}, {Tasks: 1, Each: large, EstimateMS: 2000, Image: "usual", After: []int{0}},
+	}}))
+	qt.Check(t, re.Each, qt.Equals, large)
+	qt.Check(t, re.LargestWork, qt.Equals, int64(16_000*2000))
+	qt.Check(t, re.Work > 3*100*1000*1000, qt.IsTrue, qt.Commentf("%d", re.Work))
+	qt.Check(t, re.Chain > 5*time.Second && re.Chain < 7*time.Second, qt.IsTrue, qt.Commentf("%v", re.Chain))
+}
+
 // TestRemainingWork guards against work that is forecast to use capacity that it does not use, or
 // is counted as done twice.
 func TestRemainingWork(t *testing.T) {
