--- a/internal/sched/admission.go
+++ b/internal/sched/admission.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"slices"
 	"time"
 
 	"github.com/pepperhatch/pepperhatch/internal/admission"
@@ -15,6 +16,11 @@
 // throughput.
 const admissionGrace = 3 * time.Second
 
+// observeInterval is the time between two observations of the throughput while no job is
+// submitted. A load of 1,000 workers with 8,000 attempts takes about 1.5 ms, which is too long
+// for each tick on a host of a tenth of a core.
+const observeInterval = 500 * time.Millisecond
+
 // admissionState is what the owner keeps to decide about submitted jobs. The zero value is
 // ready.
 type admissionState struct {
@@ -164,8 +170,10 @@
 		return
 	}
 	ow.Metrics.Set(telemetry.AdmissionTurns, int64(ow.admission.controller.Turns(now)))
-	if len(ow.waitingJobs) > 0 {
-		ow.takeLoad(now)
+	if slices.ContainsFunc(ow.waitingJobs, func(tj *trackedJob) bool { return !tj.jo.LongRunning() }) {
+		if now.Sub(ow.admission.takenAt) >= observeInterval {
+			ow.takeLoad(now)
+		}
 		return
 	}
 	for _, sl := range ow.admission.services {
@@ -182,7 +190,7 @@
 	}
 }
 
-// takeLoad takes a snapshot of the workers and the accepted work, which is used for a tick.
+// takeLoad takes a snapshot of the workers and the accepted work. Decisions use it for a tick.
 func (ow *Owner) takeLoad(now time.Time) {
 	as := &ow.admission
 	as.takenAt = now
--- a/internal/sched/admission_test.go
+++ b/internal/sched/admission_test.go
@@ -217,6 +217,27 @@
 	}
 }
 
+// TestLoadIsTakenWhileShortWorkWaits guards against the cost of a load on each tick while only
+// long-running tasks wait, which they may do for hours, and more often than it is needed.
+func TestLoadIsTakenWhileShortWorkWaits(t *testing.T) {
+	ow := New(&Owner{Log: newLab(t, 0).log})
+	now := time.UnixMilli(1_000_000)
+	observe := func() (taken int) {
+		for range 20 {
+			now = now.Add(tickInterval)
+			ow.observeThroughput(now)
+			if ow.admission.takenAt.Equal(now) {
+				taken++
+			}
+		}
+		return taken
+	}
+	ow.markDirty(ow.addJob(job.New(jobID(1), job.Terms{Service: testService}, longRunning(1))))
+	qt.Assert(t, observe(), qt.Equals, 0)
+	ow.markDirty(ow.addJob(job.New(jobID(2), job.Terms{Service: testService}, batch(1, 1))))
+	qt.Assert(t, observe(), qt.Equals, int(20*tickInterval/observeInterval))
+}
+
 // BenchmarkDecide measures decisions with as many workers as jobs. A new load is taken each tick.
 func BenchmarkDecide(b *testing.B) {
 	const size = 1000
