--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -123,6 +123,10 @@
 		de := refuse(&co, maxTurns, start())
 		qt.Assert(t, de.HasTurn, qt.IsFalse)
 		qt.Assert(t, de.RetryAfter, qt.Equals, maxPromise)
+		for n := range urgentTurns + 1 {
+			de = co.Decide(testRequest(fmt.Sprint("urgent", n), 0), busy(9*time.Second), start())
+			qt.Assert(t, de.HasTurn, qt.Equals, n < urgentTurns, qt.Commentf("urgent job %d", n))
+		}
 	})
 }
 
--- a/internal/admission/turns.go
+++ b/internal/admission/turns.go
@@ -14,6 +14,9 @@
 	maxPromise = 10 * time.Second
 	// maxTurns bounds the turns, which take about 200 bytes each.
 	maxTurns = 1024
+	// urgentTurns is how many more are kept for jobs of priority 0, so that callers of other
+	// priorities cannot take all.
+	urgentTurns = 256
 	// keepTurn is how long after the promised time a turn is kept. Callers that are told whole
 	// seconds come up to one second late, and their request may be repeated once.
 	keepTurn = 3 * time.Second
@@ -73,7 +76,11 @@
 // promise keeps a turn for a job after the given wait, and returns when the caller is to come
 // back. It reports false if it keeps no turn.
 func (tu *turns) promise(re Request, wait time.Duration, firstTry, now time.Time) (time.Duration, bool) {
-	if wait > maxPromise || len(tu.byID) >= maxTurns {
+	most := maxTurns
+	if re.Priority == 0 {
+		most += urgentTurns
+	}
+	if wait > maxPromise || len(tu.byID) >= most {
 		return maxPromise, false
 	}
 	wait = max(wait, minRetryAfter)
