--- a/internal/sched/admission_test.go
+++ b/internal/sched/admission_test.go
@@ -217,6 +217,15 @@
 	}
 }
 
+// TestAgeCountsFromFirstTry guards against copies that come too late for a job whose caller was
+// refused before.
+func TestAgeCountsFromFirstTry(t *testing.T) {
+	ow := New(&Owner{Log: newLab(t, 0).log})
+	tj := ow.addJob(job.New(jobID(1), job.Terms{Service: testService}, batch(1, 1)))
+	tj.waitedBefore = 3 * time.Second
+	qt.Assert(t, tj.copyJob(tj.acceptedAt.Add(time.Second)).Age, qt.Equals, 4*time.Second)
+}
+
 // TestLoadIsTakenWhileShortWorkWaits guards against the cost of a load on each tick while only
 // long-running tasks wait, which they may do for hours, and more often than it is needed.
 func TestLoadIsTakenWhileShortWorkWaits(t *testing.T) {
--- a/internal/sched/copies.go
+++ b/internal/sched/copies.go
@@ -105,7 +105,7 @@
 // copyJob returns what the decision needs to know of the job.
 func (tj *trackedJob) copyJob(now time.Time) copies.Job {
 	jo := copies.Job{
-		Priority: tj.jo.Terms.Priority, Age: now.Sub(tj.acceptedAt), Ended: tj.endedTimes,
+		Priority: tj.jo.Terms.Priority, Age: now.Sub(tj.acceptedAt) + tj.waitedBefore, Ended: tj.endedTimes,
 		Target: time.Duration(tj.targetMS) * time.Millisecond, Limit: maxLateFactor * time.Duration(tj.targetMS) * time.Millisecond,
 	}
 	var current int64
