--- a/internal/admission/load.go
+++ b/internal/admission/load.go
@@ -59,9 +59,8 @@
 
 // kindLoad is the part of a load of one kind of work.
 type kindLoad struct {
-	// total is the capacity for tasks of any size, free the part of it that no task uses.
+	// total is the capacity for tasks of any size.
 	total      int64
-	free       int64
 	efficiency float64
 	// sorted is the work in the order in which it is placed; sums has for each length of a
 	// prefix the sums of its work.
@@ -107,8 +106,6 @@
 	for i := range hosts {
 		lo.kinds[Reserving].total += max(hosts[i].Usable.MilliCores, 0)
 		lo.kinds[Filler].total += max(hosts[i].Idle, 0)
-		lo.kinds[Reserving].free += max(hosts[i].Free.MilliCores, 0)
-		lo.kinds[Filler].free += max(hosts[i].FreeIdle, 0)
 	}
 	slices.SortFunc(work, compareWork)
 	for _, wo := range work {
@@ -128,10 +125,10 @@
 }
 
 // Total returns the capacity for a kind of work, in thousandths of a core, and whether tasks of
-// that kind wait for capacity: more than could start now, if they fitted on any worker.
+// that kind wait to be started.
 func (lo *Load) Total(ki Kind) (total int64, waiting bool) {
 	kl := &lo.kinds[ki]
-	return kl.total, len(kl.sums) > 0 && kl.sums[len(kl.sums)-1].waiting > kl.free
+	return kl.total, len(kl.sums) > 0 && kl.sums[len(kl.sums)-1].waiting > 0
 }
 
 // SetEfficiency sets the measured efficiency of a kind of work; see [Throughput].
