--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -17,7 +18,7 @@
 
 // testRequest is a job of one core for a second with a limit of 4 s.
 func testRequest(id string, priority int) Request {
-	return Request{ID: id, Queue: "q", Service: "s", Priority: priority, Work: second, Chain: time.Second, Each: worker.Resources{MilliCores: 1000}, Limit: 4 * time.Second}
+	return Request{ID: id, Queue: "q", Service: "s", Priority: priority, Work: second, Chain: time.Second, LargestWork: second, Each: worker.Resources{MilliCores: 1000}, Limit: 4 * time.Second}
 }
 
 // busy is the forecast for 10 cores of which none is free, with a wait of some time.
@@ -59,6 +60,20 @@
 	}
 }
 
+// TestOneLargeTaskAmongSmallOnes guards against refusals of jobs whose many small tasks are forecast
+// to run only where their one large task fits, and against large tasks that fit on no worker.
+func TestOneLargeTaskAmongSmallOnes(t *testing.T) {
+	for _, tc := range []struct {
+		largest, capacity int64
+		want              bool
+	}{{0, 0, true}, {1 * second, 1000, true}, {6 * second, 1000, false}, {1 * second, 0, false}} {
+		var co Controller
+		re, fo := testRequest("a", 1), busy(0)
+		re.Work, re.LargestWork, fo.Capacity = 20*second, tc.largest, tc.capacity
+		qt.Check(t, co.Decide(re, fo, start()).Admitted, qt.Equals, tc.want, qt.Commentf("%+v", tc))
+	}
+}
+
 // TestTurns guards against callers that are sent away although they come when they were asked to.
 func TestTurns(t *testing.T) {
 	refuse := func(co *Controller, n int, now time.Time) Decision {
@@ -108,6 +123,10 @@
 		de := refuse(&co, maxTurns, start())
 		qt.Assert(t, de.HasTurn, qt.IsFalse)
 		qt.Assert(t, de.RetryAfter, qt.Equals, maxPromise)
+		for n := range urgentTurns + 1 {
+			de = co.Decide(testRequest(fmt.Sprint("urgent", n), 0), busy(9*time.Second), start())
+			qt.Assert(t, de.HasTurn, qt.Equals, n < urgentTurns, qt.Commentf("urgent job %d", n))
+		}
 	})
 }
 
@@ -164,6 +183,33 @@
 	qt.Check(t, observe(0, true), qt.Equals, minEfficiency)
 }
 
+// TestEfficiencyIsMeasuredOfRunningTasks guards against jobs that are refused at the begin of a
+// burst of long tasks, as none of these has ended yet.
+func TestEfficiencyIsMeasuredOfRunningTasks(t *testing.T) {
+	var th Throughput
+	for tick := range 100 {
+		th.SetRunning(int64(100_000 * (tick + 1)))
+		th.Observe(1000, true, start().Add(time.Duration(tick)*100*time.Millisecond))
+	}
+	qt.Check(t, th.Efficiency(1000), qt.Equals, 1.0)
+	th.SetRunning(0)
+	th.Complete(100 * 100_000)
+	th.Observe(1000, true, start().Add(10*time.Second))
+	qt.Check(t, math.Abs(th.Efficiency(1000)-1) < 0.05, qt.IsTrue, qt.Commentf("%v after the end", th.Efficiency(1000)))
+}
+
+// TestLowEfficiencyIsForgotten guards against jobs that are refused because of an overload long
+// ago, in which workers were slow.
+func TestLowEfficiencyIsForgotten(t *testing.T) {
+	var th Throughput
+	now := start()
+	for tick := range 1000 {
+		now = now.Add(100 * time.Millisecond)
+		th.Observe(1000, tick < 100, now)
+	}
+	qt.Check(t, th.Efficiency(1000) > 0.9, qt.IsTrue, qt.Commentf("%v", th.Efficiency(1000)))
+}
+
 // TestTurnsAddUp guards against promised work that stays when its turn is gone, which would refuse
 // jobs for ever, and against times to retry out of bounds.
 func TestTurnsAddUp(t *testing.T) {
--- a/internal/admission/trial_test.go
+++ b/internal/admission/trial_test.go
@@ -183,7 +183,7 @@
 }
 
 func (tr *trial) decide(tj *trialJob) Decision {
-	re := Request{ID: tj.id, Queue: tj.qu.name, Kind: tj.qu.kind, Priority: tj.qu.priority, Cost: tr.cost(tj), Work: tj.work,
+	re := Request{ID: tj.id, Queue: tj.qu.name, Kind: tj.qu.kind, Priority: tj.qu.priority, Cost: tr.cost(tj), Work: tj.work, LargestWork: tj.work,
 		Chain: tj.chain(), Each: worker.Resources{MilliCores: tj.each}, Limit: tj.limit()}
 	de := tr.controller.Decide(re, tr.load.Forecast(re), tr.now)
 	if de.Admitted {
@@ -311,17 +311,21 @@
 
 func (tr *trial) snapshot() {
 	var work []Work
+	var running [kinds]int64
 	for _, tj := range tr.active {
+		// Half of the work of running tasks is done.
+		done := int64(tj.running) * tj.each * tj.estimate.Milliseconds() / 2
+		running[tj.qu.kind] += done
 		if tj.tooLate(tr.now) {
 			continue
 		}
-		// Half of the work of running tasks is done.
-		left := tj.left - int64(tj.running)*tj.each*tj.estimate.Milliseconds()/2
+		left := tj.left - done
 		work = append(work, Work{Kind: tj.qu.kind, Priority: tj.qu.priority, Cost: tr.cost(tj), Left: left, Waiting: int64(len(tj.waiting[0])) * tj.each})
 	}
 	tr.load = NewLoad(slices.Clone(tr.hosts), work, tr.arrivals.Recent(tr.now))
 	for ki := range kinds {
 		total, waiting := tr.load.Total(ki)
+		tr.done[ki].SetRunning(running[ki])
 		tr.done[ki].Observe(total, waiting, tr.now)
 		tr.load.SetEfficiency(ki, tr.done[ki].Efficiency(total))
 	}
--- a/internal/sched/admission.go
+++ b/internal/sched/admission.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"slices"
 	"time"
 
 	"github.com/pepperhatch/pepperhatch/internal/admission"
@@ -10,10 +11,16 @@
 	"github.com/pepperhatch/pepperhatch/internal/worker"
 )
 
-// admissionGrace is how long after its start an owner refuses nothing for capacity. Until its
-// workers have answered it, it does not know the capacity, and it has measured no throughput.
+// admissionGrace is how long an owner refuses nothing for capacity once it has loaded the cell.
+// Until its workers have answered it, it does not know the capacity, and it has measured no
+// throughput.
 const admissionGrace = 3 * time.Second
 
+// observeInterval is the time between two observations of the throughput while no job is
+// submitted. A load of 1,000 workers with 8,000 attempts takes about 1.5 ms, which is too long
+// for each tick on a host of a tenth of a core.
+const observeInterval = 500 * time.Millisecond
+
 // admissionState is what the owner keeps to decide about submitted jobs. The zero value is
 // ready.
 type admissionState struct {
@@ -28,9 +35,10 @@
 	load       *admission.Load
 	arrivals   admission.Arrivals
 	throughput [2]admission.Throughput
-	// hosts and work are collected for the next load.
-	hosts []admission.Host
-	work  []admission.Work
+	// hosts and work are collected for the next load, running is what running tasks have done.
+	hosts   []admission.Host
+	work    []admission.Work
+	running [2]int64
 }
 
 // of returns the state of a service.
@@ -57,7 +65,7 @@
 	}
 	sl, re := ow.admission.of(jo.Terms.Service), ow.admissionRequest(jo)
 	fo := sl.load.Forecast(re)
-	if now.Sub(ow.startedAt) < admissionGrace {
+	if now.Sub(ow.loadedAt) < admissionGrace {
 		fo = admission.Forecast{}
 	}
 	de := ow.admission.controller.Decide(re, fo, now)
@@ -138,16 +146,19 @@
 	}
 	re := admission.Request{
 		ID: jo.ID, Queue: jo.Terms.Queue, Service: jo.Terms.Service, Kind: wo.Kind, Priority: wo.Priority, Cost: wo.Cost, Work: wo.Left,
-		Chain: time.Duration(jo.Spec.CriticalPathMS()) * time.Millisecond,
+		Chain: time.Duration(jo.RemainingMS(func(st *job.Step) int64 { return int64(float64(st.EstimateMS) * ow.ratio(&jo.Terms, st)) })) * time.Millisecond,
 		Limit: maxLateFactor * time.Duration(jo.TargetDurationMS()) * time.Millisecond,
 	}
-	if estimated := jo.Work(); estimated > 0 {
-		likely := list[admission.Reserving].Left + list[admission.Filler].Left
-		re.Chain = time.Duration(float64(re.Chain) * float64(likely) / float64(estimated))
-	}
 	for i := range jo.Spec.Steps {
-		if st := &jo.Spec.Steps[i]; kindOf(st) == re.Kind && st.Each.MilliCores > re.Each.MilliCores {
-			re.Each, re.Label = st.Each, st.Label
+		st := &jo.Spec.Steps[i]
+		if kindOf(st) != re.Kind {
+			continue
+		}
+		if st.Each.MilliCores > re.Each.MilliCores {
+			re.Each, re.Label, re.LargestWork = st.Each, st.Label, 0
+		}
+		if st.Each == re.Each && st.Label == re.Label {
+			re.LargestWork += int64(st.Tasks) * ow.likelyTaskWork(&jo.Terms, st)
 		}
 	}
 	return re
@@ -159,8 +170,10 @@
 		return
 	}
 	ow.Metrics.Set(telemetry.AdmissionTurns, int64(ow.admission.controller.Turns(now)))
-	if len(ow.waitingJobs) > 0 {
-		ow.takeLoad(now)
+	if slices.ContainsFunc(ow.waitingJobs, func(tj *trackedJob) bool { return !tj.jo.LongRunning() }) {
+		if now.Sub(ow.admission.takenAt) >= observeInterval {
+			ow.takeLoad(now)
+		}
 		return
 	}
 	for _, sl := range ow.admission.services {
@@ -177,7 +190,7 @@
 	}
 }
 
-// takeLoad takes a snapshot of the workers and the accepted work, which is used for a tick.
+// takeLoad takes a snapshot of the workers and the accepted work. Decisions use it for a tick.
 func (ow *Owner) takeLoad(now time.Time) {
 	as := &ow.admission
 	as.takenAt = now
@@ -188,12 +201,15 @@
 		}
 	}
 	for _, tj := range ow.jobs {
-		if tj.endedAt.IsZero() && !tj.removing && !tj.jo.LongRunning() && !tj.jo.State().Final() && tj.evaluateFeasibility(now) != tooLate {
-			sl := as.of(tj.jo.Terms.Service)
-			for _, wo := range tj.remainingWork(now) {
-				if wo.Left > 0 {
-					sl.work = append(sl.work, wo)
-				}
+		if !tj.endedAt.IsZero() || tj.removing || tj.jo.LongRunning() || tj.jo.State().Final() {
+			continue
+		}
+		sl, ofValue := as.of(tj.jo.Terms.Service), tj.evaluateFeasibility(now) != tooLate
+		list, running := tj.remainingWork(now)
+		for i, wo := range list {
+			sl.running[i] += running[i]
+			if ofValue && wo.Left > 0 {
+				sl.work = append(sl.work, wo)
 			}
 		}
 	}
@@ -210,9 +226,11 @@
 	for i := range sl.throughput {
 		ki := admission.Kind(i)
 		total, waiting := sl.load.Total(ki)
+		sl.throughput[i].SetRunning(sl.running[i])
 		sl.throughput[i].Observe(total, waiting && measure, now)
 		sl.load.SetEfficiency(ki, sl.throughput[i].Efficiency(total))
 	}
+	sl.running = [2]int64{}
 }
 
 // admissionHost returns the capacity of a worker. Capacity that is reserved for interrupted
@@ -230,23 +248,34 @@
 }
 
 // remainingWork returns the remaining work of a job by kind, without what its running attempts
-// have done by their progress, or by their age if they have reported none.
-func (tj *trackedJob) remainingWork(now time.Time) [2]admission.Work {
-	list := tj.ow.admissionWork(tj.jo)
+// have done by their progress, or by their age if they have reported none; running is that part.
+// Tasks that run on workers which do not count as capacity and still answer are left out of the
+// remaining work: they end there.
+func (tj *trackedJob) remainingWork(now time.Time) (list [2]admission.Work, running [2]int64) {
+	list = tj.ow.admissionWork(tj.jo)
 	for _, at := range tj.attempts {
 		st := at.step()
 		if at.launchedAt.IsZero() || st.EstimateMS == 0 || at.task().State != job.Started || at.isCopy() {
 			continue
 		}
-		work := tj.ow.likelyTaskWork(&tj.jo.Terms, st)
+		likelyMS := float64(st.EstimateMS) * tj.ow.ratio(&tj.jo.Terms, st)
 		done := float64(at.progress) / 100
 		if at.progress == 0 {
-			likelyMS := float64(st.EstimateMS) * tj.ow.ratio(&tj.jo.Terms, st)
 			done = min(float64(now.Sub(at.launchedAt).Milliseconds())/max(likelyMS, 1), maxAssumedProgress)
 		}
-		list[kindOf(st)].Left -= int64(done * float64(work))
+		work := likelyMS * float64(st.Each.MilliCores)
+		running[kindOf(st)] += int64(done * work)
+		if at.wk.answersWithoutCapacity(now) {
+			done = 1
+		}
+		list[kindOf(st)].Left -= int64(done * work)
 	}
-	return list
+	return list, running
+}
+
+// answersWithoutCapacity reports whether the worker runs what it has, but gets no new attempts.
+func (wk *workerState) answersWithoutCapacity(now time.Time) bool {
+	return !wk.dead && wk.settled && wk.failingSince.IsZero() && !wk.leaseRecorded() && wk.unavailableReason(now) != ""
 }
 
 // maxAssumedProgress bounds the progress that is assumed by the age of an attempt, as estimates
