--- a/internal/sched/movesoff_test.go
+++ b/internal/sched/movesoff_test.go
@@ -123,7 +123,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		sl := newSlowTasks(t)
 		at := sl.list[0]
-		left := func() int64 { return at.tj.remainingWork(time.Now())[kindOf(at.step())].Left }
+		left := func() int64 {
+			list, _ := at.tj.remainingWork(time.Now())
+			return list[kindOf(at.step())].Left
+		}
 		before := left()
 		number := at.tj.jo.StartCopy(at.ref, sl.healthy.incarnation)
 		other := &attempt{wk: sl.healthy, tj: at.tj, number: number, launchedAt: time.Now(), progress: 10}
