Wait for the writes of durations in their test

The race detector found that the test read the held writes without waiting for the goroutines that recorded them. 20 plays with the detector pass.

--- a/internal/sched/latewrite_test.go
+++ b/internal/sched/latewrite_test.go
@@ -85,6 +85,8 @@
 			})
 			time.Sleep(2*saveDurationsInterval + time.Second)
 		}
+		// The writes are recorded by other goroutines.
+		synctest.Wait()
 		late := 0
 		for _, txn := range lw.held {
 			if !slices.ContainsFunc(txn.Puts, func(pu store.Put) bool { return pu.Key == ow.durationsKey() }) {
