Leave headroom for short work when tasks move for an evacuation

Such moves now leave the headroom, as new long-running tasks do; the tasks can stay where they are. TestMovesLeaveHeadroom plays both ways.

--- a/internal/sched/evacuate.go
+++ b/internal/sched/evacuate.go
@@ -204,9 +204,17 @@
 	return pl.reserve(at.tj, at.ref, func(ca *candidate) bool { return ca.wk != at.wk })
 }
 
-// reserveWarm is reserveElsewhere without workers that are cold.
+// reserveWarm reserves capacity for an attempt on another worker that is warm, and reports whether
+// there was any. It leaves the headroom for short work, as new long-running tasks do: the task can
+// stay where it is.
 func (pl *placer) reserveWarm(at *attempt) bool {
-	return pl.reserve(at.tj, at.ref, func(ca *candidate) bool { return ca.wk != at.wk && !ca.cold })
+	var hp *headroomPlan
+	if pl.ow.enabled(MechHeadroom) {
+		hp = pl.headroomPlan(at.tj)
+	}
+	return pl.reserve(at.tj, at.ref, func(ca *candidate) bool {
+		return ca.wk != at.wk && !ca.cold && hp.allows(ca, at.step())
+	})
 }
 
 // stepOnWorker is a step of long-running tasks on one worker.
--- a/internal/sched/evacuated_test.go
+++ b/internal/sched/evacuated_test.go
@@ -281,6 +281,38 @@
 	})
 }
 
+// TestMovesLeaveHeadroom guards against moves to capacity that arriving short work needs.
+func TestMovesLeaveHeadroom(t *testing.T) {
+	for without, moves := range map[Mechanism]int{0: 0, MechHeadroom: 1} {
+		synctest.Test(t, func(t *testing.T) {
+			la := newLab(t, 4)
+			la.fleet.RunFunc = runUntilStopped
+			ow, end := la.startOwner()
+			defer end()
+			ow.post(func() { ow.Without = without })
+			list := la.workerEntries()
+			for _, i := range []int{1, 3} {
+				list[i].Labels = []string{"short", list[i].Rack}
+			}
+			ow.SetWorkers(list[:1], nil, true)
+			time.Sleep(time.Second)
+			la.submit(ow, 1, longRunningOf(1, 12))
+			time.Sleep(time.Second)
+			ow.SetWorkers([]WorkerEntry{list[0], list[1], list[3]}, nil, true)
+			// The first worker has the capacity for the long-running task, the second has not.
+			for n, cores := range []int64{10, 25} {
+				short := batch(1, 1)
+				short.Steps[0].Each.MilliCores, short.Steps[0].Label = 1000*cores, "short"
+				time.Sleep(300 * time.Millisecond)
+				la.submit(ow, 2+n, short)
+			}
+			la.evacuate(ow, evacuation.Set{}.With(dataCentre(0)))
+			time.Sleep(2 * time.Second)
+			la.assertStarts(1, 2+moves)
+		})
+	}
+}
+
 // TestColdWorkersGetNoCopies guards against second attempts on workers that are slow for a while.
 func TestColdWorkersGetNoCopies(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
