--- a/internal/admission/turns.go
+++ b/internal/admission/turns.go
@@ -24,7 +24,8 @@
 	earlyTolerance = 50 * time.Millisecond
 )
 
-// turn is the promise to a refused caller that its job is admitted when it returns.
+// turn is the promise to a refused caller that its job goes before those of callers without a turn
+// when it returns.
 type turn struct {
 	id       string
 	pool     turnPool
