Bound the time for verdicts on workers, admission and copies

By a profile of the backlog benchmark a tenth of the owner's time went to verdicts on the speed of workers, one after each poll. They now follow at least 0.25 s apart, and the loads of admission and the decisions on copies take at most a fiftieth of the time each.

--- a/internal/sched/admission.go
+++ b/internal/sched/admission.go
@@ -28,8 +28,17 @@
 	// services has the state by service, as of takenAt.
 	services map[string]*serviceLoad
 	takenAt  time.Time
+	// took is how long the last load took.
+	took time.Duration
 }
 
+// loadCost is how many times as long as it took a load is used, so that loads take at most a
+// fiftieth of the owner's time where there are many workers and attempts.
+const loadCost = 50
+
+// loadInterval returns the least time between two loads for decisions.
+func (as *admissionState) loadInterval() time.Duration { return max(tickInterval, loadCost*as.took) }
+
 // serviceLoad is the state of one service.
 type serviceLoad struct {
 	load       *admission.Load
@@ -60,7 +69,7 @@
 	if !ow.enabled(MechAdmission) || jo.LongRunning() {
 		return admission.Decision{Admitted: true, FirstTry: now}
 	}
-	if now.Sub(ow.admission.takenAt) >= tickInterval {
+	if now.Sub(ow.admission.takenAt) >= ow.admission.loadInterval() {
 		ow.takeLoad(now)
 	}
 	sl, re := ow.admission.of(jo.Terms.Service), ow.admissionRequest(jo)
@@ -192,8 +201,9 @@
 
 // takeLoad takes a snapshot of the workers and the accepted work. Decisions use it for a tick.
 func (ow *Owner) takeLoad(now time.Time) {
-	as := &ow.admission
+	as, began := &ow.admission, time.Now()
 	as.takenAt = now
+	defer func() { as.took = time.Since(began) }()
 	for _, wk := range ow.sortedWorkers() {
 		if wk.unavailableReason(now) == "" {
 			sl := as.of(wk.Service)
--- a/internal/sched/copies.go
+++ b/internal/sched/copies.go
@@ -16,12 +16,18 @@
 // lists new progress only when an attempt ends there, or after 0.3 to 1 s.
 const copiesInterval = 200 * time.Millisecond
 
+// copiesCost is how many times as long as it took the next decision follows, so that decisions take
+// at most a fiftieth of the owner's time where there are many attempts.
+const copiesCost = 50
+
 // startCopies starts second attempts of tasks that are late.
 func (ow *Owner) startCopies(now time.Time) {
-	if now.Sub(ow.copiesDecidedAt) < copiesInterval || !ow.enabled(MechCopies) || ow.storeDown() || ow.window.Full() {
+	if now.Sub(ow.copiesDecidedAt) < max(copiesInterval, copiesCost*ow.copiesTook) || !ow.enabled(MechCopies) || ow.storeDown() || ow.window.Full() {
 		return
 	}
 	ow.copiesDecidedAt = now
+	began := time.Now()
+	defer func() { ow.copiesTook = time.Since(began) }()
 	if !ow.anyMayCopy() {
 		return
 	}
--- a/internal/sched/owner.go
+++ b/internal/sched/owner.go
@@ -150,8 +150,10 @@
 	savingModel  bool
 	// durations has how long tasks take, compared with their estimates.
 	durations durations
-	// copiesDecidedAt is when it was last considered which tasks get copies.
+	// copiesDecidedAt is when it was last considered which tasks get copies, copiesTook how long
+	// that took.
 	copiesDecidedAt time.Time
+	copiesTook      time.Duration
 	// demandLoggedAt is when waiting long-running tasks without capacity were last logged.
 	demandLoggedAt time.Time
 	// idleCapacityAt is when idle capacity was last reported.
--- a/internal/sched/slowworker.go
+++ b/internal/sched/slowworker.go
@@ -31,8 +31,8 @@
 	// which its ends were listed late.
 	clock    time.Time
 	unpolled time.Duration
-	// countedSince is since when the worker has counted as slow, or zero.
-	countedSince time.Time
+	// judgedAt is when it was last judged, countedSince since when it has counted as slow, or zero.
+	judgedAt, countedSince time.Time
 }
 
 // recordPoll records when a poll was answered. The worker's clock is used as answers may be
@@ -126,8 +126,16 @@
 	}
 }
 
+// judgeInterval is the least time between two verdicts on a worker. Each compares all its measured
+// attempts, and took a tenth of the owner's time when it followed each of several polls a second.
+const judgeInterval = 250 * time.Millisecond
+
 // judgeSpeed decides whether the worker is slow, after a poll was handled.
 func (wk *workerState) judgeSpeed(now time.Time) {
+	if now.Sub(wk.speed.judgedAt) < judgeInterval {
+		return
+	}
+	wk.speed.judgedAt = now
 	wk.speed.Judge(now)
 	wk.logSlow(now)
 }
