--- a/internal/sched/admission.go
+++ b/internal/sched/admission.go
@@ -6,7 +6,6 @@
 
 	"github.com/pepperhatch/pepperhatch/internal/admission"
 	"github.com/pepperhatch/pepperhatch/internal/job"
-	"github.com/pepperhatch/pepperhatch/internal/speed"
 	"github.com/pepperhatch/pepperhatch/internal/telemetry"
 	"github.com/pepperhatch/pepperhatch/internal/worker"
 )
@@ -109,15 +108,10 @@
 		"wait", de.Wait, "end", de.End, "load_age", now.Sub(ow.admission.takenAt))
 }
 
-// ratio returns the learnt ratio of true to estimated run time of a step.
-func (ow *Owner) ratio(te *job.Terms, st *job.Step) float64 {
-	return ow.speedRatio(speed.Kind{Queue: te.Queue, Image: st.Image})
-}
-
 // likelyTaskWork returns the work of a task, by the learnt ratio, in thousandths of a core times
 // milliseconds.
 func (ow *Owner) likelyTaskWork(te *job.Terms, st *job.Step) int64 {
-	return int64(float64(st.EstimateMS*st.Each.MilliCores) * ow.ratio(te, st))
+	return ow.expectedMS(te, st) * st.Each.MilliCores
 }
 
 func kindOf(st *job.Step) admission.Kind {
@@ -131,7 +125,7 @@
 func (ow *Owner) admissionWork(jo *job.Job) [2]admission.Work {
 	cost := 0.0
 	if ow.enabled(MechLeastWork) {
-		cost = float64(jo.RemainingWork()) / ow.statsOf(jo.Terms.Queue).Value(jo.Work())
+		cost = ow.costPerValue(jo, jo.Work())
 	}
 	var list [2]admission.Work
 	for ki := range list {
@@ -155,7 +149,7 @@
 	}
 	re := admission.Request{
 		ID: jo.ID, Queue: jo.Terms.Queue, Service: jo.Terms.Service, Kind: wo.Kind, Priority: wo.Priority, Cost: wo.Cost, Work: wo.Left,
-		Chain: time.Duration(jo.RemainingMS(func(st *job.Step) int64 { return int64(float64(st.EstimateMS) * ow.ratio(&jo.Terms, st)) })) * time.Millisecond,
+		Chain: time.Duration(jo.RemainingMS(func(st *job.Step) int64 { return ow.expectedMS(&jo.Terms, st) })) * time.Millisecond,
 		Limit: maxLateFactor * time.Duration(jo.TargetDurationMS()) * time.Millisecond,
 	}
 	for i := range jo.Spec.Steps {
@@ -268,7 +262,7 @@
 		if at.launchedAt.IsZero() || st.EstimateMS == 0 || at.task().State != job.Started || at.isCopy() {
 			continue
 		}
-		likelyMS := float64(st.EstimateMS) * tj.ow.ratio(&tj.jo.Terms, st)
+		likelyMS := float64(tj.expectedMS(st))
 		done := float64(at.progress) / 100
 		if at.progress == 0 {
 			done = min(float64(now.Sub(at.launchedAt).Milliseconds())/max(likelyMS, 1), maxAssumedProgress)
--- a/internal/sched/order.go
+++ b/internal/sched/order.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"github.com/pepperhatch/pepperhatch/internal/job"
+
 	"github.com/pepperhatch/pepperhatch/internal/queuestats"
 )
 
@@ -137,7 +139,12 @@
 	if tj.jo.LongRunning() {
 		return math.Inf(1)
 	}
-	return float64(tj.jo.RemainingWork()) / tj.ow.statsOf(tj.jo.Terms.Queue).Value(tj.work)
+	return tj.ow.costPerValue(tj.jo, tj.work)
+}
+
+// costPerValue returns the same for a job that ends by itself, with the given work in all.
+func (ow *Owner) costPerValue(jo *job.Job, work int64) float64 {
+	return float64(jo.RemainingWork()) / ow.statsOf(jo.Terms.Queue).Value(work)
 }
 
 // recordOutcome remembers whether a job was served, once it is known. Long-running jobs have
--- a/internal/sched/slowworker.go
+++ b/internal/sched/slowworker.go
@@ -64,11 +64,13 @@
 }
 
 // expectedMS returns the expected run time of a task of the step, in milliseconds.
-func (tj *trackedJob) expectedMS(st *job.Step) int64 {
+func (tj *trackedJob) expectedMS(st *job.Step) int64 { return tj.ow.expectedMS(&tj.jo.Terms, st) }
+
+func (ow *Owner) expectedMS(te *job.Terms, st *job.Step) int64 {
 	if st.LongRunning {
 		return st.EstimateMS
 	}
-	return int64(float64(st.EstimateMS) * tj.ow.speedRatio(tj.speedKind(st)))
+	return int64(float64(st.EstimateMS) * ow.speedRatio(speed.Kind{Queue: te.Queue, Image: st.Image}))
 }
 
 // observation returns what a poll reported of the attempt.
