Count the evidence of an attempt once for a verdict on its worker

Verdicts at intervals left the observations of the polls between them in place, so that each attempt counted up to five times and healthy workers could count as slow. Progress is now observed only with polls that are followed by a verdict.

--- a/internal/sched/movesoff_test.go
+++ b/internal/sched/movesoff_test.go
@@ -167,3 +167,22 @@
 		}
 	})
 }
+
+// TestQuickPollsCountOnce guards against the evidence of an attempt that is counted once for each of
+// several polls in a row, which would make healthy workers count as slow.
+func TestQuickPollsCountOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sl := newSlowTasks(t)
+		for range 6 {
+			time.Sleep(60 * time.Millisecond)
+			now := time.Now()
+			sl.slow.speed.recordPoll(0, 0, now)
+			for _, at := range sl.list {
+				at.progress, at.lastSeenAt = at.progress+1, now
+				at.observeProgress(now)
+			}
+			sl.slow.judgeSpeed(now)
+		}
+		qt.Assert(t, sl.slow.speed.Inputs().Attempts, qt.Equals, len(sl.list))
+	})
+}
--- a/internal/sched/slowworker.go
+++ b/internal/sched/slowworker.go
@@ -31,14 +31,20 @@
 	// which its ends were listed late.
 	clock    time.Time
 	unpolled time.Duration
-	// judgedAt is when it was last judged, countedSince since when it has counted as slow, or zero.
-	judgedAt, countedSince time.Time
+	// observes is set if the worker is judged by the current poll, judgedAt is when it was last.
+	observes bool
+	judgedAt time.Time
+	// countedSince is since when the worker has counted as slow, or zero.
+	countedSince time.Time
 }
 
 // recordPoll records when a poll was answered. The worker's clock is used as answers may be
 // delayed on their way.
 func (ws *workerSpeed) recordPoll(clockMS int64, unpolled time.Duration, got time.Time) {
 	ws.clock, ws.unpolled = got, unpolled
+	if ws.observes = got.Sub(ws.judgedAt) >= judgeInterval; ws.observes {
+		ws.judgedAt = got
+	}
 	if clockMS != 0 {
 		ws.clock = time.UnixMilli(clockMS)
 	}
@@ -114,7 +120,7 @@
 
 // observeProgress records the progress that a poll listed.
 func (at *attempt) observeProgress(now time.Time) {
-	if !at.step().LongRunning {
+	if at.wk.speed.observes && !at.step().LongRunning {
 		at.wk.ow.durations.model.ObserveProgress(&at.wk.speed.Worker, &at.speed, at.observation(), now)
 	}
 }
@@ -128,16 +134,15 @@
 	}
 }
 
-// judgeInterval is the least time between two verdicts on a worker. Each compares all its measured
-// attempts, and took a tenth of the owner's time when it followed each of several polls a second.
+// judgeInterval is the least time between two verdicts on a worker, and the observations of progress
+// for them. Both take a tenth of the owner's time if they follow each of several polls a second.
 const judgeInterval = 250 * time.Millisecond
 
 // judgeSpeed decides whether the worker is slow, after a poll was handled.
 func (wk *workerState) judgeSpeed(now time.Time) {
-	if now.Sub(wk.speed.judgedAt) < judgeInterval {
+	if !wk.speed.observes {
 		return
 	}
-	wk.speed.judgedAt = now
 	wk.speed.Judge(now)
 	wk.logSlow(now)
 }
