Spend less time on checks of each worker and job

A round of placement and a tick check every worker for an evacuation and every waiting job for long-running steps, which copied each step; waiting long-running tasks looked at each worker that is kept as headroom.

--- a/internal/evacuation/set.go
+++ b/internal/evacuation/set.go
@@ -39,6 +39,10 @@
 
 // Contains reports whether the evacuation of a data centre is requested.
 func (se Set) Contains(dataCentre string) bool {
+	return len(se.names) > 0 && se.find(dataCentre)
+}
+
+func (se Set) find(dataCentre string) bool {
 	_, found := slices.BinarySearch(se.names, dataCentre)
 	return found
 }
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -1,7 +1,6 @@
 package job
 
 import (
-	"slices"
 	"strconv"
 	"strings"
 
@@ -200,7 +199,12 @@
 
 // LongRunning reports whether the job has tasks that run until it is cancelled.
 func (jo *Job) LongRunning() bool {
-	return slices.ContainsFunc(jo.Spec.Steps, func(st Step) bool { return st.LongRunning })
+	for i := range jo.Spec.Steps {
+		if jo.Spec.Steps[i].LongRunning {
+			return true
+		}
+	}
+	return false
 }
 
 // Ready reports whether the tasks of a step may start: the job is neither cancelled nor
--- a/internal/sched/headroom.go
+++ b/internal/sched/headroom.go
@@ -66,8 +66,10 @@
 type headroomPlan struct {
 	headroom.Selection
 
-	// selected are the candidates among them.
+	// selected are the candidates among them, most is the largest free capacity of one when the
+	// round began, in thousandths of a core.
 	selected []*candidate
+	most     int64
 }
 
 // headroomPlan returns the plan for a job, computed once per round.
@@ -87,6 +89,7 @@
 	for _, ca := range pl.candidates {
 		if hp.Contains(ca.index) {
 			hp.selected = append(hp.selected, ca)
+			hp.most = max(hp.most, ca.free.MilliCores)
 		}
 	}
 	if pl.headrooms == nil {
@@ -146,7 +149,7 @@
 // waitsForHeadroom reports whether one of the workers that the ranking leaves out could take a
 // task now.
 func (rk *ranking) waitsForHeadroom() bool {
-	if rk.headroom == nil {
+	if rk.headroom == nil || rk.st.Reserved().MilliCores > rk.headroom.most {
 		return false
 	}
 	for _, ca := range rk.headroom.selected {
