Report for how long services may have exceeded their target

Callers' services stay over their latency target beside fillers for too long, and neither log nor metric has the figures on which the owner decides, their age, or when orders are answered.

A tracker dates each figure by the worker's clock and remembers when the service was last certainly below its target. "fillers held" and pepperhatch_over_target_seconds report the time until a hold is in effect. The stand-in's workers report figures of half a second, apply paces after a delay and record the longest time over the target. No decision changes.

--- a/internal/jobhost/cell.go
+++ b/internal/jobhost/cell.go
@@ -36,7 +36,7 @@
 		ViaFunc:     func(we sched.WorkerEntry) string { return po.RelayFor(we.Incarnation.String(), we.DataCentre) },
 		DroppedFunc: func(in worker.Incarnation) { po.Drop(in.String()) },
 		ListFunc:    workers.Contact, EvacuatedFunc: ho.readEvacuations,
-		Limits: sched.Limits{MaxLease: millis(se.MaxLeaseMS), StopTime: millis(se.StopMS), HarmAfter: millis(se.HarmMS), KeepEnded: seconds(se.KeepEndedS)},
+		Limits: sched.Limits{MaxLease: millis(se.MaxLeaseMS), StopTime: millis(se.StopMS), HarmAfter: millis(se.HarmMS), PaceTime: millis(se.PaceMS), KeepEnded: seconds(se.KeepEndedS)},
 	})
 	workers.OnRows = func(rows []store.FeedRow, complete bool) { ho.onWorkers(ow, po, rows, complete) }
 	po.ChangedFunc = ow.Reroute
--- a/internal/jobhost/settings.go
+++ b/internal/jobhost/settings.go
@@ -41,6 +41,8 @@
 	KeepEndedS float64 `json:"keep_ended_s"`
 	// HarmMS is how long a task may exceed its latency target because of fillers.
 	HarmMS float64 `json:"harm_ms"`
+	// PaceMS is how long a worker takes until an ordered pace is in effect.
+	PaceMS float64 `json:"pace_ms"`
 }
 
 // ReadSettings reads and validates a settings file.
@@ -80,6 +82,7 @@
 	}{{"max_lease_ms", se.MaxLeaseMS}, {"stop_ms", se.StopMS}, {"grace_s", se.GraceS}, {"keep_ended_s", se.KeepEndedS}, {"harm_ms", se.HarmMS}} {
 		reject(nu.n <= 0, nu.name, "%v: want more than 0", nu.n)
 	}
+	reject(se.PaceMS < 0, "pace_ms", "%v: want 0 or more", se.PaceMS)
 	reject(se.Cores < 0, "cores", "%v: want 0 or more", se.Cores)
 	reject(se.Speed < 0, "speed", "%v: want 0 or more", se.Speed)
 	return errors.Join(errs...)
--- a/internal/lab/result.go
+++ b/internal/lab/result.go
@@ -44,6 +44,9 @@
 	// OverTargetAlone are the parts of it over the latency target, because of fillers
 	// and for other reasons.
 	Served, OverTargetByFillers, OverTargetAlone time.Duration
+	// LongestOverTarget is the longest time for which a service task had been over its target
+	// without interruption at a moment when it was so because of fillers.
+	LongestOverTarget time.Duration
 	// ServiceMaxValue is the value if all services always met their target, ServiceValue
 	// that achieved.
 	ServiceMaxValue, ServiceValue float64
@@ -76,6 +79,7 @@
 		re.Served += ru.ServingTime
 		re.OverTargetByFillers += ru.OverTargetByFillers
 		re.OverTargetAlone += ru.OverTargetByLoad
+		re.LongestOverTarget = max(re.LongestOverTarget, ru.LongestOverTarget)
 		if ru.Outcome == "done" {
 			done[id]++
 			if ru.Until.After(until[id]) {
@@ -182,21 +186,25 @@
 // Print writes a table with a line for each variant.
 func Print(out io.Writer, mi Mix, rows []Row) error {
 	tw := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
-	_, _ = fmt.Fprintf(tw, "%s\tDAYS\tWORTH\tSE\tFILLERS\tP50 MS\tP95 MS\tSHORT\tP95 MS\tSERVICES\tOVER BY FILLERS\tSTOPPED\t\n", mi.Name)
+	_, _ = fmt.Fprintf(tw, "%s\tDAYS\tWORTH\tSE\tFILLERS\tP50 MS\tP95 MS\tSHORT\tP95 MS\tSERVICES\tOVER BY FILLERS\tLONGEST S\tSTOPPED\t\n", mi.Name)
 	for _, ro := range rows {
 		value, se := ro.mean((*Result).Value)
 		fillers, _ := ro.mean(func(re *Result) float64 { return re.Fillers.Value / re.Fillers.MaxValue })
 		short, _ := ro.mean(func(re *Result) float64 { return re.Short.Value / re.Short.MaxValue })
 		services, _ := ro.mean(func(re *Result) float64 { return re.ServiceValue / re.ServiceMaxValue })
 		over, _ := ro.mean(func(re *Result) float64 { return float64(re.OverTargetByFillers) / float64(max(re.Served, 1)) })
+		longest := 0.0
+		for i := range ro.Results {
+			longest = max(longest, ro.Results[i].LongestOverTarget.Seconds())
+		}
 		stopped, _ := ro.mean(func(re *Result) float64 { return float64(re.Stopped) })
 		fi, sh := hdrhistogram.New(1, histogramMaxMS, 2), hdrhistogram.New(1, histogramMaxMS, 2)
 		for i := range ro.Results {
 			fi.Merge(ro.Results[i].Fillers.Durations)
 			sh.Merge(ro.Results[i].Short.Durations)
 		}
-		_, _ = fmt.Fprintf(tw, "%s\t%d\t%.3f\t%.3f\t%.3f\t%d\t%d\t%.3f\t%d\t%.3f\t%.3f\t%.0f\t\n", ro.Variant.Name, len(ro.Results), value, se,
-			fillers, fi.ValueAtQuantile(50), fi.ValueAtQuantile(95), short, sh.ValueAtQuantile(95), services, over, stopped)
+		_, _ = fmt.Fprintf(tw, "%s\t%d\t%.3f\t%.3f\t%.3f\t%d\t%d\t%.3f\t%d\t%.3f\t%.3f\t%.2f\t%.0f\t\n", ro.Variant.Name, len(ro.Results), value, se,
+			fillers, fi.ValueAtQuantile(50), fi.ValueAtQuantile(95), short, sh.ValueAtQuantile(95), services, over, longest, stopped)
 	}
 	return tw.Flush()
 }
--- a/internal/lab/simulation.go
+++ b/internal/lab/simulation.go
@@ -28,6 +28,12 @@
 	drainTime  = 15 * time.Second
 	// worldStep is the time step of the simulated workers.
 	worldStep = 50 * time.Millisecond
+	// usageWindow is the period that figures of workers cover, paceDelay the time until an order
+	// to set a pace takes effect.
+	usageWindow = 500 * time.Millisecond
+	paceDelay   = 100 * time.Millisecond
+	// harmAfter is how long fillers may keep a service over its latency target.
+	harmAfter = 4 * time.Second
 )
 
 // Variant is a policy, or additional knowledge for it, to simulate.
@@ -126,6 +132,7 @@
 			return sm.day.load(sm.day.byID[id], now.Sub(sm.startTime))
 		},
 		MaxHeadroom: sm.day.mix.Services.Headroom, Noise: sm.day.mix.MeasurementNoise, Rand: rand.New(rand.NewPCG(seed, 2)),
+		Window: usageWindow, PaceDelay: paceDelay,
 	}
 }
 
@@ -222,7 +229,7 @@
 	te := tenure.Tenure{Epoch: 1, Key: ownerKey, Version: version, FormerEnded: time.Now, Confirmed: time.Now, HeartbeatWritten: time.Now, End: func(error) {}}
 	ow := sched.New(&sched.Owner{
 		Cell: "c0", Tenure: te, Table: sm.table.Client(), Agent: deferral.Wrap(sm.fleet.Agent()), Log: sm.log, Without: sm.va.Without,
-		Limits: sched.Limits{MaxLease: 10 * time.Second, StopTime: 900 * time.Millisecond, HarmAfter: 4 * time.Second, KeepEnded: 2 * time.Minute},
+		Limits: sched.Limits{MaxLease: 10 * time.Second, StopTime: 900 * time.Millisecond, HarmAfter: harmAfter, PaceTime: paceDelay, KeepEnded: 2 * time.Minute},
 	})
 	loaded := make(chan struct{})
 	ended := make(chan error, 1)
--- a/internal/sched/attempt.go
+++ b/internal/sched/attempt.go
@@ -6,6 +6,7 @@
 
 	"github.com/pepperhatch/pepperhatch/internal/interfere"
 	"github.com/pepperhatch/pepperhatch/internal/job"
+	"github.com/pepperhatch/pepperhatch/internal/overtarget"
 	"github.com/pepperhatch/pepperhatch/internal/speed"
 	"github.com/pepperhatch/pepperhatch/internal/worker"
 )
@@ -75,6 +76,8 @@
 	beganClock, workingClock, seenClock time.Time
 	// replica has the measurements of a service replica.
 	replica interfere.Replica
+	// overTarget tracks for how long a service may have exceeded its latency target.
+	overTarget overtarget.Tracker
 	// overTargetSince is since when a service has been over its latency target, or zero.
 	overTargetSince time.Time
 	// lastOverTarget is when a service was last over its target.
--- /dev/null
+++ b/internal/sched/hold.go
@@ -0,0 +1,78 @@
+package sched
+
+import (
+	"slices"
+	"time"
+
+	"github.com/pepperhatch/pepperhatch/internal/telemetry"
+)
+
+// hold is a hold of all fillers on a worker, because a service there has been over its target for
+// long. The zero value is none.
+type hold struct {
+	// orderedAt is when it was first ordered.
+	orderedAt time.Time
+	// service is the service that was last below its target the longest ago, at below by the
+	// figures; the zero time if it is not known when. figureAge is the age of the latest figure.
+	service   *attempt
+	below     time.Time
+	figureAge time.Duration
+	// unanswered counts the orders without an answer. reported is set once it is known to be in
+	// effect.
+	unanswered int
+	reported   bool
+}
+
+// recordOverTarget records the tail latencies that were reported by a poll, as of some time after
+// taken.
+func (wk *workerState) recordOverTarget(taken time.Time) {
+	wk.fillers.figuresAt = taken
+	for _, at := range wk.services {
+		if !at.isMeasuredService() {
+			at.overTarget.RecordBelow(taken)
+			continue
+		}
+		was := at.overTarget
+		at.overTarget.RecordFigure(taken, float64(at.usage)/float64(at.step().TargetMS))
+		if was.Over() && !at.overTarget.Over() && !was.Below().IsZero() && wk.hasRunningFillers() {
+			wk.ow.Metrics.Observe(telemetry.OverTargetTime, at.overTarget.Below().Sub(was.Below()), "outcome", "below")
+		}
+	}
+}
+
+// hasRunningFillers reports whether any filler on the worker may be working.
+func (wk *workerState) hasRunningFillers() bool {
+	return slices.ContainsFunc(wk.pacedFillers(), func(at *attempt) bool { return at.effectivePace() > 0 })
+}
+
+// beginHold records that all fillers on the worker are ordered to be held, if they are not yet.
+func (wk *workerState) beginHold(now time.Time) {
+	ho := &wk.fillers.hold
+	if !ho.orderedAt.IsZero() {
+		return
+	}
+	*ho = hold{orderedAt: now, figureAge: now.Sub(wk.fillers.figuresAt)}
+	for _, at := range wk.services {
+		if at.overTarget.Over() && (ho.service == nil || at.overTarget.Below().Before(ho.below)) {
+			ho.service, ho.below = at, at.overTarget.Below()
+		}
+	}
+}
+
+// reportHold logs once that all fillers on the worker are held, and records for how long the
+// service may have been over its target by then.
+func (wk *workerState) reportHold(now time.Time) {
+	ho := &wk.fillers.hold
+	held := func(at *attempt) bool { return at.pace == 0 && !at.paceInFlight }
+	if ho.service == nil || ho.reported || !slices.ContainsFunc(wk.pacedFillers(), held) || wk.hasRunningFillers() {
+		return
+	}
+	ho.reported = true
+	over := time.Duration(-1)
+	if !ho.below.IsZero() {
+		over = now.Add(wk.ow.Limits.PaceTime).Sub(ho.below)
+		wk.ow.Metrics.Observe(telemetry.OverTargetTime, over, "outcome", "held")
+	}
+	wk.ow.Log.Info("fillers held", "worker", wk.incarnation, "service", taskID(ho.service), "over", over, "figure_age", ho.figureAge,
+		"answered_after", now.Sub(ho.orderedAt), "unanswered", ho.unanswered)
+}
--- a/internal/sched/owner.go
+++ b/internal/sched/owner.go
@@ -47,8 +47,9 @@
 	MaxLease time.Duration
 	// StopTime is the longest time that a worker takes to stop an attempt.
 	StopTime time.Duration
-	// HarmAfter is how long fillers may keep a service over its latency target.
-	HarmAfter time.Duration
+	// HarmAfter is how long fillers may keep a service over its latency target. PaceTime is how
+	// long a worker takes until an ordered pace is in effect.
+	HarmAfter, PaceTime time.Duration
 	// KeepEnded is how long the state of a job can be queried after its end.
 	KeepEnded time.Duration
 }
@@ -194,7 +195,7 @@
 	maxEvents = 1024
 	// clockDrift is how much slower or faster than true time a worker's clock may run, as a
 	// fraction; the users specify it.
-	clockDrift = 0.02
+	clockDrift = clock.Drift
 	// lapseMargin is added to computed lease expiries before attempts count as ended.
 	lapseMargin = 100 * time.Millisecond
 )
--- a/internal/sched/pace.go
+++ b/internal/sched/pace.go
@@ -48,6 +48,7 @@
 	case wk.anyOverTargetTooLong(now):
 		wk.holdAll(fillers, now)
 	default:
+		wk.fillers.hold = hold{}
 		wk.resume(fillers, now)
 	}
 }
@@ -103,6 +104,7 @@
 // holdAll sets the pace of every filler to 0: which of them cause the excess is an estimate, and
 // there is no time left to try.
 func (wk *workerState) holdAll(fillers []*attempt, now time.Time) {
+	wk.beginHold(now)
 	for _, at := range fillers {
 		wk.setPace(at, 0, now, "service over its target for long")
 	}
@@ -191,6 +193,9 @@
 		ow.orderPace(at)
 	case err != nil:
 		at.pace = unknownPace
+		at.wk.fillers.hold.unanswered++
+	default:
+		at.wk.reportHold(time.Now())
 	}
 }
 
--- a/internal/sched/pace_test.go
+++ b/internal/sched/pace_test.go
@@ -52,7 +52,7 @@
 func (pf *pacingFixture) reportTail(tailMS int64) {
 	time.Sleep(usageWindow)
 	pf.service.usage = tailMS
-	pf.wk.measure(time.Now())
+	pf.wk.measure(time.Now(), time.Now())
 }
 
 // learnNoInterference has the model learn that the fillers do not affect the service.
--- a/internal/sched/polls.go
+++ b/internal/sched/polls.go
@@ -168,6 +168,7 @@
 	wk.lastAnsweredAt = got
 	wk.recordAnswered(got)
 	wk.recordClock(res.ClockMS, got)
+	taken := wk.fillers.clock.Observe(sent, got, res.ClockMS)
 	wk.lastPollHadEnds = len(res.Ended) > 0
 	wk.pollsHandled++
 	wk.speed.recordPoll(res.ClockMS, unpolled, got)
@@ -186,7 +187,7 @@
 		}
 	}
 	wk.startQueued()
-	wk.measure(got)
+	wk.measure(taken, got)
 	wk.acknowledge()
 }
 
--- a/internal/sched/usage.go
+++ b/internal/sched/usage.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/pepperhatch/pepperhatch/internal/clock"
 	"github.com/pepperhatch/pepperhatch/internal/interfere"
 	"github.com/pepperhatch/pepperhatch/internal/job"
 )
@@ -38,6 +39,11 @@
 	overTarget bool
 	// measuredAt is when the services were last measured.
 	measuredAt time.Time
+	// clock dates the figures of the worker, hold is the hold of the fillers.
+	// figuresAt is the earliest time at which the latest figures can have been reported.
+	clock     clock.Remote
+	figuresAt time.Time
+	hold      hold
 }
 
 // invalidate discards the derived values, so that they are computed again.
@@ -142,8 +148,8 @@
 }
 
 // measure updates the model from the usage reported by a poll, at most once per half usage
-// window, and adjusts the paces of fillers.
-func (wk *workerState) measure(got time.Time) {
+// window, and adjusts the paces of fillers. The usage is as of some time after taken.
+func (wk *workerState) measure(taken, got time.Time) {
 	fs := &wk.fillers
 	if got.Sub(fs.measuredAt) < usageWindow/2 {
 		return
@@ -157,6 +163,7 @@
 			wk.ow.model.Observe(&at.replica, at.step().Image, me)
 		}
 	}
+	wk.recordOverTarget(taken)
 	fs.ended = slices.DeleteFunc(fs.ended, func(ef endedFiller) bool { return got.Sub(ef.at) > usageWindow })
 	wk.adjustPaces(got)
 }
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -39,6 +39,9 @@
 	// OverTargetByFillers and OverTargetByLoad are how long its tail latency was over
 	// its target because of fillers and because of its own load alone.
 	ServingTime, OverTargetByFillers, OverTargetByLoad time.Duration
+	// LongestOverTarget is the longest time for which it had been over its target without
+	// interruption at a moment when it was so because of fillers.
+	LongestOverTarget time.Duration
 
 	// lapsed is set if the lease expired while the end was not yet acknowledged.
 	lapsed bool
@@ -120,13 +123,16 @@
 	// The next fields are set under the model of [Interference]. worked is how much of
 	// target a filler has worked, and used the processors it gets, in millicores. usage
 	// is the reported figure, with noise: that of a filler is in millicores, that of a
-	// service its tail latency in milliseconds. pace is the ordered speed in percent if
-	// paced is set.
-	worked time.Duration
-	used   float64
-	usage  int64
-	pace   int
-	paced  bool
+	// service its tail latency in milliseconds, both over the window of which reported has the
+	// values. pace is the ordered speed in percent if paced is set. overTarget is for how long a
+	// service has been over its target.
+	worked     time.Duration
+	used       float64
+	usage      int64
+	reported   recent
+	pace       int
+	paced      bool
+	overTarget time.Duration
 }
 
 // Add adds a worker and starts its clock.
@@ -416,11 +422,24 @@
 		return fw.ack(), worker.ErrFenced
 	}
 	if ta := fw.running[pa.Task]; ta != nil && ta.run.Number == pa.Number {
-		ta.pace, ta.paced = pa.Percent, true
+		fw.setPace(ta, pa.Percent)
 	}
 	return fw.ack(), nil
 }
 
+// setPace sets the pace of a task after the delay of the fleet's [Interference].
+func (fw *FleetWorker) setPace(ta *fleetTask, percent int) {
+	if in := fw.fl.Interference; in != nil && in.PaceDelay > 0 {
+		time.AfterFunc(in.PaceDelay, func() {
+			fw.fl.mu.Lock()
+			defer fw.fl.mu.Unlock()
+			ta.pace, ta.paced = percent, true
+		})
+		return
+	}
+	ta.pace, ta.paced = percent, true
+}
+
 // poll returns the attempts that run and the ends that are listed. If no end is listed, it
 // first waits for one as long as the poll says.
 func (fl *Fleet) poll(ctx context.Context, ad worker.Addr, po worker.Poll) (worker.PollResult, error) {
--- a/internal/standin/interference.go
+++ b/internal/standin/interference.go
@@ -29,6 +29,9 @@
 	LoadFunc func(at worker.Attempt, now time.Time) float64
 	// MaxHeadroom is the headroom of a service without load.
 	MaxHeadroom float64
+	// Window is the period that reported figures cover; 0 reports momentary ones. PaceDelay is
+	// the time from an order to set a pace until it takes effect.
+	Window, PaceDelay time.Duration
 	// Noise is the standard deviation of the logarithm of the random factor on the
 	// usage and tail latencies that workers report; 0 means none.
 	Noise float64
@@ -84,7 +87,7 @@
 			continue
 		}
 		ta.used = float64(st.Each.MilliCores) * ta.speed() * share
-		ta.usage = int64(ta.used * in.noise())
+		ta.usage = int64(ta.reported.mean(ta.used, in.Window, d) * in.noise())
 		ta.worked += time.Duration(float64(d) * ta.speed() * share)
 		if ta.worked >= ta.target {
 			fw.end(name, ta.outcome)
@@ -93,7 +96,7 @@
 }
 
 // advanceServices computes the tail latencies of services beside the fillers, and adds up
-// how long they are over their targets.
+// how long they are over their targets, and for how long without interruption.
 func (in *Interference) advanceServices(fw *FleetWorker, now time.Time, d time.Duration) {
 	for _, ta := range fw.running {
 		st := in.StepFunc(ta.run.Attempt)
@@ -102,12 +105,18 @@
 		}
 		withoutFillers := in.MaxHeadroom * (1 - in.LoadFunc(ta.run.Attempt, now))
 		headroom := withoutFillers - in.headroomDrop(fw, st.Image)
-		ta.usage = max(int64(float64(st.TargetMS)/max(headroom, minHeadroom)*in.noise()), 1)
+		tail := ta.reported.mean(float64(st.TargetMS)/max(headroom, minHeadroom), in.Window, d)
+		ta.usage = max(int64(tail*in.noise()), 1)
 		ta.run.ServingTime += d
+		ta.overTarget += d
+		if headroom >= 1 {
+			ta.overTarget = 0
+		}
 		switch {
 		case headroom >= 1:
 		case withoutFillers >= 1:
 			ta.run.OverTargetByFillers += d
+			ta.run.LongestOverTarget = max(ta.run.LongestOverTarget, ta.overTarget)
 		default:
 			ta.run.OverTargetByLoad += d
 		}
@@ -125,6 +134,23 @@
 	return sum
 }
 
+// recent holds the latest values of a figure, one for each period of the model.
+type recent []float64
+
+// mean adds a value and returns the mean of those in the window, where each stands for a period
+// of length d.
+func (re *recent) mean(value float64, window, d time.Duration) float64 {
+	*re = append(*re, value)
+	if extra := len(*re) - max(int(window/d), 1); extra > 0 {
+		*re = (*re)[extra:]
+	}
+	sum := 0.0
+	for _, x := range *re {
+		sum += x
+	}
+	return sum / float64(len(*re))
+}
+
 // noise returns a random factor with a median of 1.
 func (in *Interference) noise() float64 {
 	if in.Noise == 0 {
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -97,6 +97,7 @@
 	VisibleCapacityWait Name = "pepperhatch_visible_capacity_wait_seconds"
 	CapacityTransit     Name = "pepperhatch_capacity_transit_seconds"
 	AdmissionWait       Name = "pepperhatch_admission_wait_seconds"
+	OverTargetTime      Name = "pepperhatch_over_target_seconds"
 )
 
 // Entry documents one instrument.
@@ -177,6 +178,7 @@
 	{ChangeWait, "", "histogram of the longest time that the change of a job waited until it was written, of each 0.1 s", "over 0.1: see \"The owner is behind\""},
 	{VisibleCapacityWait, "workers", "histogram of the longest time that an interrupted long-running task waited while at least one or two workers had the capacity for it by their own account, from when it may start until its worker confirms the start", "over 1 for two: look for \"capacity for interrupted tasks\" in the log"},
 	{CapacityTransit, "", "histogram of the time from when a worker had the capacity for an interrupted long-running task until it started the task, by the worker's clock; where no poll was waiting for the end that freed the capacity, half of the time without a poll", "times the starts a second this is the capacity that users see unused at any time: over 0.05, compare `transit` and `unpolled` in \"capacity for interrupted tasks\""},
+	{OverTargetTime, "outcome", "histogram of the longest time for which a service may have exceeded its latency target beside running fillers: from when it was last known to be below until its fillers were held (held) or it was known to be below again (below)", "held close to the bound, harm_ms: look for \"fillers held\" in the log"},
 	{AdmissionWait, "", "histogram of the forecast time until the work ahead of a submitted job has drained", "compare with the time limits of the queues"},
 }
 
@@ -210,7 +212,7 @@
 	}
 	for _, en := range Histograms {
 		me.histograms[en.Name], err = meter.Float64Histogram(string(en.Name), metric.WithDescription(en.Meaning),
-			metric.WithExplicitBucketBoundaries(.001, .002, .005, .01, .02, .05, .1, .2, .5, 1, 2, 5, 10))
+			metric.WithExplicitBucketBoundaries(.001, .002, .005, .01, .02, .05, .1, .2, .5, 1, 2, 3, 4, 5, 10))
 		if err != nil {
 			return nil, nil, fmt.Errorf("histogram %s: %w", en.Name, err)
 		}
