--- /dev/null
+++ b/internal/sched/hold_test.go
@@ -0,0 +1,217 @@
+package sched
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/pepperhatch/pepperhatch/internal/job"
+	"github.com/pepperhatch/pepperhatch/internal/standin"
+	"github.com/pepperhatch/pepperhatch/internal/worker"
+)
+
+// harmAfter is the bound of the lab's owners on how long fillers may keep a service over its target.
+const harmAfter = 4 * time.Second
+
+// disturbance delays answers to polls and loses pace orders at random.
+type disturbance struct {
+	// lateAnswers is the part of the answers that arrive lateBy later.
+	lateAnswers float64
+	lateBy      time.Duration
+	// lostOrders is the part of the pace orders that get no answer, but at most maxLostInRow for
+	// an attempt in a row, and doneAfter the time after which they are carried out; 0 is never.
+	lostOrders float64
+	doneAfter  time.Duration
+
+	mu   sync.Mutex
+	rn   *rand.Rand
+	lost map[worker.Attempt]int
+}
+
+const maxLostInRow = 2
+
+func (di *disturbance) draw(part float64) bool {
+	di.mu.Lock()
+	defer di.mu.Unlock()
+	return di.rn.Float64() < part
+}
+
+// loses reports whether a pace order gets no answer.
+func (di *disturbance) loses(at worker.Attempt) bool {
+	lost := di.draw(di.lostOrders)
+	di.mu.Lock()
+	defer di.mu.Unlock()
+	if !lost || di.lost[at] == maxLostInRow {
+		delete(di.lost, at)
+		return false
+	}
+	di.lost[at]++
+	return true
+}
+
+func (di *disturbance) wrap(ag worker.Agent) worker.Agent {
+	poll, pace := ag.PollFunc, ag.PaceFunc
+	ag.PollFunc = func(ctx context.Context, ad worker.Addr, po worker.Poll) (worker.PollResult, error) {
+		res, err := poll(ctx, ad, po)
+		if err == nil && di.draw(di.lateAnswers) {
+			time.Sleep(di.lateBy)
+		}
+		return res, err
+	}
+	ag.PaceFunc = func(ctx context.Context, ad worker.Addr, pa worker.Pace) (worker.Ack, error) {
+		if !di.loses(pa.Attempt) {
+			return pace(ctx, ad, pa)
+		}
+		if di.doneAfter > 0 {
+			time.AfterFunc(di.doneAfter, func() { _, _ = pace(context.Background(), ad, pa) })
+		}
+		<-ctx.Done()
+		return worker.Ack{}, ctx.Err()
+	}
+	return ag
+}
+
+// Times of services under waves of load in the lab.
+const (
+	loadPeriod = 16 * time.Second
+	loadWaves  = 6
+	loadStep   = 50 * time.Millisecond
+)
+
+// newLoadWavesLab returns a lab whose workers each run a service and a filler. The service exceeds
+// its target because of the filler during the second half of each wave of its own load.
+func newLoadWavesLab(t *testing.T, workers int, di *disturbance) *lab {
+	t.Helper()
+	la := newLab(t, workers)
+	start := time.Now()
+	di.rn, di.lost = rand.New(rand.NewPCG(1, 3)), map[worker.Attempt]int{}
+	la.wrapAgentFunc = di.wrap
+	la.fleet.RunFunc = func(at worker.Attempt) (time.Duration, string) {
+		id, ref, _ := job.ParseTaskID(at.Task)
+		if la.spec(id).Steps[ref.Step].LongRunning {
+			return -1, ""
+		}
+		return time.Hour, "done"
+	}
+	la.fleet.Interference = &standin.Interference{
+		StepFunc: func(at worker.Attempt) *job.Step {
+			id, ref, _ := job.ParseTaskID(at.Task)
+			return &la.spec(id).Steps[ref.Step]
+		},
+		DropFunc: func(string, string) float64 { return 3 },
+		LoadFunc: func(_ worker.Attempt, now time.Time) float64 {
+			if now.Sub(start)%loadPeriod < loadPeriod/2 {
+				return 0.1
+			}
+			return 0.7
+		},
+		MaxHeadroom: 6, Noise: 0.1, Rand: rand.New(rand.NewPCG(1, 2)), Window: usageWindow, PaceDelay: 100 * time.Millisecond,
+	}
+	return la
+}
+
+// submitServicesAndFillers submits a service and a filler for each worker.
+func (la *lab) submitServicesAndFillers(ow *Owner, workers int) {
+	for i := range workers {
+		la.submit(ow, i, job.Spec{Steps: []job.Step{{
+			Tasks: 1, Each: worker.Resources{MilliCores: 17_000, MemMB: 8000}, LongRunning: true, TargetMS: testTargetMS, Image: "s",
+		}}})
+	}
+	time.Sleep(3 * time.Second)
+	la.submit(ow, workers, job.Spec{Steps: []job.Step{{Tasks: workers, Each: worker.Resources{MilliCores: 14_000, MemMB: 8000}, Filler: true, Image: "f"}}})
+}
+
+// advance advances the model of workers until ctx ends.
+func (la *lab) advance(ctx context.Context) {
+	ti := time.NewTicker(loadStep)
+	defer ti.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ti.C:
+			la.fleet.Advance(loadStep)
+		}
+	}
+}
+
+// longestOverTarget returns the longest time for which fillers kept a service over its target, and
+// for how long they did so in total.
+func (la *lab) longestOverTarget() (longest, total time.Duration) {
+	for _, ru := range la.fleet.Runs() {
+		longest, total = max(longest, ru.LongestOverTarget), total+ru.OverTargetByFillers
+	}
+	return longest, total
+}
+
+// assertHeldInTime checks that fillers keep no service over its target for longer than the bound.
+// If takeOver is set, another owner takes over in the midst of each time over the target.
+func assertHeldInTime(t *testing.T, di *disturbance, takeOver bool) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		const workers = 24
+		la := newLoadWavesLab(t, workers, di)
+		ctx, cancel := context.WithCancel(t.Context())
+		go la.advance(ctx)
+		ow, stop := la.startOwner()
+		la.submitServicesAndFillers(ow, workers)
+		start := time.Now()
+		for wave := range loadWaves {
+			if takeOver {
+				time.Sleep(time.Until(start.Add(time.Duration(wave)*loadPeriod + loadPeriod/2)))
+				stop()
+				_, stop = la.startOwner()
+			}
+			time.Sleep(time.Until(start.Add(time.Duration(wave+1) * loadPeriod)))
+		}
+		longest, total := la.longestOverTarget()
+		t.Logf("longest %v, total %v", longest, total)
+		qt.Check(t, total > 0, qt.IsTrue)
+		qt.Check(t, longest < harmAfter, qt.IsTrue, qt.Commentf("%v", longest))
+		stop()
+		cancel()
+		time.Sleep(5 * time.Second)
+	})
+}
+
+// Parts of the messages that are disturbed, and by how much.
+const (
+	disturbedPart = 0.25
+	lateAnswerBy  = 600 * time.Millisecond
+	lateOrderBy   = 3 * time.Second
+)
+
+func TestFillersAreHeldInTime(t *testing.T) {
+	assertHeldInTime(t, &disturbance{}, false)
+}
+
+// TestLateAnswersDelayNoHold guards against a deadline that is counted from the first figure over
+// the target and checked only when a poll is answered.
+func TestLateAnswersDelayNoHold(t *testing.T) {
+	assertHeldInTime(t, &disturbance{lateAnswers: disturbedPart, lateBy: lateAnswerBy}, false)
+}
+
+// TestLostPaceOrdersDelayNoHold guards against orders that are repeated only with the next poll.
+func TestLostPaceOrdersDelayNoHold(t *testing.T) {
+	assertHeldInTime(t, &disturbance{lostOrders: disturbedPart}, false)
+}
+
+func TestLateAnswersAndLostPaceOrdersDelayNoHold(t *testing.T) {
+	assertHeldInTime(t, &disturbance{lateAnswers: disturbedPart, lateBy: lateAnswerBy, lostOrders: disturbedPart}, false)
+}
+
+// TestLatePaceOrdersEndNoHold guards against holds that are believed and not checked.
+func TestLatePaceOrdersEndNoHold(t *testing.T) {
+	assertHeldInTime(t, &disturbance{lostOrders: disturbedPart, doneAfter: lateOrderBy}, false)
+}
+
+// TestTakeoversDelayNoHold guards against owners that count the time over the target from their
+// own first figure.
+func TestTakeoversDelayNoHold(t *testing.T) {
+	assertHeldInTime(t, &disturbance{}, true)
+}
