Count the deadline of holds from the last figure below the target

Cause: the time over the target was counted from the first figure above it, when that arrived, and only looked at when another figure arrived. Between the last figure below and the first above lie 0.6 to 1.2 s, between two looks as much again, and a late answer counted as a young figure. The class is a deadline that is counted from when something is noticed, and checked only when news arrives. A new owner counted from nothing.

The deadline now counts from the end of the last window in which the service was certainly below its target, dated by the worker's clock, and the tick checks it. So the age of figures, the interval between polls and late answers do not move it. Where it is not known when the service was last below, as after a takeover, the fillers are held at the first figure above.

Tests of pacing place their attempts now, as the time counts from then where there is no figure, and report a service over its target for the bound itself before they expect a hold.

--- a/internal/sched/attempt.go
+++ b/internal/sched/attempt.go
@@ -78,10 +78,6 @@
 	replica interfere.Replica
 	// overTarget tracks for how long a service may have exceeded its latency target.
 	overTarget overtarget.Tracker
-	// overTargetSince is since when a service has been over its latency target, or zero.
-	overTargetSince time.Time
-	// lastOverTarget is when a service was last over its target.
-	lastOverTarget time.Time
 	// pace is the share of full speed that was last ordered, in percent, or unknownPace.
 	pace int
 	// paceInFlight is set while an order to set the pace is in flight.
@@ -144,6 +140,9 @@
 // addAttempt adds an attempt and its resources to the worker.
 func (wk *workerState) addAttempt(at *attempt) {
 	at.fullName = at.name()
+	if !at.placedAt.IsZero() {
+		at.overTarget.RecordBelow(at.placedAt)
+	}
 	if wk.attemptsByName == nil {
 		wk.attemptsByName = map[worker.Attempt]*attempt{}
 	}
--- a/internal/sched/hold.go
+++ b/internal/sched/hold.go
@@ -7,6 +7,37 @@
 	"github.com/pepperhatch/pepperhatch/internal/telemetry"
 )
 
+// holdLead is how long before Limits.HarmAfter fillers are ordered to be held, beside
+// Limits.PaceTime: until the next tick, also of an owner that is behind, and for the order.
+const holdLead = tickInterval + 300*time.Millisecond
+
+// holdDue reports whether the fillers on the worker must be held now. A service may have been over
+// its target since it was last known to be below, whatever figures say since when. Where that is
+// not known, as after a takeover, there may be no time left.
+func (wk *workerState) holdDue(now time.Time) bool {
+	li := &wk.ow.Limits
+	return wk.ow.enabled(MechHold) && slices.ContainsFunc(wk.services, func(at *attempt) bool {
+		return at.overTarget.Over() && now.Sub(at.overTarget.Below()) >= li.HarmAfter-li.PaceTime-holdLead
+	})
+}
+
+// tickHold holds the fillers as soon as that is due, as the next answer of the worker may come too
+// late.
+func (wk *workerState) tickHold(now time.Time) {
+	if wk.holdDue(now) {
+		wk.holdAll(wk.pacedFillers(), now)
+	}
+}
+
+// holdAll sets the pace of every filler to 0: which of them cause the excess is an estimate, and
+// there is no time left to try.
+func (wk *workerState) holdAll(fillers []*attempt, now time.Time) {
+	wk.beginHold(now)
+	for _, at := range fillers {
+		wk.setPace(at, 0, now, "service over its target for long")
+	}
+}
+
 // hold is a hold of all fillers on a worker, because a service there has been over its target for
 // long. The zero value is none.
 type hold struct {
@@ -45,10 +76,10 @@
 	return slices.ContainsFunc(wk.pacedFillers(), func(at *attempt) bool { return at.effectivePace() > 0 })
 }
 
-// beginHold records that all fillers on the worker are ordered to be held, if they are not yet.
+// beginHold records that the fillers on the worker are ordered to be held, if any is working.
 func (wk *workerState) beginHold(now time.Time) {
 	ho := &wk.fillers.hold
-	if !ho.orderedAt.IsZero() {
+	if !ho.orderedAt.IsZero() || !wk.hasRunningFillers() {
 		return
 	}
 	*ho = hold{orderedAt: now, figureAge: now.Sub(wk.fillers.figuresAt)}
--- a/internal/sched/hold_test.go
+++ b/internal/sched/hold_test.go
@@ -15,8 +15,12 @@
 	"github.com/pepperhatch/pepperhatch/internal/worker"
 )
 
-// harmAfter is the bound of the lab's owners on how long fillers may keep a service over its target.
-const harmAfter = 4 * time.Second
+// harmAfter is the bound of the lab's owners on how long fillers may keep a service over its target,
+// paceDelay how long its workers take until an ordered pace is in effect.
+const (
+	harmAfter = 4 * time.Second
+	paceDelay = 100 * time.Millisecond
+)
 
 // disturbance delays answers to polls and loses pace orders at random.
 type disturbance struct {
@@ -110,7 +114,7 @@
 			}
 			return 0.7
 		},
-		MaxHeadroom: 6, Noise: 0.1, Rand: rand.New(rand.NewPCG(1, 2)), Window: usageWindow, PaceDelay: 100 * time.Millisecond,
+		MaxHeadroom: 6, Noise: 0.1, Rand: rand.New(rand.NewPCG(1, 2)), Window: usageWindow, PaceDelay: paceDelay,
 	}
 	return la
 }
--- a/internal/sched/idlecapacity.go
+++ b/internal/sched/idlecapacity.go
@@ -43,7 +43,7 @@
 	switch {
 	case over > 0:
 		return obstacleTarget
-	case ca.wk.fillers.overTarget:
+	case ca.wk.fillers.held:
 		return obstacleHeld
 	}
 	return obstacleNone
--- a/internal/sched/interferencescore.go
+++ b/internal/sched/interferencescore.go
@@ -36,13 +36,13 @@
 const summaryMaxAge = 100 * time.Millisecond
 
 // serviceSummaries returns the summaries of the services on the worker. It computes them again
-// if they are outdated, and with them whether a service has exceeded its target for too long.
+// if they are outdated, and with them whether the fillers there are to be held.
 func (ca *candidate) serviceSummaries() []imageServices {
 	fs, now := &ca.wk.fillers, time.Now()
 	if !fs.summariesAt.IsZero() && now.Sub(fs.summariesAt) < summaryMaxAge {
 		return fs.summaries
 	}
-	fs.summaries, fs.overTarget = fs.summaries[:0], ca.wk.anyOverTargetTooLong(now)
+	fs.summaries, fs.held = fs.summaries[:0], ca.wk.holdDue(now)
 	for _, at := range ca.wk.services {
 		if at.isMeasuredService() {
 			fs.addService(at.step().Image, ca.wk.excess(at, placeBelowPart))
--- a/internal/sched/lab_test.go
+++ b/internal/sched/lab_test.go
@@ -227,7 +227,7 @@
 	ow := New(&Owner{
 		Cell: "c0", Tenure: te, Table: la.client(), Agent: la.agent(), Metrics: la.metrics, Log: la.log,
 		ViaFunc: la.currentVia, ListFunc: la.listFunc, EvacuatedFunc: la.requests.read,
-		Limits: Limits{MaxLease: 6 * time.Second, StopTime: 900 * time.Millisecond, HarmAfter: 4 * time.Second, KeepEnded: 2 * time.Minute},
+		Limits: Limits{MaxLease: 6 * time.Second, StopTime: 900 * time.Millisecond, HarmAfter: harmAfter, PaceTime: paceDelay, KeepEnded: 2 * time.Minute},
 	})
 	loaded := make(chan error, 2)
 	go func() { loaded <- ow.Run(ctx, func() { loaded <- nil }) }()
--- a/internal/sched/pace.go
+++ b/internal/sched/pace.go
@@ -16,11 +16,6 @@
 // Slowing fillers beside services that are merely close to their targets costs more than it saves:
 // a job ends with its slowest task, so that one slow filler of forty makes the whole job late.
 const (
-	// nearTargetPart is the part of its target above which a service may be over it, as its
-	// reported tail latency is inexact. clearAfter is how long the tail latency must stay
-	// below that before the service counts as under its target again.
-	nearTargetPart = 0.9
-	clearAfter     = time.Second
 	// predictAhead is how far ahead the load of services is predicted: an order takes 0.1 s to
 	// take effect, and the next poll follows 0.6 s later.
 	predictAhead = 600 * time.Millisecond
@@ -30,10 +25,6 @@
 	// its tail latency only later.
 	resumeBelowPart = 0.8
 	placeBelowPart  = 0.72
-	// holdLead is how long before Limits.HarmAfter fillers are held: two polls until a service
-	// is seen to be over its target and still to be so, an order, and the half second that
-	// reported tail latencies cover.
-	holdLead = 2 * time.Second
 	// paceTimeout is the timeout of one pace order.
 	paceTimeout = 400 * time.Millisecond
 )
@@ -41,11 +32,10 @@
 // adjustPaces holds the fillers beside services that have been over their target for too long,
 // and otherwise lets held ones resume.
 func (wk *workerState) adjustPaces(now time.Time) {
-	wk.trackOverTarget(now)
 	fillers := wk.pacedFillers()
 	switch {
 	case len(fillers) == 0:
-	case wk.anyOverTargetTooLong(now):
+	case wk.holdDue(now):
 		wk.holdAll(fillers, now)
 	default:
 		wk.fillers.hold = hold{}
@@ -53,37 +43,6 @@
 	}
 }
 
-// overTargetTooLong reports whether the service has been over its target for so long that
-// all fillers beside it must be held.
-func (at *attempt) overTargetTooLong(now time.Time) bool {
-	return at.wk.ow.enabled(MechHold) && !at.overTargetSince.IsZero() && now.Sub(at.overTargetSince) > at.wk.ow.Limits.HarmAfter-holdLead
-}
-
-// anyOverTargetTooLong reports whether any service on the worker has been over its target
-// for too long.
-func (wk *workerState) anyOverTargetTooLong(now time.Time) bool {
-	return slices.ContainsFunc(wk.services, func(at *attempt) bool { return at.overTargetTooLong(now) })
-}
-
-// trackOverTarget records since when each service has been over its target, or close to it:
-// the reported tail latency is inexact and may fall below the target by chance.
-func (wk *workerState) trackOverTarget(now time.Time) {
-	for _, at := range wk.services {
-		switch {
-		case !at.isMeasuredService():
-			at.overTargetSince = time.Time{}
-		case float64(at.usage) <= nearTargetPart*float64(at.step().TargetMS):
-			if now.Sub(at.lastOverTarget) > clearAfter {
-				at.overTargetSince = time.Time{}
-			}
-		case at.overTargetSince.IsZero():
-			at.overTargetSince, at.lastOverTarget = now, now
-		default:
-			at.lastOverTarget = now
-		}
-	}
-}
-
 // pacedFillers returns the launched fillers, whose pace can be set.
 func (wk *workerState) pacedFillers() []*attempt {
 	var list []*attempt
@@ -101,15 +60,6 @@
 	return wk.ow.model.Drop(interfere.Pair{Service: service.step().Image, Filler: filler.step().Image}) * filler.fullShare()
 }
 
-// holdAll sets the pace of every filler to 0: which of them cause the excess is an estimate, and
-// there is no time left to try.
-func (wk *workerState) holdAll(fillers []*attempt, now time.Time) {
-	wk.beginHold(now)
-	for _, at := range fillers {
-		wk.setPace(at, 0, now, "service over its target for long")
-	}
-}
-
 // minPlacementDrop is the drop of headroom by one filler above which placement checks the
 // service's target. It is low, as many fillers together may cause an excess.
 const minPlacementDrop = 0.02
@@ -149,7 +99,7 @@
 
 // holdIfStarted holds a filler that has just started if the fillers beside it are held.
 func (wk *workerState) holdIfStarted(at *attempt, now time.Time) {
-	if at.step().Filler && wk.anyOverTargetTooLong(now) {
+	if at.step().Filler && wk.holdDue(now) {
 		wk.setPace(at, 0, now, "started beside a service over its target for long")
 	}
 }
--- a/internal/sched/pace_test.go
+++ b/internal/sched/pace_test.go
@@ -30,7 +30,7 @@
 func newPacingFixture(t *testing.T, fillers int) *pacingFixture {
 	t.Helper()
 	ag := worker.Agent{PaceFunc: func(context.Context, worker.Addr, worker.Pace) (worker.Ack, error) { return worker.Ack{}, nil }}
-	ow := New(&Owner{Log: slog.New(slog.DiscardHandler), Agent: ag, Limits: Limits{HarmAfter: 4 * time.Second}})
+	ow := New(&Owner{Log: slog.New(slog.DiscardHandler), Agent: ag, Limits: Limits{HarmAfter: harmAfter, PaceTime: 100 * time.Millisecond}})
 	ow.ctx = t.Context()
 	wk := &workerState{WorkerEntry: WorkerEntry{Capacity: worker.Resources{MilliCores: 32_000, MemMB: 128_000}}, ow: ow, attempts: map[*attempt]bool{}}
 	pf := &pacingFixture{t: t, wk: wk}
@@ -43,7 +43,7 @@
 
 func (pf *pacingFixture) addAttempt(n int, st job.Step) *attempt {
 	tj := pf.wk.ow.addJob(job.New(jobID(n), job.Terms{}, job.Spec{Steps: []job.Step{st}}))
-	at := &attempt{number: 1, wk: pf.wk, tj: tj, pace: fullPace, launchedAt: time.Now()}
+	at := &attempt{number: 1, wk: pf.wk, tj: tj, pace: fullPace, placedAt: time.Now(), launchedAt: time.Now()}
 	pf.wk.addAttempt(at)
 	return at
 }
@@ -126,7 +126,7 @@
 func TestFillerStartsHeldBesideServiceOverTarget(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		pf := newPacingFixture(t, 1)
-		for range 6 {
+		for start := time.Now(); time.Since(start) < pf.wk.ow.Limits.HarmAfter; {
 			pf.reportTail(90)
 		}
 		late := pf.addAttempt(9, job.Step{Tasks: 1, Each: worker.Resources{MilliCores: 3200}, Filler: true, Image: "g"})
--- a/internal/sched/usage.go
+++ b/internal/sched/usage.go
@@ -34,9 +34,8 @@
 	expectedShares interfere.Shares
 	summaries      []imageServices
 	summariesAt    time.Time
-	// overTarget is set if a service had exceeded its latency target for too long at
-	// summariesAt.
-	overTarget bool
+	// held is set if the fillers were to be held at summariesAt.
+	held bool
 	// measuredAt is when the services were last measured.
 	measuredAt time.Time
 	// clock dates the figures of the worker, hold is the hold of the fillers.
--- a/internal/sched/workerstate.go
+++ b/internal/sched/workerstate.go
@@ -108,9 +108,8 @@
 	pollsHandled int64
 	// services are the attempts with a latency target.
 	services []*attempt
-	// reserved is the capacity reserved by the attempts. expectedUse is the processor time
-	// that they are likely to use, in thousandths of a core.
-	// fillerUse is the part of expectedUse that belongs to fillers.
+	// reserved is the capacity reserved by the attempts. expectedUse is the processor time that
+	// they are likely to use, in thousandths of a core, and fillerUse the part of fillers.
 	reserved    worker.Resources
 	expectedUse int64
 	fillerUse   int64
@@ -399,11 +398,12 @@
 // answers on different connections can arrive out of order.
 const maxClockRegression = 3 * time.Second
 
-// tick handles what changes with time alone: the end of trials, idle unlisted workers and
+// tick handles what changes with time alone: the end of trials, holds, idle unlisted workers and
 // lapsed leases.
 func (wk *workerState) tick(now time.Time) {
 	wk.tickTrial(now)
 	wk.tickQueued(now)
+	wk.tickHold(now)
 	if len(wk.attempts) == 0 {
 		wk.ow.removeIfIdle(wk)
 		return
