Repeat pace orders without an answer at once

Cause: an order without an answer left the pace unknown after 0.4 s, and the next one was sent when the next poll was answered. No allowance for it was in the deadline.

A hold that is due is ordered again as soon as its order has timed out, after 0.2 s. The deadline allows for one such order, a late tick and the worker's answer. Timeouts grow after two, and silent workers get no more orders, so that a worker that is slow or lost costs few.

--- a/internal/sched/attempt.go
+++ b/internal/sched/attempt.go
@@ -80,8 +80,10 @@
 	overTarget overtarget.Tracker
 	// pace is the share of full speed that was last ordered, in percent, or unknownPace.
 	pace int
-	// paceInFlight is set while an order to set the pace is in flight.
-	paceInFlight bool
+	// paceInFlight is set while an order to set the pace is in flight, pacesUnanswered counts the
+	// latest of these orders without an answer.
+	paceInFlight    bool
+	pacesUnanswered int
 	// throttledSince is since when a filler's pace has been at most heldMaxPace, or zero.
 	throttledSince time.Time
 	// pacedAt is when its pace last changed.
--- a/internal/sched/hold.go
+++ b/internal/sched/hold.go
@@ -7,9 +7,17 @@
 	"github.com/pepperhatch/pepperhatch/internal/telemetry"
 )
 
-// holdLead is how long before Limits.HarmAfter fillers are ordered to be held, beside
-// Limits.PaceTime: until the next tick, also of an owner that is behind, and for the order.
-const holdLead = tickInterval + 300*time.Millisecond
+const (
+	// ownerBehind is how late a tick may be, maxAnswerTime how long a worker may take to answer
+	// an order.
+	ownerBehind   = 200 * time.Millisecond
+	maxAnswerTime = 100 * time.Millisecond
+	// lostPaces is how many orders in a row may get no answer in addition.
+	lostPaces = 1
+	// holdLead is how long before Limits.HarmAfter fillers are ordered to be held, beside
+	// Limits.PaceTime.
+	holdLead = tickInterval + ownerBehind + lostPaces*paceTimeout + maxAnswerTime
+)
 
 // holdDue reports whether the fillers on the worker must be held now. A service may have been over
 // its target since it was last known to be below, whatever figures say since when. Where that is
@@ -22,9 +30,9 @@
 }
 
 // tickHold holds the fillers as soon as that is due, as the next answer of the worker may come too
-// late.
+// late, and orders it again where it may not be in effect. Silent workers get no more orders.
 func (wk *workerState) tickHold(now time.Time) {
-	if wk.holdDue(now) {
+	if now.Sub(wk.lastAnsweredAt) < unresponsiveAfter && wk.holdDue(now) {
 		wk.holdAll(wk.pacedFillers(), now)
 	}
 }
--- a/internal/sched/pace.go
+++ b/internal/sched/pace.go
@@ -25,8 +25,10 @@
 	// its tail latency only later.
 	resumeBelowPart = 0.8
 	placeBelowPart  = 0.72
-	// paceTimeout is the timeout of one pace order.
-	paceTimeout = 400 * time.Millisecond
+	// paceTimeout is the timeout of a pace order. It doubles with each order without an answer
+	// after the second, up to maxPaceTimeout, so that a slow worker gets few.
+	paceTimeout    = 200 * time.Millisecond
+	maxPaceTimeout = 800 * time.Millisecond
 )
 
 // adjustPaces holds the fillers beside services that have been over their target for too long,
@@ -130,13 +132,19 @@
 		return
 	}
 	at.paceInFlight = true
-	go ow.sendPace(at, worker.Pace{Attempt: at.name(), Percent: at.pace})
+	timeout := min(paceTimeout<<max(at.pacesUnanswered-1, 0), maxPaceTimeout)
+	go ow.sendPace(at, worker.Pace{Attempt: at.name(), Percent: at.pace}, timeout)
 }
 
 // handlePaceResult handles the result of an order, and sends another if the wanted pace has
-// changed since. After an order without an answer the pace is unknown.
-func (ow *Owner) handlePaceResult(at *attempt, percent int, err error) {
+// changed since. After an order without an answer the pace is unknown; if timedOut is set, a hold
+// that is due is ordered again at once, and else by the next tick.
+func (ow *Owner) handlePaceResult(at *attempt, percent int, timedOut bool, err error) {
 	at.paceInFlight = false
+	at.pacesUnanswered++
+	if err == nil {
+		at.pacesUnanswered = 0
+	}
 	switch {
 	case !at.current():
 	case at.pace != percent && at.pace != unknownPace:
@@ -144,6 +152,9 @@
 	case err != nil:
 		at.pace = unknownPace
 		at.wk.fillers.hold.unanswered++
+		if timedOut {
+			at.wk.tickHold(time.Now())
+		}
 	default:
 		at.wk.reportHold(time.Now())
 	}
@@ -155,8 +166,9 @@
 
 func abs(n int) int { return max(n, -n) }
 
-func (ow *Owner) sendPace(at *attempt, pa worker.Pace) {
-	ctx, cancel := context.WithTimeout(ow.ctx, paceTimeout)
+func (ow *Owner) sendPace(at *attempt, pa worker.Pace, timeout time.Duration) {
+	sent := time.Now()
+	ctx, cancel := context.WithTimeout(ow.ctx, timeout)
 	defer cancel()
 	pt := at.wk.currentPath()
 	pa.Fence = pt.fence
@@ -165,5 +177,6 @@
 		at.wk.reportIncarnation(err)
 		ow.Log.Info("pace order failed", "task", pa.Task, "attempt", pa.Number, "worker", pt.addr.Incarnation, "err", err)
 	}
-	ow.post(func() { ow.handlePaceResult(at, pa.Percent, err) })
+	timedOut := time.Since(sent) >= timeout
+	ow.post(func() { ow.handlePaceResult(at, pa.Percent, timedOut, err) })
 }
