Do not take a figure near the target for one below it

Cause, by a trace of the figures: fillers resume step by step up to the target, so the tail latency hovers there. Figures are inexact, and one of 0.87 of the target, taken while the true value was 1.16, moved the start of the count by a window and two polls.

A figure above 0.8 of the target no longer counts as one below it, as after an excess already.

--- a/internal/overtarget/overtarget.go
+++ b/internal/overtarget/overtarget.go
@@ -16,12 +16,13 @@
 // Limits between figures, as parts of the target.
 const (
 	// overPart is the part above which the service may exceed its target, as figures are
-	// inexact. clearPart is the part up to which a figure is evidence that it no longer does.
+	// inexact. clearPart is the part up to which a figure is evidence that it does not; one
+	// between the two says nothing.
 	overPart  = 0.9
 	clearPart = 0.8
-	// clearFigures and clearAfter are how many such figures it takes, and the time that must have
-	// passed since the last figure above overPart: windows overlap, and one figure may be low by
-	// chance.
+	// clearFigures and clearAfter are how many such figures it takes once a figure was above
+	// overPart, and the time that must have passed since: windows overlap, and one figure may be
+	// low by chance.
 	clearFigures = 2
 	clearAfter   = time.Second
 )
@@ -48,17 +49,16 @@
 // RecordFigure records a figure, which is the given part of the target and was taken no earlier
 // than at.
 func (tr *Tracker) RecordFigure(at time.Time, part float64) {
-	if part > overPart {
+	switch {
+	case part > overPart:
 		tr.over, tr.low = true, 0
 		tr.overAt = later(tr.overAt, at)
-		return
-	}
-	if part <= clearPart {
+	case part <= clearPart:
 		tr.low++
-	}
-	if !tr.over || (tr.low >= clearFigures && at.Sub(tr.overAt) > clearAfter) {
-		tr.over = false
-		tr.advance(at.Add(-Window))
+		if !tr.over || (tr.low >= clearFigures && at.Sub(tr.overAt) > clearAfter) {
+			tr.over = false
+			tr.advance(at.Add(-Window))
+		}
 	}
 }
 
--- a/internal/overtarget/overtarget_test.go
+++ b/internal/overtarget/overtarget_test.go
@@ -19,7 +19,9 @@
 		below   float64
 		over    bool
 	}{
-		{"below", []figure{{1, 0.5}, {2, 0.85}}, 1.5, false},
+		{"below", []figure{{1, 0.5}, {2, 0.8}}, 1.5, false},
+		{"a figure near the target does not show that it is below", []figure{{1, 0.5}, {2, 0.85}}, 0.5, false},
+		{"counts from before figures near the target", []figure{{1, 0.5}, {2, 0.85}, {3, 1.2}}, 0.5, true},
 		{"counts from the last figure below", []figure{{1, 0.5}, {2, 1.2}, {3, 1.2}}, 0.5, true},
 		{"one low figure does not end it", []figure{{1, 0.5}, {2, 1.2}, {4, 0.5}}, 0.5, true},
 		{"two low figures in quick succession do not end it", []figure{{1, 0.5}, {2, 1.2}, {2.4, 0.5}, {2.8, 0.5}}, 0.5, true},
