Date figures that a relay repeats by the answer they are from

The owner counts for how long a service may be over its latency target from figures that it dates by the worker's clock. A relay leaves out updates within 250 ms of the last one and passes on the newer clock, so a figure below the target counted as up to 250 ms younger than it was, of the 400 ms by which the hold is ahead of the bound.

The relay now says that a difference has no update, and the owner dates the usage by the last one that had. The new test fails without the decoder's line (the repeated figure has the new time).

--- a/internal/clock/remote.go
+++ b/internal/clock/remote.go
@@ -6,6 +6,11 @@
 // a fraction of it.
 const Drift = 0.02
 
+// MaxElapsed returns the longest time in which such a clock advances by the given milliseconds.
+func MaxElapsed(ms int64) time.Duration {
+	return time.Duration(float64(ms) * float64(time.Millisecond) / (1 - Drift))
+}
+
 // Remote relates the clock of another process, which is read in milliseconds and only with the
 // answers to requests, to the local clock. The zero value has no reading yet.
 type Remote struct {
--- a/internal/relay/polldiff.go
+++ b/internal/relay/polldiff.go
@@ -14,6 +14,9 @@
 // pollDiff is the result of a poll, relative to the previous poll of the same worker on the
 // same stream.
 type pollDiff struct {
+	// NotUpdated is set if no update was due, so that attempts listed before may have progressed
+	// since their last one.
+	NotUpdated bool `json:"n,omitempty"`
 	// Updated are attempts that were not listed before, or whose progress changed.
 	Updated []attemptRow `json:"r,omitempty"`
 	// Removed are the ids of rows that are no longer listed.
@@ -62,11 +65,11 @@
 
 // encode returns the difference between a poll result and the previous one.
 func (di *diffEncoder) encode(res worker.PollResult, now time.Time) *pollDiff {
-	pd := &pollDiff{}
 	if di.rows == nil {
 		di.rows = map[worker.Attempt]attemptRow{}
 	}
 	due := now.Sub(di.updated) >= minUpdateInterval
+	pd := &pollDiff{NotUpdated: !due}
 	if due {
 		di.updated = now
 	}
@@ -122,6 +125,8 @@
 // value is ready to use.
 type diffDecoder struct {
 	rows map[int]worker.RunningAttempt
+	// updatedMS is the time of the worker's clock at the last update.
+	updatedMS int64
 }
 
 // decode applies a difference and returns the complete poll result.
@@ -137,8 +142,11 @@
 		ra.Checkpoint, ra.Percent, ra.Usage = ro.Checkpoint, ro.Percent, ro.Usage
 		de.rows[ro.ID] = ra
 	}
+	if !pd.NotUpdated {
+		de.updatedMS = clockMS
+	}
 	// Ended attempts refer to rows that are removed below.
-	res := worker.PollResult{ClockMS: clockMS, Running: make([]worker.RunningAttempt, 0, len(de.rows))}
+	res := worker.PollResult{ClockMS: clockMS, UsageClockMS: de.updatedMS, Running: make([]worker.RunningAttempt, 0, len(de.rows))}
 	for _, en := range pd.Ended {
 		res.Ended = append(res.Ended, de.decodeEnded(en))
 	}
--- a/internal/relay/polldiff_test.go
+++ b/internal/relay/polldiff_test.go
@@ -124,3 +124,21 @@
 	qt.Assert(t, len(poll(2, minUpdateInterval).Updated), qt.Equals, 1)
 	qt.Assert(t, len(poll(2, 3*minUpdateInterval).Updated), qt.Equals, 0)
 }
+
+// TestRepeatedUsageIsNotDatedAnew guards against figures of a worker that count as younger than they
+// are because a relay leaves out updates.
+func TestRepeatedUsageIsNotDatedAnew(t *testing.T) {
+	var di diffEncoder
+	var de diffDecoder
+	for _, tc := range []struct {
+		at                time.Duration
+		usage, usageClock int64
+	}{{0, 1, 0}, {minUpdateInterval / 2, 1, 0}, {minUpdateInterval, 3, minUpdateInterval.Milliseconds()}} {
+		const startMS = 1000
+		clockMS := startMS + tc.at.Milliseconds()
+		polled := worker.PollResult{ClockMS: clockMS, Running: []worker.RunningAttempt{{Attempt: worker.Attempt{Task: "t", Number: 1}, Usage: 1 + tc.at.Milliseconds()*2/minUpdateInterval.Milliseconds()}}}
+		res := de.decode(di.encode(polled, time.Unix(0, 0).Add(tc.at)), clockMS)
+		qt.Check(t, res.Running[0].Usage, qt.Equals, tc.usage)
+		qt.Check(t, res.UsageClockMS, qt.Equals, startMS+tc.usageClock)
+	}
+}
--- a/internal/sched/polls.go
+++ b/internal/sched/polls.go
@@ -168,7 +168,7 @@
 	wk.lastAnsweredAt = got
 	wk.recordAnswered(got)
 	wk.recordClock(res.ClockMS, got)
-	taken := wk.fillers.clock.Observe(sent, got, res.ClockMS)
+	taken := wk.fillers.dateUsage(res, sent, got)
 	wk.lastPollHadEnds = len(res.Ended) > 0
 	wk.pollsHandled++
 	wk.speed.recordPoll(res.ClockMS, unpolled, got)
--- a/internal/sched/usage.go
+++ b/internal/sched/usage.go
@@ -7,6 +7,7 @@
 	"github.com/pepperhatch/pepperhatch/internal/clock"
 	"github.com/pepperhatch/pepperhatch/internal/interfere"
 	"github.com/pepperhatch/pepperhatch/internal/job"
+	"github.com/pepperhatch/pepperhatch/internal/worker"
 )
 
 // Parameters for the usage that workers report.
@@ -146,6 +147,16 @@
 	}
 }
 
+// dateUsage returns the earliest time as of which the worker can have reported the usage in the
+// result of a poll that was sent and answered at the given times.
+func (fs *fillerStats) dateUsage(res worker.PollResult, sent, got time.Time) time.Time {
+	taken := fs.clock.Observe(sent, got, res.ClockMS)
+	if res.UsageClockMS != 0 {
+		taken = taken.Add(-clock.MaxElapsed(res.ClockMS - res.UsageClockMS))
+	}
+	return taken
+}
+
 // measure updates the model from the usage reported by a poll, at most once per half usage
 // window, and adjusts the paces of fillers. The usage is as of some time after taken.
 func (wk *workerState) measure(taken, got time.Time) {
--- a/internal/worker/agent.go
+++ b/internal/worker/agent.go
@@ -133,8 +133,9 @@
 
 // PollResult is a worker's answer to a [Poll].
 type PollResult struct {
-	// ClockMS is the time of the worker's clock, in milliseconds.
-	ClockMS int64
+	// ClockMS is the time of the worker's clock, in milliseconds. UsageClockMS is that of the
+	// answer from which the usage of the running attempts is, if that was an earlier one, else 0.
+	ClockMS, UsageClockMS int64
 	// Running and Ended are the attempts at the worker; Ended holds at most 500.
 	Running []RunningAttempt
 	Ended   []EndedAttempt
