Learn from figures as of the time they were taken

The model of how fillers slow services down, by which held fillers resume and new ones are placed, took a late figure for a new one: usage before a change of pace was learnt as usage after it, and a tail latency was related to a load of up to a second later.

The model now uses the time by the worker's clock, by which holds count already, and the least time between two figures counts by it too.

TestLateFiguresAreNotLearntAsNew failed before: a filler at half its speed was learnt to use half its processor time at full speed.

--- a/internal/sched/hold.go
+++ b/internal/sched/hold.go
@@ -65,7 +65,6 @@
 // recordOverTarget records the tail latencies that were reported by a poll, as of some time after
 // taken.
 func (wk *workerState) recordOverTarget(taken time.Time) {
-	wk.fillers.figuresAt = taken
 	for _, at := range wk.services {
 		if !at.isMeasuredService() {
 			at.overTarget.RecordBelow(taken)
--- a/internal/sched/pace_test.go
+++ b/internal/sched/pace_test.go
@@ -136,6 +136,25 @@
 	})
 }
 
+// TestLateFiguresAreNotLearntAsNew guards against usage at an earlier pace that counts as usage at
+// full speed because the answer to the poll was late.
+func TestLateFiguresAreNotLearntAsNew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		pf := newPacingFixture(t, 1)
+		at := pf.fillers[0]
+		time.Sleep(time.Minute)
+		taken := time.Now()
+		pf.wk.setPace(at, 50, taken.Add(-time.Second), "test")
+		pf.wk.setPace(at, fullPace, taken, "test")
+		time.Sleep(2 * steadyPaceAfter)
+		at.usage = at.step().Each.MilliCores / 2
+		pf.wk.measure(taken, time.Now())
+		qt.Check(t, at.cpuShare, qt.Equals, 0.0)
+		pf.wk.measure(time.Now(), time.Now())
+		qt.Check(t, at.cpuShare, qt.Equals, 0.5)
+	})
+}
+
 // TestPaceOrdersAreNotReordered has the first order take long: the next one is sent only after
 // its answer, with the pace that is wanted by then.
 func TestPaceOrdersAreNotReordered(t *testing.T) {
--- a/internal/sched/usage.go
+++ b/internal/sched/usage.go
@@ -37,13 +37,12 @@
 	summariesAt    time.Time
 	// held is set if the fillers were to be held at summariesAt.
 	held bool
-	// measuredAt is when the services were last measured.
-	measuredAt time.Time
-	// clock dates the figures of the worker, hold is the hold of the fillers.
-	// figuresAt is the earliest time at which the latest figures can have been reported.
+	// clock dates the figures of the worker. figuresAt is the earliest time as of which those that
+	// were last used can be.
 	clock     clock.Remote
 	figuresAt time.Time
-	hold      hold
+	// hold is the hold of the fillers.
+	hold hold
 }
 
 // invalidate discards the derived values, so that they are computed again.
@@ -90,9 +89,9 @@
 }
 
 // learnUsage updates the estimate of the part of its declared processor time that a filler
-// uses.
-func (at *attempt) learnUsage(now time.Time) {
-	if !at.step().Filler || at.usage <= 0 || at.pace < fullPace || now.Sub(at.pacedAt) < steadyPaceAfter || now.Sub(at.launchedAt) < steadyPaceAfter {
+// uses, by the usage as of the given time.
+func (at *attempt) learnUsage(taken time.Time) {
+	if !at.step().Filler || at.usage <= 0 || at.pace < fullPace || taken.Sub(at.pacedAt) < steadyPaceAfter || taken.Sub(at.launchedAt) < steadyPaceAfter {
 		return
 	}
 	cpuShare := min(max(share(at.usage, at.step().Each.MilliCores), minCPUShare), maxCPUShare)
@@ -104,20 +103,20 @@
 }
 
 // usedShares returns the shares of the worker's processors that fillers used in the window
-// that ends now, by image, as the worker reported them.
-func (wk *workerState) usedShares(now time.Time) interfere.Shares {
+// that ends at taken, by image, as the worker reported them.
+func (wk *workerState) usedShares(taken time.Time) interfere.Shares {
 	sh := interfere.Shares{}
 	for at := range wk.attempts {
 		if !at.step().Filler || at.launchedAt.IsZero() {
 			continue
 		}
-		at.learnUsage(now)
+		at.learnUsage(taken)
 		if at.usage > 0 {
 			sh[at.step().Image] += share(at.usage, wk.Capacity.MilliCores)
 		}
 	}
 	for _, ef := range wk.fillers.ended {
-		if within := usageWindow - now.Sub(ef.at); within > 0 {
+		if within := min(usageWindow-taken.Sub(ef.at), usageWindow); within > 0 {
 			sh[ef.image] += ef.share * within.Seconds() / usageWindow.Seconds()
 		}
 	}
@@ -158,24 +157,25 @@
 }
 
 // measure updates the model from the usage reported by a poll, at most once per half usage
-// window, and adjusts the paces of fillers. The usage is as of some time after taken.
+// window, and adjusts the paces of fillers. The usage is as of some time after taken, and the
+// answer to the poll may be late.
 func (wk *workerState) measure(taken, got time.Time) {
 	fs := &wk.fillers
-	if got.Sub(fs.measuredAt) < usageWindow/2 {
+	if taken.Sub(fs.figuresAt) < usageWindow/2 {
 		return
 	}
-	fs.measuredAt = got
+	fs.figuresAt = taken
 	fs.invalidate()
-	used := wk.usedShares(got)
+	used := wk.usedShares(taken)
 	for _, at := range wk.services {
 		if at.isMeasuredService() {
-			me := interfere.Measurement{At: got, TailMS: at.usage, TargetMS: at.step().TargetMS, Shares: used}
+			me := interfere.Measurement{At: taken, TailMS: at.usage, TargetMS: at.step().TargetMS, Shares: used}
 			wk.ow.model.Observe(&at.replica, at.step().Image, me)
 		}
 	}
 	wk.recordOverTarget(taken)
 	wk.checkPaces(taken)
-	fs.ended = slices.DeleteFunc(fs.ended, func(ef endedFiller) bool { return got.Sub(ef.at) > usageWindow })
+	fs.ended = slices.DeleteFunc(fs.ended, func(ef endedFiller) bool { return taken.Sub(ef.at) > usageWindow })
 	wk.adjustPaces(got)
 }
 
