Count the time until a draining worker leaves by all its entries

Tasks of a draining worker ended with it, without their last checkpoint, and their successors waited for its leases, where its first entry in the list of workers was read late, as while the store is slow or right after a takeover.

Same class as the report's cause: the time left, which the worker states with each entry, counted from when the first one was noticed, and later ones were ignored. The least one counts now.

The new test failed before: 16 tasks were killed with their worker.

--- a/internal/sched/unlisted_test.go
+++ b/internal/sched/unlisted_test.go
@@ -291,6 +291,24 @@
 	})
 }
 
+// TestLateEntryOfDrainingWorkerDelaysNoStop guards against tasks that end with a draining worker
+// whose first entry was read late, so that the time until it leaves counted from then.
+func TestLateEntryOfDrainingWorkerDelaysNoStop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		la, ow := newLongRunningLab(t, 2, 2*16)
+		list := la.workerEntries()
+		list[0].Draining, list[0].Remaining = true, 6*time.Second
+		ow.SetWorkers(list, nil, true)
+		time.Sleep(200 * time.Millisecond)
+		list[0].Remaining = 3 * time.Second
+		ow.SetWorkers(list[:1], nil, false)
+		time.Sleep(list[0].Remaining)
+		la.fleet.Kill(la.fleetWorkers[0])
+		time.Sleep(500 * time.Millisecond)
+		qt.Check(t, la.ends()["killed"], qt.Equals, 0)
+	})
+}
+
 // TestEntryRemovedWhileStartIsWritten guards against tasks that start on a worker after its
 // entry was removed, and are moved or lost at once. Tasks are placed and their starts are
 // written to a slow store; meanwhile the worker's entry is removed, or the worker drains;
--- a/internal/sched/workerstate.go
+++ b/internal/sched/workerstate.go
@@ -53,7 +53,7 @@
 	firstSeen          time.Time
 	formerIncarnations []worker.Incarnation
 	inheritedUntil     time.Time
-	// leavesAt is the earliest time at which a draining worker may leave.
+	// leavesAt is the earliest time at which a draining worker may leave, by all its entries.
 	leavesAt time.Time
 	// coldUntil is until when the worker is slow, as it got no work for a while; zero if it is not.
 	coldUntil time.Time
@@ -206,8 +206,8 @@
 	if wk.Draining != we.Draining || wk.unlisted {
 		wk.ow.Log.Info("worker changed", "worker", wk.incarnation, "draining", we.Draining, "listed", true)
 	}
-	if we.Draining && !wk.Draining {
-		wk.leavesAt = time.Now().Add(we.Remaining)
+	if leavesAt := time.Now().Add(we.Remaining); we.Draining && (!wk.Draining || leavesAt.Before(wk.leavesAt)) {
+		wk.leavesAt = leavesAt
 	}
 	wk.WorkerEntry, wk.unlisted, wk.evacuationLogged, wk.capacityGroup, wk.dataCentre = we, false, false, 0, nil
 	wk.setCold()
