Test holds with real processes and workers that answer late

Five hosts with four relays now run against 24 workers with the model of interference, one answer to a poll in ten 600 ms late, one pace order in ten lost, three waves of load, 32 s.

The faults of messages are a part of the stand-in now, as two packages use them.

--- a/e2e/freeze_test.go
+++ b/e2e/freeze_test.go
@@ -65,8 +65,21 @@
 // startJobCluster starts the hosts in two data centres, submits endless tasks that fill
 // all workers, and returns once all tasks run.
 func startJobCluster(c *qt.C) *jobCluster {
-	cl := &jobCluster{cluster: &cluster{c: c, dir: c.TempDir(), web: &http.Client{}}}
+	cl := newJobCluster(c)
 	cl.fleet.RunFunc = func(worker.Attempt) (time.Duration, string) { return -1, "" }
+	cl.startHosts()
+	cl.submitEndlessJob()
+	cl.await("all tasks run", func() bool { return cl.running() == endlessTasks })
+	return cl
+}
+
+func newJobCluster(c *qt.C) *jobCluster {
+	return &jobCluster{cluster: &cluster{c: c, dir: c.TempDir(), web: &http.Client{}}}
+}
+
+// startHosts starts the store, the workers and the hosts, and returns once all hosts are ready.
+func (cl *jobCluster) startHosts() {
+	c := cl.c
 	st := httptest.NewServer(platformtest.Store(&cl.table))
 	c.Cleanup(func() { st.CloseClientConnections(); st.Close() })
 	end, err := platformtest.Fleet(&cl.fleet, &cl.table, fleetWorkers, "routedesk", dataCentres...)
@@ -82,9 +95,6 @@
 		return err == nil && len(rows) == jobHosts
 	})
 	cl.await("all hosts are ready", cl.allReady)
-	cl.submitEndlessJob()
-	cl.await("all tasks run", func() bool { return cl.running() == endlessTasks })
-	return cl
 }
 
 // startHost starts an entry host. At the end of the test it is resumed before it is
@@ -95,7 +105,7 @@
 	port := int(netip.MustParseAddrPort(addrs[1]).Port())
 	data, err := json.Marshal(jobhost.Settings{
 		Name: name, DataCentre: dc, IP: ip, Ports: []int{port, port}, CallerAddr: addrs[0], ReadyAddr: addrs[2], StoreAddr: storeAddr,
-		Cores: hostCores, MaxLeaseMS: float64(maxLease.Milliseconds()), StopMS: 900, GraceS: 6, KeepEndedS: 120, HarmMS: 4000,
+		Cores: hostCores, MaxLeaseMS: float64(maxLease.Milliseconds()), StopMS: 900, GraceS: 6, KeepEndedS: 120, HarmMS: float64(harmAfter.Milliseconds()), PaceMS: float64(paceDelay.Milliseconds()),
 	})
 	cl.c.Assert(err, qt.IsNil)
 	path := filepath.Join(cl.dir, name+".json")
--- a/internal/sched/hold_test.go
+++ b/internal/sched/hold_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -22,67 +21,6 @@
 	paceDelay = 100 * time.Millisecond
 )
 
-// disturbance delays answers to polls and loses pace orders at random.
-type disturbance struct {
-	// lateAnswers is the part of the answers that arrive lateBy later.
-	lateAnswers float64
-	lateBy      time.Duration
-	// lostOrders is the part of the pace orders that get no answer, but at most maxLostInRow for
-	// an attempt in a row.
-	lostOrders float64
-	// lateOrders is the part of the pace orders that get no answer and are carried out while the
-	// load is high, except for those that hold an attempt.
-	lateOrders float64
-
-	mu   sync.Mutex
-	rn   *rand.Rand
-	lost map[worker.Attempt]int
-}
-
-const maxLostInRow = 2
-
-func (di *disturbance) draw(part float64) bool {
-	di.mu.Lock()
-	defer di.mu.Unlock()
-	return di.rn.Float64() < part
-}
-
-// loses reports whether a pace order gets no answer.
-func (di *disturbance) loses(at worker.Attempt) bool {
-	lost := di.draw(di.lostOrders)
-	di.mu.Lock()
-	defer di.mu.Unlock()
-	if !lost || di.lost[at] == maxLostInRow {
-		delete(di.lost, at)
-		return false
-	}
-	di.lost[at]++
-	return true
-}
-
-func (di *disturbance) wrap(ag worker.Agent) worker.Agent {
-	poll, pace := ag.PollFunc, ag.PaceFunc
-	ag.PollFunc = func(ctx context.Context, ad worker.Addr, po worker.Poll) (worker.PollResult, error) {
-		res, err := poll(ctx, ad, po)
-		if err == nil && di.draw(di.lateAnswers) {
-			time.Sleep(di.lateBy)
-		}
-		return res, err
-	}
-	ag.PaceFunc = func(ctx context.Context, ad worker.Addr, pa worker.Pace) (worker.Ack, error) {
-		late := pa.Percent > 0 && di.draw(di.lateOrders)
-		if !late && !di.loses(pa.Attempt) {
-			return pace(ctx, ad, pa)
-		}
-		if late {
-			time.AfterFunc(loadPeriod-loadPhase(time.Now())+lateOrderPhase, func() { _, _ = pace(context.Background(), ad, pa) })
-		}
-		<-ctx.Done()
-		return worker.Ack{}, ctx.Err()
-	}
-	return ag
-}
-
 // Times of services under waves of load in the lab.
 const (
 	loadPeriod = 16 * time.Second
@@ -99,11 +37,12 @@
 
 // newLoadWavesLab returns a lab whose workers each run a service and a filler. The service exceeds
 // its target because of the filler during the second part of each wave of its own load.
-func newLoadWavesLab(t *testing.T, workers int, di *disturbance) *lab {
+func newLoadWavesLab(t *testing.T, workers int, mf *standin.MessageFaults) *lab {
 	t.Helper()
 	la := newLab(t, workers)
-	di.rn, di.lost = rand.New(rand.NewPCG(1, 3)), map[worker.Attempt]int{}
-	la.wrapAgentFunc = di.wrap
+	mf.Rand, mf.MaxLostInRow = rand.New(rand.NewPCG(1, 3)), 2
+	mf.ResumeDelayFunc = func() time.Duration { return loadPeriod - loadPhase(time.Now()) + lateOrderPhase }
+	la.fleet.Faults = mf
 	la.fleet.RunFunc = func(at worker.Attempt) (time.Duration, string) {
 		id, ref, _ := job.ParseTaskID(at.Task)
 		if la.spec(id).Steps[ref.Step].LongRunning {
@@ -166,11 +105,11 @@
 
 // assertHeldInTime checks that fillers keep no service over its target for longer than the bound.
 // If takeOver is set, another owner takes over in the midst of each time over the target.
-func assertHeldInTime(t *testing.T, di *disturbance, takeOver bool) {
+func assertHeldInTime(t *testing.T, mf *standin.MessageFaults, takeOver bool) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		const workers = 24
-		la := newLoadWavesLab(t, workers, di)
+		la := newLoadWavesLab(t, workers, mf)
 		ctx, cancel := context.WithCancel(t.Context())
 		go la.advance(ctx)
 		ow, stop := la.startOwner()
@@ -201,31 +140,31 @@
 )
 
 func TestFillersAreHeldInTime(t *testing.T) {
-	assertHeldInTime(t, &disturbance{}, false)
+	assertHeldInTime(t, &standin.MessageFaults{}, false)
 }
 
 // TestLateAnswersDelayNoHold guards against a deadline that is counted from the first figure over
 // the target and checked only when a poll is answered.
 func TestLateAnswersDelayNoHold(t *testing.T) {
-	assertHeldInTime(t, &disturbance{lateAnswers: disturbedPart, lateBy: lateAnswerBy}, false)
+	assertHeldInTime(t, &standin.MessageFaults{LateAnswers: disturbedPart, LateBy: lateAnswerBy}, false)
 }
 
 // TestLostPaceOrdersDelayNoHold guards against orders that are repeated only with the next poll.
 func TestLostPaceOrdersDelayNoHold(t *testing.T) {
-	assertHeldInTime(t, &disturbance{lostOrders: disturbedPart}, false)
+	assertHeldInTime(t, &standin.MessageFaults{LostPaces: disturbedPart}, false)
 }
 
 func TestLateAnswersAndLostPaceOrdersDelayNoHold(t *testing.T) {
-	assertHeldInTime(t, &disturbance{lateAnswers: disturbedPart, lateBy: lateAnswerBy, lostOrders: disturbedPart}, false)
+	assertHeldInTime(t, &standin.MessageFaults{LateAnswers: disturbedPart, LateBy: lateAnswerBy, LostPaces: disturbedPart}, false)
 }
 
 // TestLatePaceOrdersEndNoHold guards against holds that are believed and not checked.
 func TestLatePaceOrdersEndNoHold(t *testing.T) {
-	assertHeldInTime(t, &disturbance{lateOrders: disturbedPart}, false)
+	assertHeldInTime(t, &standin.MessageFaults{LateResumes: disturbedPart}, false)
 }
 
 // TestTakeoversDelayNoHold guards against owners that count the time over the target from their
 // own first figure.
 func TestTakeoversDelayNoHold(t *testing.T) {
-	assertHeldInTime(t, &disturbance{}, true)
+	assertHeldInTime(t, &standin.MessageFaults{}, true)
 }
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -63,6 +63,8 @@
 	// and have a number up to the acknowledged one: workers never list them. Otherwise
 	// an acknowledgement only removes ends that are already listed.
 	ApplyAckToLaterEnds bool
+	// Faults, if set, are those of messages to and from all workers.
+	Faults *MessageFaults
 	// OmitStartTime leaves the start time of the worker's process out of answers to
 	// orders; answers to polls always have it.
 	OmitStartTime bool
--- a/internal/standin/fleet_agent.go
+++ b/internal/standin/fleet_agent.go
@@ -11,7 +11,7 @@
 
 // Agent returns a client of the fleet's workers in the same process.
 func (fl *Fleet) Agent() worker.Agent {
-	return worker.Agent{
+	ag := worker.Agent{
 		LaunchFunc: func(ctx context.Context, ad worker.Addr, la worker.Launch) (worker.Ack, error) {
 			return sendOrder(ctx, fl, ad, la.Attempt, func(fw *FleetWorker) (worker.Ack, error) { return fw.launch(la) })
 		},
@@ -23,6 +23,10 @@
 		},
 		PollFunc: fl.poll,
 	}
+	if fl.Faults != nil {
+		return fl.Faults.Wrap(ag)
+	}
+	return ag
 }
 
 // lookup returns the worker at an address. It returns [worker.ErrNoListener] if none runs
