Name the check of paces and share the loop of the model of workers

No change of behaviour: the condition under which usage contradicts a pace has a name, and the two copies of the loop that advances the stand-in's workers are one. Tests of sched, lab and standin pass.

--- a/internal/lab/simulation.go
+++ b/internal/lab/simulation.go
@@ -101,7 +101,7 @@
 	if err != nil {
 		return Result{}, err
 	}
-	go sm.advanceWorld(ctx)
+	go sm.fleet.AdvanceUntil(ctx, worldStep)
 	if sm.day.mix.Restarts.IntervalS > 0 {
 		go sm.restartWorkers(ctx, ow, rand.New(rand.NewPCG(sm.seed, 3)))
 	}
@@ -267,20 +267,6 @@
 	return nil
 }
 
-// advanceWorld advances the simulated workers until ctx ends.
-func (sm *simulation) advanceWorld(ctx context.Context) {
-	ti := time.NewTicker(worldStep)
-	defer ti.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ti.C:
-			sm.fleet.Advance(worldStep)
-		}
-	}
-}
-
 // submitAll submits the services, and after the warm-up each batch job at its arrival
 // time. It returns when no more jobs arrive.
 func (sm *simulation) submitAll(ctx context.Context, ow *sched.Owner) {
--- a/internal/sched/hold.go
+++ b/internal/sched/hold.go
@@ -51,8 +51,8 @@
 type hold struct {
 	// orderedAt is when it was first ordered.
 	orderedAt time.Time
-	// service is the service that was last below its target the longest ago, at below by the
-	// figures; the zero time if it is not known when. figureAge is the age of the latest figure.
+	// service is the one that was last known to be below its target the longest ago, at below,
+	// which is zero if that is not known. figureAge is the age of the latest figure.
 	service   *attempt
 	below     time.Time
 	figureAge time.Duration
--- a/internal/sched/hold_test.go
+++ b/internal/sched/hold_test.go
@@ -80,20 +80,6 @@
 	}}})
 }
 
-// advance advances the model of workers until ctx ends.
-func (la *lab) advance(ctx context.Context) {
-	ti := time.NewTicker(loadStep)
-	defer ti.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ti.C:
-			la.fleet.Advance(loadStep)
-		}
-	}
-}
-
 // longestOverTarget returns the longest time for which fillers kept a service over its target, and
 // for how long they did so in total.
 func (la *lab) longestOverTarget() (longest, total time.Duration) {
@@ -111,7 +97,7 @@
 		const workers = 24
 		la := newLoadWavesLab(t, workers, mf)
 		ctx, cancel := context.WithCancel(t.Context())
-		go la.advance(ctx)
+		go la.fleet.AdvanceUntil(ctx, loadStep)
 		ow, stop := la.startOwner()
 		la.submitServicesAndFillers(ow, workers)
 		start := time.Now()
--- a/internal/sched/pace.go
+++ b/internal/sched/pace.go
@@ -163,16 +163,22 @@
 // heldUse is the part of its declared processor time above which a filler is not held.
 const heldUse = 0.1
 
-// checkPaces compares the ordered paces with the usage that the worker has reported as of some time
-// after taken. An order without an answer may be carried out after later ones, so where the two
-// contradict each other the pace is unknown.
+// contradictsPace reports whether the filler's usage rules out that it works at the ordered pace.
+func (at *attempt) contradictsPace() bool {
+	if at.pace == 0 {
+		return float64(at.usage) > heldUse*float64(at.step().Each.MilliCores)
+	}
+	return at.pace > 0 && at.usage == 0
+}
+
+// checkPaces makes the paces unknown that the usage contradicts, which the worker has reported as of
+// some time after taken: an order without an answer may be carried out after later ones.
 func (wk *workerState) checkPaces(taken time.Time) {
 	for _, at := range wk.pacedFillers() {
 		if at.paceInFlight || at.paceAckedAt.IsZero() || taken.Sub(at.paceAckedAt) < wk.ow.Limits.PaceTime+usageWindow {
 			continue
 		}
-		held := float64(at.usage) <= heldUse*float64(at.step().Each.MilliCores)
-		if held == (at.pace == 0) || at.pace == unknownPace || (held && at.usage > 0) {
+		if !at.contradictsPace() {
 			continue
 		}
 		wk.ow.Log.Info("pace differs from the ordered one", "task", taskID(at), "attempt", at.number, "worker", wk.incarnation, "percent", at.pace, "usage", at.usage)
--- a/internal/standin/interference.go
+++ b/internal/standin/interference.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"context"
 	"math"
 	"math/rand/v2"
 	"time"
@@ -54,6 +55,20 @@
 	}
 }
 
+// AdvanceUntil calls [Fleet.Advance] for each period of length d until ctx ends.
+func (fl *Fleet) AdvanceUntil(ctx context.Context, d time.Duration) {
+	ti := time.NewTicker(d)
+	defer ti.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ti.C:
+			fl.Advance(d)
+		}
+	}
+}
+
 // advance computes the next period of one worker.
 func (in *Interference) advance(fw *FleetWorker, d time.Duration) {
 	now := time.Now()
