--- a/internal/sched/unlisted_test.go
+++ b/internal/sched/unlisted_test.go
@@ -296,13 +296,15 @@
 func TestLateEntryOfDrainingWorkerDelaysNoStop(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		la, ow := newLongRunningLab(t, 2, 2*16)
-		list := la.workerEntries()
-		list[0].Draining, list[0].Remaining = true, 6*time.Second
-		ow.SetWorkers(list, nil, true)
+		announce := func(remaining time.Duration) {
+			we := la.workerEntries()[0]
+			we.Draining, we.Remaining = true, remaining
+			ow.SetWorkers([]WorkerEntry{we}, nil, false)
+		}
+		announce(6 * time.Second)
 		time.Sleep(200 * time.Millisecond)
-		list[0].Remaining = 3 * time.Second
-		ow.SetWorkers(list[:1], nil, false)
-		time.Sleep(list[0].Remaining)
+		announce(3 * time.Second)
+		time.Sleep(3 * time.Second)
 		la.fleet.Kill(la.fleetWorkers[0])
 		time.Sleep(500 * time.Millisecond)
 		qt.Check(t, la.ends()["killed"], qt.Equals, 0)
