--- a/internal/clock/remote.go
+++ b/internal/clock/remote.go
@@ -6,7 +6,8 @@
 // a fraction of it.
 const Drift = 0.02
 
-// MaxElapsed returns the longest time in which such a clock advances by the given milliseconds.
+// MaxElapsed returns the longest time in which the clock of another process advances by the given
+// milliseconds.
 func MaxElapsed(ms int64) time.Duration {
 	return time.Duration(float64(ms) * float64(time.Millisecond) / (1 - Drift))
 }
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -429,19 +429,6 @@
 	return fw.ack(), nil
 }
 
-// setPace sets the pace of a task after the delay of the fleet's [Interference].
-func (fw *FleetWorker) setPace(ta *fleetTask, percent int) {
-	if in := fw.fl.Interference; in != nil && in.PaceDelay > 0 {
-		time.AfterFunc(in.PaceDelay, func() {
-			fw.fl.mu.Lock()
-			defer fw.fl.mu.Unlock()
-			ta.pace, ta.paced = percent, true
-		})
-		return
-	}
-	ta.pace, ta.paced = percent, true
-}
-
 // poll returns the attempts that run and the ends that are listed. If no end is listed, it
 // first waits for one as long as the poll says.
 func (fl *Fleet) poll(ctx context.Context, ad worker.Addr, po worker.Poll) (worker.PollResult, error) {
--- a/internal/standin/interference.go
+++ b/internal/standin/interference.go
@@ -149,6 +149,19 @@
 	return sum
 }
 
+// setPace sets the pace of a task after the delay of the fleet's [Interference].
+func (fw *FleetWorker) setPace(ta *fleetTask, percent int) {
+	if in := fw.fl.Interference; in != nil && in.PaceDelay > 0 {
+		time.AfterFunc(in.PaceDelay, func() {
+			fw.fl.mu.Lock()
+			defer fw.fl.mu.Unlock()
+			ta.pace, ta.paced = percent, true
+		})
+		return
+	}
+	ta.pace, ta.paced = percent, true
+}
+
 // recent holds the latest values of a figure, one for each period of the model.
 type recent []float64
 
