Let two figures below the target end the count of a service over it

Cause: only figures up to 0.8 of the target counted as below it.

Once a figure was above the target, two in a row up to 0.9 of it now end the count, after 1 s as before. Where none was above, one figure up to 0.85 counts, and one above that does not.

The bounds of the tests of holds are unchanged.

--- a/internal/overtarget/overtarget.go
+++ b/internal/overtarget/overtarget.go
@@ -16,13 +16,12 @@
 // Limits between figures, as parts of the target.
 const (
 	// overPart is the part above which the service may exceed its target, as figures are
-	// inexact. clearPart is the part up to which a figure is evidence that it does not; one
-	// between the two says nothing.
+	// inexact. clearPart is the part up to which one figure shows that it does not.
 	overPart  = 0.9
-	clearPart = 0.8
-	// clearFigures and clearAfter are how many such figures it takes once a figure was above
-	// overPart, and the time that must have passed since: windows overlap, and one figure may be
-	// low by chance.
+	clearPart = 0.85
+	// clearFigures is how many figures up to overPart in a row show it once one was above, and
+	// clearAfter the time that must have passed since that one: windows overlap, and one figure
+	// may be low by chance.
 	clearFigures = 2
 	clearAfter   = time.Second
 )
@@ -33,7 +32,7 @@
 	// below is the last time at which the service is known to have been below its target.
 	below time.Time
 	// over is set if it may exceed its target; overAt is the time of the last figure that said so,
-	// and low counts the figures up to clearPart since.
+	// and low counts the figures since.
 	over   bool
 	overAt time.Time
 	low    int
@@ -53,9 +52,11 @@
 	case part > overPart:
 		tr.over, tr.low = true, 0
 		tr.overAt = later(tr.overAt, at)
-	case part <= clearPart:
+	case !tr.over && part <= clearPart:
+		tr.advance(at.Add(-Window))
+	case tr.over:
 		tr.low++
-		if !tr.over || (tr.low >= clearFigures && at.Sub(tr.overAt) > clearAfter) {
+		if tr.low >= clearFigures && at.Sub(tr.overAt) > clearAfter {
 			tr.over = false
 			tr.advance(at.Add(-Window))
 		}
