review: end the processes of a script that is stopped

A signal to a script, or 115 s, left the entry hosts that it had started running. The stand-in now ends them.

--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -7,6 +7,9 @@
 	"io"
 	"log/slog"
 	"os"
+	"os/signal"
+	"syscall"
+	"time"
 
 	"github.com/jessevdk/go-flags"
 )
@@ -28,6 +31,9 @@
 	} `positional-args:"true"`
 }
 
+// maxTime bounds a case.
+const maxTime = 115 * time.Second
+
 // cases has the cases by name. Each returns what broke the rule, or nothing.
 var cases = map[string]func(*cluster, bool) ([]string, error){
 	"large-rows":     largeRows,
@@ -59,6 +65,7 @@
 		return exitCannotRun
 	}
 	defer cl.close()
+	stopEarly(cl)
 	broken, err := play(cl, op.Trouble != "0")
 	if err != nil {
 		log.Error("case could not run", "err", err)
@@ -75,3 +82,18 @@
 	}
 	return exitHeld
 }
+
+// stopEarly ends the case and its processes on a signal, and after maxTime.
+func stopEarly(cl *cluster) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		select {
+		case <-signals:
+		case <-time.After(maxTime):
+		}
+		cl.log.Error("case stopped early")
+		cl.close()
+		os.Exit(exitCannotRun)
+	}()
+}
