--- a/review/_standin/runner.go
+++ b/review/_standin/runner.go
@@ -20,6 +20,8 @@
 	heartbeat    = 1500 * time.Millisecond
 	maxFinished  = 500
 	maxHoldWait  = 2 * time.Second
+	// linkTime is the time of a message one way between two zones.
+	linkTime = 900 * time.Microsecond
 )
 
 // taskKind is how the tasks of a step behave.
@@ -179,37 +181,53 @@
 			w.WriteHeader(http.StatusBadRequest)
 			return
 		}
-		rn.mu.Lock()
-		defer rn.mu.Unlock()
-		if rn.id != id {
-			panic(http.ErrAbortHandler)
-		}
-		if or.Fence < rn.fence {
-			rn.refuse(w, "fence")
-			return
-		}
-		rn.fence = or.Fence
-		rn.extend(or.UntilMS)
-		switch strings.TrimPrefix(r.URL.Path, "/pepperhatch/") {
-		case "run-start":
-			rn.serveStart(w, or)
-		case "run-stop":
-			rn.serveStop(w, or)
-		case "pace":
-			reply(w, http.StatusOK, map[string]any{"current-time-ms": rn.clock()})
-		case "hold":
-			rn.serveHold(w, r, id, or)
-		default:
-			w.WriteHeader(http.StatusNotFound)
-		}
+		time.Sleep(linkTime)
+		an := rn.carryOut(r, id, or)
+		time.Sleep(linkTime)
+		reply(w, an.status, an.body)
 	})
 }
 
+// answer is the answer to an order.
+type answer struct {
+	status int
+	body   map[string]any
+}
+
+// carryOut carries out an order to the process with an id.
+func (rn *runner) carryOut(r *http.Request, id string, or order) answer {
+	rn.mu.Lock()
+	defer rn.mu.Unlock()
+	if rn.id != id {
+		panic(http.ErrAbortHandler)
+	}
+	if or.Fence < rn.fence {
+		return rn.refuse("fence")
+	}
+	rn.fence = or.Fence
+	rn.extend(or.UntilMS)
+	switch strings.TrimPrefix(r.URL.Path, "/pepperhatch/") {
+	case "run-start":
+		return rn.serveStart(or)
+	case "run-stop":
+		return rn.serveStop(or)
+	case "pace":
+		return rn.acknowledge()
+	case "hold":
+		return rn.serveHold(r, id, or)
+	}
+	return answer{status: http.StatusNotFound}
+}
+
 // clock returns the runner's time in milliseconds.
 func (rn *runner) clock() int64 { return time.Since(rn.began).Milliseconds() + 1000 }
 
-func (rn *runner) refuse(w http.ResponseWriter, reason string) {
-	reply(w, http.StatusConflict, map[string]any{"current-time-ms": rn.clock(), "reason": reason})
+func (rn *runner) refuse(reason string) answer {
+	return answer{http.StatusConflict, map[string]any{"current-time-ms": rn.clock(), "reason": reason}}
+}
+
+func (rn *runner) acknowledge() answer {
+	return answer{http.StatusOK, map[string]any{"current-time-ms": rn.clock()}}
 }
 
 // extend extends the lease of all that runs. It never shortens it.
@@ -246,23 +264,19 @@
 	}
 }
 
-func (rn *runner) serveStart(w http.ResponseWriter, or order) {
+func (rn *runner) serveStart(or order) answer {
 	now := time.Now()
 	ru := rn.running[or.Task]
 	kind := rn.fl.kindOf(or.Task)
 	switch {
 	case !rn.until.After(now):
-		rn.refuse(w, "late")
-		return
+		return rn.refuse("late")
 	case ru != nil && ru.attempt == or.Attempt:
-		reply(w, http.StatusOK, map[string]any{"current-time-ms": rn.clock()})
-		return
+		return rn.acknowledge()
 	case ru != nil, or.Attempt <= rn.closed[or.Task]:
-		rn.refuse(w, "old")
-		return
+		return rn.refuse("old")
 	case !rn.hasRoom(kind):
-		rn.refuse(w, "room")
-		return
+		return rn.refuse("room")
 	}
 	ru = rn.fl.begin(or, rn, kind, now)
 	rn.running[or.Task] = ru
@@ -273,7 +287,7 @@
 		}
 		ru.stop = time.AfterFunc(left, func() { rn.endLater(ru, "done") })
 	}
-	reply(w, http.StatusOK, map[string]any{"current-time-ms": rn.clock()})
+	return rn.acknowledge()
 }
 
 func (rn *runner) hasRoom(kind taskKind) bool {
@@ -346,7 +360,7 @@
 	rn.fl.savedWork[ru.saved] = work
 }
 
-func (rn *runner) serveStop(w http.ResponseWriter, or order) {
+func (rn *runner) serveStop(or order) answer {
 	ru := rn.running[or.Task]
 	if ru != nil && ru.attempt == or.Attempt {
 		time.AfterFunc(stopTime, func() { rn.endLater(ru, "stopped") })
@@ -354,11 +368,11 @@
 		rn.closed[or.Task] = max(rn.closed[or.Task], or.Attempt)
 	}
 	rn.fl.log.Info("task is to stop", "task", or.Task, "attempt", or.Attempt, "runner", rn.id, "runs", ru != nil)
-	reply(w, http.StatusOK, map[string]any{"current-time-ms": rn.clock()})
+	return rn.acknowledge()
 }
 
 // serveHold answers with what runs and what has ended. The caller holds rn.mu.
-func (rn *runner) serveHold(w http.ResponseWriter, r *http.Request, id string, or order) {
+func (rn *runner) serveHold(r *http.Request, id string, or order) answer {
 	now := time.Now()
 	for len(rn.finished) > 0 && rn.finished[0].number <= or.LastSeen {
 		ru := rn.finished[0]
@@ -396,7 +410,7 @@
 	for _, ru := range rn.finished[:min(len(rn.finished), maxFinished)] {
 		finished = append(finished, []any{ru.number, ru.task, ru.attempt, ru.how, ru.saved})
 	}
-	reply(w, http.StatusOK, map[string]any{"current-time-ms": rn.clock(), "running": running, "finished": finished})
+	return answer{http.StatusOK, map[string]any{"current-time-ms": rn.clock(), "running": running, "finished": finished}}
 }
 
 // ranTwice returns the breaks of the rule TWICE for tasks without copies: runs of a task at the
