review: case 1, a takeover in an outage of the store hangs the cell

A host that claims the cell while the store is silent sends its first read without a time limit. If that has no answer, it waits for ever, and keeps the cell by its heartbeats, so nothing runs until its process ends.

The other cases move by one.

--- a/review/1/run.sh
+++ b/review/3/run.sh
@@ -3,4 +3,4 @@
 # if it held and with 2 if the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/pepperhatch ] && [ -x target/review-standin ] || exit 2
-exec target/review-standin --record review/1/record.txt --trouble "${TROUBLE:-1}" large-rows
+exec target/review-standin --record review/3/record.txt --trouble "${TROUBLE:-1}" truncated-ends
