--- a/review/_standin/cluster.go
+++ b/review/_standin/cluster.go
@@ -202,6 +202,21 @@
 	_ = eh.cmd.Process.Signal(si)
 }
 
+// restart starts the process of a host again some time after it was killed.
+func (cl *cluster) restart(eh *entryHost, after time.Duration) {
+	former := eh.cmd
+	_ = former.Wait()
+	time.Sleep(after)
+	next := exec.Command(former.Path, former.Args[1:]...)
+	next.Env, next.Stdout, next.Stderr = former.Env, former.Stdout, former.Stderr
+	if err := next.Start(); err != nil {
+		cl.log.Error("entry host not started again", "host", eh.name, "err", err)
+		return
+	}
+	eh.cmd = next
+	cl.log.Info("entry host starts again", "host", eh.name, "pid", next.Process.Pid)
+}
+
 // close ends all processes and removes the temporary folder.
 func (cl *cluster) close() {
 	for _, eh := range cl.hosts {
--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -36,6 +36,7 @@
 
 // cases has the cases by name. Each returns what broke the rule, or nothing.
 var cases = map[string]func(*cluster, bool) ([]string, error){
+	"silent-read":    silentRead,
 	"large-rows":     largeRows,
 	"truncated-ends": truncatedEnds,
 }
--- a/review/_standin/store.go
+++ b/review/_standin/store.go
@@ -49,15 +49,20 @@
 	// size of the largest such row.
 	tooLarge, largest int
 	began             time.Time
+	fault             claimFault
 }
 
 func newStore() *metadataStore {
-	return &metadataStore{rows: map[rowName]row{}, changed: make(chan struct{}), parts: map[string]*sync.Mutex{}, began: time.Now()}
+	return &metadataStore{rows: map[rowName]row{}, changed: make(chan struct{}), parts: map[string]*sync.Mutex{}, began: time.Now(), fault: claimFault{claimed: make(chan struct{})}}
 }
 
 // ServeHTTP implements http.Handler.
 func (ms *metadataStore) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	time.Sleep(answerTime)
+	if ms.fault.silent() {
+		neverAnswer(r)
+		return
+	}
 	switch r.URL.Path {
 	case "/pepperhatch/rows-tx":
 		ms.serveTx(w, r)
@@ -102,6 +107,10 @@
 	time.Sleep(txTime)
 	rows, ver := ms.apply(tx)
 	lock.Unlock()
+	if rows == nil && ms.fault.losesAnswer(tx) || ms.fault.silent() {
+		neverAnswer(r)
+		return
+	}
 	if rows != nil {
 		reply(w, http.StatusPreconditionFailed, map[string]any{"rows": rows, "ver": ver, "now_ms": ms.now()})
 		return
@@ -233,6 +242,10 @@
 	defer ti.Stop()
 	for {
 		rows, ver, changed := ms.changesAfter(query.Get("table"), after)
+		if ms.fault.silent() {
+			neverAnswer(r)
+			return
+		}
 		if len(rows) > 0 {
 			reply(w, http.StatusOK, map[string]any{"rows": rows, "ver": ver, "now_ms": ms.now()})
 			return
