sched, store: give every call a time limit, so that a takeover ends

What callers saw: a host took over the cell, and no task was started and no lease extended on any worker until its process ended; jobs were accepted and never ran.

Cause: the new owner's first read, of the mark row, was made with the context of the tenure, which has no deadline, by a client that has none either. If the store fell silent just then, the read never ended, and the heartbeats, which go on once the store is back, kept all other hosts from claiming the cell.

Reads of single rows end after 3 s and are hedged, so that a retry reaches the store soon after it is back. An owner that reads nothing for 16 s while the store confirms its tenure leaves the cell to the other hosts, and claims it again 3 s later at the earliest.

Orders through relays end after 5 s even if their caller sets no deadline.

--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -175,6 +175,9 @@
 // call sends an order and waits for its answer. It returns [worker.ErrNotSent] if the order
 // certainly does not reach the worker.
 func (st *stream) call(ctx context.Context, ad worker.Addr, or order) (result, error) {
+	// A relay that keeps its stream open may lose an order all the same.
+	ctx, cancel := context.WithTimeout(ctx, maxOrderTimeout)
+	defer cancel()
 	ch := make(chan result, 1)
 	n, err := st.send(ctx, ad, or, ch)
 	if err != nil {
@@ -194,10 +197,7 @@
 
 // send numbers an order and queues it; its result is sent on ch. It returns the number.
 func (st *stream) send(ctx context.Context, ad worker.Addr, or order, ch chan<- result) (int64, error) {
-	deadline, ok := ctx.Deadline()
-	if !ok {
-		deadline = time.Now().Add(maxOrderTimeout)
-	}
+	deadline, _ := ctx.Deadline()
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	if st.ended {
--- a/internal/runner/client.go
+++ b/internal/runner/client.go
@@ -13,6 +13,8 @@
 	"strconv"
 	"sync/atomic"
 	"time"
+
+	"github.com/pepperhatch/pepperhatch/internal/timelimit"
 )
 
 // MaxAnswerBytes limits the size of an answer.
@@ -103,8 +105,8 @@
 	if lim.DialTimeout == 0 {
 		lim.DialTimeout = defaultDialTimeout
 	}
-	runs := transport(lim)
-	sessions := transport(lim)
+	runs := newTransport(lim)
+	sessions := newTransport(lim)
 	return Client{
 		RunFunc: func(ctx context.Context, addr string, req Request) (Answer, error) {
 			return run(ctx, runs, addr, req)
@@ -115,9 +117,9 @@
 	}
 }
 
-// transport returns a transport that follows no redirects (only RoundTrip is
+// newTransport returns a transport that follows no redirects (only RoundTrip is
 // used), requests no compression, and counts the bytes written per connection.
-func transport(lim Limits) *http.Transport {
+func newTransport(lim Limits) *http.Transport {
 	di := &net.Dialer{Timeout: lim.DialTimeout}
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
@@ -185,6 +187,8 @@
 func (nb nonReplayableBody) Close() error                  { return nil }
 
 func run(ctx context.Context, tr http.RoundTripper, addr string, req Request) (Answer, error) {
+	ctx, cancel := timelimit.Apply(ctx)
+	defer cancel()
 	es := &exchangeState{}
 	hreq, err := newRequest(httptrace.WithClientTrace(ctx, es.trace()), addr, "/run", req.Body)
 	if err != nil {
--- a/internal/sched/bench_test.go
+++ b/internal/sched/bench_test.go
@@ -145,7 +145,7 @@
 			b.ReportAllocs()
 			b.ResetTimer()
 			for b.Loop() {
-				if err := ow.loadOnce(context.Background()); err != nil {
+				if err := ow.loadOnce(context.Background(), ow.Table); err != nil {
 					b.Fatal(err)
 				}
 			}
--- a/internal/sched/cluster_test.go
+++ b/internal/sched/cluster_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -52,6 +53,8 @@
 	partitioned, restarted bool
 	// readsBlocked is set while its reads of the store hang.
 	readsBlocked bool
+	// rowsBlocked is set while its reads of rows other than the owner's and the heartbeat hang.
+	rowsBlocked bool
 	// unreachable has the workers that it cannot reach, by incarnation.
 	unreachable map[worker.Incarnation]bool
 	// reachableOnce has those of them that one more request reaches.
@@ -95,7 +98,7 @@
 func (ch *clusterHost) table(tbl store.Table) store.Table {
 	return store.Table{
 		ReadFunc: func(ctx context.Context, req store.ReadRequest) (store.ReadReply, error) {
-			if err := ch.beforeRead(ctx); err != nil {
+			if err := ch.beforeRead(ctx, req); err != nil {
 				return store.ReadReply{}, err
 			}
 			return tbl.ReadFunc(ctx, req)
@@ -115,9 +118,9 @@
 	}
 }
 
-func (ch *clusterHost) beforeRead(ctx context.Context) error {
+func (ch *clusterHost) beforeRead(ctx context.Context, req store.ReadRequest) error {
 	ch.mu.Lock()
-	blocked := ch.readsBlocked
+	blocked := ch.readsBlocked || ch.rowsBlocked && !strings.HasPrefix(strings.Join(req.Keys, "")+req.Prefix, "cells/")
 	ch.mu.Unlock()
 	if blocked {
 		<-ctx.Done()
--- a/internal/sched/commit.go
+++ b/internal/sched/commit.go
@@ -71,9 +71,9 @@
 func (ow *Owner) writeMarkKey() string { return WriteMarkTable + "/" + ow.Cell + "/mark" }
 
 // loadWriteMark reads the version of the mark row.
-func (ow *Owner) loadWriteMark(ctx context.Context) error {
+func (ow *Owner) loadWriteMark(ctx context.Context, table store.Table) error {
 	var mark writeMark
-	version, err := ow.Table.Get(ctx, ow.writeMarkKey(), &mark)
+	version, err := table.Get(ctx, ow.writeMarkKey(), &mark)
 	ow.writeMarkVersion = version
 	return err
 }
--- a/internal/sched/lab_test.go
+++ b/internal/sched/lab_test.go
@@ -49,6 +49,8 @@
 	stretch float64
 	// readRate limits how many bytes a second owners read from the store; 0 is no limit.
 	readRate int
+	// tableFunc, if set, wraps the store as owners started from then on reach it.
+	tableFunc func(store.Table) store.Table
 	// wrapAgentFunc wraps the client of workers, if set, and wrapOwnerFunc that client together
 	// with the launches that it defers.
 	wrapAgentFunc, wrapOwnerFunc func(worker.Agent) worker.Agent
@@ -185,6 +187,9 @@
 // client returns the store as owners reach it.
 func (la *lab) client() store.Table {
 	tbl := la.table.Client()
+	if la.tableFunc != nil {
+		tbl = la.tableFunc(tbl)
+	}
 	if la.readRate == 0 {
 		return tbl
 	}
--- a/internal/sched/leasewait_test.go
+++ b/internal/sched/leasewait_test.go
@@ -38,7 +38,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		la := newLab(t, 1)
 		la.table.Faults.Set(standin.Fault{Mode: standin.ModeFreeze})
-		te := tenure.Tenure{Epoch: 2, Former: tenure.OwnerRow{LeaseLapseMS: map[string]int64{"i-7": 5000, "i-8": 1000}}}
+		te := tenure.Tenure{Epoch: 2, Confirmed: time.Now, HeartbeatWritten: time.Now, Former: tenure.OwnerRow{LeaseLapseMS: map[string]int64{"i-7": 5000, "i-8": 1000}}}
 		ow := New(&Owner{Cell: "c0", Tenure: te, Table: la.table.Client(), Log: la.log})
 		ctx, end := context.WithCancel(context.Background())
 		go func() { _ = ow.Run(ctx, func() { t.Error("loaded") }) }()
--- a/internal/sched/load.go
+++ b/internal/sched/load.go
@@ -11,14 +11,21 @@
 	"github.com/pepperhatch/pepperhatch/internal/headroom"
 	"github.com/pepperhatch/pepperhatch/internal/job"
 	"github.com/pepperhatch/pepperhatch/internal/store"
+	"github.com/pepperhatch/pepperhatch/internal/tenure"
 	"github.com/pepperhatch/pepperhatch/internal/worker"
 )
 
 // load reads all jobs of the cell. It has no overall timeout: with one, an owner whose
-// cell takes longer to read would start over forever while it keeps the cell.
+// cell takes longer to read would start over forever while it keeps the cell. Each read
+// has one, and [loadMonitor] ends the tenure of an owner that makes no progress.
 func (ow *Owner) load(ctx context.Context) error {
+	lm := &loadMonitor{ow: ow}
+	mctx, stop := context.WithCancel(ctx)
+	defer stop()
+	go lm.run(mctx)
+	table := lm.observe(ow.Table)
 	read := func() (struct{}, error) {
-		err := ow.loadOnce(ctx)
+		err := ow.loadOnce(ctx, table)
 		if err != nil {
 			ow.Log.Warn("cell not loaded yet", "cell", ow.Cell, "epoch", ow.Tenure.Epoch, "err", err)
 		}
@@ -27,21 +34,21 @@
 	bo := backoff.NewExponentialBackOff()
 	bo.InitialInterval, bo.MaxInterval = initialRewriteDelay, maxRewriteDelay
 	if _, err := backoff.Retry(ctx, read, backoff.WithBackOff(bo), backoff.WithMaxElapsedTime(0)); err != nil {
-		return fmt.Errorf("load cell %s: %w", ow.Cell, err)
+		return fmt.Errorf("load cell %s: %w: %w", ow.Cell, tenure.ErrNotLoaded, err)
 	}
 	return nil
 }
 
-func (ow *Owner) loadOnce(ctx context.Context) error {
-	if err := ow.loadWriteMark(ctx); err != nil {
+func (ow *Owner) loadOnce(ctx context.Context, table store.Table) error {
+	if err := ow.loadWriteMark(ctx, table); err != nil {
 		return err
 	}
 	evacuated := ow.readEvacuated(ctx)
-	progress, err := ow.Table.List(ctx, ow.progressKey(""))
+	progress, err := table.List(ctx, ow.progressKey(""))
 	if err != nil {
 		return err
 	}
-	specs, err := ow.Table.List(ctx, ow.specKey(""))
+	specs, err := table.List(ctx, ow.specKey(""))
 	if err != nil {
 		return err
 	}
--- a/internal/sched/unlisted.go
+++ b/internal/sched/unlisted.go
@@ -65,8 +65,13 @@
 // may expire although their workers are healthy. Reads and writes are checked separately, as
 // the store may answer reads and accept no writes.
 func (ow *Owner) storeUnhealthy(now time.Time) bool {
-	return !ow.writesFailingSince.IsZero() || ow.listAge(now) > listStaleAfter ||
-		now.Sub(ow.Tenure.Confirmed()) > unconfirmedAfter || now.Sub(ow.Tenure.HeartbeatWritten()) > unconfirmedAfter
+	return !ow.writesFailingSince.IsZero() || ow.listAge(now) > listStaleAfter || ow.tenureUnconfirmed(now)
+}
+
+// tenureUnconfirmed reports whether the store has not confirmed the tenure for a while, by answers
+// to reads and by accepted heartbeats.
+func (ow *Owner) tenureUnconfirmed(now time.Time) bool {
+	return now.Sub(ow.Tenure.Confirmed()) > unconfirmedAfter || now.Sub(ow.Tenure.HeartbeatWritten()) > unconfirmedAfter
 }
 
 // listReliable reports whether the list of workers has been reliable for so long that a
--- a/internal/store/pages.go
+++ b/internal/store/pages.go
@@ -20,7 +20,7 @@
 	// because a slow store takes up to 0.5 s for each page.
 	maxPageRows = 1000
 	minPageRows = 4
-	// pageTimeout bounds the time for one page: 4 ms in normal operation, up to 120 times
+	// pageTimeout bounds the time for one page or row: 4 ms in normal operation, up to 120 times
 	// that with a slow store, plus the transfer over a link that other traffic fills.
 	pageTimeout = 3 * time.Second
 	// pageHedgeDelay is the time without an answer after which a page is requested a
@@ -34,6 +34,9 @@
 	// maxTimeouts is the number of consecutive timeouts of a page of minPageRows after
 	// which the list fails.
 	maxTimeouts = 2
+	// MaxListSilence is how long a list over a slow link may go on without an answer: a timeout
+	// for each page size down to minPageRows, and maxTimeouts there.
+	MaxListSilence = 5 * pageTimeout
 	// maxPageErrors bounds the errors other than timeouts of one page, and errorDelay is
 	// the delay after each, since reopening a closed connection takes 0.4 s over a full
 	// link. The first request of a list is not repeated after such an error.
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -18,6 +18,7 @@
 	"github.com/cenkalti/backoff/v5"
 	"github.com/google/uuid"
 
+	"github.com/pepperhatch/pepperhatch/internal/hedge"
 	"github.com/pepperhatch/pepperhatch/internal/wire"
 )
 
@@ -238,8 +239,11 @@
 }
 
 // Get decodes one row into value and returns its version. A missing row has version 0
-// and leaves value unchanged.
+// and leaves value unchanged. The read is hedged, and ends after [pageTimeout] at the latest.
 func (tbl Table) Get(ctx context.Context, key string, value any) (int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, pageTimeout)
+	defer cancel()
+	ctx = hedge.NewContext(ctx, hedge.Policy{After: pageHedgeDelay, Steady: true})
 	reply, err := tbl.ReadFunc(ctx, ReadRequest{Keys: []string{key}})
 	if err != nil {
 		return 0, fmt.Errorf("read row %s: %w", key, err)
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -72,6 +72,7 @@
 const (
 	Workers         Name = "pepperhatch_workers"
 	StuckTasks      Name = "pepperhatch_stuck_tasks"
+	CellLoadAge     Name = "pepperhatch_cell_load_age_seconds"
 	CellCores       Name = "pepperhatch_cell_cores"
 	FillerIdleCores Name = "pepperhatch_filler_idle_cores"
 	HeadroomCores   Name = "pepperhatch_headroom_cores"
@@ -157,6 +158,7 @@
 var Gauges = []Entry{
 	{Workers, "state", "workers of the cell on its owner, 0 elsewhere: answering, unresponsive (silent), or not reached yet by this owner (unsettled)", "silent or unsettled for more than a second: see \"Workers get no orders\""},
 	{StuckTasks, "kind, why", "tasks of the owner's cell that have waited for 5 s, or are assumed to run without a report of their worker for as long, by cause", "see \"Tasks are stuck\""},
+	{CellLoadAge, "", "time, in seconds, for which this host has owned the cell without having read its jobs, 0 otherwise", "over 5: the store doesn't answer this host's reads; the owner leaves the cell to another host when it has read nothing for 16 s although the store confirms its tenure, look for \"cell still not loaded\" in the log"},
 	{CellCores, "part", "cores of the workers that get tasks from the cell's owner: their capacity, and what tasks reserve", "stuck tasks although cores are not reserved: look at the label why"},
 	{FillerIdleCores, "obstacle", "cores that no task is expected to use while fillers wait, by the least obstacle that each worker has for any waiting image: none (a filler is about to start), a service over its target for long (held), a service too close to its target (target), too little idle (little), memory", "mostly target: fillers of these images disturb the services that are left; mostly little: services and fillers use what there is"},
 	{HeadroomCores, "part", "cores of short work, which reserves processors and ends by itself: its mean demand, the need with a margin for its variance, and what the workers that get no new long-running task have for it (covered)", "covered below need while long-running tasks wait: it takes until some of them end, or short work needs over half of the capacity"},
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -58,6 +58,9 @@
 	// then the other hosts have missed its heartbeats. A host that stops uses the time
 	// allowed for its stop instead.
 	releaseWithin = HeartbeatTimeout
+	// holdBackAfterFailedLoad is how long a host that could not load the cell leaves it to the
+	// others, which claim a released cell within maxJitter plus maxClaimDelay.
+	holdBackAfterFailedLoad = 3 * time.Second
 	// askInterval is the time between requests to a former owner's host.
 	askInterval = 500 * time.Millisecond
 )
@@ -119,6 +122,10 @@
 // ErrReplaced is the cause when a tenure ended because another host owns the cell.
 var ErrReplaced = errors.New("another entry host owns the cell")
 
+// ErrNotLoaded is in the chain of the error that ends the tenure of an owner that could not read
+// the state of its cell.
+var ErrNotLoaded = errors.New("state of the cell cannot be read")
+
 // Keeper takes part in the election of the owner of one cell. Set the fields, then call
 // [Keeper.Run].
 type Keeper struct {
@@ -203,6 +210,9 @@
 	stalls stallDetector
 	// yieldCount counts the tenures yielded to larger hosts.
 	yieldCount int
+	// holdBackUntil is the time before which this host does not claim the cell, as it could not
+	// load it; zero if it could.
+	holdBackUntil time.Time
 	// unsettledClaim is the last claim whose outcome is not known.
 	unsettledClaim *sentClaim
 }
@@ -341,7 +351,7 @@
 	ke.mu.Lock()
 	defer ke.mu.Unlock()
 	row, version = ke.row, ke.version
-	if !ke.known || ke.stopping || !answering {
+	if !ke.known || ke.stopping || !answering || time.Now().Before(ke.holdBackUntil) {
 		return row, version, false, ""
 	}
 	if row.Owner == "" {
@@ -463,6 +473,9 @@
 	end(err)
 	ke.mu.Lock()
 	ke.endTenure = nil
+	if errors.Is(cause, ErrNotLoaded) || errors.Is(err, ErrNotLoaded) {
+		ke.holdBackUntil = time.Now().Add(holdBackAfterFailedLoad)
+	}
 	ke.mu.Unlock()
 	ke.Log.Info("tenure ended", "cell", ke.Cell, "epoch", row.Epoch, "err", err, "cause", cause)
 	if !errors.Is(cause, ErrReplaced) {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -4,7 +4,7 @@
 // Each message is one POST with a bounded body. A handler is a function from request to
 // reply; errors are sent as [Error], so that the caller sees the code that the handler
 // returned. The package never sends a message twice: the caller decides whether a retry
-// is safe.
+// is safe. A message without a deadline gets that of [timelimit.Apply].
 package wire
 
 import (
@@ -17,6 +17,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"github.com/pepperhatch/pepperhatch/internal/timelimit"
 )
 
 // MaxBody bounds the body of a request or reply, in bytes.
@@ -67,6 +69,8 @@
 // Post sends req as JSON to url and decodes the reply.
 func Post[Req, Resp any](ctx context.Context, cl *http.Client, url string, req Req) (Resp, error) {
 	var resp Resp
+	ctx, cancel := timelimit.Apply(ctx)
+	defer cancel()
 	body, err := json.Marshal(req)
 	if err != nil {
 		return resp, fmt.Errorf("encode request for %s: %w", url, err)
