sched, store: keep rows within the store's limit, and isolate refused writes

What callers saw: after a worker with 1,000 checkpointed tasks of one job had crashed, no task of any job was started any more; six jobs accepted afterwards never ran. A single body of some 80 KB did the same without any disruption.

Cause: the row of the job exceeded row_bytes, the store answered 400, and the owner repeated the write as after an outage, with all other jobs behind it. Rows were never measured.

Why this fix works: what can't be stored is refused at hand-in by its encoded size; rows of accepted jobs leave out checkpoints, and then counts, until they fit; starts wait if even the workers' names don't fit; a definite refusal is not repeated, and concerns the one job that causes it. The stand-in of the store keeps the limits of rows, entries and bodies.

--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -126,10 +126,11 @@
 // truncate returns the first maxQuoted bytes of a text.
 func truncate(text string) string { return text[:min(len(text), maxQuoted)] }
 
-// Check returns an error for a job that is invalid or needs what is not supported; see
-// [job.ErrInvalid] and [job.ErrUnsupported]. It also logs and counts such a job.
+// Check returns an error for a job that is invalid, needs what is not supported or doesn't fit into
+// the store; see [job.ErrInvalid], [job.ErrUnsupported] and [job.ErrTooLarge]. It also logs and
+// counts such a job.
 func (fe *FrontEnd) Check(id string, qu queue.Queue, sp job.Spec) error {
-	err := sp.Check()
+	err := errors.Join(sp.Check(), job.CheckSize(qu.Terms(), sp, store.MaxRowBytes))
 	if qu.Advised {
 		err = errors.Join(err, fmt.Errorf("%w: queue %s requires advice", job.ErrUnsupported, qu.Name))
 	}
@@ -229,7 +230,7 @@
 		// The condition fails only if this row exists already. If the owner has the
 		// job already, importing the row changes nothing.
 		return sched.Verdict{Outcome: sched.Accepted}
-	case errors.Is(err, store.ErrBusy):
+	case errors.Is(err, store.ErrBusy), errors.Is(err, store.ErrRefused):
 		fe.Log.Info("intake row not written", "job", id, "err", err)
 		return fe.unreachableVerdict(noEffect)
 	}
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -131,7 +131,7 @@
 	Cancelled bool
 	// Tasks holds the tasks by step and index.
 	Tasks [][]Task
-	// Rev counts the states of the job that were written.
+	// Rev counts the rows of the job that were encoded.
 	Rev int64
 
 	// remaining counts the tasks of each step that are not done, abandoned the tasks that
--- a/internal/job/jobrow.go
+++ b/internal/job/jobrow.go
@@ -15,7 +15,7 @@
 
 // ProgressRow is the row written with every change of a job.
 type ProgressRow struct {
-	// Rev counts the states written, Epoch is the writer's epoch. Together they make every
+	// Rev counts the rows encoded, Epoch is the writer's epoch. Together they make every
 	// row distinct, so that a writer that got no answer recognises its own row.
 	Rev   int64 `json:"rev"`
 	Epoch int64 `json:"epoch"`
--- a/internal/job/spec.go
+++ b/internal/job/spec.go
@@ -20,8 +20,7 @@
 const (
 	// MaxPayload is the length limit of the payload in bytes, a requirement of the users.
 	MaxPayload = 4000
-	// MaxSteps and MaxTasks limit the stored state of a job, so that its row stays below
-	// the store's limit of 64 KiB at some 60 bytes per task.
+	// MaxSteps and MaxTasks limit the stored state of a job; see [Job.EncodeRow].
 	MaxSteps = 64
 	MaxTasks = 1000
 	// MaxMilliCores, MaxMemMB and MaxAccels are far above the size of any host; a larger
--- a/internal/jobapi/jobapi.go
+++ b/internal/jobapi/jobapi.go
@@ -99,8 +99,11 @@
 // malformed returns the answer to an invalid or unsupported job.
 func malformed(err error) error {
 	status := http.StatusBadRequest
-	if errors.Is(err, job.ErrUnsupported) {
+	switch {
+	case errors.Is(err, job.ErrUnsupported):
 		status = http.StatusUnprocessableEntity
+	case errors.Is(err, job.ErrTooLarge):
+		status = http.StatusRequestEntityTooLarge
 	}
 	return &wire.Error{Status: status, Code: wire.CodeMalformed, Message: err.Error()}
 }
--- a/internal/sched/api.go
+++ b/internal/sched/api.go
@@ -36,6 +36,8 @@
 	ReasonCellFull         Reason = "cell-full"
 	ReasonTimedOut         Reason = "timed-out"
 	ReasonUnreachable      Reason = "unreachable"
+	// ReasonTooLarge: the store can't take the job.
+	ReasonTooLarge Reason = "too-large"
 	// ReasonNoCapacity: the job could not be done by its time limit.
 	ReasonNoCapacity Reason = "no-capacity"
 )
@@ -133,14 +135,14 @@
 func (ow *Owner) refuseUnsent() {
 	for _, tj := range slices.Clone(ow.dirtyJobs) {
 		if tj.progressVersion == 0 && !tj.writing && !tj.imported {
-			ow.withdraw(tj)
+			ow.withdraw(tj, ReasonStoreUnavailable)
 		}
 	}
 }
 
 // withdraw removes a job that was never sent to the store, with the starts that wait for its
 // first write, and refuses it.
-func (ow *Owner) withdraw(tj *trackedJob) {
+func (ow *Owner) withdraw(tj *trackedJob, why Reason) {
 	for _, at := range tj.attempts {
 		ow.recordEnd(tj, at.ref, at.number, job.EndNeverRan, "", "its job was not stored")
 	}
@@ -148,8 +150,12 @@
 	ow.recountWaiting(tj)
 	ow.dirtyJobs = slices.DeleteFunc(ow.dirtyJobs, func(other *trackedJob) bool { return other == tj })
 	delete(ow.jobs, tj.jo.ID)
-	ow.Log.Info("job refused", "job", tj.jo.ID, "reason", ReasonStoreUnavailable, "age", time.Since(tj.acceptedAt))
-	ow.answerWaiters(tj, Verdict{Outcome: Refused, Reason: ReasonStoreUnavailable, RetryAfter: retryAfter})
+	ow.Log.Info("job refused", "job", tj.jo.ID, "reason", why, "age", time.Since(tj.acceptedAt))
+	ve := Verdict{Outcome: Refused, Reason: why, RetryAfter: retryAfter}
+	if why == ReasonTooLarge {
+		ve.RetryAfter = 0
+	}
+	ow.answerWaiters(tj, ve)
 }
 
 func (ow *Owner) refuse(id string, why Reason) Verdict {
--- a/internal/sched/commit.go
+++ b/internal/sched/commit.go
@@ -19,12 +19,8 @@
 
 // Bounds on writes.
 const (
-	// maxEntriesPerWrite is the store's limit of conditions and changed rows in a write.
-	maxEntriesPerWrite = 100
 	// maxEntriesPerJob is the largest number of entries of one job: a new one has two rows.
 	maxEntriesPerJob = 2
-	// maxBytesPerWrite keeps a write under the store's limit of 1 MB.
-	maxBytesPerWrite = 600_000
 	// maxConcurrentWrites is 1 because the store takes 8 ms for a write and carries out those
 	// of a cell one after the other.
 	maxConcurrentWrites = 1
@@ -99,6 +95,8 @@
 	// changedAt is when the first change in the write was made.
 	changedAt time.Time
 	onWritten []func()
+	// specStoredBefore is set if the store had the job's spec row before the write.
+	specStoredBefore bool
 }
 
 // flush starts writes of the jobs that have changed.
@@ -116,25 +114,42 @@
 // nextWrite collects changed jobs, except those with a write in flight. If there are more than
 // it can take, those that are due first are written first.
 func (ow *Owner) nextWrite() *write {
-	if len(ow.dirtyJobs) > maxEntriesPerWrite/maxEntriesPerJob {
+	if len(ow.dirtyJobs) > store.MaxEntries/maxEntriesPerJob {
 		slices.SortStableFunc(ow.dirtyJobs, func(a, b *trackedJob) int { return a.writeDue().Compare(b.writeDue()) })
 	}
 	wr := ow.newWrite()
-	size := 0
+	size := wr.txn.BodySize()
+	var unwritable []func()
 	remaining := ow.dirtyJobs[:0]
 	for i, tj := range ow.dirtyJobs {
-		if wr.entries()+maxEntriesPerJob > maxEntriesPerWrite || size > maxBytesPerWrite {
+		if wr.entries()+maxEntriesPerJob > store.MaxEntries {
 			remaining = append(remaining, ow.dirtyJobs[i:]...)
 			break
 		}
-		if tj.writing {
+		if tj.writing || tj.writeAlone && len(wr.jobs) > 0 {
 			remaining = append(remaining, tj)
 			continue
 		}
-		size += ow.addJobWrite(wr, tj)
+		rows, err := ow.encodeRows(tj)
+		if err != nil {
+			unwritable = append(unwritable, func() { ow.setAside(tj, err) })
+			continue
+		}
+		if size += rows.size(); size > store.MaxBodyBytes && len(wr.jobs) > 0 {
+			remaining = append(remaining, ow.dirtyJobs[i:]...)
+			break
+		}
+		ow.addJobWrite(wr, tj, rows)
+		if tj.writeAlone {
+			remaining = append(remaining, ow.dirtyJobs[i+1:]...)
+			break
+		}
 	}
 	clear(ow.dirtyJobs[len(remaining):])
 	ow.dirtyJobs = remaining
+	for _, fn := range unwritable {
+		fn()
+	}
 	return wr
 }
 
@@ -149,30 +164,45 @@
 	return tj.changedAt.Add(min(allowance, maxWriteDelay))
 }
 
-// addJobWrite adds a job's rows to a write and returns their size in bytes.
-func (ow *Owner) addJobWrite(wr *write, tj *trackedJob) int {
+// jobRows are the changes of a job's rows in a write.
+type jobRows struct {
+	puts []store.Put
+	// specStored is set if the store has the job's spec row after the write.
+	specStored bool
+}
+
+// size returns an upper bound of the size of the changes in a write, in bytes.
+func (jr *jobRows) size() int {
+	size := 0
+	for _, pu := range jr.puts {
+		size += pu.BodySize()
+	}
+	return size
+}
+
+// encodeRows returns the changes of a job's rows. The error wraps [job.ErrTooLarge] if they don't
+// fit into the store.
+func (ow *Owner) encodeRows(tj *trackedJob) (jobRows, error) {
 	id := tj.jo.ID
-	jw := jobWrite{tj: tj, state: tj.jo.State(), firstWrite: tj.progressVersion == 0, changedAt: tj.changedAt, onWritten: tj.onWritten}
-	tj.onWritten, tj.dirty, tj.writing, tj.proofDue, tj.restartsTask = nil, false, true, time.Time{}, false
-	wr.jobs = append(wr.jobs, jw)
 	if tj.removing {
-		wr.txn.Puts = append(wr.txn.Puts, store.Put{Key: ow.progressKey(id), Delete: true})
-		wr.txn.Puts = append(wr.txn.Puts, ow.specRemoval(tj)...)
-		return 0
+		return jobRows{puts: append(ow.specRemoval(tj), store.Put{Key: ow.progressKey(id), Delete: true})}, nil
+	}
+	value, err := ow.encodeProgress(tj)
+	if err != nil {
+		return jobRows{}, err
 	}
-	value := ow.encode(tj.jo.NextRow(ow.Tenure.Epoch))
-	wr.txn.Puts = append(wr.txn.Puts, store.Put{Key: ow.progressKey(id), Value: value})
-	size := len(value)
+	jr := jobRows{puts: []store.Put{{Key: ow.progressKey(id), Value: value}}, specStored: tj.specStored}
 	switch {
 	case tj.jo.Finished():
-		wr.txn.Puts = append(wr.txn.Puts, ow.specRemoval(tj)...)
-	case jw.firstWrite:
-		tj.specStored = true
+		jr.puts, jr.specStored = append(jr.puts, ow.specRemoval(tj)...), false
+	case tj.progressVersion == 0:
 		spec := ow.encode(tj.jo.SpecRow())
-		size += len(spec)
-		wr.txn.Puts = append(wr.txn.Puts, store.Put{Key: ow.specKey(id), Value: spec})
+		if len(spec) > ow.maxRowBytes() {
+			return jobRows{}, fmt.Errorf("spec of job %s with %d bytes: %w", id, len(spec), job.ErrTooLarge)
+		}
+		jr.puts, jr.specStored = append(jr.puts, store.Put{Key: ow.specKey(id), Value: spec}), true
 	}
-	return size
+	return jr, nil
 }
 
 // specRemoval returns the removal of a job's spec row, or nil if there is no such row.
@@ -180,10 +210,19 @@
 	if !tj.specStored {
 		return nil
 	}
-	tj.specStored = false
 	return []store.Put{{Key: ow.specKey(tj.jo.ID), Delete: true}}
 }
 
+// addJobWrite adds the changes of a job's rows to a write.
+func (ow *Owner) addJobWrite(wr *write, tj *trackedJob, rows jobRows) {
+	wr.jobs = append(wr.jobs, jobWrite{
+		tj: tj, state: tj.jo.State(), firstWrite: tj.progressVersion == 0, changedAt: tj.changedAt, onWritten: tj.onWritten, specStoredBefore: tj.specStored,
+	})
+	tj.onWritten, tj.dirty, tj.writing, tj.proofDue, tj.restartsTask = nil, false, true, time.Time{}, false
+	tj.specStored = rows.specStored
+	wr.txn.Puts = append(wr.txn.Puts, rows.puts...)
+}
+
 func (ow *Owner) encode(row any) []byte {
 	data, err := json.Marshal(row)
 	if err != nil {
@@ -192,7 +231,8 @@
 	return data
 }
 
-// commit sends a write until its outcome is known or the tenure ends.
+// commit sends a write until its outcome is known or the tenure ends. A refused write is not
+// sent again.
 func (ow *Owner) commit(wr *write) {
 	bo := backoff.NewExponentialBackOff()
 	bo.InitialInterval, bo.MaxInterval = initialRewriteDelay, maxRewriteDelay
@@ -212,6 +252,10 @@
 			ow.post(func() { ow.handleConflict(wr, conflict) })
 			return
 		}
+		if errors.Is(err, store.ErrRefused) {
+			ow.post(func() { ow.handleRefused(wr, err) })
+			return
+		}
 		ow.post(func() { ow.handleWriteError(wr, err) })
 		if !clock.Sleep(ow.ctx, bo.NextBackOff()) {
 			return
@@ -224,14 +268,15 @@
 func (ow *Owner) handleCommitted(wr *write, version int64) {
 	ow.writesInFlight--
 	ow.writeMarkVersion = version
-	if !ow.writesFailingSince.IsZero() {
-		ow.Log.Info("store takes writes again", "cell", ow.Cell, "after", time.Since(ow.writesFailingSince))
-		ow.writesFailingSince = time.Time{}
-	}
+	ow.recordWriteAnswered()
 	ow.Metrics.Add(telemetry.CellWrites, 1, "outcome", "done")
 	ow.recordWrite(wr, time.Now())
 	for _, jw := range wr.jobs {
-		jw.tj.writing = false
+		jw.tj.writing, jw.tj.writeAlone = false, false
+		if jw.tj.unwritable {
+			jw.tj.unwritable = false
+			ow.recountWaiting(jw.tj)
+		}
 		jw.tj.progressVersion = version
 		if jw.firstWrite {
 			ow.Log.Info("job accepted", "job", jw.tj.jo.ID, "queue", jw.tj.jo.Terms.Queue, "version", jw.tj.progressVersion, "took", time.Since(jw.tj.acceptedAt))
@@ -247,6 +292,14 @@
 	}
 }
 
+// recordWriteAnswered records that the store has answered a write.
+func (ow *Owner) recordWriteAnswered() {
+	if !ow.writesFailingSince.IsZero() {
+		ow.Log.Info("store takes writes again", "cell", ow.Cell, "after", time.Since(ow.writesFailingSince))
+		ow.writesFailingSince = time.Time{}
+	}
+}
+
 // handleConflict determines why a condition did not hold: an earlier try of the same write
 // took effect, another host owns the cell, or the rows are not as this owner wrote them. It
 // ends the tenure in the last two cases.
--- a/internal/sched/durations.go
+++ b/internal/sched/durations.go
@@ -14,8 +14,7 @@
 const (
 	// saveDurationsInterval is the time between two writes. A kind changes slowly.
 	saveDurationsInterval = 10 * time.Second
-	// maxStoredKinds keeps the row below the store's limit of 64 KiB, at 350 bytes a kind at
-	// most.
+	// maxStoredKinds bounds the kinds that are stored.
 	maxStoredKinds = 128
 )
 
@@ -94,8 +93,13 @@
 	if len(kinds) == 0 {
 		return
 	}
+	_, n, err := store.FitRow(kinds, ow.maxRowBytes(), func(list []speed.KindEstimate) any { return durationsRow{Kinds: list} })
+	if err != nil || n == 0 {
+		ow.Log.Error("learnt durations don't fit into a row", "cell", ow.Cell, "kinds", len(kinds), "err", err)
+		return
+	}
 	du.saving = true
-	go ow.writeDurations(durationsRow{Kinds: kinds}, du.version, ends)
+	go ow.writeDurations(durationsRow{Kinds: kinds[:n]}, du.version, ends)
 }
 
 // writeDurations writes the row, on the conditions that this host still owns the cell and that
--- a/internal/sched/intake.go
+++ b/internal/sched/intake.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -81,7 +82,7 @@
 		ctx, cancel := context.WithTimeout(ow.ctx, writeTimeout)
 		_, err := ow.Table.CommitFunc(ctx, txn)
 		cancel()
-		if err == nil {
+		if err == nil || errors.Is(err, store.ErrRefused) {
 			return
 		}
 		ow.Log.Info("intake row not removed yet", "key", key, "err", err)
--- a/internal/sched/interference.go
+++ b/internal/sched/interference.go
@@ -18,7 +18,7 @@
 	// saveInterval is the time between two writes: a pair is learnt within 2 to 5 s, and a
 	// write of 180 pairs has about 15 KB.
 	saveInterval = 4 * time.Second
-	// maxPairs keeps the row below the store's limit of 64 KiB, at about 90 bytes a pair.
+	// maxPairs bounds the pairs that are stored.
 	maxPairs = 500
 )
 
@@ -57,7 +57,10 @@
 		return
 	}
 	ow.savingModel, ow.modelSavedAt = true, now
-	value := ow.encode(interferenceRow{Pairs: pairs})
+	value, _, err := store.FitRow(pairs, ow.maxRowBytes(), func(list []interfere.PairEstimate) any { return interferenceRow{Pairs: list} })
+	if err != nil {
+		ow.Log.Error("cannot encode the learnt interference", "cell", ow.Cell, "err", err)
+	}
 	go ow.writeInterference(value)
 }
 
--- a/internal/sched/lab_test.go
+++ b/internal/sched/lab_test.go
@@ -49,6 +49,8 @@
 	stretch float64
 	// readRate limits how many bytes a second owners read from the store; 0 is no limit.
 	readRate int
+	// maxRowBytes is the largest row of the owners; 0 is that of the store.
+	maxRowBytes int
 	// tableFunc, if set, wraps the store as owners started from then on reach it.
 	tableFunc func(store.Table) store.Table
 	// wrapAgentFunc wraps the client of workers, if set, and wrapOwnerFunc that client together
@@ -232,7 +234,7 @@
 	ow := New(&Owner{
 		Cell: "c0", Tenure: te, Table: la.client(), Agent: la.agent(), Metrics: la.metrics, Log: la.log,
 		ViaFunc: la.currentVia, ListFunc: la.listFunc, EvacuatedFunc: la.requests.read,
-		Limits: Limits{MaxLease: 6 * time.Second, StopTime: 900 * time.Millisecond, HarmAfter: harmAfter, PaceTime: paceDelay, KeepEnded: 2 * time.Minute},
+		Limits: Limits{MaxLease: 6 * time.Second, StopTime: 900 * time.Millisecond, HarmAfter: harmAfter, PaceTime: paceDelay, MaxRowBytes: la.maxRowBytes, KeepEnded: 2 * time.Minute},
 	})
 	loaded := make(chan error, 2)
 	go func() { loaded <- ow.Run(ctx, func() { loaded <- nil }) }()
--- a/internal/sched/leaseexpiry.go
+++ b/internal/sched/leaseexpiry.go
@@ -25,9 +25,8 @@
 	recordLeaseAfter = extendUnresponsive + pollGrace
 	// recordLeaseInterval is the minimum time between two writes that only add workers.
 	recordLeaseInterval = 300 * time.Millisecond
-	// maxRecordedWorkers keeps the row below the store's limit of 64 KiB, at about 30 bytes a
-	// worker.
-	maxRecordedWorkers = 1000
+	// leaseRowOverhead is more than the row takes without its workers, in bytes.
+	leaseRowOverhead = 100
 	// recordedPollWait is how long a poll waits at a worker that answers again while the row
 	// still names it, so that its leases can be extended soon after.
 	recordedPollWait = 100 * time.Millisecond
@@ -103,10 +102,11 @@
 	}
 	leases := map[string]int64{}
 	for _, wk := range ow.sortedWorkers() {
-		if wk.unresponsiveAt(now) && len(leases) < maxRecordedWorkers {
+		if wk.unresponsiveAt(now) {
 			leases[wk.incarnation.String()] = wk.leaseRemainingMS(now)
 		}
 	}
+	leases = store.FitMap(leases, ow.maxRowBytes()-leaseRowOverhead)
 	if !lr.differs(leases, now) {
 		return
 	}
--- a/internal/sched/owner.go
+++ b/internal/sched/owner.go
@@ -50,6 +50,8 @@
 	// HarmAfter is how long fillers may keep a service over its latency target. PaceTime is how
 	// long a worker takes until an ordered pace is in effect.
 	HarmAfter, PaceTime time.Duration
+	// MaxRowBytes is the largest row that the store takes; 0 means [store.MaxRowBytes].
+	MaxRowBytes int
 	// KeepEnded is how long the state of a job can be queried after its end.
 	KeepEnded time.Duration
 }
--- a/internal/sched/trackedjob.go
+++ b/internal/sched/trackedjob.go
@@ -45,6 +45,13 @@
 	// is set if one of them is the start of an interrupted task.
 	changedAt    time.Time
 	restartsTask bool
+	// writeAlone is set once the store has refused a write with the job among others, until it is
+	// written; unwritable is set once it can't be written even alone.
+	writeAlone, unwritable bool
+	// rowFull is set once the row had no space for a start, until an attempt ends. omitted is
+	// what the last row lacks.
+	rowFull bool
+	omitted job.Omitted
 	// proofDue is when the row has to be written for its proofs that attempts ran, or zero.
 	proofDue time.Time
 	// removing is set once the rows are to be removed.
@@ -118,7 +125,7 @@
 func (ow *Owner) recountWaiting(tj *trackedJob) {
 	before := tj.waitingTasks
 	tj.waitingTasks = 0
-	if !tj.removing {
+	if !tj.removing && !tj.rowFull && !tj.unwritable {
 		for i := range tj.jo.Spec.Steps {
 			tj.waitingTasks += tj.waitingIn(i)
 		}
@@ -173,6 +180,7 @@
 	if !tj.jo.End(ref, number, end, checkpoint) {
 		return false
 	}
+	tj.rowFull = false
 	var incarnation worker.Incarnation
 	var seen observation
 	if at := tj.attempts[attemptKey{ref, number}]; at != nil {
--- a/internal/standin/table.go
+++ b/internal/standin/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/base64"
 	"errors"
 	"fmt"
 	"net/http"
@@ -14,9 +15,6 @@
 	"github.com/pepperhatch/pepperhatch/internal/wire"
 )
 
-// maxTxnEntries is the largest number of conditions and changed rows in a transaction.
-const maxTxnEntries = 100
-
 // Table is a fake of the table service. The zero value is an empty table.
 type Table struct {
 	// Faults injects faults into requests to the table.
@@ -57,6 +55,8 @@
 				err = &store.ConflictError{Rows: ta.conditionRows(txn)}
 			case store.CodeDown:
 				err = store.ErrBusy
+			case wire.CodeTooLarge:
+				err = fmt.Errorf("%w: %w", store.ErrRefused, err)
 			}
 			return reply, err
 		},
@@ -223,8 +223,8 @@
 	ta.mu.Lock()
 	defer ta.mu.Unlock()
 	ta.writes++
-	if len(txn.Conds)+len(txn.Puts) > maxTxnEntries {
-		return store.CommitReply{}, &wire.Error{Status: http.StatusRequestEntityTooLarge, Code: wire.CodeTooLarge, Message: "too many entries in a transaction"}
+	if problem := exceededLimit(txn); problem != "" {
+		return store.CommitReply{}, &wire.Error{Status: http.StatusRequestEntityTooLarge, Code: wire.CodeTooLarge, Message: problem}
 	}
 	for _, co := range txn.Conds {
 		if have := ta.rows[co.Key].Version; have != co.Version {
@@ -252,6 +252,24 @@
 	return store.CommitReply{Version: ta.version}, nil
 }
 
+// exceededLimit describes the limit that a transaction exceeds, or returns "".
+func exceededLimit(txn store.Txn) string {
+	if len(txn.Conds)+len(txn.Puts) > store.MaxEntries {
+		return "too many entries in a transaction"
+	}
+	body := 0
+	for _, pu := range txn.Puts {
+		if len(pu.Value) > store.MaxRowBytes {
+			return "row " + pu.Key + " is too large"
+		}
+		body += len(pu.Key) + base64.StdEncoding.EncodedLen(len(pu.Value))
+	}
+	if body > store.MaxBodyBytes {
+		return "transaction is too large"
+	}
+	return ""
+}
+
 // Objects is a fake of the object store. The zero value is an empty store.
 type Objects struct {
 	// Faults injects faults into requests to the store.
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -195,8 +195,8 @@
 type Table struct {
 	// ReadFunc reads rows.
 	ReadFunc func(context.Context, ReadRequest) (ReadReply, error)
-	// CommitFunc writes rows. [ErrConflict] is in the error's chain if the write had no
-	// effect; after any other error it may have taken effect.
+	// CommitFunc writes rows. [ErrConflict] or [ErrRefused] is in the error's chain if the write
+	// had no effect; after any other error it may have taken effect.
 	CommitFunc func(context.Context, Txn) (CommitReply, error)
 	// FeedFunc waits for changes. [ErrHistoryGone] is in the error's chain if the table
 	// no longer has them.
@@ -234,6 +234,8 @@
 		return fmt.Errorf("%w: %w", ErrConflict, err)
 	case CodeDown:
 		return fmt.Errorf("%w: %w", ErrBusy, err)
+	case wire.CodeTooLarge, wire.CodeMalformed:
+		return fmt.Errorf("%w: %w", ErrRefused, err)
 	}
 	return err
 }
@@ -281,6 +283,9 @@
 		actx, cancel := context.WithTimeout(ctx, settleAttemptTimeout)
 		defer cancel()
 		version, err := tbl.Commit(actx, txn)
+		if errors.Is(err, ErrRefused) {
+			return 0, backoff.Permanent(err)
+		}
 		if !errors.Is(err, ErrConflict) {
 			return version, err
 		}
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -128,7 +128,7 @@
 	{JobRequests, "kind, outcome, reason", "callers' requests about jobs, by outcome", "refusals: see the reason"},
 	{JobVerdicts, "outcome, reason", "submitted jobs, by the decision of the cell's owner", "refusals: see the reason"},
 	{AttemptEnds, "end", "attempts of tasks that ended, by the kind of end", "lapsed, lost, crashed, presumed-crash or failed: look for the workers in the log"},
-	{CellWrites, "outcome", "writes of a cell's rows", "failed: the store is unavailable or slow"},
+	{CellWrites, "outcome", "writes of a cell's rows", "failed: the store is unavailable or slow; refused: it can't take them, look for \"store refuses a write\" in the log"},
 	{Launches, "outcome", "orders to start an attempt, by the worker's answer", "no-answer or unfit: look for the workers in the log"},
 	{PollFailures, "outcome", "failed polls of workers", "growth: workers are unavailable"},
 	{PlacementRounds, "", "rounds of placement of a cell, each over all its workers", "many a second: the owner is short of processor time, see CAPACITY.md"},
--- a/internal/tenure/claim.go
+++ b/internal/tenure/claim.go
@@ -2,9 +2,18 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 )
 
+// holdBackAfterFailedLoad is how long a host that could not load the cell leaves it to the others,
+// which claim a released cell within maxJitter plus maxClaimDelay.
+const holdBackAfterFailedLoad = 3 * time.Second
+
+// ErrNotLoaded is in the chain of the error that ends the tenure of an owner that could not read
+// the state of its cell.
+var ErrNotLoaded = errors.New("state of the cell cannot be read")
+
 // sentClaim is a claim that was sent to the store.
 type sentClaim struct {
 	// row is the row that the claim writes, former the state of the owners that it
--- a/internal/tenure/row.go
+++ b/internal/tenure/row.go
@@ -1,5 +1,8 @@
 package tenure
 
+// ownerRowOverhead is more than the owner's row takes without LeaseLapseMS, in bytes.
+const ownerRowOverhead = 4096
+
 // OwnerRow is the content of the owner's row.
 type OwnerRow struct {
 	// Owner and Process name the entry host and its process. Owner is empty if the cell was
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -58,9 +58,6 @@
 	// then the other hosts have missed its heartbeats. A host that stops uses the time
 	// allowed for its stop instead.
 	releaseWithin = HeartbeatTimeout
-	// holdBackAfterFailedLoad is how long a host that could not load the cell leaves it to the
-	// others, which claim a released cell within maxJitter plus maxClaimDelay.
-	holdBackAfterFailedLoad = 3 * time.Second
 	// askInterval is the time between requests to a former owner's host.
 	askInterval = 500 * time.Millisecond
 )
@@ -122,10 +119,6 @@
 // ErrReplaced is the cause when a tenure ended because another host owns the cell.
 var ErrReplaced = errors.New("another entry host owns the cell")
 
-// ErrNotLoaded is in the chain of the error that ends the tenure of an owner that could not read
-// the state of its cell.
-var ErrNotLoaded = errors.New("state of the cell cannot be read")
-
 // Keeper takes part in the election of the owner of one cell. Set the fields, then call
 // [Keeper.Run].
 type Keeper struct {
@@ -488,6 +481,8 @@
 func (ke *Keeper) release(ctx context.Context, row OwnerRow, version int64) {
 	ctx, cancel := ke.releaseContext(ctx)
 	defer cancel()
+	// The next owner waits longer for workers that are not named.
+	row.LeaseLapseMS = store.FitMap(row.LeaseLapseMS, store.MaxRowBytes-ownerRowOverhead)
 	for ctx.Err() == nil {
 		_, err := ke.write(ctx, row, version)
 		if err == nil || errors.Is(err, store.ErrConflict) {
