sched, worker: conclude absence only from a whole list of attempts

What callers saw: tasks that were done started again, 18 to 298 of them, after the owner's host had stood still for 1.2 s.

Cause: an order without an answer counted as never carried out if its attempt was not listed. A worker lists the 500 oldest ends; the owner took these for all.

Why this fix works: a list that may be cut off has no method that answers "absent". Orders that can't be decided wait for the polls, which note and acknowledge the listed ends.

--- a/internal/sched/launch.go
+++ b/internal/sched/launch.go
@@ -185,21 +185,24 @@
 
 // resolveOrder determines whether an attempt reached a worker whose answer was lost, and
 // otherwise prevents it from ever starting there. It retries until the worker confirms one or
-// the other, or the attempt has ended.
+// the other, or the attempt has ended. While the worker has more ends than it lists, neither is
+// known; the polls note the listed ones, after which it lists others.
 func (ow *Owner) resolveOrder(wk *workerState, wa worker.Attempt, done func(present bool)) {
+	started := time.Now()
 	for {
-		present, err := ow.listsAttempt(wk, wa)
-		if err == nil && present {
-			ow.post(func() { done(true) })
-			return
-		}
-		if err == nil && ow.sendHalt(wk, wa) {
-			present, err = ow.listsAttempt(wk, wa)
-			if err == nil {
-				ow.post(func() { done(present) })
+		res, err := ow.listAttempts(wk)
+		if err == nil && !res.Lists(wa) && ow.sendHalt(wk, wa) {
+			res, err = ow.listAttempts(wk)
+			if whole, ok := res.Whole(); err == nil && ok && whole.Absent(wa) {
+				ow.post(func() { done(false) })
 				return
 			}
 		}
+		if err == nil && res.Lists(wa) {
+			ow.post(func() { done(true) })
+			return
+		}
+		ow.Log.Info("outcome of an order is not known yet", "task", wa.Task, "attempt", wa.Number, "worker", wk.incarnation, "ends", len(res.Ended), "age", time.Since(started), "err", err)
 		abandoned, aerr := call(ow.ctx, ow, func(answer func(bool)) { answer(wk.dead || wk.findAttempt(wa) == nil) })
 		if abandoned || aerr != nil || !clock.Sleep(ow.ctx, resolveRetry) {
 			return
@@ -207,29 +210,19 @@
 	}
 }
 
-// listsAttempt asks the worker whether it lists an attempt as running or ended.
-func (ow *Owner) listsAttempt(wk *workerState, wa worker.Attempt) (bool, error) {
+// listAttempts asks the worker for the attempts that run there or have ended.
+func (ow *Owner) listAttempts(wk *workerState) (worker.PollResult, error) {
 	ctx, cancel := context.WithTimeout(ow.ctx, pollGrace)
 	defer cancel()
 	pt := wk.currentPath()
 	res, err := ow.Agent.PollFunc(ctx, pt.addr, worker.Poll{Fence: pt.fence})
 	if err != nil {
 		wk.reportIncarnation(err)
-		return false, err
+		return worker.PollResult{}, err
 	}
 	answered := time.Now()
 	ow.post(func() { wk.recordAnswered(answered) })
-	for _, ra := range res.Running {
-		if ra.Attempt == wa {
-			return true, nil
-		}
-	}
-	for _, ea := range res.Ended {
-		if ea.Attempt == wa {
-			return true, nil
-		}
-	}
-	return false, nil
+	return res, nil
 }
 
 // halt orders the worker to stop an attempt. An order sent less than StopTime ago is not
--- a/internal/sched/polls.go
+++ b/internal/sched/polls.go
@@ -39,8 +39,6 @@
 	// ackWithin is how long after an answer ends may be acknowledged. A process that replaced
 	// the one that answered would take the acknowledged numbers for its own.
 	ackWithin = 300 * time.Millisecond
-	// maxEnds is the largest number of ends that an answer lists.
-	maxEnds = 500
 )
 
 // pollLoop polls the worker until ctx ends.
@@ -172,12 +170,12 @@
 	wk.lastPollHadEnds = len(res.Ended) > 0
 	wk.pollsHandled++
 	wk.speed.recordPoll(res.ClockMS, unpolled, got)
-	ended := wk.handleEnds(res, unpolled)
+	wk.handleEnds(res, unpolled)
 	wk.handleRunning(res, got)
 	wk.judgeSpeed(got)
-	if len(res.Ended) < maxEnds {
+	if whole, ok := res.Whole(); ok {
 		settles := !wk.settled && fence >= wk.settleFence
-		wk.endMissing(sent, ended, settles)
+		wk.endMissing(sent, whole, settles)
 		if settles {
 			wk.markSettled()
 			wk.ow.Log.Info("worker settled", "worker", wk.incarnation, "running", len(res.Running), "ended", len(res.Ended))
@@ -212,15 +210,10 @@
 	}
 }
 
-// handleEnds handles the ends that are new and returns all that are listed, nil for none. They
-// happened the given time before the poll was answered.
-func (wk *workerState) handleEnds(res worker.PollResult, unpolled time.Duration) map[worker.Attempt]bool {
-	if len(res.Ended) == 0 {
-		return nil
-	}
-	ended := make(map[worker.Attempt]bool, len(res.Ended))
+// handleEnds handles the ends that are new. They happened the given time before the poll was
+// answered.
+func (wk *workerState) handleEnds(res worker.PollResult, unpolled time.Duration) {
 	for _, ea := range res.Ended {
-		ended[ea.Attempt] = true
 		if ea.EndNumber <= wk.endsHandled {
 			wk.logSkippedEnd(ea)
 			continue
@@ -229,7 +222,6 @@
 		wk.recordFreed(ea, res.ClockMS, unpolled)
 		wk.handleEnd(ea)
 	}
-	return ended
 }
 
 // logSkippedEnd logs an end that is skipped because its number counts as handled, though its
@@ -360,24 +352,30 @@
 // findAttempt returns the attempt of that name if it is recorded on this worker, or nil.
 func (wk *workerState) findAttempt(wa worker.Attempt) *attempt { return wk.attemptsByName[wa] }
 
-// endMissing ends the attempts that a poll should have listed and did not: those whose order
-// was acknowledged before the poll was sent and, if the poll settles the worker, those ordered
-// by former owners or from earlier incarnations.
-func (wk *workerState) endMissing(sent time.Time, ended map[worker.Attempt]bool, settles bool) {
+// endMissing ends the attempts that a poll should have listed and did not.
+func (wk *workerState) endMissing(sent time.Time, whole worker.WholeList, settles bool) {
 	for at := range wk.attempts {
-		if at.listedInPoll == wk.pollsHandled || ended[at.name()] {
-			continue
-		}
-		if !at.launchedAt.IsZero() && at.launchedAt.Before(sent) {
-			wk.ow.recordEnd(at.tj, at.ref, at.number, job.EndLapsed, "", "no longer listed by the worker")
+		if at.listedInPoll == wk.pollsHandled {
 			continue
 		}
-		switch {
-		case !settles:
-		case at.endIfNotRun != "":
-			wk.ow.recordEnd(at.tj, at.ref, at.number, at.endIfNotRun, "", "another incarnation of its worker answers")
-		case at.inherited:
-			wk.ow.recordEnd(at.tj, at.ref, at.number, job.EndNeverRan, "", "ordered by a former owner and not listed")
+		if end, why := at.endIfMissing(sent, settles); end != "" && whole.Absent(at.name()) {
+			wk.ow.recordEnd(at.tj, at.ref, at.number, end, "", why)
 		}
 	}
 }
+
+// endIfMissing returns how an attempt has ended if a poll does not list it, and why, or "" if that
+// shows nothing: it does if the order was acknowledged before the poll was sent or, if the poll
+// settles the worker, for attempts ordered by former owners or from earlier incarnations.
+func (at *attempt) endIfMissing(sent time.Time, settles bool) (end job.End, why string) {
+	switch {
+	case !at.launchedAt.IsZero() && at.launchedAt.Before(sent):
+		return job.EndLapsed, "no longer listed by the worker"
+	case !settles:
+	case at.endIfNotRun != "":
+		return at.endIfNotRun, "another incarnation of its worker answers"
+	case at.inherited:
+		return job.EndNeverRan, "ordered by a former owner and not listed"
+	}
+	return "", ""
+}
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -482,7 +483,7 @@
 	if fw.dead {
 		return worker.PollResult{}, errReset(fw.Addr)
 	}
-	pr := worker.PollResult{ClockMS: fw.clock(), Ended: append([]worker.EndedAttempt(nil), fw.ended...)}
+	pr := worker.PollResult{ClockMS: fw.clock(), Ended: slices.Clone(fw.ended[:min(len(fw.ended), worker.MaxListedEnds)])}
 	for _, ta := range fw.running {
 		pr.Running = append(pr.Running, worker.RunningAttempt{Attempt: ta.run.Attempt, Checkpoint: ta.checkpoint(), Percent: ta.percent(), Usage: ta.usage})
 	}
--- a/internal/worker/agent.go
+++ b/internal/worker/agent.go
@@ -136,7 +136,7 @@
 	// ClockMS is the time of the worker's clock, in milliseconds. UsageClockMS is that of the
 	// answer from which the usage of the running attempts is, if that was an earlier one, else 0.
 	ClockMS, UsageClockMS int64
-	// Running and Ended are the attempts at the worker; Ended holds at most 500.
+	// Running and Ended are the attempts at the worker; Ended holds at most [MaxListedEnds].
 	Running []RunningAttempt
 	Ended   []EndedAttempt
 }
