sched: don't hand over a bound on leases of which nothing is known

What callers saw: lasting tasks of lost workers started again 30 to 38 s after the loss, when the next owner was stopped in its first 0.4 s.

Cause: that owner knew nothing of the former one's leases yet and handed over its bound of 22 s, which the next owner took for a known time.

Why this fix works: without a stated time the next owner computes the bound itself, from the same witnesses, and tightens it as they answer. The tests of successive owners pass, which guard against a wait that is too short.

--- a/internal/sched/handover.go
+++ b/internal/sched/handover.go
@@ -3,6 +3,8 @@
 import (
 	"maps"
 	"time"
+
+	"github.com/pepperhatch/pepperhatch/internal/worker"
 )
 
 // Handover returns, by incarnation, the milliseconds after which the leases of unresponsive
@@ -43,18 +45,38 @@
 func (ow *Owner) recordUnresponsive(now time.Time) {
 	leases := map[string]int64{}
 	for incarnation, wk := range ow.workers {
-		if len(wk.attempts) > 0 && (!wk.settled || !wk.failingSince.IsZero()) {
-			leases[incarnation.String()] = wk.leaseRemainingMS(now)
+		if len(wk.attempts) == 0 || wk.settled && wk.failingSince.IsZero() || wk.leasesUnknown() {
+			continue
 		}
+		leases[incarnation.String()] = wk.leaseRemainingMS(now)
 	}
 	for incarnation := range ow.unowned {
-		leases[incarnation.String()] = max(ow.formerLeasesUntil(incarnation).Sub(now).Milliseconds(), 0)
+		if !ow.formerLeasesUnknown(incarnation) {
+			leases[incarnation.String()] = max(ow.formerLeasesUntil(incarnation).Sub(now).Milliseconds(), 0)
+		}
 	}
 	ow.handoverMu.Lock()
 	defer ow.handoverMu.Unlock()
 	ow.handoverLeaseMS, ow.inheritedAt = leases, time.Time{}
 }
 
+// leasesUnknown reports whether this owner has only the bound of [Owner.formerLeasesUnknown] for the
+// leases of an unsettled worker.
+func (wk *workerState) leasesUnknown() bool {
+	return !wk.settled && wk.ow.formerLeasesUnknown(wk.incarnation) && wk.unsettledUntil().Equal(wk.ow.formerLeasesUntil(wk.incarnation))
+}
+
+// formerLeasesUnknown reports whether nothing is known yet of the leases that former owners extended
+// at a worker, so that only the bound holds that depends on no answer. The next owner has that bound
+// too and may soon know better, so it is not handed over.
+func (ow *Owner) formerLeasesUnknown(incarnation worker.Incarnation) bool {
+	te := &ow.Tenure
+	_, stated := te.Former.LeaseLapseMS[incarnation.String()]
+	unconfirmed := te.FormerUnconfirmedSince != nil && te.FormerUnconfirmedSince().IsZero()
+	reported := te.FormerLeasesEnd != nil && !te.FormerLeasesEnd().IsZero()
+	return unconfirmed && !stated && !reported && te.FormerEnded().IsZero()
+}
+
 // leaseRemainingMS returns the milliseconds until the worker's leases have expired by the
 // slowest clock if they are no longer extended. Polls in flight may have extended them once
 // more since the last recorded value; the result allows for that.
--- a/internal/sched/successiveowners_test.go
+++ b/internal/sched/successiveowners_test.go
@@ -172,6 +172,25 @@
 	})
 }
 
+// TestBoundOnUnknownLeasesIsNotHandedOver guards against tasks of a lost worker that restart late.
+// The second owner stops before it knows anything of the first one's leases. If the third one takes
+// the second one's bound for what is known, it waits longer than if it had claimed the cell itself.
+func TestBoundOnUnknownLeasesIsNotHandedOver(t *testing.T) {
+	withThreeHosts(t, func(cl *cluster, first, second, third *clusterHost) {
+		first.set(func(ch *clusterHost) { ch.partitioned = true })
+		third.set(func(ch *clusterHost) { ch.partitioned = true })
+		cl.killWorkerAndOwner(first)
+		cl.awaitOwner(second)
+		time.Sleep(200 * time.Millisecond)
+		second.keeper.Release(tenure.HeartbeatTimeout)
+		third.set(func(ch *clusterHost) { ch.partitioned = false })
+		cl.awaitOwner(third)
+		// As without the second owner, and the time until the released cell is claimed.
+		time.Sleep(time.Until(cl.lostAt.Add(17200 * time.Millisecond)))
+		cl.assertRunning(4)
+	})
+}
+
 // TestWorkerPolledWithoutExtendingLease guards against a task that runs twice. A new owner
 // that the store no longer confirms polls a worker once, extends no lease, and loses the
 // connection again. Although it has granted no lease itself, one that the former owner granted
