speed: bound a worker's evidence before adding it up by job

The owner judges each worker's speed after each poll. In the profile of BenchmarkAttempts the sums by job took 16% of the owner's loop; most polls find a healthy worker. One pass over the gains gives an upper bound of the evidence; if that is too low for a verdict or a suspicion, the sums are not needed. TestEvidenceBound checks the bound.

--- a/internal/job/rowsize_test.go
+++ b/internal/job/rowsize_test.go
@@ -78,14 +78,21 @@
 		if err != nil {
 			rt.Fatal(err)
 		}
-		for i, ta := range jo.Tasks[0] {
-			got := next.Tasks[0][i]
-			if got.State != ta.State || got.Attempt != ta.Attempt || ta.State == Started && got.Worker != ta.Worker {
-				rt.Fatalf("task %d is %+v, want %+v", i, got, ta)
-			}
-			if got.Checkpoint != "" && got.Checkpoint != ta.Checkpoint {
-				rt.Fatalf("task %d has checkpoint %q", i, got.Checkpoint)
-			}
-		}
+		assertSameRuns(rt, jo.Tasks[0], next.Tasks[0])
 	})
 }
+
+// assertSameRuns checks that restored tasks run where they did, and have the checkpoint that they
+// had or none.
+func assertSameRuns(rt *rapid.T, want, restored []Task) {
+	rt.Helper()
+	for i, ta := range want {
+		got := restored[i]
+		if got.State != ta.State || got.Attempt != ta.Attempt || ta.State == Started && got.Worker != ta.Worker {
+			rt.Fatalf("task %d is %+v, want %+v", i, got, ta)
+		}
+		if got.Checkpoint != "" && got.Checkpoint != ta.Checkpoint {
+			rt.Fatalf("task %d has checkpoint %q", i, got.Checkpoint)
+		}
+	}
+}
--- a/internal/speed/speed_test.go
+++ b/internal/speed/speed_test.go
@@ -8,6 +8,8 @@
 
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
+
+	"github.com/pepperhatch/pepperhatch/internal/proptest"
 )
 
 var testKind = Kind{Queue: "q", Image: "i"}
@@ -158,3 +160,30 @@
 		sc.poll(60*time.Millisecond, percent, true)
 	}
 }
+
+// TestEvidenceBound guards against slow workers that are missed because their evidence is not added
+// up.
+func TestEvidenceBound(t *testing.T) {
+	proptest.Check(t, proptest.Size{}, func(rt *rapid.T) {
+		now := time.Now()
+		var wk Worker
+		draw := func() evidence {
+			ev := evidence{job: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(rt, "job"), filler: rapid.Bool().Draw(rt, "filler"), changed: rapid.Bool().Draw(rt, "changed")}
+			for k := range ev.gains {
+				ev.gains[k] = rapid.Float64Range(-6, 6).Draw(rt, "gain")
+			}
+			ev.at = now.Add(-time.Duration(rapid.IntRange(0, int(endedAge.Milliseconds())).Draw(rt, "age")) * time.Millisecond)
+			return ev
+		}
+		for range rapid.IntRange(0, 8).Draw(rt, "running") {
+			wk.running = append(wk.running, draw())
+		}
+		for range rapid.IntRange(0, 8).Draw(rt, "ended") {
+			wk.ended = append(wk.ended, draw())
+		}
+		bound := wk.evidenceBound()
+		if sum, _ := wk.sum(now, time.Time{}); len(wk.running)+len(wk.ended) > 0 && sum.best() > bound+1e-9 {
+			rt.Fatalf("evidence %v, bound %v", sum.best(), bound)
+		}
+	})
+}
--- a/internal/speed/worker.go
+++ b/internal/speed/worker.go
@@ -96,6 +96,10 @@
 		return
 	}
 	was := wk.Slow(now)
+	if bound := wk.evidenceBound(); !was && bound < suspectEvidence {
+		wk.total, wk.judgedAt, wk.slow, wk.confirmed = bound, now, false, false
+		return
+	}
 	sum, changed := wk.sum(now, time.Time{})
 	wk.total, wk.judgedAt = sum.best(), now
 	wk.inputs = Inputs{Attempts: len(wk.running) + len(wk.ended), Changed: changed, Jobs: len(wk.jobs), Evidence: wk.total}
@@ -113,6 +117,20 @@
 	}
 }
 
+// evidenceBound returns an upper bound of the evidence that the worker is slow, without the sums by
+// job: most polls find a healthy worker, and the sums take a sixth of the owner's time.
+func (wk *Worker) evidenceBound() float64 {
+	var sum gains
+	for _, list := range [][]evidence{wk.running, wk.ended} {
+		for i := range list {
+			for k, gain := range list[i].gains {
+				sum[k] += max(gain, 0)
+			}
+		}
+	}
+	return sum.best()
+}
+
 // sum adds up the gains of all attempts that were measured after a time, with limits for each
 // attempt and job, and counts those whose own speed fell.
 func (wk *Worker) sum(now, after time.Time) (sum gains, changed int) {
