sched: hold back only after a failed load, log only cut-off lists

A load that ends with its tenure is no failed load, so that its host need not leave the cell to others. A row of the intake that the store refuses for good is answered as such.

--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -230,7 +230,10 @@
 		// The condition fails only if this row exists already. If the owner has the
 		// job already, importing the row changes nothing.
 		return sched.Verdict{Outcome: sched.Accepted}
-	case errors.Is(err, store.ErrBusy), errors.Is(err, store.ErrRefused):
+	case errors.Is(err, store.ErrRefused) && noEffect:
+		fe.Log.Error("store refuses an intake row", "job", id, "bytes", len(value), "err", err)
+		return sched.Verdict{Outcome: sched.Refused, Reason: sched.ReasonTooLarge}
+	case errors.Is(err, store.ErrBusy):
 		fe.Log.Info("intake row not written", "job", id, "err", err)
 		return fe.unreachableVerdict(noEffect)
 	}
--- a/internal/sched/launch.go
+++ b/internal/sched/launch.go
@@ -193,7 +193,12 @@
 		res, err := ow.listAttempts(wk)
 		if err == nil && !res.Lists(wa) && ow.sendHalt(wk, wa) {
 			res, err = ow.listAttempts(wk)
-			if whole, ok := res.Whole(); err == nil && ok && whole.Absent(wa) {
+			whole, ok := res.Whole()
+			switch {
+			case err != nil:
+			case !ok:
+				ow.Log.Info("outcome of an order is not known yet", "task", wa.Task, "attempt", wa.Number, "worker", wk.incarnation, "ends", len(res.Ended), "age", time.Since(started))
+			case whole.Absent(wa):
 				ow.post(func() { done(false) })
 				return
 			}
@@ -202,7 +207,6 @@
 			ow.post(func() { done(true) })
 			return
 		}
-		ow.Log.Info("outcome of an order is not known yet", "task", wa.Task, "attempt", wa.Number, "worker", wk.incarnation, "ends", len(res.Ended), "age", time.Since(started), "err", err)
 		abandoned, aerr := call(ow.ctx, ow, func(answer func(bool)) { answer(wk.dead || wk.findAttempt(wa) == nil) })
 		if abandoned || aerr != nil || !clock.Sleep(ow.ctx, resolveRetry) {
 			return
--- a/internal/sched/load.go
+++ b/internal/sched/load.go
@@ -33,7 +33,11 @@
 	}
 	bo := backoff.NewExponentialBackOff()
 	bo.InitialInterval, bo.MaxInterval = initialRewriteDelay, maxRewriteDelay
-	if _, err := backoff.Retry(ctx, read, backoff.WithBackOff(bo), backoff.WithMaxElapsedTime(0)); err != nil {
+	_, err := backoff.Retry(ctx, read, backoff.WithBackOff(bo), backoff.WithMaxElapsedTime(0))
+	switch {
+	case err != nil && ctx.Err() != nil:
+		return fmt.Errorf("load cell %s: %w", ow.Cell, err)
+	case err != nil:
 		return fmt.Errorf("load cell %s: %w: %w", ow.Cell, tenure.ErrNotLoaded, err)
 	}
 	return nil
--- a/internal/sched/owner.go
+++ b/internal/sched/owner.go
@@ -13,8 +13,8 @@
 // The worker decides what it runs. A new owner first raises the fencing token at the worker;
 // an attempt that the worker then lists neither as running nor as ended never ran and never
 // will, provided that the list is whole: workers list a limited number of ends, see
-// [worker.WholeList]. A worker that cannot be reached counts as running everything it was given until its
-// leases have expired by the slowest clock that the drift bound allows.
+// [worker.WholeList]. A worker that cannot be reached counts as running everything it was
+// given until its leases have expired by the slowest clock that the drift bound allows.
 //
 // Limits: an owner refuses submitted jobs while it has 20,000 jobs in memory, recently ended
 // ones included, and the state of a cell has to fit into the memory of one host.
