standin: cut leases to the longest one that workers grant

A poll for the process before, with a lease end by its clock, reached the next one, whose clock begins anew, and the stand-in granted a lease of 26 s. The protocol of workers says: "That time is max-lease-ms at most; a longer one is cut to that." The check is unchanged.

--- a/internal/sched/cluster_test.go
+++ b/internal/sched/cluster_test.go
@@ -31,7 +31,7 @@
 	hosts []*clusterHost
 	// processes counts the processes started so far.
 	processes int
-	// maxLease is the longest lease that workers grant, 6 s if not set.
+	// maxLease is the longest lease that workers grant, if not [maxLease].
 	maxLease time.Duration
 	// lostAt is when a worker was lost together with an owner.
 	lostAt time.Time
@@ -69,6 +69,7 @@
 	cl.mu.Lock()
 	defer cl.mu.Unlock()
 	cl.processes++
+	cl.fleet.MaxLease = cmp.Or(cl.maxLease, maxLease)
 	ch := &clusterHost{cl: cl, unreachable: map[worker.Incarnation]bool{}}
 	ch.keeper = &tenure.Keeper{
 		Cell: "c0", Self: name, Process: fmt.Sprintf("%s-%d", name, cl.processes), Addr: name, Cores: cores,
@@ -225,7 +226,7 @@
 func (ch *clusterHost) serve(ctx context.Context, te tenure.Tenure) (map[string]int64, error) {
 	ow := New(&Owner{
 		Cell: "c0", Tenure: te, Table: ch.keeper.Table, Agent: ch.agent(), Log: ch.cl.log,
-		Limits: Limits{MaxLease: cmp.Or(ch.cl.maxLease, 6*time.Second), StopTime: 900 * time.Millisecond, HarmAfter: 4 * time.Second, KeepEnded: 2 * time.Minute},
+		Limits: Limits{MaxLease: cmp.Or(ch.cl.maxLease, maxLease), StopTime: 900 * time.Millisecond, HarmAfter: 4 * time.Second, KeepEnded: 2 * time.Minute},
 	})
 	defer ch.ow.Store(nil)
 	err := ow.Run(ctx, func() {
--- a/internal/sched/lab_test.go
+++ b/internal/sched/lab_test.go
@@ -83,9 +83,13 @@
 	}
 }
 
+// maxLease is the longest lease that workers grant.
+const maxLease = 6 * time.Second
+
 func newLab(tb testing.TB, workers int) *lab {
 	tb.Helper()
 	la := &lab{t: tb, specs: map[string]job.Spec{}, ordered: map[worker.Attempt]time.Time{}, log: slog.New(slog.DiscardHandler)}
+	la.fleet.MaxLease = maxLease
 	la.fleet.ResourcesFunc = func(at worker.Attempt) worker.Resources {
 		id, ref, _ := job.ParseTaskID(at.Task)
 		return la.spec(id).Steps[ref.Step].Reserved()
@@ -234,7 +238,7 @@
 	ow := New(&Owner{
 		Cell: "c0", Tenure: te, Table: la.client(), Agent: la.agent(), Metrics: la.metrics, Log: la.log,
 		ViaFunc: la.currentVia, ListFunc: la.listFunc, EvacuatedFunc: la.requests.read,
-		Limits: Limits{MaxLease: 6 * time.Second, StopTime: 900 * time.Millisecond, HarmAfter: harmAfter, PaceTime: paceDelay, MaxRowBytes: la.maxRowBytes, KeepEnded: 2 * time.Minute},
+		Limits: Limits{MaxLease: maxLease, StopTime: 900 * time.Millisecond, HarmAfter: harmAfter, PaceTime: paceDelay, MaxRowBytes: la.maxRowBytes, KeepEnded: 2 * time.Minute},
 	})
 	loaded := make(chan error, 2)
 	go func() { loaded <- ow.Run(ctx, func() { loaded <- nil }) }()
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -66,6 +66,9 @@
 	ApplyAckToLaterEnds bool
 	// Faults, if set, are those of messages to and from all workers.
 	Faults *MessageFaults
+	// MaxLease is the longest lease by a worker's clock, to which longer ones are cut; 0 means no
+	// limit.
+	MaxLease time.Duration
 	// OmitStartTime leaves the start time of the worker's process out of answers to
 	// orders; answers to polls always have it.
 	OmitStartTime bool
@@ -243,6 +246,9 @@
 // extendLease sets the end of the lease, in milliseconds of the worker's clock, unless it
 // is earlier than the current one.
 func (fw *FleetWorker) extendLease(until int64) {
+	if most := fw.fl.MaxLease; most > 0 {
+		until = min(until, fw.clock()+most.Milliseconds())
+	}
 	if until <= fw.leaseUntil {
 		return
 	}
