--- a/internal/sched/cluster_test.go
+++ b/internal/sched/cluster_test.go
@@ -68,8 +68,10 @@
 func (cl *cluster) startHost(name string, cores float64) *clusterHost {
 	cl.mu.Lock()
 	defer cl.mu.Unlock()
+	if cl.processes == 0 {
+		cl.fleet.MaxLease = cmp.Or(cl.maxLease, maxLease)
+	}
 	cl.processes++
-	cl.fleet.MaxLease = cmp.Or(cl.maxLease, maxLease)
 	ch := &clusterHost{cl: cl, unreachable: map[worker.Incarnation]bool{}}
 	ch.keeper = &tenure.Keeper{
 		Cell: "c0", Self: name, Process: fmt.Sprintf("%s-%d", name, cl.processes), Addr: name, Cores: cores,
