Show what the time of an owner's loop goes to

An owner that is behind logs how long events and changes wait, but not what the loop does meanwhile: whether it is busy or waits for a processor, and with what it is busy. The line now has the share of time in which the loop is busy, its time by part, the longest write, and the longest time until a goroutine that it started got to run; a counter has the time by part. TestTimesAddUp holds that no time is lost between parts.

--- a/internal/looplag/looplag.go
+++ b/internal/looplag/looplag.go
@@ -1,11 +1,78 @@
 // Package looplag measures how far an event loop is behind: how long events wait for it, how long
-// changes wait until they are durable, and how much work it does.
+// changes wait until they are durable, how much work it does, and how its time divides among the
+// parts of that work.
 //
 // It knows the longest waits only. An event that is still queued counts once it is handled, so a loop
-// that stands still is not reported until it goes on.
+// that stands still is not reported until it goes on. Times are those of the clock: they include what
+// the loop waits for a processor while it has work.
 package looplag
 
-import "time"
+import (
+	"fmt"
+	"strings"
+	"time"
+)
+
+// Part is a part of the work of the loop.
+type Part int
+
+// The parts.
+const (
+	// Idle: the loop waits for events.
+	Idle Part = iota
+	// Polls: answers of workers to polls, and the next ones.
+	Polls
+	// Launches: answers to start orders.
+	Launches
+	// Submissions: submitted jobs and calls of other hosts.
+	Submissions
+	// Writes: answers of the store, and the orders that waited for them.
+	Writes
+	// Ticks: what depends on time alone.
+	Ticks
+	// Background: what gives way to everything else.
+	Background
+	// Placement: rounds of placement.
+	Placement
+	// Encoding: rows for the next write.
+	Encoding
+	// Other: everything else.
+	Other
+
+	parts
+)
+
+// partNames are the names of the parts in logs and metrics.
+var partNames = [parts]string{"idle", "polls", "launches", "submissions", "writes", "ticks", "background", "placement", "encoding", "other"}
+
+// String returns the part's name.
+func (pa Part) String() string { return partNames[pa] }
+
+// Times is a time for each part of the work.
+type Times [parts]time.Duration
+
+// Busy returns the share of the time in which the loop was not idle.
+func (ti Times) Busy() float64 {
+	total := time.Duration(0)
+	for _, d := range ti {
+		total += d
+	}
+	if total <= 0 {
+		return 0
+	}
+	return 1 - float64(ti[Idle])/float64(total)
+}
+
+// String returns the times in milliseconds, without the parts that took none.
+func (ti Times) String() string {
+	var list []string
+	for pa, d := range ti {
+		if ms := d.Milliseconds(); ms > 0 {
+			list = append(list, fmt.Sprintf("%s:%d", Part(pa), ms))
+		}
+	}
+	return strings.Join(list, " ")
+}
 
 // Limits on the reports of a loop that falls behind.
 const (
@@ -26,10 +93,20 @@
 	Events, Rounds, Rated int64
 	// Writes counts completed writes, Written the jobs in them.
 	Writes, Written int64
+	// StartDelay is the longest time until a goroutine that the loop started got to run, which
+	// shows how long everything beside the loop waits for a processor. WriteTime is the longest
+	// time of a write.
+	StartDelay, WriteTime time.Duration
+	// Times is the time of each part of the work.
+	Times Times
 }
 
 func (wl Workload) plus(other Workload) Workload {
+	for pa, d := range wl.Times {
+		other.Times[pa] += d
+	}
 	return Workload{
+		StartDelay: max(wl.StartDelay, other.StartDelay), WriteTime: max(wl.WriteTime, other.WriteTime), Times: other.Times,
 		EventWait: max(wl.EventWait, other.EventWait), ChangeWait: max(wl.ChangeWait, other.ChangeWait),
 		Events: wl.Events + other.Events, Rounds: wl.Rounds + other.Rounds, Rated: wl.Rated + other.Rated,
 		Writes: wl.Writes + other.Writes, Written: wl.Written + other.Written,
@@ -45,6 +122,9 @@
 	// tick is the workload since the last tick, sinceLog that of the ticks since loggedAt.
 	tick, sinceLog Workload
 	loggedAt       time.Time
+	// part is the part of the work that the loop has been at since partAt.
+	part   Part
+	partAt time.Time
 	// behindSince is when the loop was first reported as behind, or zero once it keeps up.
 	behindSince time.Time
 }
@@ -55,16 +135,27 @@
 	me.tick.EventWait = max(me.tick.EventWait, wait)
 }
 
+// Begin records that the loop begins a part of its work at the given time, which ends the part before.
+func (me *Meter) Begin(pa Part, now time.Time) {
+	if !me.partAt.IsZero() {
+		me.tick.Times[me.part] += now.Sub(me.partAt)
+	}
+	me.part, me.partAt = pa, now
+}
+
 // RecordRound records a placement round.
 func (me *Meter) RecordRound() { me.tick.Rounds++ }
 
 // RecordRated records that workers were rated.
 func (me *Meter) RecordRated(workers int) { me.tick.Rated += int64(workers) }
 
-// RecordWrite records that a write of the given number of jobs has ended.
-func (me *Meter) RecordWrite(jobs int) {
+// RecordWrite records that a write of the given number of jobs has ended after the given time.
+// delay is the time until its goroutine got to run.
+func (me *Meter) RecordWrite(jobs int, took, delay time.Duration) {
 	me.tick.Writes++
 	me.tick.Written += int64(jobs)
+	me.tick.WriteTime = max(me.tick.WriteTime, took)
+	me.tick.StartDelay = max(me.tick.StartDelay, delay)
 }
 
 // RecordChange records that a change waited for the given time until it was durable.
--- a/internal/looplag/looplag_test.go
+++ b/internal/looplag/looplag_test.go
@@ -57,13 +57,33 @@
 		me.RecordEvent(time.Duration(tick) * time.Millisecond)
 		me.RecordRound()
 		me.RecordRated(3)
-		me.RecordWrite(2)
+		me.RecordWrite(2, 30*time.Millisecond, 4*time.Millisecond)
 		me.RecordChange(200 * time.Millisecond)
-		one := Workload{EventWait: time.Duration(tick) * time.Millisecond, ChangeWait: 200 * time.Millisecond, Events: 1, Rounds: 1, Rated: 3, Writes: 1, Written: 2}
+		one := Workload{EventWait: time.Duration(tick) * time.Millisecond, ChangeWait: 200 * time.Millisecond, Events: 1, Rounds: 1, Rated: 3, Writes: 1, Written: 2, WriteTime: 30 * time.Millisecond, StartDelay: 4 * time.Millisecond}
 		qt.Check(t, me.Current(), qt.Equals, one)
 		wl, re := me.Tick(start.Add(time.Duration(tick) * logInterval / 10))
 		qt.Check(t, wl, qt.Equals, one)
 		sum = re.Workload
 	}
-	qt.Check(t, sum, qt.Equals, Workload{EventWait: 10 * time.Millisecond, ChangeWait: 200 * time.Millisecond, Events: 10, Rounds: 10, Rated: 30, Writes: 10, Written: 20})
+	qt.Check(t, sum, qt.Equals, Workload{EventWait: 10 * time.Millisecond, ChangeWait: 200 * time.Millisecond, Events: 10, Rounds: 10, Rated: 30, Writes: 10, Written: 20, WriteTime: 30 * time.Millisecond, StartDelay: 4 * time.Millisecond})
+}
+
+// TestTimesAddUp guards against time of the loop that no part of its work accounts for.
+func TestTimesAddUp(t *testing.T) {
+	var me Meter
+	now := time.Unix(1_000_000, 0)
+	me.Tick(now)
+	var want Times
+	me.Begin(Idle, now)
+	for i, pa := range []Part{Polls, Idle, Placement, Polls, Encoding, Idle, Ticks} {
+		took := time.Duration(i+1) * 10 * time.Millisecond
+		now = now.Add(took)
+		want[[]Part{Idle, Polls, Idle, Placement, Polls, Encoding, Idle}[i]] += took
+		me.Begin(pa, now)
+	}
+	wl, _ := me.Tick(now)
+	qt.Check(t, wl.Times, qt.Equals, want)
+	qt.Check(t, wl.Times.String(), qt.Equals, "idle:110 polls:70 placement:40 encoding:60")
+	qt.Check(t, wl.Times.Busy() > 0.6 && wl.Times.Busy() < 0.61, qt.IsTrue, qt.Commentf("%v", wl.Times.Busy()))
+	qt.Check(t, Times{}.Busy(), qt.Equals, 0.0)
 }
--- a/internal/sched/api.go
+++ b/internal/sched/api.go
@@ -1,6 +1,8 @@
 package sched
 
 import (
+	"github.com/pepperhatch/pepperhatch/internal/looplag"
+
 	"context"
 	"errors"
 	"slices"
@@ -73,9 +75,14 @@
 // error is ErrTenureOver if fn does not run, and ctx.Err() or ErrOutcomeUnknown if ctx or the
 // tenure ends before the answer.
 func call[T any](ctx context.Context, ow *Owner, fn func(func(T))) (T, error) {
+	return callTo(ctx, ow, looplag.Other, fn)
+}
+
+// callTo runs fn as a part of the loop's work.
+func callTo[T any](ctx context.Context, ow *Owner, pa looplag.Part, fn func(func(T))) (T, error) {
 	var zero T
 	out := make(chan T, 1)
-	if !ow.post(func() { fn(func(t T) { out <- t }) }) {
+	if !ow.postTo(pa, func() { fn(func(t T) { out <- t }) }) {
 		return zero, ErrTenureOver
 	}
 	select {
@@ -91,7 +98,7 @@
 // Submit accepts a job. It returns once the job is durable or refused. If ctx ends first, the
 // outcome is unknown. Submitting the same id again has no further effect.
 func (ow *Owner) Submit(ctx context.Context, id string, te job.Terms, sp job.Spec) (Verdict, error) {
-	return call(ctx, ow, func(answer func(Verdict)) { ow.submit(id, te, sp, answer) })
+	return callTo(ctx, ow, looplag.Submissions, func(answer func(Verdict)) { ow.submit(id, te, sp, answer) })
 }
 
 func (ow *Owner) submit(id string, te job.Terms, sp job.Spec, answer func(Verdict)) {
@@ -182,7 +189,7 @@
 // store takes no writes. The outcome is Accepted also for a job that has ended, and NoJob for
 // one that is not known or not written yet. If ctx ends first, the outcome is unknown.
 func (ow *Owner) Cancel(ctx context.Context, id string) (Verdict, error) {
-	return call(ctx, ow, func(answer func(Verdict)) { ow.cancel(id, answer) })
+	return callTo(ctx, ow, looplag.Submissions, func(answer func(Verdict)) { ow.cancel(id, answer) })
 }
 
 func (ow *Owner) cancel(id string, answer func(Verdict)) {
@@ -216,7 +223,7 @@
 // State returns the last written state of a job; ok is false if the owner has no such job, or
 // has not written it yet.
 func (ow *Owner) State(ctx context.Context, id string) (state job.State, ok bool, err error) {
-	state, err = call(ctx, ow, func(answer func(job.State)) {
+	state, err = callTo(ctx, ow, looplag.Submissions, func(answer func(job.State)) {
 		if tj := ow.jobs[id]; tj != nil {
 			answer(tj.reportedState())
 			return
@@ -228,7 +235,7 @@
 
 // Pending counts the jobs of a queue whose last written state is that no task has started.
 func (ow *Owner) Pending(ctx context.Context, queue string) (int, error) {
-	return call(ctx, ow, func(answer func(int)) {
+	return callTo(ctx, ow, looplag.Submissions, func(answer func(int)) {
 		n := 0
 		for _, tj := range ow.jobs {
 			if tj.jo.Terms.Queue == queue && tj.writtenState == job.Queued {
--- a/internal/sched/commit.go
+++ b/internal/sched/commit.go
@@ -1,6 +1,8 @@
 package sched
 
 import (
+	"github.com/pepperhatch/pepperhatch/internal/looplag"
+
 	"bytes"
 	"context"
 	"encoding/json"
@@ -47,6 +49,8 @@
 	txn  store.Txn
 	jobs []jobWrite
 	sent time.Time
+	// startDelay is how long after sent its goroutine got to run.
+	startDelay time.Duration
 	// mark is the value of the mark row in the transaction.
 	mark []byte
 }
@@ -236,6 +240,7 @@
 func (ow *Owner) commit(wr *write) {
 	bo := backoff.NewExponentialBackOff()
 	bo.InitialInterval, bo.MaxInterval = initialRewriteDelay, maxRewriteDelay
+	wr.startDelay = time.Since(wr.sent)
 	for {
 		ctx, cancel := context.WithTimeout(ow.ctx, writeTimeout)
 		reply, err := ow.Table.CommitFunc(ctx, wr.txn)
@@ -244,19 +249,19 @@
 			return
 		}
 		if err == nil {
-			ow.post(func() { ow.handleCommitted(wr, reply.Version) })
+			ow.postTo(looplag.Writes, func() { ow.handleCommitted(wr, reply.Version) })
 			return
 		}
 		var conflict *store.ConflictError
 		if errors.As(err, &conflict) {
-			ow.post(func() { ow.handleConflict(wr, conflict) })
+			ow.postTo(looplag.Writes, func() { ow.handleConflict(wr, conflict) })
 			return
 		}
 		if errors.Is(err, store.ErrRefused) {
-			ow.post(func() { ow.handleRefused(wr, err) })
+			ow.postTo(looplag.Writes, func() { ow.handleRefused(wr, err) })
 			return
 		}
-		ow.post(func() { ow.handleWriteError(wr, err) })
+		ow.postTo(looplag.Writes, func() { ow.handleWriteError(wr, err) })
 		if !clock.Sleep(ow.ctx, bo.NextBackOff()) {
 			return
 		}
--- a/internal/sched/deferredlaunch.go
+++ b/internal/sched/deferredlaunch.go
@@ -1,6 +1,8 @@
 package sched
 
 import (
+	"github.com/pepperhatch/pepperhatch/internal/looplag"
+
 	"context"
 	"errors"
 	"time"
@@ -66,7 +68,7 @@
 	la.Fence = pt.fence
 	ack, err := ow.Agent.LaunchFunc(ctx, pt.addr, la)
 	got := time.Now()
-	ow.post(func() { ow.handleDeferredAnswer(at, ack, sent, got, err) })
+	ow.postTo(looplag.Launches, func() { ow.handleDeferredAnswer(at, ack, sent, got, err) })
 }
 
 // handleDeferredAnswer handles the answer to a deferred launch, or its failure.
--- a/internal/sched/durations.go
+++ b/internal/sched/durations.go
@@ -1,6 +1,8 @@
 package sched
 
 import (
+	"github.com/pepperhatch/pepperhatch/internal/looplag"
+
 	"context"
 	"fmt"
 	"time"
@@ -112,7 +114,7 @@
 		ow.Log.Info("cannot write the learnt durations", "cell", ow.Cell, "err", err)
 		version = unknownVersion
 	}
-	ow.post(func() {
+	ow.postTo(looplag.Writes, func() {
 		ow.durations.saving, ow.durations.version = false, version
 		if err == nil {
 			ow.durations.savedEnds = ends
--- a/internal/sched/intake.go
+++ b/internal/sched/intake.go
@@ -1,6 +1,8 @@
 package sched
 
 import (
+	"github.com/pepperhatch/pepperhatch/internal/looplag"
+
 	"context"
 	"encoding/json"
 	"errors"
@@ -39,7 +41,7 @@
 
 // Import handles the intake rows that entry hosts wrote.
 func (ow *Owner) Import(rows []store.FeedRow) {
-	ow.post(func() {
+	ow.postTo(looplag.Submissions, func() {
 		for _, row := range rows {
 			if !row.Deleted {
 				ow.importRow(row.Row)
--- a/internal/sched/interference.go
+++ b/internal/sched/interference.go
@@ -1,6 +1,8 @@
 package sched
 
 import (
+	"github.com/pepperhatch/pepperhatch/internal/looplag"
+
 	"context"
 	"encoding/json"
 	"time"
@@ -75,5 +77,5 @@
 	if _, err := ow.Table.CommitFunc(ctx, txn); err != nil {
 		ow.Log.Info("cannot write the learnt interference", "cell", ow.Cell, "err", err)
 	}
-	ow.post(func() { ow.savingModel = false })
+	ow.postTo(looplag.Writes, func() { ow.savingModel = false })
 }
--- a/internal/sched/launch.go
+++ b/internal/sched/launch.go
@@ -1,6 +1,8 @@
 package sched
 
 import (
+	"github.com/pepperhatch/pepperhatch/internal/looplag"
+
 	"context"
 	"errors"
 	"time"
@@ -70,7 +72,7 @@
 	ack, err := ow.Agent.LaunchFunc(ctx, pt.addr, la)
 	cancel()
 	got := time.Now()
-	ow.post(func() { ow.handleLaunchAnswer(at, ack, sent, got, err) })
+	ow.postTo(looplag.Launches, func() { ow.handleLaunchAnswer(at, ack, sent, got, err) })
 }
 
 // handleLaunchAnswer handles the answer to a launch, or its failure.
@@ -199,15 +201,15 @@
 			case !ok:
 				ow.Log.Info("outcome of an order is not known yet", "task", wa.Task, "attempt", wa.Number, "worker", wk.incarnation, "ends", len(res.Ended), "age", time.Since(started))
 			case whole.Absent(wa):
-				ow.post(func() { done(false) })
+				ow.postTo(looplag.Launches, func() { done(false) })
 				return
 			}
 		}
 		if err == nil && res.Lists(wa) {
-			ow.post(func() { done(true) })
+			ow.postTo(looplag.Launches, func() { done(true) })
 			return
 		}
-		abandoned, aerr := call(ow.ctx, ow, func(answer func(bool)) { answer(wk.dead || wk.findAttempt(wa) == nil) })
+		abandoned, aerr := callTo(ow.ctx, ow, looplag.Launches, func(answer func(bool)) { answer(wk.dead || wk.findAttempt(wa) == nil) })
 		if abandoned || aerr != nil || !clock.Sleep(ow.ctx, resolveRetry) {
 			return
 		}
@@ -225,7 +227,7 @@
 		return worker.PollResult{}, err
 	}
 	answered := time.Now()
-	ow.post(func() { wk.recordAnswered(answered) })
+	ow.postTo(looplag.Launches, func() { wk.recordAnswered(answered) })
 	return res, nil
 }
 
--- a/internal/sched/leaseexpiry.go
+++ b/internal/sched/leaseexpiry.go
@@ -1,6 +1,8 @@
 package sched
 
 import (
+	"github.com/pepperhatch/pepperhatch/internal/looplag"
+
 	"context"
 	"errors"
 	"time"
@@ -137,7 +139,7 @@
 	ctx, cancel := context.WithTimeout(ow.ctx, writeTimeout)
 	reply, err := ow.Table.CommitFunc(ctx, txn)
 	cancel()
-	ow.post(func() { ow.leaseRecordWritten(leases, reply.Version, err) })
+	ow.postTo(looplag.Writes, func() { ow.leaseRecordWritten(leases, reply.Version, err) })
 }
 
 // leaseRecordWritten handles the result of a write of the row.
--- a/internal/sched/list.go
+++ b/internal/sched/list.go
@@ -1,6 +1,8 @@
 package sched
 
 import (
+	"github.com/pepperhatch/pepperhatch/internal/looplag"
+
 	"cmp"
 	"context"
 	"slices"
@@ -31,7 +33,7 @@
 // List returns the jobs in the owner's memory in order of arrival, the newest maxSummaries of
 // them.
 func (ow *Owner) List(ctx context.Context) ([]Summary, error) {
-	return call(ctx, ow, func(answer func([]Summary)) {
+	return callTo(ctx, ow, looplag.Submissions, func(answer func([]Summary)) {
 		list := make([]Summary, 0, len(ow.jobs))
 		for _, tj := range ow.jobs {
 			list = append(list, tj.summary())
--- a/internal/sched/looplag.go
+++ b/internal/sched/looplag.go
@@ -7,15 +7,16 @@
 	"github.com/pepperhatch/pepperhatch/internal/telemetry"
 )
 
-// event is a call that is queued for the loop.
+// event is a call that is queued for the loop, and the part of the loop's work that it belongs to.
 type event struct {
+	part     looplag.Part
 	fn       func()
 	queuedAt time.Time
 }
 
 // recordWrite records in the measurement of the loop that a write has ended.
 func (ow *Owner) recordWrite(wr *write, now time.Time) {
-	ow.lag.RecordWrite(len(wr.jobs))
+	ow.lag.RecordWrite(len(wr.jobs), now.Sub(wr.sent), wr.startDelay)
 	for _, jw := range wr.jobs {
 		ow.lag.RecordChange(now.Sub(jw.changedAt))
 	}
@@ -30,9 +31,13 @@
 	ow.Metrics.Add(telemetry.OwnerEvents, wl.Events)
 	ow.Metrics.Add(telemetry.WorkersRated, wl.Rated)
 	ow.Metrics.Add(telemetry.JobsWritten, wl.Written)
+	for pa, took := range wl.Times {
+		ow.Metrics.Add(telemetry.LoopTime, took.Microseconds(), "part", looplag.Part(pa).String())
+	}
 	switch sum := re.Workload; re.State {
 	case looplag.Behind:
 		ow.Log.Warn("owner is behind", "cell", ow.Cell, "over", re.Over, "event_wait", sum.EventWait, "change_wait", sum.ChangeWait,
+			"write_time", sum.WriteTime, "start_delay", sum.StartDelay, "busy", sum.Times.Busy(), "times_ms", sum.Times.String(),
 			"events", sum.Events, "rounds", sum.Rounds, "rated", sum.Rated, "writes", sum.Writes, "written", sum.Written, "changed_jobs", len(ow.dirtyJobs),
 			"waiting_jobs", len(ow.waitingJobs), "starts_in_flight", ow.window.InFlight(), "store_down", ow.storeDown())
 	case looplag.CaughtUp:
--- a/internal/sched/owner.go
+++ b/internal/sched/owner.go
@@ -250,18 +250,21 @@
 			ow.handle(ev)
 			ow.drainEvents()
 		}
+		ow.lag.Begin(looplag.Placement, time.Now())
 		// Starts placed during a write have to wait for its end anyway.
 		if ow.placementDue && ow.writesInFlight < maxConcurrentWrites && !ow.window.Full() {
 			ow.place()
 		}
+		ow.lag.Begin(looplag.Encoding, time.Now())
 		ow.flush()
+		ow.lag.Begin(looplag.Idle, time.Now())
 	}
 }
 
 // ticks posts a tick every tickInterval until the tenure ends. Ticks are events like all
 // others, so the loop waits on one channel only.
 func (ow *Owner) ticks() {
-	for clock.Sleep(ow.ctx, tickInterval) && ow.post(ow.tick) {
+	for clock.Sleep(ow.ctx, tickInterval) && ow.postTo(looplag.Ticks, ow.tick) {
 	}
 }
 
@@ -279,14 +282,19 @@
 }
 
 func (ow *Owner) handle(ev event) {
-	ow.lag.RecordEvent(time.Since(ev.queuedAt))
+	now := time.Now()
+	ow.lag.RecordEvent(now.Sub(ev.queuedAt))
+	ow.lag.Begin(ev.part, now)
 	ev.fn()
 }
 
 // post queues fn for the loop. It reports false if the tenure is over.
-func (ow *Owner) post(fn func()) bool {
+func (ow *Owner) post(fn func()) bool { return ow.postTo(looplag.Other, fn) }
+
+// postTo queues fn as a part of the loop's work.
+func (ow *Owner) postTo(pa looplag.Part, fn func()) bool {
 	select {
-	case ow.events <- event{fn: fn, queuedAt: time.Now()}:
+	case ow.events <- event{part: pa, fn: fn, queuedAt: time.Now()}:
 		return true
 	case <-ow.ended:
 		return false
--- a/internal/sched/polls.go
+++ b/internal/sched/polls.go
@@ -1,6 +1,8 @@
 package sched
 
 import (
+	"github.com/pepperhatch/pepperhatch/internal/looplag"
+
 	"context"
 	"errors"
 	"time"
@@ -44,7 +46,7 @@
 // pollLoop polls the worker until ctx ends.
 func (wk *workerState) pollLoop(ctx context.Context) {
 	for ctx.Err() == nil {
-		po, err := call(ctx, wk.ow, func(answer func(worker.Poll)) { answer(wk.nextPoll()) })
+		po, err := callTo(ctx, wk.ow, looplag.Polls, func(answer func(worker.Poll)) { answer(wk.nextPoll()) })
 		if err != nil {
 			return
 		}
@@ -59,7 +61,7 @@
 			return
 		}
 		got := time.Now()
-		if !wk.ow.post(func() { wk.handlePoll(sent, got, pt.fence, res, err) }) {
+		if !wk.ow.postTo(looplag.Polls, func() { wk.handlePoll(sent, got, pt.fence, res, err) }) {
 			return
 		}
 		wk.waitForNextPoll(ctx, err)
