Count the workers, attempts and jobs that an owner's loop looks at

The time of the loop depends on the machine, so no test can bound it. What it looks at does not. Iterators over all workers, jobs, and attempts at a worker count their visits, which are logged and counted beside the workers rated. A seam lets tests charge the work of the loop in virtual time.

--- a/internal/looplag/looplag.go
+++ b/internal/looplag/looplag.go
@@ -91,6 +91,9 @@
 	EventWait, ChangeWait time.Duration
 	// Events, Rounds and Rated count events, placement rounds, and the workers rated in them.
 	Events, Rounds, Rated int64
+	// Visits counts the workers, attempts and jobs that were looked at, other than those that
+	// an event concerns.
+	Visits int64
 	// Writes counts completed writes, Written the jobs in them.
 	Writes, Written int64
 	// StartDelay is the longest time until a goroutine that the loop started got to run, which
@@ -108,7 +111,7 @@
 	return Workload{
 		StartDelay: max(wl.StartDelay, other.StartDelay), WriteTime: max(wl.WriteTime, other.WriteTime), Times: other.Times,
 		EventWait: max(wl.EventWait, other.EventWait), ChangeWait: max(wl.ChangeWait, other.ChangeWait),
-		Events: wl.Events + other.Events, Rounds: wl.Rounds + other.Rounds, Rated: wl.Rated + other.Rated,
+		Events: wl.Events + other.Events, Rounds: wl.Rounds + other.Rounds, Rated: wl.Rated + other.Rated, Visits: wl.Visits + other.Visits,
 		Writes: wl.Writes + other.Writes, Written: wl.Written + other.Written,
 	}
 }
@@ -149,6 +152,9 @@
 // RecordRated records that workers were rated.
 func (me *Meter) RecordRated(workers int) { me.tick.Rated += int64(workers) }
 
+// RecordVisits records that workers, attempts or jobs were looked at.
+func (me *Meter) RecordVisits(n int) { me.tick.Visits += int64(n) }
+
 // RecordWrite records that a write of the given number of jobs has ended after the given time.
 // delay is the time until its goroutine got to run.
 func (me *Meter) RecordWrite(jobs int, took, delay time.Duration) {
--- a/internal/looplag/looplag_test.go
+++ b/internal/looplag/looplag_test.go
@@ -57,15 +57,16 @@
 		me.RecordEvent(time.Duration(tick) * time.Millisecond)
 		me.RecordRound()
 		me.RecordRated(3)
+		me.RecordVisits(5)
 		me.RecordWrite(2, 30*time.Millisecond, 4*time.Millisecond)
 		me.RecordChange(200 * time.Millisecond)
-		one := Workload{EventWait: time.Duration(tick) * time.Millisecond, ChangeWait: 200 * time.Millisecond, Events: 1, Rounds: 1, Rated: 3, Writes: 1, Written: 2, WriteTime: 30 * time.Millisecond, StartDelay: 4 * time.Millisecond}
+		one := Workload{EventWait: time.Duration(tick) * time.Millisecond, ChangeWait: 200 * time.Millisecond, Events: 1, Rounds: 1, Rated: 3, Visits: 5, Writes: 1, Written: 2, WriteTime: 30 * time.Millisecond, StartDelay: 4 * time.Millisecond}
 		qt.Check(t, me.Current(), qt.Equals, one)
 		wl, re := me.Tick(start.Add(time.Duration(tick) * logInterval / 10))
 		qt.Check(t, wl, qt.Equals, one)
 		sum = re.Workload
 	}
-	qt.Check(t, sum, qt.Equals, Workload{EventWait: 10 * time.Millisecond, ChangeWait: 200 * time.Millisecond, Events: 10, Rounds: 10, Rated: 30, Writes: 10, Written: 20, WriteTime: 30 * time.Millisecond, StartDelay: 4 * time.Millisecond})
+	qt.Check(t, sum, qt.Equals, Workload{EventWait: 10 * time.Millisecond, ChangeWait: 200 * time.Millisecond, Events: 10, Rounds: 10, Rated: 30, Visits: 50, Writes: 10, Written: 20, WriteTime: 30 * time.Millisecond, StartDelay: 4 * time.Millisecond})
 }
 
 // TestTimesAddUp guards against time of the loop that no part of its work accounts for.
--- a/internal/sched/admission.go
+++ b/internal/sched/admission.go
@@ -198,13 +198,13 @@
 	as, began := &ow.admission, time.Now()
 	as.takenAt = now
 	defer func() { as.took = time.Since(began) }()
-	for _, wk := range ow.sortedWorkers() {
+	for wk := range ow.allWorkers() {
 		if wk.unavailableReason(now) == "" {
 			sl := as.of(wk.Service)
 			sl.hosts = append(sl.hosts, wk.admissionHost())
 		}
 	}
-	for _, tj := range ow.jobs {
+	for tj := range ow.allJobs() {
 		if !tj.endedAt.IsZero() || tj.removing || tj.jo.LongRunning() || tj.jo.State().Final() {
 			continue
 		}
--- a/internal/sched/api.go
+++ b/internal/sched/api.go
@@ -237,7 +237,7 @@
 func (ow *Owner) Pending(ctx context.Context, queue string) (int, error) {
 	return callTo(ctx, ow, looplag.Submissions, func(answer func(int)) {
 		n := 0
-		for _, tj := range ow.jobs {
+		for tj := range ow.allJobs() {
 			if tj.jo.Terms.Queue == queue && tj.writtenState == job.Queued {
 				n++
 			}
--- a/internal/sched/capacitytransit.go
+++ b/internal/sched/capacitytransit.go
@@ -59,7 +59,7 @@
 // start it has just confirmed.
 func (wk *workerState) enablingEnd(at *attempt) (transit.End, bool) {
 	free := wk.Capacity
-	for other := range wk.attempts {
+	for other := range wk.allAttempts() {
 		if other != at && !other.launchedAt.IsZero() {
 			free = free.Sub(other.step().Reserved())
 		}
--- a/internal/sched/cold.go
+++ b/internal/sched/cold.go
@@ -21,7 +21,7 @@
 
 // hasUnansweredStart reports whether the start of an attempt on the worker has no answer yet.
 func (wk *workerState) hasUnansweredStart() bool {
-	for at := range wk.attempts {
+	for at := range wk.allAttempts() {
 		if at.launchedAt.IsZero() {
 			return true
 		}
--- a/internal/sched/contact.go
+++ b/internal/sched/contact.go
@@ -77,7 +77,7 @@
 func (ow *Owner) updateContactStates(now time.Time) {
 	counts := map[contactState]int{}
 	late := 0
-	for _, wk := range ow.workers {
+	for wk := range ow.allWorkers() {
 		if !wk.needsOrders() {
 			continue
 		}
@@ -130,7 +130,7 @@
 func (ow *Owner) logWithoutOrders(counts map[contactState]int, now time.Time) {
 	attempts, longest := 0, time.Duration(0)
 	var relays, centres groupCounts
-	for _, wk := range ow.workers {
+	for wk := range ow.allWorkers() {
 		if !wk.needsOrders() {
 			continue
 		}
--- a/internal/sched/copies.go
+++ b/internal/sched/copies.go
@@ -58,8 +58,8 @@
 
 // anyMayCopy reports whether any running task may get a copy.
 func (ow *Owner) anyMayCopy() bool {
-	for _, wk := range ow.workers {
-		for at := range wk.attempts {
+	for wk := range ow.allWorkers() {
+		for at := range wk.allAttempts() {
 			if at.mayCopy() {
 				return true
 			}
@@ -85,9 +85,9 @@
 func (ow *Owner) copyInputs(now time.Time) ([]copies.Attempt, map[attemptRef]*attempt) {
 	var inputs []copies.Attempt
 	may := map[attemptRef]*attempt{}
-	for _, wk := range ow.sortedWorkers() {
+	for wk := range ow.allWorkers() {
 		id := wk.incarnation.String()
-		for at := range wk.attempts {
+		for at := range wk.allAttempts() {
 			st := at.step()
 			if st.LongRunning || st.Filler || at.launchedAt.IsZero() || at.superseded {
 				continue
--- a/internal/sched/datacentrecapacity.go
+++ b/internal/sched/datacentrecapacity.go
@@ -57,7 +57,7 @@
 	cr.at = now
 	if now.Sub(cr.summarizedAt) >= dataCentreInterval {
 		ta := cr.groups.Tally()
-		for _, wk := range ow.sortedWorkers() {
+		for wk := range ow.allWorkers() {
 			wk.addTo(ta, wk.unavailableReason(now) == "")
 		}
 		cr.setSummary(ta.Summary(), now)
--- a/internal/sched/death.go
+++ b/internal/sched/death.go
@@ -80,7 +80,7 @@
 // and the ends say which attempts may have caused that.
 func (wk *workerState) endAll(crashed bool, why string) {
 	var le lostEnds
-	for at := range wk.attempts {
+	for at := range wk.allAttempts() {
 		end := at.lossEnd(crashed)
 		le.add(at.step(), end)
 		wk.ow.recordEnd(at.tj, at.ref, at.number, end, "", why)
@@ -207,7 +207,7 @@
 // last contact, whether it was about to leave, and how many orders it had not answered.
 func (wk *workerState) logDeath(why string, by worker.Incarnation, now time.Time) {
 	unanswered := 0
-	for at := range wk.attempts {
+	for at := range wk.allAttempts() {
 		if at.launchedAt.IsZero() {
 			unanswered++
 		}
--- a/internal/sched/deferredlaunch.go
+++ b/internal/sched/deferredlaunch.go
@@ -51,7 +51,7 @@
 func (wk *workerState) newDeferral(at *attempt, wait time.Duration) *worker.Deferral {
 	wk.launchesDeferred++
 	de := &worker.Deferral{Number: wk.launchesDeferred, Need: at.step().Reserved(), Free: wk.freeBeforeQueued(), Wait: wait, Timeout: launchTimeout}
-	for other := range wk.attempts {
+	for other := range wk.allAttempts() {
 		switch {
 		case !other.queued:
 			de.Running = append(de.Running, worker.Usage{Attempt: other.name(), Resources: other.step().Reserved()})
--- a/internal/sched/demand.go
+++ b/internal/sched/demand.go
@@ -56,7 +56,7 @@
 	if lrd.tasks == 0 {
 		return lrd
 	}
-	for _, wk := range ow.workers {
+	for wk := range ow.allWorkers() {
 		if wk.unavailableReason(now) != "" {
 			continue
 		}
--- a/internal/sched/evacuate.go
+++ b/internal/sched/evacuate.go
@@ -27,7 +27,7 @@
 		return
 	}
 	em := emptying{ow: ow, now: now, storeUnhealthy: ow.storeUnhealthy(now)}
-	for _, wk := range ow.sortedWorkers() {
+	for wk := range ow.allWorkers() {
 		if cause := wk.evacuationReason(now); cause != "" {
 			em.workers = append(em.workers, wk)
 			em.add(wk, cause)
@@ -93,7 +93,7 @@
 		wk.logEvacuation(em.now)
 	}
 	stopAll := cause == reasonDraining && em.now.After(wk.leavesAt.Add(-em.ow.Limits.StopTime-leaveMargin))
-	for at := range wk.attempts {
+	for at := range wk.allAttempts() {
 		switch {
 		case stopAll:
 			em.ow.halt(at, "its worker leaves")
@@ -170,7 +170,7 @@
 	}
 	em.cachedPlacer = em.ow.newPlacer()
 	for _, wk := range em.workers {
-		for at := range wk.attempts {
+		for at := range wk.allAttempts() {
 			if at.step().LongRunning && at.stopping(em.now) {
 				em.cachedPlacer.reserveElsewhere(at)
 			}
--- a/internal/sched/evacuated.go
+++ b/internal/sched/evacuated.go
@@ -20,7 +20,7 @@
 	}
 	ow.Log.Info("evacuations in force at the owner", "cell", ow.Cell, "epoch", ow.Tenure.Epoch, "in_force", se, "was", ow.evacuated)
 	ow.evacuated = se
-	for _, wk := range ow.workers {
+	for wk := range ow.allWorkers() {
 		wk.tickQueued(now)
 	}
 	ow.monitorEvacuations(now)
@@ -60,12 +60,12 @@
 		return
 	}
 	loads := map[string]evacuation.Load{}
-	for _, wk := range ow.workers {
+	for wk := range ow.allWorkers() {
 		lo := loads[wk.DataCentre]
 		if wk.needsOrders() {
 			lo.Workers++
 		}
-		for at := range wk.attempts {
+		for at := range wk.allAttempts() {
 			if at.step().LongRunning {
 				lo.LongRunning++
 			} else {
--- a/internal/sched/handover.go
+++ b/internal/sched/handover.go
@@ -44,11 +44,11 @@
 // recordUnresponsive updates what [Owner.Handover] returns.
 func (ow *Owner) recordUnresponsive(now time.Time) {
 	leases := map[string]int64{}
-	for incarnation, wk := range ow.workers {
+	for wk := range ow.allWorkers() {
 		if len(wk.attempts) == 0 || wk.settled && wk.failingSince.IsZero() || wk.leasesUnknown() {
 			continue
 		}
-		leases[incarnation.String()] = wk.leaseRemainingMS(now)
+		leases[wk.incarnation.String()] = wk.leaseRemainingMS(now)
 	}
 	for incarnation := range ow.unowned {
 		if !ow.formerLeasesUnknown(incarnation) {
--- a/internal/sched/headroom.go
+++ b/internal/sched/headroom.go
@@ -203,7 +203,7 @@
 // headroomWorkers returns the workers of a service that accept new tasks.
 func (ow *Owner) headroomWorkers(service string, now time.Time) []headroom.Worker {
 	var list []headroom.Worker
-	for _, wk := range ow.sortedWorkers() {
+	for wk := range ow.allWorkers() {
 		if wk.Service == service && wk.unavailableReason(now) == "" {
 			list = append(list, wk.headroomWorker(service))
 		}
--- a/internal/sched/idlecapacity.go
+++ b/internal/sched/idlecapacity.go
@@ -99,7 +99,7 @@
 	if ic.tasks == 0 {
 		return ic
 	}
-	for _, wk := range ow.workers {
+	for wk := range ow.allWorkers() {
 		if wk.unavailableReason(now) != "" {
 			continue
 		}
--- a/internal/sched/incarnation.go
+++ b/internal/sched/incarnation.go
@@ -118,7 +118,7 @@
 		next.raiseFence()
 	}
 	crashed := wk.recordCrash()
-	for at := range wk.attempts {
+	for at := range wk.allAttempts() {
 		end := at.lossEnd(crashed)
 		if end == job.EndNeverRan && at.deferral == nil {
 			wk.ow.recordEnd(at.tj, at.ref, at.number, end, "", "its worker ended before the order was sent")
--- a/internal/sched/list.go
+++ b/internal/sched/list.go
@@ -35,7 +35,7 @@
 func (ow *Owner) List(ctx context.Context) ([]Summary, error) {
 	return callTo(ctx, ow, looplag.Submissions, func(answer func([]Summary)) {
 		list := make([]Summary, 0, len(ow.jobs))
-		for _, tj := range ow.jobs {
+		for tj := range ow.allJobs() {
 			list = append(list, tj.summary())
 		}
 		slices.SortFunc(list, func(a, b Summary) int { return cmp.Compare(a.order, b.order) })
--- a/internal/sched/load.go
+++ b/internal/sched/load.go
@@ -117,7 +117,7 @@
 	if !found {
 		return
 	}
-	for _, tj := range ow.jobs {
+	for tj := range ow.allJobs() {
 		tj.unowned = tj.adoptOn(wk)
 	}
 }
@@ -165,7 +165,7 @@
 func (ow *Owner) endUnowned(incarnation worker.Incarnation, now time.Time) {
 	reliable := ow.listReliable(now)
 	var le lostEnds
-	for _, tj := range ow.jobs {
+	for tj := range ow.allJobs() {
 		remaining := tj.unowned[:0]
 		for _, key := range tj.unowned {
 			ra, ok := tj.runningAttempt(key)
--- a/internal/sched/looplag.go
+++ b/internal/sched/looplag.go
@@ -30,6 +30,7 @@
 	ow.Metrics.Observe(telemetry.ChangeWait, wl.ChangeWait)
 	ow.Metrics.Add(telemetry.OwnerEvents, wl.Events)
 	ow.Metrics.Add(telemetry.WorkersRated, wl.Rated)
+	ow.Metrics.Add(telemetry.LoopVisits, wl.Visits)
 	ow.Metrics.Add(telemetry.JobsWritten, wl.Written)
 	for pa, took := range wl.Times {
 		ow.Metrics.Add(telemetry.LoopTime, took.Microseconds(), "part", looplag.Part(pa).String())
@@ -38,7 +39,7 @@
 	case looplag.Behind:
 		ow.Log.Warn("owner is behind", "cell", ow.Cell, "over", re.Over, "event_wait", sum.EventWait, "change_wait", sum.ChangeWait,
 			"write_time", sum.WriteTime, "start_delay", sum.StartDelay, "busy", sum.Times.Busy(), "times_ms", sum.Times.String(),
-			"events", sum.Events, "rounds", sum.Rounds, "rated", sum.Rated, "writes", sum.Writes, "written", sum.Written, "changed_jobs", len(ow.dirtyJobs),
+			"events", sum.Events, "rounds", sum.Rounds, "rated", sum.Rated, "visits", sum.Visits, "writes", sum.Writes, "written", sum.Written, "changed_jobs", len(ow.dirtyJobs),
 			"waiting_jobs", len(ow.waitingJobs), "starts_in_flight", ow.window.InFlight(), "store_down", ow.storeDown())
 	case looplag.CaughtUp:
 		ow.Log.Info("owner keeps up again", "cell", ow.Cell, "after", re.BehindFor)
--- a/internal/sched/move.go
+++ b/internal/sched/move.go
@@ -30,8 +30,8 @@
 	}
 	var pl *placer
 	moves := 0
-	for _, wk := range ow.sortedWorkers() {
-		for at := range wk.attempts {
+	for wk := range ow.allWorkers() {
+		for at := range wk.allAttempts() {
 			if moves == movesPerTick || !at.worthMoving(now) {
 				continue
 			}
--- a/internal/sched/owner.go
+++ b/internal/sched/owner.go
@@ -95,6 +95,10 @@
 	handoverLeaseMS map[string]int64
 	inheritedAt     time.Time
 
+	// chargeFunc, if set, is called at the end of each part of the loop's work with the workload
+	// since the last tick, and takes the time of the part: tests have it in virtual time.
+	chargeFunc func(looplag.Workload)
+
 	// events queues the events for the loop; ended is closed when Run returns.
 	events chan event
 	ended  chan struct{}
@@ -250,14 +254,14 @@
 			ow.handle(ev)
 			ow.drainEvents()
 		}
-		ow.lag.Begin(looplag.Placement, time.Now())
+		ow.beginPart(looplag.Placement)
 		// Starts placed during a write have to wait for its end anyway.
 		if ow.placementDue && ow.writesInFlight < maxConcurrentWrites && !ow.window.Full() {
 			ow.place()
 		}
-		ow.lag.Begin(looplag.Encoding, time.Now())
+		ow.beginPart(looplag.Encoding)
 		ow.flush()
-		ow.lag.Begin(looplag.Idle, time.Now())
+		ow.beginPart(looplag.Idle)
 	}
 }
 
@@ -282,9 +286,7 @@
 }
 
 func (ow *Owner) handle(ev event) {
-	now := time.Now()
-	ow.lag.RecordEvent(now.Sub(ev.queuedAt))
-	ow.lag.Begin(ev.part, now)
+	ow.lag.RecordEvent(ow.beginPart(ev.part).Sub(ev.queuedAt))
 	ev.fn()
 }
 
@@ -305,7 +307,7 @@
 func (ow *Owner) tick() {
 	now := time.Now()
 	ow.reportLag(now)
-	for _, wk := range ow.workers {
+	for wk := range ow.allWorkers() {
 		wk.tick(now)
 	}
 	ow.recordUnresponsive(now)
@@ -343,13 +345,13 @@
 
 // forgetEnded removes jobs that ended longer than Limits.KeepEnded ago.
 func (ow *Owner) forgetEnded(now time.Time) {
-	for id, tj := range ow.jobs {
+	for tj := range ow.allJobs() {
 		if tj.endedAt.IsZero() || tj.dirty || tj.writing || now.Sub(tj.endedAt) < ow.Limits.KeepEnded {
 			continue
 		}
 		tj.removing = true
 		ow.markDirty(tj)
-		tj.onWritten = append(tj.onWritten, func() { delete(ow.jobs, id) })
+		tj.onWritten = append(tj.onWritten, func() { delete(ow.jobs, tj.jo.ID) })
 		tj.endedAt = time.Time{}
 	}
 }
--- a/internal/sched/pace.go
+++ b/internal/sched/pace.go
@@ -48,7 +48,7 @@
 // pacedFillers returns the launched fillers, whose pace can be set.
 func (wk *workerState) pacedFillers() []*attempt {
 	var list []*attempt
-	for at := range wk.attempts {
+	for at := range wk.allAttempts() {
 		if at.step().Filler && !at.launchedAt.IsZero() {
 			list = append(list, at)
 		}
--- a/internal/sched/path.go
+++ b/internal/sched/path.go
@@ -51,7 +51,7 @@
 // Reroute makes the owner reach every worker by the path that ViaFunc returns now.
 func (ow *Owner) Reroute() {
 	ow.post(func() {
-		for _, wk := range ow.workers {
+		for wk := range ow.allWorkers() {
 			if !wk.dead {
 				wk.reroute()
 			}
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -63,6 +63,7 @@
 	ow.noFit.StartRound(pl.now, len(ow.workers))
 	var reserved, holds int64
 	workers := ow.sortedWorkers()
+	ow.lag.RecordVisits(len(workers))
 	list := make([]candidate, len(workers))
 	pl.candidates = make([]*candidate, 0, len(workers))
 	ta := ow.dataCentreCapacity.groups.Tally()
--- a/internal/sched/polls.go
+++ b/internal/sched/polls.go
@@ -139,7 +139,7 @@
 // that have latency targets.
 func (wk *workerState) hasFillersBesideServices() bool {
 	fillers, services := false, false
-	for at := range wk.attempts {
+	for at := range wk.allAttempts() {
 		fillers = fillers || at.step().Filler
 		services = services || at.isMeasuredService()
 	}
@@ -356,7 +356,7 @@
 
 // endMissing ends the attempts that a poll should have listed and did not.
 func (wk *workerState) endMissing(sent time.Time, whole worker.WholeList, settles bool) {
-	for at := range wk.attempts {
+	for at := range wk.allAttempts() {
 		if at.listedInPoll == wk.pollsHandled {
 			continue
 		}
--- a/internal/sched/proof.go
+++ b/internal/sched/proof.go
@@ -44,7 +44,7 @@
 	if ow.storeDown() {
 		return
 	}
-	for _, tj := range ow.jobs {
+	for tj := range ow.allJobs() {
 		if !tj.proofDue.IsZero() && now.After(tj.proofDue) {
 			ow.markDirty(tj)
 		}
--- a/internal/sched/quarantine.go
+++ b/internal/sched/quarantine.go
@@ -32,7 +32,7 @@
 // the workers. Workers of evacuated data centres do not count, as they get no tasks.
 func (ow *Owner) mayQuarantine(wk *workerState) bool {
 	now, all, quarantined := time.Now(), 0, 0
-	for _, other := range ow.workers {
+	for other := range ow.allWorkers() {
 		if other.Service != wk.Service || other.dead || other.unlisted || other.isEvacuated() {
 			continue
 		}
--- a/internal/sched/queuedstart.go
+++ b/internal/sched/queuedstart.go
@@ -104,7 +104,7 @@
 // former owners count once they are listed.
 func (wk *workerState) firstStops() worker.Resources {
 	var sum worker.Resources
-	for at := range wk.attempts {
+	for at := range wk.allAttempts() {
 		if !at.haltSentAt.IsZero() && !at.haltRepeated && !at.launchedAt.IsZero() {
 			sum = sum.Add(at.step().Reserved())
 		}
--- a/internal/sched/rank.go
+++ b/internal/sched/rank.go
@@ -51,6 +51,7 @@
 		return rk
 	}
 	pl.ow.lag.RecordRated(len(pl.candidates))
+	pl.ow.lag.RecordVisits(len(pl.candidates))
 	sh.LacksCapacity = true
 	for _, ca := range pl.candidates {
 		if !ca.hasCapacity(st, interrupted) {
--- a/internal/sched/reservation.go
+++ b/internal/sched/reservation.go
@@ -86,7 +86,7 @@
 // the most free cores first.
 func (ow *Owner) reservableWorkers(now time.Time) []reservableWorker {
 	var workers []reservableWorker
-	for _, wk := range ow.sortedWorkers() {
+	for wk := range ow.allWorkers() {
 		wk.restartReserved, wk.restartReady = worker.Resources{}, false
 		if wk.available(now) {
 			workers = append(workers, reservableWorker{ca: newCandidate(wk), free: wk.Capacity.Sub(wk.reserved).Add(wk.finiteReserved)})
@@ -154,11 +154,11 @@
 // that are likely lost and those that wait for capacity.
 func (ow *Owner) pendingRestarts(now time.Time) []pendingRestart {
 	var list []pendingRestart
-	for _, wk := range ow.sortedWorkers() {
+	for wk := range ow.allWorkers() {
 		if !wk.likelyLost(now) {
 			continue
 		}
-		for at := range wk.attempts {
+		for at := range wk.allAttempts() {
 			if at.step().LongRunning && at.haltSentAt.IsZero() {
 				list = append(list, pendingRestart{tj: at.tj, st: at.step()})
 			}
@@ -171,7 +171,7 @@
 		}
 	}
 	if unseen {
-		for _, tj := range ow.jobs {
+		for tj := range ow.allJobs() {
 			list = tj.appendUnownedRestarts(list)
 		}
 	}
--- a/internal/sched/shortage.go
+++ b/internal/sched/shortage.go
@@ -28,7 +28,7 @@
 func (ow *Owner) findShortage(tj *trackedJob, step int, now time.Time) shortage {
 	st := &tj.jo.Spec.Steps[step]
 	sh := shortage{st: st, excluded: map[string]int{}}
-	for _, wk := range ow.sortedWorkers() {
+	for wk := range ow.allWorkers() {
 		ca := newCandidate(wk)
 		if !ca.suitable(tj, st) {
 			continue
@@ -109,7 +109,7 @@
 // stopping returns the resources held by attempts that are being stopped.
 func (wk *workerState) stopping() worker.Resources {
 	var sum worker.Resources
-	for at := range wk.attempts {
+	for at := range wk.allAttempts() {
 		if !at.haltSentAt.IsZero() {
 			sum = sum.Add(at.step().Reserved())
 		}
--- a/internal/sched/slowworker.go
+++ b/internal/sched/slowworker.go
@@ -169,7 +169,7 @@
 // observations.
 func (ow *Owner) reportSlow(now time.Time) {
 	slow := int64(0)
-	for _, wk := range ow.workers {
+	for wk := range ow.allWorkers() {
 		if wk.logSlow(now) {
 			slow++
 		}
@@ -193,11 +193,11 @@
 	}
 	var pl *placer
 	moves := 0
-	for _, wk := range ow.sortedWorkers() {
+	for wk := range ow.allWorkers() {
 		if wk.dead || !wk.failingSince.IsZero() || !wk.speed.Confirmed(now) {
 			continue
 		}
-		for at := range wk.attempts {
+		for at := range wk.allAttempts() {
 			if moves == slowMovesPerTick || !at.endsSoonerElsewhere(now) {
 				continue
 			}
@@ -217,8 +217,8 @@
 // tick until their ends are listed.
 func (ow *Owner) placerBesideMoves(now time.Time) *placer {
 	pl := ow.newPlacer()
-	for _, wk := range ow.sortedWorkers() {
-		for at := range wk.attempts {
+	for wk := range ow.allWorkers() {
+		for at := range wk.allAttempts() {
 			if at.leavesSlow && at.stopping(now) {
 				pl.reserveForSlow(at)
 			}
--- a/internal/sched/stuck.go
+++ b/internal/sched/stuck.go
@@ -67,7 +67,7 @@
 	ow.stuckCheckedAt = now
 	var list []stuckJob
 	counts := map[bool]map[obstacle]int{true: {}, false: {}}
-	for _, tj := range ow.jobs {
+	for tj := range ow.allJobs() {
 		sj := tj.stuck(now)
 		if len(sj.counts) == 0 {
 			continue
@@ -108,7 +108,7 @@
 // why they accept none.
 func (ow *Owner) capacity(now time.Time) (held, reserved int64, excluded map[string]int) {
 	excluded = map[string]int{}
-	for _, wk := range ow.workers {
+	for wk := range ow.allWorkers() {
 		if why := wk.unavailableReason(now); why != "" {
 			excluded[why]++
 			continue
--- a/internal/sched/suspect.go
+++ b/internal/sched/suspect.go
@@ -83,7 +83,7 @@
 
 // trialWorker returns the worker that was chosen for the trial of a task, or nil.
 func (ow *Owner) trialWorker(tj *trackedJob, ref job.TaskRef) *workerState {
-	for _, wk := range ow.workers {
+	for wk := range ow.allWorkers() {
 		if wk.trial != nil && wk.trial.tj == tj && wk.trial.ref == ref {
 			return wk
 		}
@@ -206,7 +206,7 @@
 // occupancy counts the worker's attempts.
 func (wk *workerState) occupancy(now time.Time) occupancy {
 	oc := occupancy{services: len(wk.services), attempts: len(wk.attempts)}
-	for at := range wk.attempts {
+	for at := range wk.allAttempts() {
 		if at.starting(now) {
 			oc.starting++
 		}
--- a/internal/sched/timebreakdown.go
+++ b/internal/sched/timebreakdown.go
@@ -81,7 +81,7 @@
 // have not ended, and logs those that wait. The time of long-running jobs is not accounted.
 func (ow *Owner) accountTime(now time.Time) {
 	down := ow.storeDown()
-	for _, tj := range ow.jobs {
+	for tj := range ow.allJobs() {
 		if !tj.endedAt.IsZero() {
 			continue
 		}
@@ -112,6 +112,7 @@
 		return tj.waitCause
 	}
 	worst := CauseWork
+	tj.ow.lag.RecordVisits(len(tj.attempts))
 	for _, at := range tj.attempts {
 		switch {
 		case at.superseded:
--- a/internal/sched/unlisted.go
+++ b/internal/sched/unlisted.go
@@ -85,7 +85,7 @@
 // part, than that all of them left.
 func (ow *Owner) updateListDoubt(now time.Time) {
 	listed := 0
-	for _, wk := range ow.workers {
+	for wk := range ow.allWorkers() {
 		if wk.needsOrders() {
 			listed++
 		}
--- a/internal/sched/usage.go
+++ b/internal/sched/usage.go
@@ -106,7 +106,7 @@
 // that ends at taken, by image, as the worker reported them.
 func (wk *workerState) usedShares(taken time.Time) interfere.Shares {
 	sh := interfere.Shares{}
-	for at := range wk.attempts {
+	for at := range wk.allAttempts() {
 		if !at.step().Filler || at.launchedAt.IsZero() {
 			continue
 		}
@@ -130,7 +130,7 @@
 		return wk.fillers.expectedShares
 	}
 	wk.fillers.expectedShares = interfere.Shares{}
-	for at := range wk.attempts {
+	for at := range wk.allAttempts() {
 		if at.step().Filler {
 			wk.fillers.expectedShares[at.step().Image] += at.expectedShare()
 		}
--- a/internal/sched/visiblecapacity.go
+++ b/internal/sched/visiblecapacity.go
@@ -113,8 +113,8 @@
 	for _, tj := range ow.waitingJobs {
 		list = tj.appendInterrupted(list, now)
 	}
-	for _, wk := range ow.workers {
-		for at := range wk.attempts {
+	for wk := range ow.allWorkers() {
+		for at := range wk.allAttempts() {
 			if at.launchedAt.IsZero() && !at.inherited && at.number > 1 && at.step().LongRunning {
 				list = append(list, taskKey{at.tj, at.ref})
 			}
@@ -146,7 +146,7 @@
 // that is free by their own account, the most free cores first.
 func (ow *Owner) visibleWorkers() []candidate {
 	var list []candidate
-	for _, wk := range ow.sortedWorkers() {
+	for wk := range ow.allWorkers() {
 		if wk.dead || wk.refusesStarts() || !wk.settled || !wk.failingSince.IsZero() {
 			continue
 		}
@@ -162,7 +162,7 @@
 // confirmed.
 func (wk *workerState) unconfirmed() worker.Resources {
 	var sum worker.Resources
-	for at := range wk.attempts {
+	for at := range wk.allAttempts() {
 		if at.launchedAt.IsZero() {
 			sum = sum.Add(at.step().Reserved())
 		}
--- a/internal/sched/workerstate.go
+++ b/internal/sched/workerstate.go
@@ -171,7 +171,7 @@
 		for _, we := range entries {
 			listedIDs[we.Incarnation.ID] = true
 		}
-		for _, wk := range ow.sortedWorkers() {
+		for wk := range ow.allWorkers() {
 			if !listedIDs[wk.incarnation.ID] {
 				wk.markUnlisted()
 			}
