sched: add failing tests of an owner whose processor is slow

What callers saw: the most urgent jobs of a large cell start late, and an accepted job never runs though workers have the capacity.

--- a/internal/sched/lab_test.go
+++ b/internal/sched/lab_test.go
@@ -14,6 +14,7 @@
 	"github.com/pepperhatch/pepperhatch/internal/clock"
 	"github.com/pepperhatch/pepperhatch/internal/deferral"
 	"github.com/pepperhatch/pepperhatch/internal/job"
+	"github.com/pepperhatch/pepperhatch/internal/looplag"
 	"github.com/pepperhatch/pepperhatch/internal/standin"
 	"github.com/pepperhatch/pepperhatch/internal/store"
 	"github.com/pepperhatch/pepperhatch/internal/telemetry"
@@ -67,6 +68,8 @@
 	confirmedFunc, writtenFunc func() time.Time
 	// requests are the evacuations that owners know of.
 	requests evacuationRequests
+	// chargeFunc is that of the owners, if set.
+	chargeFunc func(looplag.Workload)
 	// formerOwnerCeased makes owners know that the former one has ceased to act.
 	formerOwnerCeased bool
 }
@@ -240,6 +243,7 @@
 		ViaFunc: la.currentVia, ListFunc: la.listFunc, EvacuatedFunc: la.requests.read,
 		Limits: Limits{MaxLease: maxLease, StopTime: 900 * time.Millisecond, HarmAfter: harmAfter, PaceTime: paceDelay, MaxRowBytes: la.maxRowBytes, KeepEnded: 2 * time.Minute},
 	})
+	ow.chargeFunc = la.chargeFunc
 	loaded := make(chan error, 2)
 	go func() { loaded <- ow.Run(ctx, func() { loaded <- nil }) }()
 	return ow, loaded, cancel
