sched: rate only as many workers for fillers as give a good choice

What callers saw: as before; each start waits for the next round of placement.

Cause: each step of each round rates all workers.

A ranking of workers for fillers now stops once it has found 128, and four for each task, and looks at further ones only when these are used up. Each ranking begins where the last one stopped, so that all workers are used. Ranking for tasks that reserve their processors is as before, as it packs them.

--- a/internal/sched/owner.go
+++ b/internal/sched/owner.go
@@ -138,6 +138,8 @@
 	// workersByID has the workers by id. Several entries under one id are incarnations of one
 	// worker.
 	workersByID map[string][]*workerState
+	// rateFrom is where the next ranking of workers begins, modulo their number.
+	rateFrom int
 	// placementDue is set if a task may have become placeable since the last round of
 	// placement; placementRounds counts the rounds. dirtyJobs are the jobs with changes that
 	// wait to be written, writesInFlight counts the writes in flight.
--- a/internal/sched/rank.go
+++ b/internal/sched/rank.go
@@ -10,6 +10,10 @@
 // ranking orders the workers that can take a task of one step, the best first. The tasks of
 // a step are identical, and placing one changes only the worker that it goes to; so all
 // workers are rated once per step, and that worker again after each placement.
+//
+// Fillers may run beside services nearly everywhere, and what they would do to these is the most
+// expensive rating. So only as many workers are rated for them as give a good choice, and further
+// ones once these are used up; each ranking goes on where the last one stopped.
 type ranking struct {
 	pl   *placer
 	tj   *trackedJob
@@ -25,13 +29,16 @@
 	// limited.
 	counts map[*workerState]int
 	heap   ratingHeap
+	// first is the index of the candidate with which the rating begins, looked counts those that
+	// were looked at, and enough is how many are to be accepted before no more are looked at.
+	first, looked, enough int
 	// headroom has the workers to leave out as they are kept for short work, nil if none.
 	headroom *headroomPlan
 	// cause is why no worker can take a task.
 	cause Cause
 }
 
-// rank rates all workers for a step, either for its interrupted tasks or for the others.
+// rank rates the workers for a step, either for its interrupted tasks or for the others.
 func (pl *placer) rank(tj *trackedJob, step int, interrupted bool) *ranking {
 	st := &tj.jo.Spec.Steps[step]
 	rk := &ranking{pl: pl, tj: tj, step: step, st: st, selective: st.Filler && pl.selective(tj), interrupted: interrupted, cause: CauseRoom}
@@ -50,23 +57,43 @@
 		}
 		return rk
 	}
-	pl.ow.lag.RecordRated(len(pl.candidates))
-	pl.ow.lag.RecordVisits(len(pl.candidates))
-	sh.LacksCapacity = true
-	for _, ca := range pl.candidates {
-		if !ca.hasCapacity(st, interrupted) {
+	rk.first, rk.enough = pl.ow.rateFrom, len(pl.candidates)
+	if st.Filler {
+		rk.enough = max(minFillerChoice, fillerChoice*tj.waitingIn(step))
+	}
+	if sh.LacksCapacity = !rk.look(); len(rk.heap) == 0 {
+		pl.ow.noFit.Add(sh)
+	}
+	return rk
+}
+
+// Limits on the workers that are rated for fillers.
+const (
+	// minFillerChoice is the least number of workers that are to be found for the fillers of a
+	// step, fillerChoice the number for each of them.
+	minFillerChoice = 128
+	fillerChoice    = 4
+)
+
+// look looks at further candidates until enough are accepted, and reports whether any had the
+// capacity.
+func (rk *ranking) look() bool {
+	pl, before, capable := rk.pl, rk.looked, false
+	for ; rk.looked < len(pl.candidates) && len(rk.heap) < rk.enough; rk.looked++ {
+		ca := pl.candidates[(rk.first+rk.looked)%len(pl.candidates)]
+		if !ca.hasCapacity(rk.st, rk.interrupted) {
 			continue
 		}
-		sh.LacksCapacity = false
+		capable = true
 		if rk.accepts(ca) {
-			rk.heap = append(rk.heap, rating{ca: ca, score: ca.score(tj, st)})
+			rk.heap = append(rk.heap, rating{ca: ca, score: ca.score(rk.tj, rk.st)})
 		}
 	}
-	if len(rk.heap) == 0 {
-		pl.ow.noFit.Add(sh)
-	}
 	heap.Init(&rk.heap)
-	return rk
+	pl.ow.lag.RecordRated(rk.looked - before)
+	pl.ow.lag.RecordVisits(rk.looked - before)
+	pl.ow.rateFrom = rk.first + rk.looked
+	return capable
 }
 
 // accepts reports whether a worker with enough capacity can take a task of the step now, and
@@ -96,6 +123,9 @@
 // best returns the worker with the highest score, or nil if none can take a task. If there
 // is one, the task waits only for its launch order, so the cause becomes CauseOrder.
 func (rk *ranking) best() *candidate {
+	if len(rk.heap) == 0 && rk.looked > 0 {
+		rk.look()
+	}
 	if len(rk.heap) == 0 {
 		if rk.waitsForHeadroom() {
 			rk.cause = CauseHeadroom
