sched: keep starts from piling up in an owner that is behind, and start what waits

Cause: the window of starts sees only how long orders take, so it grows to 1,024 while each start waits 0.4 to 0.7 s inside the owner. Urgent starts stand behind the others in it, and what is least urgent never gets a place.

The window now shrinks while events or goroutines of the owner wait for 40 ms, by how long they wait, and then grows by a part of its size a second. A start counts against those of its own priority and of lower ones only. An eighth of the window is for jobs that have waited for it for 5 s, the longest wait first; jobs that a new owner has read count as such, as it does not know their wait.

--- a/internal/congestion/congestion.go
+++ b/internal/congestion/congestion.go
@@ -1,8 +1,9 @@
 // Package congestion bounds how many starts of tasks are in flight, so that an owner whose link or
 // processor is saturated does not start more than it gets answers for.
 //
-// [Window] sees only how long answers took. It cannot tell a saturated owner from many slow
-// workers, and treats both alike; a lost answer counts like one that took as long as its timeout.
+// [Window] sees how long answers took, and how long the owner's own work waits. It cannot tell a
+// saturated link from many slow workers, and treats both alike; a lost answer counts like one that
+// took as long as its timeout.
 package congestion
 
 import "time"
@@ -25,33 +26,83 @@
 	// to show an effect. The window is multiplied by shrinkFactor each time.
 	shrinkInterval = 250 * time.Millisecond
 	shrinkFactor   = 0.6
+	// Work of the owner that waits for longLag shrinks the window, the more the longer it waits,
+	// down to minLagWindow; while it waits for shortLag, the window doesn't grow. A start that is
+	// urgent may lose 250 ms, and passes through the owner four times.
+	shortLag           = 20 * time.Millisecond
+	longLag            = 40 * time.Millisecond
+	maxLagShrinkFactor = 0.8
+	minLagShrinkFactor = 0.4
+	minLagWindow       = 64
+	lagGrowth          = 16
+	// agedShare is the part of the window that is open to aged starts whatever else is in
+	// flight, as 1 in this many.
+	agedShare = 8
 )
 
 // Window bounds the starts in flight: those of tasks that are placed and whose workers
-// have not answered yet. When the owner's link or CPU is saturated, answers arrive later and
-// later until all of them time out. The window therefore shrinks while answers are slow, and
-// grows while they are not. The zero value is ready.
+// have not answered yet. When the owner's link or processor is saturated, answers arrive later and
+// later until all of them time out. The window therefore shrinks while answers are slow or the owner's
+// work waits, and grows while neither is the case. The zero value is ready.
+//
+// A start counts against those of its own priority and of lower ones, so that urgent tasks don't wait
+// behind others. A part of the window is for aged starts, which would otherwise wait for as long as
+// more urgent tasks arrive.
 type Window struct {
-	inFlight int
+	inFlight, agedInFlight int
+	// byPriority has the starts in flight by priority.
+	byPriority map[int]int
 	// size is the size of the window in starts, 0 before the first answer.
 	size float64
 	// slowRate is the moving average of the share of slow answers, shrunkAt when the window
-	// last shrank.
-	slowRate float64
-	shrunkAt time.Time
+	// last shrank. lagging is set while the owner's work waits, lagged once the window has shrunk
+	// for that.
+	slowRate        float64
+	shrunkAt        time.Time
+	lagging, lagged bool
+}
+
+// Start is a start in flight.
+type Start struct {
+	// Priority is the priority of its job; lower numbers are more urgent.
+	Priority int
+	// Aged is set if its job has waited for so long that it starts beside more urgent ones.
+	Aged bool
 }
 
 // Begin adds a start to those in flight.
-func (wi *Window) Begin() { wi.inFlight++ }
+func (wi *Window) Begin(st Start) { wi.add(st, 1) }
 
 // End removes a start from those in flight.
-func (wi *Window) End() { wi.inFlight-- }
+func (wi *Window) End(st Start) { wi.add(st, -1) }
+
+func (wi *Window) add(st Start, n int) {
+	if wi.byPriority == nil {
+		wi.byPriority = map[int]int{}
+	}
+	wi.inFlight += n
+	wi.byPriority[st.Priority] += n
+	if st.Aged {
+		wi.agedInFlight += n
+	}
+}
 
 // InFlight returns the number of starts in flight.
 func (wi *Window) InFlight() int { return wi.inFlight }
 
-// Full reports whether no more starts may be in flight.
-func (wi *Window) Full() bool { return wi.inFlight >= wi.Limit() }
+// Full reports whether no more such starts may be in flight.
+func (wi *Window) Full(st Start) bool {
+	if st.Aged {
+		return wi.agedInFlight >= max(wi.Limit()/agedShare, 1)
+	}
+	ahead := 0
+	for priority, n := range wi.byPriority {
+		if priority <= st.Priority {
+			ahead += n
+		}
+	}
+	return ahead >= wi.Limit()
+}
 
 // Limit returns how many starts may be in flight.
 func (wi *Window) Limit() int {
@@ -68,15 +119,45 @@
 		slow = 1
 	}
 	wi.slowRate += (slow - wi.slowRate) / slowSamples
-	size := float64(wi.Limit())
+	size := wi.size
+	if size == 0 {
+		size = initialWindow
+	}
 	if wi.slowRate < slowShare {
-		wi.size = min(size+1, maxWindow)
+		if !wi.lagging {
+			wi.size = min(size+wi.growth(size), maxWindow)
+		}
+		return false
+	}
+	return wi.shrink(shrinkFactor, minWindow, now)
+}
+
+// growth returns by how much the window grows with an answer. Once the owner's work has waited, it
+// grows by a part of its size a second and not with each answer, so that it doesn't swing.
+func (wi *Window) growth(size float64) float64 {
+	if !wi.lagged {
+		return 1
+	}
+	return lagGrowth / size
+}
+
+// RecordLag adjusts the window to how long the owner's work has waited lately, and reports whether it
+// shrank.
+func (wi *Window) RecordLag(lag time.Duration, now time.Time) bool {
+	wi.lagging = lag >= shortLag
+	if lag < longLag || wi.Limit() <= minLagWindow {
 		return false
 	}
+	wi.lagged = true
+	factor := float64(longLag) / float64(lag)
+	return wi.shrink(min(max(factor, minLagShrinkFactor), maxLagShrinkFactor), minLagWindow, now)
+}
+
+func (wi *Window) shrink(factor, least float64, now time.Time) bool {
 	if now.Sub(wi.shrunkAt) < shrinkInterval {
 		return false
 	}
 	wi.shrunkAt = now
-	wi.size = max(size*shrinkFactor, minWindow)
+	wi.size = max(float64(wi.Limit())*factor, least)
 	return true
 }
--- a/internal/congestion/congestion_test.go
+++ b/internal/congestion/congestion_test.go
@@ -41,12 +41,54 @@
 func TestWindowFull(t *testing.T) {
 	var wi Window
 	for range initialWindow {
-		qt.Assert(t, wi.Full(), qt.IsFalse)
-		wi.Begin()
+		qt.Assert(t, wi.Full(Start{}), qt.IsFalse)
+		wi.Begin(Start{})
 	}
-	qt.Check(t, wi.Full(), qt.IsTrue)
-	wi.End()
-	qt.Check(t, []any{wi.Full(), wi.InFlight()}, qt.DeepEquals, []any{false, initialWindow - 1})
+	qt.Check(t, wi.Full(Start{}), qt.IsTrue)
+	wi.End(Start{})
+	qt.Check(t, []any{wi.Full(Start{}), wi.InFlight()}, qt.DeepEquals, []any{false, initialWindow - 1})
+}
+
+// TestWindowByPriority guards against urgent starts that wait behind others, and against aged ones
+// that wait for as long as urgent ones arrive.
+func TestWindowByPriority(t *testing.T) {
+	var wi Window
+	bulk, urgent, aged := Start{Priority: 2}, Start{}, Start{Priority: 2, Aged: true}
+	for !wi.Full(bulk) {
+		wi.Begin(bulk)
+	}
+	qt.Check(t, wi.InFlight(), qt.Equals, initialWindow)
+	for !wi.Full(urgent) {
+		wi.Begin(urgent)
+	}
+	qt.Check(t, wi.InFlight(), qt.Equals, 2*initialWindow)
+	for range initialWindow {
+		wi.End(bulk)
+	}
+	qt.Check(t, wi.Full(bulk), qt.IsTrue)
+	n := 0
+	for ; !wi.Full(aged); n++ {
+		wi.Begin(aged)
+	}
+	qt.Check(t, n, qt.Equals, initialWindow/agedShare)
+}
+
+// TestWindowShrinksWhileOwnerLags guards against starts that pile up in an owner whose own work
+// waits, and against a window that swings.
+func TestWindowShrinksWhileOwnerLags(t *testing.T) {
+	var wi Window
+	now := answer(&wi, 2*maxWindow, time.Millisecond, began)
+	qt.Assert(t, wi.Limit(), qt.Equals, maxWindow)
+	for range 100 {
+		wi.RecordLag(2*longLag, now)
+		now = now.Add(100 * time.Millisecond)
+	}
+	qt.Check(t, wi.Limit(), qt.Equals, minLagWindow)
+	now = answer(&wi, 500, time.Millisecond, now)
+	qt.Check(t, wi.Limit(), qt.Equals, minLagWindow)
+	wi.RecordLag(0, now)
+	answer(&wi, 500, time.Millisecond, now)
+	qt.Check(t, wi.Limit() > minLagWindow && wi.Limit() < 3*minLagWindow, qt.IsTrue, qt.Commentf("%d", wi.Limit()))
 }
 
 // TestWindowProperties checks that the window stays within its limits, shrinks at most once in
--- a/internal/sched/attempt.go
+++ b/internal/sched/attempt.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/pepperhatch/pepperhatch/internal/congestion"
 	"github.com/pepperhatch/pepperhatch/internal/interfere"
 	"github.com/pepperhatch/pepperhatch/internal/job"
 	"github.com/pepperhatch/pepperhatch/internal/overtarget"
@@ -24,6 +25,8 @@
 	listedInPoll int64
 	// inFlight is set from its placement until its start order is answered.
 	inFlight bool
+	// aged is set if it was placed because its job had waited for long; see [Owner.placeAged].
+	aged bool
 	// placedAt is when it was placed, startWritten is set once its start is durable.
 	placedAt     time.Time
 	startWritten bool
@@ -191,13 +194,17 @@
 // beginStart adds an attempt to the starts in flight.
 func (ow *Owner) beginStart(at *attempt) {
 	at.inFlight = true
-	ow.window.Begin()
+	ow.window.Begin(at.windowStart())
 }
 
 // endStart removes an attempt from the starts in flight, if it is one of them.
 func (ow *Owner) endStart(at *attempt) {
 	if at.inFlight {
 		at.inFlight = false
-		ow.window.End()
+		ow.window.End(at.windowStart())
 	}
 }
+
+func (at *attempt) windowStart() congestion.Start {
+	return congestion.Start{Priority: at.tj.jo.Terms.Priority, Aged: at.aged}
+}
--- a/internal/sched/copies.go
+++ b/internal/sched/copies.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/pepperhatch/pepperhatch/internal/congestion"
 	"github.com/pepperhatch/pepperhatch/internal/copies"
 	"github.com/pepperhatch/pepperhatch/internal/job"
 	"github.com/pepperhatch/pepperhatch/internal/telemetry"
@@ -22,7 +23,7 @@
 
 // startCopies starts second attempts of tasks that are late.
 func (ow *Owner) startCopies(now time.Time) {
-	if now.Sub(ow.copiesDecidedAt) < max(copiesInterval, copiesCost*ow.copiesTook) || !ow.enabled(MechCopies) || ow.storeDown() || ow.window.Full() {
+	if now.Sub(ow.copiesDecidedAt) < max(copiesInterval, copiesCost*ow.copiesTook) || !ow.enabled(MechCopies) || ow.storeDown() || ow.window.Full(congestion.Start{}) {
 		return
 	}
 	ow.copiesDecidedAt = now
@@ -48,7 +49,7 @@
 	}
 	pl := ow.newPlacer()
 	for _, ch := range plan.Choices {
-		if ow.window.Full() {
+		if ow.window.Full(congestion.Start{Priority: jobs[ch.Attempt.Job].Priority}) {
 			return
 		}
 		key := attemptRef{ch.Attempt.Job, job.TaskRef{Step: ch.Attempt.Step, Index: ch.Attempt.Index}}
--- a/internal/sched/interrupted.go
+++ b/internal/sched/interrupted.go
@@ -42,7 +42,7 @@
 // placePostponed places the tasks that placeOrPostponeSuspect postponed.
 func (pl *placer) placePostponed() {
 	for _, tk := range pl.postponed {
-		if pl.ow.window.Full() {
+		if pl.windowFull(tk.tj) {
 			tk.tj.waitCause = CauseOrder
 			break
 		}
--- a/internal/sched/load.go
+++ b/internal/sched/load.go
@@ -99,6 +99,8 @@
 		}
 	}
 	ow.recountWaiting(tj)
+	// How long it has waited for former owners is not known.
+	tj.orderSince = ow.startedAt.Add(-maxOrderWait)
 	ow.seedDemand(tj)
 	return tj
 }
--- a/internal/sched/looplag.go
+++ b/internal/sched/looplag.go
@@ -35,6 +35,9 @@
 	for pa, took := range wl.Times {
 		ow.Metrics.Add(telemetry.LoopTime, took.Microseconds(), "part", looplag.Part(pa).String())
 	}
+	if lag := max(wl.EventWait, wl.StartDelay); ow.window.RecordLag(lag, now) {
+		ow.Log.Info("fewer starts at once, as the owner is behind", "cell", ow.Cell, "most", ow.window.Limit(), "under_way", ow.window.InFlight(), "lag", lag)
+	}
 	switch sum := re.Workload; re.State {
 	case looplag.Behind:
 		lateWork, lateBy := ow.background.Delay(now)
--- a/internal/sched/looptime_test.go
+++ b/internal/sched/looptime_test.go
@@ -128,7 +128,12 @@
 	for n := range quarterEnded {
 		la.submitLater(ow, quarterCell+n, bulkTerms, batch(1, 1))
 	}
-	time.Sleep(10 * time.Second)
+	for waiting := 1; waiting > 0; {
+		time.Sleep(5 * time.Second)
+		var err error
+		waiting, err = call(t.Context(), ow, func(answer func(int)) { answer(len(ow.waitingJobs)) })
+		qt.Assert(t, err, qt.IsNil)
+	}
 	return &slowCell{lab: la, ow: ow, pr: pr, end: end}
 }
 
--- a/internal/sched/owner.go
+++ b/internal/sched/owner.go
@@ -150,8 +150,10 @@
 	// writeMarkVersion is the version of the mark row, writeCount counts the writes so far.
 	writeMarkVersion int64
 	writeCount       int64
-	// window bounds the starts in flight.
-	window congestion.Window
+	// window bounds the starts in flight. agedJobs are the jobs that have waited for it for long,
+	// the one that has waited for longest first.
+	window   congestion.Window
+	agedJobs []*trackedJob
 	// writesFailingSince is the start of the first of the writes that have failed in a row,
 	// or zero while writes succeed.
 	writesFailingSince time.Time
@@ -275,7 +277,7 @@
 		}
 		ow.beginPart(looplag.Placement)
 		// Starts placed during a write have to wait for its end anyway.
-		if ow.placementDue && ow.writesInFlight < maxConcurrentWrites && !ow.window.Full() {
+		if ow.placementDue && ow.writesInFlight < maxConcurrentWrites && ow.mayStart() {
 			ow.place()
 		}
 		ow.beginPart(looplag.Encoding)
@@ -333,6 +335,7 @@
 	ow.writeDueProofs(now)
 	ow.reserveForRestarts(now)
 	ow.sortWaitingJobs(now)
+	ow.findAgedJobs(now)
 	ow.checkWorkerList(now)
 	ow.evacuate(now)
 	ow.endExpiredUnowned(now)
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -24,6 +24,7 @@
 	ow.lag.RecordRound()
 	ow.Metrics.Add(telemetry.PlacementRounds, 1)
 	pl := ow.newPlacer()
+	pl.placeAged()
 	for jobs := slices.Clone(ow.waitingJobs); len(jobs) > 0; {
 		n := countSamePriority(jobs)
 		pl.placeInterrupted(jobs[:n])
@@ -45,7 +46,7 @@
 // placeJobs places the waiting tasks of the jobs, in their order.
 func (pl *placer) placeJobs(list []*trackedJob) {
 	for _, tj := range list {
-		if pl.ow.window.Full() {
+		if pl.windowFull(tj) {
 			// The next round continues once some launches have been answered.
 			pl.ow.placementDue = true
 			tj.waitCause = CauseOrder
@@ -139,6 +140,8 @@
 	// fillerWait is how long fillers wait for a worker that accepts them without harm to
 	// its services.
 	fillerWait time.Duration
+	// aged is set while jobs are placed that have waited for long.
+	aged bool
 	// earmarks counts the workers earmarked in this round.
 	earmarks int
 	// postponed are interrupted tasks to be placed after the others of their priority.
@@ -178,7 +181,7 @@
 			tj.waitCause = CauseBackoff
 			continue
 		}
-		if pl.ow.window.Full() {
+		if pl.windowFull(tj) {
 			tj.waitCause = CauseOrder
 			return
 		}
@@ -203,7 +206,7 @@
 // only for headroom.
 func (pl *placer) placeRanked(tj *trackedJob, ref job.TaskRef, rk *ranking) bool {
 	ca := rk.best()
-	tj.waitCause = rk.cause
+	tj.waitCause, tj.orderSince = rk.cause, time.Time{}
 	if ca != nil {
 		pl.start(tj, ref, ca)
 		rk.headroom.recordStart(ca, rk.st)
@@ -334,7 +337,7 @@
 
 // begin places an attempt that its job has recorded as started.
 func (pl *placer) begin(tj *trackedJob, ref job.TaskRef, number int, ca *candidate, queued bool) {
-	at := &attempt{ref: ref, number: number, wk: ca.wk, tj: tj, pace: fullPace, placedAt: pl.now}
+	at := &attempt{ref: ref, number: number, wk: ca.wk, tj: tj, pace: fullPace, placedAt: pl.now, aged: pl.aged}
 	ca.wk.addAttempt(at)
 	if number > 1 && at.step().LongRunning {
 		pl.ow.unconfirmedRestarts[at] = true
--- a/internal/sched/shortage_test.go
+++ b/internal/sched/shortage_test.go
@@ -7,6 +7,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/pepperhatch/pepperhatch/internal/congestion"
 	"github.com/pepperhatch/pepperhatch/internal/worker"
 )
 
@@ -98,8 +99,8 @@
 		la.submit(ow, 2, longRunning(1))
 		time.Sleep(500 * time.Millisecond)
 		ow.post(func() {
-			for !ow.window.Full() {
-				ow.window.Begin()
+			for !ow.window.Full(congestion.Start{}) {
+				ow.window.Begin(congestion.Start{})
 			}
 			ow.place()
 		})
--- a/internal/sched/trackedjob.go
+++ b/internal/sched/trackedjob.go
@@ -89,6 +89,9 @@
 	isolatedTrialAt time.Time
 	// waitCause is why the last round of placement left a task waiting.
 	waitCause Cause
+	// orderSince is since when no task of the job was considered, as too many starts were in
+	// flight; zero if one was by the last round.
+	orderSince time.Time
 	// demandSteps has a bit for each step that was added to the demand of short work.
 	demandSteps uint64
 	// timeBreakdown accounts for the job's elapsed time by cause.
@@ -138,6 +141,7 @@
 	case tj.waitingTasks > 0 && !found:
 		ow.waitingJobs = slices.Insert(ow.waitingJobs, at, tj)
 	case tj.waitingTasks == 0 && found:
+		tj.orderSince = time.Time{}
 		ow.waitingJobs = slices.Delete(ow.waitingJobs, at, at+1)
 	}
 }
