sched: hand the next poll to the poll loop instead of asking for it

What callers saw: late starts, as before.

Cause: after each answer the poll loop of a worker waited for a signal of the loop, queued an event that asks for the next poll, and waited again. So each of some 3,000 polls a second took two events and two more turns of a processor that is short.

The loop now hands over the next poll once the ends of the last one are durable. The poll loop asks only after a failed poll, or if that takes too long.

--- a/internal/sched/incarnation.go
+++ b/internal/sched/incarnation.go
@@ -153,7 +153,8 @@
 	now := time.Now()
 	wk.settled, wk.settleFence = false, wk.currentPath().fence
 	wk.inheritedUntil = now.Add(maxOrderDelay + maxDriftDuration(wk.ow.Limits.MaxLease) + lapseMargin)
-	wake(wk.pollWake)
+	wk.pollSoon = true
+	wk.sendPoll()
 	wake(wk.pathChanged)
 }
 
--- a/internal/sched/polls.go
+++ b/internal/sched/polls.go
@@ -46,43 +46,65 @@
 
 // pollLoop polls the worker until ctx ends.
 func (wk *workerState) pollLoop(ctx context.Context) {
-	for ctx.Err() == nil {
-		po, err := callTo(ctx, wk.ow, looplag.Polls, func(answer func(worker.Poll)) { answer(wk.nextPoll()) })
-		if err != nil {
-			return
-		}
+	po, err := wk.requestPoll(ctx)
+	for err == nil && ctx.Err() == nil {
 		sent := time.Now()
 		lctx, cancel := context.WithTimeout(ctx, po.Wait+pollGrace)
 		clearWake(wk.pathChanged)
 		pt := wk.currentPath()
 		po.Fence = pt.fence
-		res, err := wk.ow.Agent.PollFunc(lctx, pt.addr, po)
+		res, perr := wk.ow.Agent.PollFunc(lctx, pt.addr, po)
 		cancel()
 		if ctx.Err() != nil {
 			return
 		}
 		got := time.Now()
-		if !wk.ow.postTo(looplag.Polls, func() { wk.handlePoll(sent, got, pt.fence, res, err) }) {
+		if !wk.ow.postTo(looplag.Polls, func() { wk.handlePoll(sent, got, pt.fence, res, perr) }) {
 			return
 		}
-		wk.waitForNextPoll(ctx, err)
+		po, err = wk.waitForNextPoll(ctx, perr)
 	}
 }
 
-// waitForNextPoll waits until the ends just listed are durable or, after a failed poll, until
-// there is another path, for a limited time.
-func (wk *workerState) waitForNextPoll(ctx context.Context, err error) {
-	due, limit := wk.pollWake, maxDurableWait
+// requestPoll asks the loop for the next poll.
+func (wk *workerState) requestPoll(ctx context.Context) (worker.Poll, error) {
+	return callTo(ctx, wk.ow, looplag.Polls, func(answer func(worker.Poll)) {
+		wk.pollAwaited, wk.pollSoon = false, false
+		select {
+		case po := <-wk.nextPolls:
+			answer(po)
+		default:
+			answer(wk.nextPoll())
+		}
+	})
+}
+
+// waitForNextPoll waits until the ends just listed are durable or, after a poll that failed with
+// err, until there is another path, for a limited time. It returns the next poll.
+func (wk *workerState) waitForNextPoll(ctx context.Context, err error) (worker.Poll, error) {
+	limit := maxDurableWait
+	var changed <-chan struct{}
 	if err != nil {
-		due, limit = wk.pathChanged, pollRetry
+		changed, limit = wk.pathChanged, pollRetry
 	}
 	ti := time.NewTimer(limit)
 	defer ti.Stop()
 	select {
-	case <-due:
+	case po := <-wk.nextPolls:
+		return po, nil
+	case <-changed:
 	case <-ti.C:
 	case <-ctx.Done():
 	}
+	return wk.requestPoll(ctx)
+}
+
+// sendPoll hands the next poll to the poll loop if that waits for it.
+func (wk *workerState) sendPoll() {
+	if wk.pollAwaited {
+		wk.pollAwaited, wk.pollSoon = false, false
+		wk.nextPolls <- wk.nextPoll()
+	}
 }
 
 // wake signals a channel of capacity one: its receiver wakes now, or at its next receive.
@@ -165,7 +187,7 @@
 	wk.recordAnswered(got)
 	wk.recordClock(res.ClockMS, got)
 	taken := wk.fillers.dateUsage(res, sent, got)
-	wk.lastPollHadEnds = len(res.Ended) > 0
+	wk.lastPollHadEnds, wk.pollAwaited = len(res.Ended) > 0, true
 	wk.pollsHandled++
 	wk.speed.recordPoll(res.ClockMS, unpolled, got)
 	wk.handleEnds(res, unpolled)
@@ -179,12 +201,15 @@
 			wk.ow.Log.Info("worker settled", "worker", wk.incarnation, "running", len(res.Running), "ended", len(res.Ended))
 			// Only now can the leases be extended. That must not wait for a write, as a
 			// takeover has used up most of their time.
-			wake(wk.pollWake)
+			wk.sendPoll()
 		}
 	}
 	wk.startQueued()
 	wk.measure(taken, got)
 	wk.acknowledge()
+	if wk.pollSoon {
+		wk.sendPoll()
+	}
 }
 
 // handlePollError handles a failed poll.
@@ -286,7 +311,7 @@
 		return
 	}
 	wk.endsAcked = wk.endsHandled
-	wake(wk.pollWake)
+	wk.sendPoll()
 }
 
 // handleRunning updates the attempts that are listed as running, and stops those that should
--- a/internal/sched/workerstate.go
+++ b/internal/sched/workerstate.go
@@ -96,9 +96,12 @@
 	lastPollHadEnds, ackWithheld bool
 	// undurableEnds counts the handled ends that are not written yet.
 	undurableEnds int
-	// pollWake makes the poll loop send the next poll early after a successful one,
-	// pathChanged after a failed one.
-	pollWake    chan struct{}
+	// nextPolls passes the next poll to the poll loop after a successful one, which waits for it
+	// while pollAwaited is set. pollSoon is set if the next one must not wait for ends to become
+	// durable. pathChanged makes it send the next one early after a failed one.
+	nextPolls   chan worker.Poll
+	pollAwaited bool
+	pollSoon    bool
 	pathChanged chan struct{}
 	// attempts are the attempts that run here, or may run here.
 	attempts map[*attempt]bool
@@ -226,7 +229,7 @@
 		"millicores", we.Capacity.MilliCores, "mem_mb", we.Capacity.MemMB, "draining", we.Draining)
 	ctx, stopPolling := context.WithCancel(ow.ctx)
 	wk := &workerState{
-		WorkerEntry: we, ow: ow, incarnation: we.Incarnation, stopPolling: stopPolling, pollWake: make(chan struct{}, 1), pathChanged: make(chan struct{}, 1),
+		WorkerEntry: we, ow: ow, incarnation: we.Incarnation, stopPolling: stopPolling, nextPolls: make(chan worker.Poll, 1), pathChanged: make(chan struct{}, 1),
 		firstSeen: time.Now(), attempts: map[*attempt]bool{}, failedJobs: map[string]bool{},
 	}
 	wk.leavesAt = time.Now().Add(we.Remaining)
