--- a/internal/sched/looptime_test.go
+++ b/internal/sched/looptime_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -212,6 +213,78 @@
 	})
 }
 
+// overload submits twice as many bulk jobs as the owner can start in time, and returns when those that
+// were accepted were submitted, and the number of refused ones.
+func (sc *slowCell) overload(te job.Terms) (accepted map[int]time.Time, refused int) {
+	accepted = map[int]time.Time{}
+	var mu sync.Mutex
+	for n := 5000; n < 5100; n++ {
+		sc.lab.mu.Lock()
+		sc.specs[jobID(n)] = bulkJob
+		sc.lab.mu.Unlock()
+		go func() {
+			submitted := time.Now()
+			ve, err := sc.ow.Submit(context.Background(), jobID(n), te, bulkJob)
+			mu.Lock()
+			defer mu.Unlock()
+			switch {
+			case err != nil:
+			case ve.Outcome == Accepted:
+				accepted[n] = submitted
+			default:
+				refused++
+				qt.Check(sc.t, ve.RetryAfter > 0, qt.IsTrue)
+				qt.Check(sc.t, time.Since(submitted) < time.Second, qt.IsTrue, qt.Commentf("refused after %v", time.Since(submitted)))
+			}
+		}()
+		time.Sleep(300 * time.Millisecond)
+	}
+	time.Sleep(30 * time.Second)
+	return accepted, refused
+}
+
+// TestJobsThatCannotBeOrderedInTimeAreRefused guards against jobs that are accepted although the owner
+// has no time to start their tasks.
+func TestJobsThatCannotBeOrderedInTimeAreRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sc := startOnSlowProcessor(t, 0.25)
+		defer sc.stop()
+		_, refused := sc.overload(limitedTerms)
+		qt.Check(t, refused > 20, qt.IsTrue, qt.Commentf("%d refused", refused))
+	})
+}
+
+// TestAcceptedJobsEndInTimeOnSlowProcessor guards against an owner that accepts more than it can
+// start in time.
+func TestAcceptedJobsEndInTimeOnSlowProcessor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sc := startOnSlowProcessor(t, 0.25)
+		defer sc.stop()
+		accepted, _ := sc.overload(limitedTerms)
+		limit, inTime := maxLateFactor*time.Duration(job.New("", limitedTerms, bulkJob).TargetDurationMS())*time.Millisecond, 0
+		for n, at := range accepted {
+			if sc.state(sc.ow, n) == job.Succeeded && sc.endedBy(n).Sub(at) <= limit {
+				inTime++
+			}
+		}
+		qt.Check(t, inTime*10 >= len(accepted)*9, qt.IsTrue, qt.Commentf("%d of %d", inTime, len(accepted)))
+	})
+}
+
+// limitedTerms is a queue of bulk jobs that are of no value after a while.
+var limitedTerms = job.Terms{Queue: "bulk", Service: testService, MaxFailures: 3, AllowanceMS: 1000, Priority: 2, Stretch: 2}
+
+// endedBy returns when the last run of a job ended.
+func (la *lab) endedBy(n int) time.Time {
+	var last time.Time
+	for _, ru := range la.fleet.Runs() {
+		if id, _, _ := job.ParseTaskID(ru.Task); id == jobID(n) && ru.Until.After(last) {
+			last = ru.Until
+		}
+	}
+	return last
+}
+
 // TestUnchangedCellCostsLittle guards against work of the loop that grows with the size of the cell.
 func TestUnchangedCellCostsLittle(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
