Let a row that cannot be decoded cost that row alone

What callers saw (in the words of a report): processes that read a list ended again and again, or stopped following it, after another writer left an odd row. The list of workers holds. These did not:

- intake: a cancellation under a short key, and a job with a negative or huge number of tasks, ended the process of the owner, and of each next one (slice bounds out of range, makeslice);
- jobs: a row that can't be decoded ended each tenure; one with a negative number of tasks ended the process;
- mark of the writes: a row that can't be decoded kept each owner from loading the cell for ever;
- leases: a negative or too large time counted as stated, so that attempts on a silent worker could count as ended early;
- learnt durations: never written again;
- entry hosts: one with an odd row counted as removed by the next whole list.

Specs are checked wherever they are read. A job that can't be read is left as it is: its rows stay, what runs goes on, and callers are asked to come back. Where only a row's version matters, its value is not needed. Impossible leases count as unknown. An odd entry of a host or worker leaves its last one in force. Each such row is logged once a version, with what follows, and counted.

Ends of a job that can't be read are still acknowledged, and lost to an owner that can read it.

--- a/internal/job/jobrow.go
+++ b/internal/job/jobrow.go
@@ -77,6 +77,9 @@
 	if err := json.Unmarshal(spec, &sr); err != nil {
 		return nil, fmt.Errorf("decode spec of job %s: %w", id, err)
 	}
+	if err := sr.Spec.Check(); err != nil {
+		return nil, fmt.Errorf("decode spec of job %s: %w", id, err)
+	}
 	jo := New(id, sr.Terms, sr.Spec)
 	jo.Rev, jo.Cancelled = pr.Rev, pr.Cancelled
 	if err := jo.restoreTasks(pr.Steps); err != nil {
--- a/internal/jobhost/cell.go
+++ b/internal/jobhost/cell.go
@@ -78,13 +78,18 @@
 	for _, row := range rows {
 		if row.Deleted {
 			removed = append(removed, strings.TrimPrefix(row.Key, registry.Prefix))
+			ho.members.forget(row.Key)
 			continue
 		}
 		me, err := registry.Decode(row.Row)
 		if err != nil {
-			ho.log.Error("entry host's row cannot be read", "err", err)
+			ho.oddRows.Report("entry hosts", row.Key, row.Version, err, "its last entry is used")
+			if known, ok := ho.members.last(row.Key); ok {
+				listed = append(listed, known)
+			}
 			continue
 		}
+		ho.members.record(row.Key, me)
 		listed = append(listed, me)
 	}
 	for _, handle := range handlers {
@@ -104,7 +109,7 @@
 		we, err := platform.DecodeWorker(row.Row)
 		if err != nil {
 			// A worker whose row can't be decoded is still listed: it has not left.
-			ho.log.Error("worker's row cannot be read", "err", err)
+			ho.oddRows.Report("workers", row.Key, row.Version, err, "its last entry is used")
 			listed = append(listed, sched.WorkerEntry{Addr: worker.Addr{Incarnation: worker.Incarnation{ID: platform.WorkerID(row.Key)}}, Undecodable: true})
 			continue
 		}
--- a/internal/jobhost/config.go
+++ b/internal/jobhost/config.go
@@ -1,6 +1,7 @@
 package jobhost
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/pepperhatch/pepperhatch/internal/store"
@@ -27,7 +28,7 @@
 		}
 		co, err := platform.DecodeConfig(row.Row)
 		if err != nil {
-			ho.log.Error("configuration cannot be read", "row_version", row.Version, "config", ho.frontEnd.ConfigVersion(), "err", err)
+			ho.oddRows.Report("configuration", row.Key, row.Version, err, fmt.Sprintf("version %d stays in force", ho.frontEnd.ConfigVersion()))
 			continue
 		}
 		old := ho.config.Load()
--- a/internal/jobhost/host.go
+++ b/internal/jobhost/host.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pepperhatch/pepperhatch/internal/oddrow"
+
 	"github.com/google/uuid"
 
 	"github.com/pepperhatch/pepperhatch/internal/clock"
@@ -84,6 +86,9 @@
 	// receive their states in the order in which they come into force.
 	evacuations  evacuation.Tracker
 	evacuationMu sync.Mutex
+	// oddRows reports rows that cannot be decoded, members has the last entries of entry hosts.
+	oddRows oddrow.Reporter
+	members lastMembers
 }
 
 // New returns a host with the given settings. It doesn't listen or connect yet.
@@ -96,6 +101,7 @@
 	ho := &Host{log: log, metrics: me, metricsHandler: metricsHandler, workerClient: transport.NewClient(workerConns, log)}
 	ho.settings.Store(&se)
 	ho.evacuations.Log = log
+	ho.oddRows.Metrics, ho.oddRows.Log = me, log
 	ho.table = platform.NewTable(platform.Client{
 		HTTP: transport.NewClient(storeConns, log), StoreAddrFunc: func() string { return ho.settings.Load().StoreAddr },
 	})
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -10,9 +10,11 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
+	"net/netip"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -56,6 +58,12 @@
 	Cores float64 `json:"cores,omitempty"`
 }
 
+// maxCores bounds the cores of a host.
+const maxCores = 100_000
+
+// errInvalidField is the error of a row with an invalid field.
+var errInvalidField = errors.New("invalid field")
+
 // Key returns the key of the row of the host with this name.
 func Key(name string) string { return Prefix + name }
 
@@ -65,6 +73,15 @@
 	if err := json.Unmarshal(row.Value, &me); err != nil {
 		return me, fmt.Errorf("decode entry host %s: %w", row.Key, err)
 	}
+	addr, err := netip.ParseAddrPort(me.Addr)
+	switch {
+	case Key(me.Name) != row.Key:
+		return me, fmt.Errorf("decode entry host %s: %w name", row.Key, errInvalidField)
+	case err != nil || addr.Port() == 0:
+		return me, fmt.Errorf("decode entry host %s: %w addr", row.Key, errInvalidField)
+	case !(me.Cores >= 0 && me.Cores <= maxCores):
+		return me, fmt.Errorf("decode entry host %s: %w cores", row.Key, errInvalidField)
+	}
 	return me, nil
 }
 
--- a/internal/sched/api.go
+++ b/internal/sched/api.go
@@ -106,7 +106,7 @@
 		ow.resubmit(tj, answer)
 		return
 	}
-	if ow.storeDown() {
+	if ow.storeDown() || ow.unreadable[id] {
 		answer(ow.refuse(id, ReasonStoreUnavailable))
 		return
 	}
@@ -195,6 +195,10 @@
 
 func (ow *Owner) cancel(id string, answer func(Verdict)) {
 	tj := ow.jobs[id]
+	if ow.unreadable[id] {
+		answer(Verdict{Outcome: Unknown, Reason: ReasonStoreUnavailable})
+		return
+	}
 	if tj == nil || tj.progressVersion == 0 {
 		answer(Verdict{Outcome: NoJob})
 		return
@@ -224,16 +228,24 @@
 // State returns the last written state of a job; ok is false if the owner has no such job, or
 // has not written it yet.
 func (ow *Owner) State(ctx context.Context, id string) (state job.State, ok bool, err error) {
+	unreadable := false
 	state, err = callTo(ctx, ow, looplag.Submissions, func(answer func(job.State)) {
+		unreadable = ow.unreadable[id]
 		if tj := ow.jobs[id]; tj != nil {
 			answer(tj.reportedState())
 			return
 		}
 		answer("")
 	})
+	if err == nil && unreadable {
+		err = errUnreadable
+	}
 	return state, state != "", err
 }
 
+// errUnreadable is returned for jobs whose rows cannot be decoded.
+var errUnreadable = errors.New("rows of the job cannot be read")
+
 // Pending counts the jobs of a queue whose last written state is that no task has started.
 func (ow *Owner) Pending(ctx context.Context, queue string) (int, error) {
 	return callTo(ctx, ow, looplag.Submissions, func(answer func(int)) {
--- a/internal/sched/commit.go
+++ b/internal/sched/commit.go
@@ -75,6 +75,11 @@
 	var mark writeMark
 	version, err := table.Get(ctx, ow.writeMarkKey(), &mark)
 	ow.writeMarkVersion = version
+	if errors.Is(err, store.ErrUndecodable) {
+		// Only its version matters.
+		ow.oddRows.Report("marks", ow.writeMarkKey(), version, err, "written anew")
+		return nil
+	}
 	return err
 }
 
--- a/internal/sched/durations.go
+++ b/internal/sched/durations.go
@@ -1,6 +1,8 @@
 package sched
 
 import (
+	"errors"
+
 	"github.com/pepperhatch/pepperhatch/internal/looplag"
 
 	"context"
@@ -126,7 +128,7 @@
 func (ow *Owner) settleDurations(ctx context.Context, row durationsRow, version int64) (int64, error) {
 	if version == unknownVersion {
 		var err error
-		if version, err = ow.Table.Get(ctx, ow.durationsKey(), &durationsRow{}); err != nil {
+		if version, err = ow.Table.Get(ctx, ow.durationsKey(), &durationsRow{}); err != nil && !errors.Is(err, store.ErrUndecodable) {
 			return 0, fmt.Errorf("read version: %w", err)
 		}
 	}
--- a/internal/sched/handover.go
+++ b/internal/sched/handover.go
@@ -24,6 +24,20 @@
 	return leases
 }
 
+// maxStatedLeaseMS is more than any lease may have left.
+const maxStatedLeaseMS = int64(time.Hour / time.Millisecond)
+
+// dropOddLeases removes the former owner's lease bounds that cannot be true, so that their workers
+// count as ones of which nothing is stated.
+func (ow *Owner) dropOddLeases() {
+	for incarnation, ms := range ow.Tenure.Former.LeaseLapseMS {
+		if ms < 0 || ms > maxStatedLeaseMS {
+			delete(ow.Tenure.Former.LeaseLapseMS, incarnation)
+			ow.Log.Error("former owner states an impossible lease", "worker", incarnation, "remaining_ms", ms)
+		}
+	}
+}
+
 // recordInheritedLeases has [Owner.Handover] return the former owner's values, less the time
 // since, until this owner has values of its own: its tenure may end before it has read the
 // cell.
--- a/internal/sched/intake.go
+++ b/internal/sched/intake.go
@@ -1,6 +1,9 @@
 package sched
 
 import (
+	"fmt"
+	"strings"
+
 	"github.com/pepperhatch/pepperhatch/internal/looplag"
 
 	"context"
@@ -51,14 +54,16 @@
 }
 
 func (ow *Owner) importRow(row store.Row) {
-	var ir IntakeRow
-	if err := json.Unmarshal(row.Value, &ir); err != nil {
-		ow.Log.Error("cannot decode intake row of an entry host", "key", row.Key, "version", row.Version, "err", err)
+	ir, id, err := decodeIntake(row)
+	if err != nil {
+		ow.oddRows.Report("intake", row.Key, row.Version, err, "the row is left as it is")
+		return
+	}
+	if ow.unreadable[id] {
 		return
 	}
-	id := lastKeySegment(row.Key)
 	if ir.Cancel {
-		ow.importCancel(id[:len(id)-len(cancelSuffix)])
+		ow.importCancel(id)
 		return
 	}
 	tj := ow.jobs[id]
@@ -72,6 +77,30 @@
 	ow.markDirty(tj)
 }
 
+// decodeIntake decodes an intake row, and returns the id of its job.
+func decodeIntake(row store.Row) (IntakeRow, string, error) {
+	var ir IntakeRow
+	if err := json.Unmarshal(row.Value, &ir); err != nil {
+		return ir, "", fmt.Errorf("decode intake row: %w", err)
+	}
+	id, cancel := strings.CutSuffix(lastKeySegment(row.Key), cancelSuffix)
+	switch {
+	case !job.ValidID(id):
+		return ir, "", fmt.Errorf("%w: key of no job", errOddIntake)
+	case cancel != ir.Cancel:
+		return ir, "", fmt.Errorf("%w: key and value differ in whether it is a cancellation", errOddIntake)
+	case cancel:
+		return ir, id, nil
+	}
+	if err := ir.Spec.Check(); err != nil {
+		return ir, "", fmt.Errorf("decode intake row: %w", err)
+	}
+	return ir, id, nil
+}
+
+// errOddIntake is the error of an intake row whose key doesn't fit.
+var errOddIntake = errors.New("odd intake row")
+
 // clearIntake removes an intake row after its content was written to the cell's own rows. It
 // retries until the tenure ends; a next owner that still reads the row finds the job in the
 // cell's own rows.
--- a/internal/sched/leaseexpiry.go
+++ b/internal/sched/leaseexpiry.go
@@ -67,6 +67,11 @@
 	defer cancel()
 	var row leaseExpiryRow
 	version, err := ow.Table.Get(lctx, ow.leaseExpiryKey(), &row)
+	if errors.Is(err, store.ErrUndecodable) {
+		ow.oddRows.Report("leases", ow.leaseExpiryKey(), version, err, "leases count as unknown")
+		ow.leaseRecord.version = version
+		return
+	}
 	if err != nil {
 		ow.Log.Warn("cannot read the lease expiries of unresponsive workers", "cell", ow.Cell, "err", err)
 		return
@@ -77,6 +82,7 @@
 		return
 	}
 	former.LeaseLapseMS = row.RemainingMS
+	ow.dropOddLeases()
 	ow.recordInheritedLeases(ow.startedAt)
 	ow.Log.Info("leases of silent workers noted by the former owner", "cell", ow.Cell, "former", former.Owner, "epoch", row.Epoch,
 		"version", version, "workers", len(row.RemainingMS))
--- a/internal/sched/load.go
+++ b/internal/sched/load.go
@@ -63,6 +63,7 @@
 	clear(ow.finiteJobs)
 	ow.endedJobs = nil
 	clear(ow.unowned)
+	clear(ow.unreadable)
 	ow.waitingJobs = nil
 	ow.demands = headroom.Demands{}
 	byID := map[string]store.Row{}
@@ -73,14 +74,22 @@
 		id := lastKeySegment(row.Key)
 		jo, err := job.Restore(id, byID[id].Value, row.Value)
 		if err != nil {
-			// A retry would read the same row.
-			return backoff.Permanent(err)
+			ow.recordUnreadable(id, row, err)
+			continue
 		}
 		ow.restore(jo, row.Version).specStored = byID[id].Version > 0
 	}
 	return nil
 }
 
+// recordUnreadable records a job whose rows cannot be decoded: they are damaged, or a later version
+// wrote them. Its rows stay as they are, and what runs of it goes on, so that an owner which can read
+// them finds it. Ends of its attempts are lost meanwhile.
+func (ow *Owner) recordUnreadable(id string, row store.Row, err error) {
+	ow.unreadable[id] = true
+	ow.oddRows.Report("jobs", row.Key, row.Version, err, "the job is left as it is")
+}
+
 func lastKeySegment(key string) string { return key[strings.LastIndexByte(key, '/')+1:] }
 
 // restore creates the owner's state of a job that was read from the store.
--- a/internal/sched/owner.go
+++ b/internal/sched/owner.go
@@ -36,6 +36,7 @@
 	"github.com/pepperhatch/pepperhatch/internal/job"
 	"github.com/pepperhatch/pepperhatch/internal/looplag"
 	"github.com/pepperhatch/pepperhatch/internal/nofit"
+	"github.com/pepperhatch/pepperhatch/internal/oddrow"
 	"github.com/pepperhatch/pepperhatch/internal/queuestats"
 	"github.com/pepperhatch/pepperhatch/internal/store"
 	"github.com/pepperhatch/pepperhatch/internal/telemetry"
@@ -111,6 +112,10 @@
 	jobs        map[string]*trackedJob
 	waitingJobs []*trackedJob
 	seq         int64
+	// unreadable has the ids of jobs whose rows cannot be decoded; see [Owner.recordUnreadable].
+	// oddRows reports these and other such rows.
+	unreadable map[string]bool
+	oddRows    oddrow.Reporter
 	// finiteJobs has the jobs that end by themselves and have not ended, endedJobs those that have
 	// ended, in that order. dueProofs has the jobs whose proofs are to be written, likewise.
 	finiteJobs map[*trackedJob]bool
@@ -241,6 +246,8 @@
 	ow.halted = map[*attempt]bool{}
 	ow.slowWorkers = map[*workerState]bool{}
 	ow.background.RanFunc = ow.recordBackground
+	ow.unreadable = map[string]bool{}
+	ow.oddRows.Metrics, ow.oddRows.Log = ow.Metrics, ow.Log
 	ow.evacuationMonitor = evacuation.Monitor{Metrics: ow.Metrics, Log: ow.Log}
 	return ow
 }
@@ -255,6 +262,7 @@
 	ow.ctx = ctx
 	ow.startedAt = time.Now()
 	ow.listTrust.untrustedAt = ow.startedAt
+	ow.dropOddLeases()
 	ow.recordInheritedLeases(ow.startedAt)
 	if err := ow.load(ctx); err != nil {
 		return err
--- a/internal/sched/polls.go
+++ b/internal/sched/polls.go
@@ -363,6 +363,9 @@
 
 // stopUnknownAttempt stops an attempt that the cell has no record of.
 func (wk *workerState) stopUnknownAttempt(ra worker.RunningAttempt) {
+	if id, _, ok := job.ParseTaskID(ra.Task); ok && wk.ow.unreadable[id] {
+		return
+	}
 	wk.ow.Log.Warn("stopping an attempt that the cell has no record of", "task", ra.Task, "attempt", ra.Number, "worker", wk.incarnation)
 	go wk.ow.sendHalt(wk, ra.Attempt)
 }
