--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -78,9 +78,6 @@
 	// Arriving is the rate at which work has arrived recently that is ordered before the job,
 	// in thousandths of a core.
 	Arriving int64
-	// OrderWait is how long the tasks that wait for their start orders take at the owner's own
-	// rate, Orders how long the job's tasks take. Both are 0 if the owner is not the limit.
-	OrderWait, Orders time.Duration
 }
 
 // effective returns the work per millisecond that a capacity does.
@@ -105,7 +102,7 @@
 // ownTime returns how long the job takes once the work ahead has drained. The capacity for whole
 // tasks of the largest step bounds only the work of such tasks: the others fit elsewhere too.
 func (fo Forecast) ownTime(re Request) time.Duration {
-	return max(re.Chain+fo.Orders, fo.drainTime(re.LargestWork, fo.Capacity), fo.drainTime(re.Work, fo.Total))
+	return max(re.Chain, fo.drainTime(re.LargestWork, fo.Capacity), fo.drainTime(re.Work, fo.Total))
 }
 
 // wait returns how long it takes until the work ahead has drained, if work goes on to arrive
@@ -129,7 +126,7 @@
 // startsNow reports whether a task of the job finds capacity even if all tasks ahead start
 // before it.
 func (fo Forecast) startsNow(re Request) bool {
-	return fo.OrderWait == 0 && fo.Free >= fo.Waiting+max(re.Each.MilliCores, 1)
+	return fo.Free >= fo.Waiting+max(re.Each.MilliCores, 1)
 }
 
 // forever is longer than the limit of any job.
@@ -208,7 +205,7 @@
 		de.FirstTry = tu.firstTry
 	}
 	de.Promised = co.turns.ahead(re, tu)
-	de.Wait = max(fo.wait(fo.Ahead+de.Promised), fo.OrderWait)
+	de.Wait = fo.wait(fo.Ahead + de.Promised)
 	own, used := fo.ownTime(re), now.Sub(de.FirstTry)
 	de.End = de.Wait + own
 	de.Cause = co.judge(re, fo, used, de.End)
@@ -263,7 +260,7 @@
 // in time behind the work that is accepted already. It goes before callers without a turn, and
 // before other turns.
 func inTurn(re Request, fo Forecast, end time.Duration) bool {
-	end += max(fo.drainTime(fo.Ahead, fo.Total), fo.OrderWait)
+	end += fo.drainTime(fo.Ahead, fo.Total)
 	return re.Priority == 0 || end <= time.Duration(float64(re.Limit)*(1-returnReserve))
 }
 
--- a/internal/job/spec.go
+++ b/internal/job/spec.go
@@ -116,15 +116,6 @@
 	return true
 }
 
-// TaskCount returns the number of tasks.
-func (sp Spec) TaskCount() int {
-	n := 0
-	for _, st := range sp.Steps {
-		n += st.Tasks
-	}
-	return n
-}
-
 // Check returns all errors of the spec, joined, or nil.
 func (sp Spec) Check() error {
 	var errs []error
--- a/internal/sched/admission.go
+++ b/internal/sched/admission.go
@@ -73,7 +73,6 @@
 	}
 	sl, re := ow.admission.of(jo.Terms.Service), ow.admissionRequest(jo)
 	fo := sl.load.Forecast(re)
-	fo.OrderWait, fo.Orders = ow.startRates.Wait(jo.Terms.Priority, jo.Spec.TaskCount())
 	if now.Sub(ow.loadedAt) < admissionGrace {
 		fo = admission.Forecast{}
 	}
@@ -105,7 +104,7 @@
 		"since_first_try", now.Sub(de.FirstTry), "queue", re.Queue, "service", re.Service, "kind", re.Kind, "priority", re.Priority,
 		"work", re.Work, "chain", re.Chain, "limit", re.Limit, "task_millicores", re.Each.MilliCores,
 		"capacity_millicores", fo.Capacity, "free_millicores", fo.Free, "total_millicores", fo.Total, "efficiency", fo.Efficiency,
-		"ahead", fo.Ahead, "waiting_millicores", fo.Waiting, "arriving_millicores", fo.Arriving, "promised", de.Promised, "order_wait", fo.OrderWait, "orders", fo.Orders,
+		"ahead", fo.Ahead, "waiting_millicores", fo.Waiting, "arriving_millicores", fo.Arriving, "promised", de.Promised,
 		"wait", de.Wait, "end", de.End, "load_age", now.Sub(ow.admission.takenAt))
 }
 
--- a/internal/sched/aged.go
+++ b/internal/sched/aged.go
@@ -12,9 +12,6 @@
 // never start what it has accepted for as long as more urgent jobs arrive.
 const maxOrderWait = 5 * time.Second
 
-// notableOrderWait is how long a job must have waited for that before the owner counts as the limit.
-const notableOrderWait = time.Second
-
 // mayStart reports whether any waiting job may start a task.
 func (ow *Owner) mayStart() bool {
 	if len(ow.waitingJobs) == 0 {
@@ -30,15 +27,9 @@
 }
 
 // findAgedJobs finds the jobs that have waited for maxOrderWait while too many starts were in flight.
-// It also measures the rate at which the owner orders starts while jobs wait for that.
 func (ow *Owner) findAgedJobs(now time.Time) {
 	ow.agedJobs = ow.agedJobs[:0]
-	// In an outage, or just after a takeover, the rate is not that of the owner.
-	measure := ow.writesFailingSince.IsZero() && now.Sub(ow.loadedAt) >= admissionGrace
 	for _, tj := range ow.waitingJobs {
-		if measure && tj.waitCause == CauseOrder && !tj.orderSince.IsZero() && now.Sub(tj.orderSince) >= notableOrderWait {
-			ow.startRates.Limited(tj.jo.Terms.Priority, now)
-		}
 		switch {
 		case tj.waitCause != CauseOrder:
 			tj.orderSince = time.Time{}
@@ -48,35 +39,9 @@
 			ow.agedJobs = append(ow.agedJobs, tj)
 		}
 	}
-	if limited := ow.startRates.Priorities(now); len(limited) > 0 {
-		ahead := ow.startsAhead()
-		for _, priority := range limited {
-			ow.startRates.SetAhead(priority, ahead[priority])
-		}
-	}
 	slices.SortStableFunc(ow.agedJobs, func(a, b *trackedJob) int { return a.orderSince.Compare(b.orderSince) })
 }
 
-// startsAhead counts the starts that the accepted jobs still take, by priority.
-func (ow *Owner) startsAhead() map[int]int {
-	starts := map[int]int{}
-	ow.lag.RecordVisits(len(ow.finiteJobs))
-	for tj := range ow.finiteJobs {
-		for step := range tj.jo.Spec.Steps {
-			starts[tj.jo.Terms.Priority] += tj.startsLeft(step)
-		}
-	}
-	return starts
-}
-
-// startsLeft returns how many starts a step still takes if none of its attempts fails.
-func (tj *trackedJob) startsLeft(step int) int {
-	if tj.jo.Ready(step) {
-		return tj.jo.WaitingTasks(step)
-	}
-	return tj.jo.Remaining(step)
-}
-
 // placeAged starts tasks of jobs that have waited for long, within the part of the window that is for
 // them.
 func (pl *placer) placeAged() {
--- a/internal/sched/launch.go
+++ b/internal/sched/launch.go
@@ -96,7 +96,6 @@
 		at.wk.recordTransit(at, ack)
 		at.beginObservation(ack, err)
 		at.wk.markStarted(at, got)
-		ow.startRates.RecordStart(at.tj.jo.Terms.Priority)
 		ow.Log.Info("attempt launched", "task", taskID(at), "attempt", at.number, "worker", at.wk.incarnation, "took", got.Sub(sent))
 		return
 	}
--- a/internal/sched/owner.go
+++ b/internal/sched/owner.go
@@ -157,10 +157,8 @@
 	writeCount       int64
 	// window bounds the starts in flight. agedJobs are the jobs that have waited for it for long,
 	// the one that has waited for longest first.
-	window congestion.Window
-	// startRates measures how many starts the owner orders while they wait for it.
-	startRates congestion.Rates
-	agedJobs   []*trackedJob
+	window   congestion.Window
+	agedJobs []*trackedJob
 	// writesFailingSince is the start of the first of the writes that have failed in a row,
 	// or zero while writes succeed.
 	writesFailingSince time.Time
