sched: guard against work of the loop that grows with each feature

TestStartsCostLittle bounds what the loop looks at for each start, TestUnchangedCellCostsLittle what it looks at when nothing changes, and TestScansAreCounted reads the sources for scans that are not counted. The figures don't depend on the machine.

--- a/internal/sched/looptime_test.go
+++ b/internal/sched/looptime_test.go
@@ -3,6 +3,11 @@
 import (
 	"context"
 	"fmt"
+	"os"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -298,3 +303,35 @@
 		qt.Check(t, perTick <= 2*quarterCell, qt.IsTrue, qt.Commentf("%d visits a tick at %d workers", perTick, quarterCell))
 	})
 }
+
+// TestStartsCostLittle guards against work of the loop that grows with each start. At 3,800 starts a
+// second, twice what is asked of all data centres, the bound is 760,000 visits.
+func TestStartsCostLittle(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sc := startOnSlowProcessor(t, 2)
+		defer sc.stop()
+		visits, runs := sc.pr.visits.Load(), len(sc.fleet.Runs())
+		sc.submitFor(6*time.Second, arrivals{150 * time.Millisecond, bulkTerms, bulkJob}, arrivals{110 * time.Millisecond, urgentTerms, urgentJob})
+		starts := int64(len(sc.fleet.Runs()) - runs)
+		qt.Assert(t, starts > 3000, qt.IsTrue, qt.Commentf("%d starts", starts))
+		perStart := (sc.pr.visits.Load() - visits) / starts
+		qt.Check(t, perStart <= 200, qt.IsTrue, qt.Commentf("%d visits a start", perStart))
+	})
+}
+
+// TestScansAreCounted guards against code of the loop that looks at all workers, jobs or attempts
+// without being counted.
+func TestScansAreCounted(t *testing.T) {
+	files, err := filepath.Glob("*.go")
+	qt.Assert(t, err, qt.IsNil)
+	scan := regexp.MustCompile(`range (\w+\.)*(ow\.(workers|jobs|sortedWorkers\(\))|wk\.attempts) \{`)
+	counted := []string{"visits.go", "workerstate.go"}
+	for _, file := range files {
+		if strings.HasSuffix(file, "_test.go") || slices.Contains(counted, file) {
+			continue
+		}
+		data, err := os.ReadFile(file)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, scan.FindAllString(string(data), -1), qt.HasLen, 0, qt.Commentf(file))
+	}
+}
