--- a/internal/sched/polls.go
+++ b/internal/sched/polls.go
@@ -103,6 +103,11 @@
 func (wk *workerState) sendPoll() {
 	if wk.pollAwaited {
 		wk.pollAwaited, wk.pollSoon = false, false
+		// The loop must never block here, so a poll that was not fetched is replaced.
+		select {
+		case <-wk.nextPolls:
+		default:
+		}
 		wk.nextPolls <- wk.nextPoll()
 	}
 }
