sched: assign inherited attempts by worker instead of by a search of all jobs

What callers saw: after a takeover on a large cell the new owner handles nothing for more than a second.

Cause: for each worker that it sees, a new owner went through all jobs and all incarnations of which it had read attempts.

The jobs and incarnations are now found by the worker's id.

TestTakeoverCostsLittle failed before with 5,500 visits of 3,000, as counted in the loops over jobs.

--- a/internal/sched/load.go
+++ b/internal/sched/load.go
@@ -63,6 +63,7 @@
 	clear(ow.finiteJobs)
 	ow.endedJobs = nil
 	clear(ow.unowned)
+	clear(ow.unownedByID)
 	clear(ow.unreadable)
 	ow.waitingJobs = nil
 	ow.demands = headroom.Demands{}
@@ -102,7 +103,7 @@
 	for step, tasks := range jo.Tasks {
 		for index := range tasks {
 			for _, ra := range tasks[index].Running() {
-				ow.unowned[ra.Worker]++
+				ow.recordUnowned(tj, ra.Worker)
 				tj.unowned = append(tj.unowned, attemptKey{job.TaskRef{Step: step, Index: index}, ra.Number})
 			}
 		}
@@ -114,11 +115,32 @@
 	return tj
 }
 
+// unownedWorker is what former owners ordered at the incarnations of a worker that has not been seen.
+type unownedWorker struct {
+	incarnations map[worker.Incarnation]bool
+	jobs         map[*trackedJob]bool
+}
+
+// recordUnowned records an attempt of a job at an incarnation that has not been seen.
+func (ow *Owner) recordUnowned(tj *trackedJob, incarnation worker.Incarnation) {
+	ow.unowned[incarnation]++
+	uw := ow.unownedByID[incarnation.ID]
+	if uw == nil {
+		uw = &unownedWorker{incarnations: map[worker.Incarnation]bool{}, jobs: map[*trackedJob]bool{}}
+		ow.unownedByID[incarnation.ID] = uw
+	}
+	uw.incarnations[incarnation], uw.jobs[tj] = true, true
+}
+
 // adopt assigns to a newly seen worker the attempts that former owners ordered there.
 func (ow *Owner) adopt(wk *workerState) {
+	uw := ow.unownedByID[wk.incarnation.ID]
+	if uw == nil {
+		return
+	}
 	found := false
-	for incarnation := range ow.unowned {
-		if incarnation.ID != wk.incarnation.ID {
+	for incarnation := range uw.incarnations {
+		if _, ok := ow.unowned[incarnation]; !ok {
 			continue
 		}
 		found = true
@@ -130,9 +152,11 @@
 	if !found {
 		return
 	}
-	for tj := range ow.allJobs() {
+	ow.lag.RecordVisits(len(uw.jobs))
+	for tj := range uw.jobs {
 		tj.unowned = tj.adoptOn(wk)
 	}
+	delete(ow.unownedByID, wk.incarnation.ID)
 }
 
 // adoptOn assigns a job's unowned attempts on the worker to it and returns those on others.
@@ -178,7 +202,12 @@
 func (ow *Owner) endUnowned(incarnation worker.Incarnation, now time.Time) {
 	reliable := ow.listReliable(now)
 	var le lostEnds
-	for tj := range ow.allJobs() {
+	uw := ow.unownedByID[incarnation.ID]
+	if uw == nil {
+		return
+	}
+	ow.lag.RecordVisits(len(uw.jobs))
+	for tj := range uw.jobs {
 		remaining := tj.unowned[:0]
 		for _, key := range tj.unowned {
 			ra, ok := tj.runningAttempt(key)
--- a/internal/sched/looptime_test.go
+++ b/internal/sched/looptime_test.go
@@ -319,6 +319,29 @@
 	})
 }
 
+// TestTakeoverCostsLittle guards against a new owner that looks at all jobs for each worker.
+func TestTakeoverCostsLittle(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const workers, jobs = 100, 200
+		la := newLab(t, workers)
+		la.fleet.RunFunc = runUntilStopped
+		ow, end := la.startOwner()
+		time.Sleep(time.Second)
+		for n := range jobs {
+			la.submit(ow, n, longRunningOf(1, 4))
+		}
+		time.Sleep(2 * time.Second)
+		end()
+		pr := &processor{turn: make(chan struct{}, 1)}
+		la.chargeFunc = pr.charge
+		_, end = la.startOwner()
+		defer end()
+		time.Sleep(time.Second)
+		visits := pr.visits.Load()
+		qt.Check(t, visits <= 10*(workers+jobs), qt.IsTrue, qt.Commentf("%d visits", visits))
+	})
+}
+
 // TestScansAreCounted guards against code of the loop that looks at all workers, jobs or attempts
 // without being counted.
 func TestScansAreCounted(t *testing.T) {
--- a/internal/sched/owner.go
+++ b/internal/sched/owner.go
@@ -165,6 +165,8 @@
 	// unowned counts the attempts of former owners on workers that no list has named since
 	// the takeover, by incarnation.
 	unowned map[worker.Incarnation]int
+	// unownedByID has the incarnations among them, and the jobs of the attempts, by worker id.
+	unownedByID map[string]*unownedWorker
 	// startedAt is when Run was called, loadedAt when it had read the state of the cell.
 	startedAt, loadedAt time.Time
 	// leaseRecord tracks the stored lease expiries of unresponsive workers.
@@ -236,6 +238,7 @@
 	ow.workersByAddr = map[string][]*workerState{}
 	ow.workersByID = map[string][]*workerState{}
 	ow.unowned = map[worker.Incarnation]int{}
+	ow.unownedByID = map[string]*unownedWorker{}
 	ow.similarity = map[imagePair]float64{}
 	ow.answers = map[string]*answers.Record{}
 	ow.finiteJobs = map[*trackedJob]bool{}
