--- a/internal/jobhost/host.go
+++ b/internal/jobhost/host.go
@@ -10,14 +10,13 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/pepperhatch/pepperhatch/internal/oddrow"
-
 	"github.com/google/uuid"
 
 	"github.com/pepperhatch/pepperhatch/internal/clock"
 	"github.com/pepperhatch/pepperhatch/internal/evacuation"
 	"github.com/pepperhatch/pepperhatch/internal/frontend"
 	"github.com/pepperhatch/pepperhatch/internal/jobapi"
+	"github.com/pepperhatch/pepperhatch/internal/oddrow"
 	"github.com/pepperhatch/pepperhatch/internal/port"
 	"github.com/pepperhatch/pepperhatch/internal/queue"
 	"github.com/pepperhatch/pepperhatch/internal/registry"
--- a/internal/sched/api.go
+++ b/internal/sched/api.go
@@ -1,14 +1,13 @@
 package sched
 
 import (
-	"github.com/pepperhatch/pepperhatch/internal/looplag"
-
 	"context"
 	"errors"
 	"slices"
 	"time"
 
 	"github.com/pepperhatch/pepperhatch/internal/job"
+	"github.com/pepperhatch/pepperhatch/internal/looplag"
 	"github.com/pepperhatch/pepperhatch/internal/telemetry"
 )
 
--- a/internal/sched/commit.go
+++ b/internal/sched/commit.go
@@ -1,8 +1,6 @@
 package sched
 
 import (
-	"github.com/pepperhatch/pepperhatch/internal/looplag"
-
 	"bytes"
 	"context"
 	"encoding/json"
@@ -15,6 +13,7 @@
 
 	"github.com/pepperhatch/pepperhatch/internal/clock"
 	"github.com/pepperhatch/pepperhatch/internal/job"
+	"github.com/pepperhatch/pepperhatch/internal/looplag"
 	"github.com/pepperhatch/pepperhatch/internal/store"
 	"github.com/pepperhatch/pepperhatch/internal/telemetry"
 )
--- a/internal/sched/durations.go
+++ b/internal/sched/durations.go
@@ -1,14 +1,12 @@
 package sched
 
 import (
-	"errors"
-
-	"github.com/pepperhatch/pepperhatch/internal/looplag"
-
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
+	"github.com/pepperhatch/pepperhatch/internal/looplag"
 	"github.com/pepperhatch/pepperhatch/internal/speed"
 	"github.com/pepperhatch/pepperhatch/internal/store"
 )
--- a/internal/sched/intake.go
+++ b/internal/sched/intake.go
@@ -1,20 +1,18 @@
 package sched
 
 import (
-	"fmt"
-	"strings"
-
-	"github.com/pepperhatch/pepperhatch/internal/looplag"
-
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
+	"strings"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
 
 	"github.com/pepperhatch/pepperhatch/internal/clock"
 	"github.com/pepperhatch/pepperhatch/internal/job"
+	"github.com/pepperhatch/pepperhatch/internal/looplag"
 	"github.com/pepperhatch/pepperhatch/internal/store"
 )
 
--- a/internal/sched/interference.go
+++ b/internal/sched/interference.go
@@ -1,13 +1,12 @@
 package sched
 
 import (
-	"github.com/pepperhatch/pepperhatch/internal/looplag"
-
 	"context"
 	"encoding/json"
 	"time"
 
 	"github.com/pepperhatch/pepperhatch/internal/interfere"
+	"github.com/pepperhatch/pepperhatch/internal/looplag"
 	"github.com/pepperhatch/pepperhatch/internal/store"
 )
 
--- a/internal/sched/launch.go
+++ b/internal/sched/launch.go
@@ -1,14 +1,13 @@
 package sched
 
 import (
-	"github.com/pepperhatch/pepperhatch/internal/looplag"
-
 	"context"
 	"errors"
 	"time"
 
 	"github.com/pepperhatch/pepperhatch/internal/clock"
 	"github.com/pepperhatch/pepperhatch/internal/job"
+	"github.com/pepperhatch/pepperhatch/internal/looplag"
 	"github.com/pepperhatch/pepperhatch/internal/telemetry"
 	"github.com/pepperhatch/pepperhatch/internal/worker"
 )
--- a/internal/sched/leaseexpiry.go
+++ b/internal/sched/leaseexpiry.go
@@ -1,12 +1,11 @@
 package sched
 
 import (
-	"github.com/pepperhatch/pepperhatch/internal/looplag"
-
 	"context"
 	"errors"
 	"time"
 
+	"github.com/pepperhatch/pepperhatch/internal/looplag"
 	"github.com/pepperhatch/pepperhatch/internal/store"
 )
 
--- a/internal/sched/list.go
+++ b/internal/sched/list.go
@@ -1,13 +1,12 @@
 package sched
 
 import (
-	"github.com/pepperhatch/pepperhatch/internal/looplag"
-
 	"cmp"
 	"context"
 	"slices"
 
 	"github.com/pepperhatch/pepperhatch/internal/job"
+	"github.com/pepperhatch/pepperhatch/internal/looplag"
 )
 
 // Summary is a job as it appears in a list.
--- a/internal/sched/looptime_test.go
+++ b/internal/sched/looptime_test.go
@@ -6,7 +6,6 @@
 	"os"
 	"path/filepath"
 	"regexp"
-	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -348,9 +347,9 @@
 	files, err := filepath.Glob("*.go")
 	qt.Assert(t, err, qt.IsNil)
 	scan := regexp.MustCompile(`range (\w+\.)*(ow\.(workers|jobs|sortedWorkers\(\))|wk\.attempts) \{`)
-	counted := []string{"visits.go", "workerstate.go"}
+	counted := "visits.go"
 	for _, file := range files {
-		if strings.HasSuffix(file, "_test.go") || slices.Contains(counted, file) {
+		if strings.HasSuffix(file, "_test.go") || file == counted {
 			continue
 		}
 		data, err := os.ReadFile(file)
--- a/internal/sched/visits.go
+++ b/internal/sched/visits.go
@@ -1,7 +1,10 @@
 package sched
 
 import (
+	"cmp"
 	"iter"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/pepperhatch/pepperhatch/internal/looplag"
@@ -57,3 +60,19 @@
 	ow.lag.Begin(pa, now)
 	return now
 }
+
+// sortedWorkers returns the workers in a stable order, by id and start.
+func (ow *Owner) sortedWorkers() []*workerState {
+	if ow.sortedWorkerCache != nil {
+		return ow.sortedWorkerCache
+	}
+	list := make([]*workerState, 0, len(ow.workers))
+	for _, wk := range ow.workers {
+		list = append(list, wk)
+	}
+	slices.SortFunc(list, func(a, b *workerState) int {
+		return cmp.Or(strings.Compare(a.incarnation.ID, b.incarnation.ID), cmp.Compare(a.incarnation.StartedMS, b.incarnation.StartedMS))
+	})
+	ow.sortedWorkerCache = list
+	return list
+}
--- a/internal/sched/workerstate.go
+++ b/internal/sched/workerstate.go
@@ -1,10 +1,8 @@
 package sched
 
 import (
-	"cmp"
 	"context"
 	"slices"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -492,19 +490,3 @@
 func maxDriftDuration(d time.Duration) time.Duration {
 	return time.Duration(float64(d) * (1 + clockDrift) / (1 - clockDrift))
 }
-
-// sortedWorkers returns the workers in a stable order, by id and start.
-func (ow *Owner) sortedWorkers() []*workerState {
-	if ow.sortedWorkerCache != nil {
-		return ow.sortedWorkerCache
-	}
-	list := make([]*workerState, 0, len(ow.workers))
-	for _, wk := range ow.workers {
-		list = append(list, wk)
-	}
-	slices.SortFunc(list, func(a, b *workerState) int {
-		return cmp.Or(strings.Compare(a.incarnation.ID, b.incarnation.ID), cmp.Compare(a.incarnation.StartedMS, b.incarnation.StartedMS))
-	})
-	ow.sortedWorkerCache = list
-	return list
-}
