sched: don't let a few events at the same time as a tick delay background work

Background work gave way as soon as one event was queued, so that a poll answered at the instant of a tick skipped a measurement of 0.1 s. It gives way from 32 waiting events on, or once events have waited for 25 ms as before.

--- a/internal/sched/background.go
+++ b/internal/sched/background.go
@@ -31,8 +31,12 @@
 	}
 }
 
-// busy reports whether events wait for the loop, or have waited for long.
-func (ow *Owner) busy() bool { return len(ow.events) > 0 || ow.lag.Late() }
+// busyEvents is the number of waiting events from which the loop counts as busy. A few that arrive
+// at the same time as a tick don't delay anything.
+const busyEvents = 32
+
+// busy reports whether many events wait for the loop, or some have waited for long.
+func (ow *Owner) busy() bool { return len(ow.events) >= busyEvents || ow.lag.Late() }
 
 // runBackground runs the background work that is due, as a part of a tick.
 func (ow *Owner) runBackground() {
