--- a/e2e/cluster_test.go
+++ b/e2e/cluster_test.go
@@ -66,6 +66,8 @@
 	runners  []*process
 	workers  []*process
 	web      *http.Client
+	// env are further environment variables of entry hosts.
+	env []string
 }
 
 // nextPort is where the search for the next free port starts: below the ephemeral
@@ -90,8 +92,8 @@
 
 // startCluster starts the platform, three entry hosts in two data centres,
 // and two runners and two workers in each.
-func startCluster(c *qt.C) *cluster {
-	cl := &cluster{c: c, dir: c.TempDir(), web: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 100}}}
+func startCluster(c *qt.C, env ...string) *cluster {
+	cl := &cluster{c: c, dir: c.TempDir(), web: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 100}}, env: env}
 	for i := range cl.platform {
 		cl.platform[i] = freeAddr(c)
 	}
@@ -127,7 +129,13 @@
 // start starts a process, which is killed at the end of the test. If the test failed, the
 // end of its output is logged.
 func (cl *cluster) start(binary, name string, args ...string) *process {
+	return cl.startWithEnv(nil, binary, name, args...)
+}
+
+// startWithEnv is like start, with further environment variables.
+func (cl *cluster) startWithEnv(env []string, binary, name string, args ...string) *process {
 	cmd := exec.Command(filepath.Join(binaries, binary), args...)
+	cmd.Env = append(os.Environ(), env...)
 	out, err := os.Create(filepath.Join(cl.dir, name+".out"))
 	cl.c.Assert(err, qt.IsNil)
 	cmd.Stdout, cmd.Stderr = out, out
@@ -160,7 +168,7 @@
 	for _, other := range cl.entries {
 		args = append(args, "--peer", other.addrs[1])
 	}
-	pr := cl.start("pepperhatch", name, args...)
+	pr := cl.startWithEnv(cl.env, "pepperhatch", name, args...)
 	pr.addrs = addrs
 	return pr
 }
