platform, job: count the elements of lists before they are decoded

Callers saw the process end: 20 bodies of legal size with 87,000 empty steps took 1.7 GB, as json.Unmarshal decodes a whole array, an element of 3 bytes takes some 700 bytes as a step in two forms, and Spec.Check then makes an error for each of them, joins and logs them.

--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -89,7 +89,7 @@
 
 // RecordMalformed logs and counts a job that cannot be decoded or is invalid.
 func (fe *FrontEnd) RecordMalformed(id string, err error) {
-	fe.Log.Info("job refused", "job", id, "reason", "malformed", "err", err)
+	fe.Log.Info("job refused", "job", id, "reason", "malformed", "err", truncate(err.Error()))
 	fe.Metrics.Add(telemetry.JobRequests, 1, "kind", "submit", "outcome", "malformed")
 }
 
@@ -185,6 +185,19 @@
 	Spec  job.Spec  `json:"spec"`
 }
 
+// UnmarshalJSON implements json.Unmarshaler.
+func (su *submission) UnmarshalJSON(data []byte) error {
+	type plain submission
+	body := struct {
+		*plain
+
+		Spec job.SubmittedSpec `json:"spec"`
+	}{plain: (*plain)(su)}
+	err := json.Unmarshal(data, &body)
+	su.Spec = body.Spec.Spec
+	return err
+}
+
 // canWriteForOwner reports whether the owner refused a job because its writes to the
 // store fail, while the store answers this host, so that this host can write the job.
 func (fe *FrontEnd) canWriteForOwner(ve sched.Verdict) bool {
--- a/internal/job/rowsize.go
+++ b/internal/job/rowsize.go
@@ -82,6 +82,10 @@
 // CheckSize returns an error that wraps [ErrTooLarge] if a job's constant part takes more than
 // limit bytes in the store.
 func CheckSize(te Terms, sp Spec, limit int) error {
+	// The encoded form may be several times as long, so it is not made of a spec that can't fit.
+	if n := sp.textBytes(); n > limit {
+		return fmt.Errorf("%w: at least %d bytes, want at most %d", ErrTooLarge, n, limit)
+	}
 	data, err := json.Marshal(SpecRow{Terms: te, Spec: sp})
 	if err != nil {
 		return fmt.Errorf("%w: %w", ErrInvalid, err)
@@ -91,3 +95,13 @@
 	}
 	return nil
 }
+
+// textBytes returns the length of all texts of a spec, in bytes.
+func (sp *Spec) textBytes() int {
+	n := len(sp.Payload)
+	for i := range sp.Steps {
+		st := &sp.Steps[i]
+		n += len(st.Label) + len(st.Rack) + len(st.Image)
+	}
+	return n
+}
--- a/internal/job/spec.go
+++ b/internal/job/spec.go
@@ -116,11 +116,14 @@
 	return true
 }
 
-// Check returns all errors of the spec, joined, or nil.
+// maxReported is the number of errors of a spec that are reported.
+const maxReported = 10
+
+// Check returns the first errors of the spec, joined, or nil.
 func (sp Spec) Check() error {
 	var errs []error
 	rejectIf := func(wrong bool, kind error, text string, args ...any) {
-		if wrong {
+		if wrong && len(errs) < maxReported {
 			errs = append(errs, fmt.Errorf("%w: %s", kind, fmt.Sprintf(text, args...)))
 		}
 	}
--- a/internal/jobapi/jobapi.go
+++ b/internal/jobapi/jobapi.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"net/http"
@@ -35,6 +36,19 @@
 	Spec job.Spec `json:"spec"`
 }
 
+// UnmarshalJSON implements json.Unmarshaler.
+func (su *Submission) UnmarshalJSON(data []byte) error {
+	type plain Submission
+	body := struct {
+		*plain
+
+		Spec job.SubmittedSpec `json:"spec"`
+	}{plain: (*plain)(su)}
+	err := json.Unmarshal(data, &body)
+	su.Spec = body.Spec.Spec
+	return err
+}
+
 // Reference is a request about one job.
 type Reference struct {
 	// ID is the id of the job.
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -24,6 +24,9 @@
 // MaxBody bounds the body of a request or reply, in bytes.
 const MaxBody = 8 << 20
 
+// maxMessage bounds the message of an error that is sent, in bytes: it may quote the request.
+const maxMessage = 1000
+
 // Error codes of this package.
 const (
 	CodeMalformed = "malformed"
@@ -170,7 +173,9 @@
 	if werr.RetryAfter > 0 {
 		w.Header().Set("Retry-After", strconv.Itoa(ceilSeconds(werr.RetryAfter)))
 	}
-	data, _ := json.Marshal(errorBody{Error: werr, RetryAfterMS: werr.RetryAfter.Milliseconds()})
+	sent := *werr
+	sent.Message = sent.Message[:min(len(sent.Message), maxMessage)]
+	data, _ := json.Marshal(errorBody{Error: &sent, RetryAfterMS: werr.RetryAfter.Milliseconds()})
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
 	w.WriteHeader(max(werr.Status, http.StatusBadRequest))
