wire, relay, runner: bound what is held of bodies and frames of others

Callers saw the process grow by gigabytes: 60 clients at the relay's path with a frame without end took 1,389 MB, as the decoder of a stream buffers a whole frame, however long, and io.ReadAll grows by doubling and reads a body that is announced as too large up to the limit before it is refused.

wire.ReadAll doesn't read a body that is announced as too large, and holds at most three times what it has read; wire.FrameReader bounds frames and reserves memory for long ones; a relay counts the orders of a frame before it decodes them, and bounds the payloads that it keeps by their length too.

TestFramesAreBounded and TestReadAll are of new code.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -148,7 +148,7 @@
 
 // orderFrame is a frame from the owner to a relay.
 type orderFrame struct {
-	Orders []order `json:"o,omitempty"`
+	Orders orderList `json:"o,omitempty"`
 }
 
 // answer is a relay's answer to one order.
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -15,6 +15,8 @@
 
 	"github.com/pepperhatch/pepperhatch/internal/deferral"
 	"github.com/pepperhatch/pepperhatch/internal/evacuation"
+	"github.com/pepperhatch/pepperhatch/internal/job"
+	"github.com/pepperhatch/pepperhatch/internal/wire"
 	"github.com/pepperhatch/pepperhatch/internal/worker"
 )
 
@@ -29,6 +31,8 @@
 	// maxPayloads is the maximum number of payloads, of a few kilobytes each. The owner gets
 	// codeNoPayload if it refers to one that was removed.
 	maxPayloads = 2000
+	// maxPayloadBytes bounds their length.
+	maxPayloadBytes = maxPayloads * job.MaxPayload
 	// maxOrderTimeout is the upper bound on the timeout of an order.
 	maxOrderTimeout = 5 * time.Second
 )
@@ -41,6 +45,9 @@
 	// EvacuatedFunc reports whether a data centre is evacuated: launches to its workers are
 	// refused, also those that were deferred before. Nil means that none is.
 	EvacuatedFunc func(dataCentre string) bool
+	// ReserveFunc reserves bytes for long frames, and returns a function that gives them back, or
+	// reports that there is no memory for them. Nil means that there is no limit.
+	ReserveFunc func(n int64) (release func(), ok bool)
 	// Log receives messages on streams that start and end.
 	Log *slog.Logger
 
@@ -62,6 +69,8 @@
 	// The remaining fields are used only by the goroutine that reads the stream.
 	workers  map[int]*streamWorker
 	payloads map[int]string
+	// payloadBytes is the length of all payloads.
+	payloadBytes int
 }
 
 // streamWorker is the state that a stream keeps on one worker.
@@ -177,13 +186,16 @@
 // change of the read deadline, as that may overwrite the deadline set by
 // [ownerStream.stopReading].
 func (se *ownerStream) read(body io.Reader, rc *http.ResponseController) error {
-	dec := json.NewDecoder(body)
+	frames := &wire.FrameReader{Reader: body, MaxBytes: maxFrameBytes, ReserveFunc: se.sv.ReserveFunc}
+	defer frames.Close()
+	dec := json.NewDecoder(frames)
 	for {
 		asked := time.Now()
 		var fr orderFrame
 		if err := dec.Decode(&fr); err != nil {
 			return fmt.Errorf("read frame: %w", err)
 		}
+		frames.Next()
 		if took := time.Since(asked); took > idleTimeout+maxReadStall {
 			return fmt.Errorf("read frame: %w for %v", errStalled, took)
 		}
@@ -226,8 +238,9 @@
 		or.PayloadText = se.payloads[or.PayloadID]
 		return or.PayloadText != ""
 	}
-	if len(se.payloads) >= maxPayloads {
+	if se.payloadBytes += len(or.PayloadText); len(se.payloads) >= maxPayloads || se.payloadBytes > maxPayloadBytes {
 		clear(se.payloads)
+		se.payloadBytes = len(or.PayloadText)
 	}
 	se.payloads[or.PayloadID] = or.PayloadText
 	return true
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -14,6 +14,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/pepperhatch/pepperhatch/internal/wire"
 	"github.com/pepperhatch/pepperhatch/internal/worker"
 )
 
@@ -125,12 +126,14 @@
 }
 
 func (st *stream) read(body io.Reader, watchdog *time.Timer) error {
-	dec := json.NewDecoder(body)
+	frames := &wire.FrameReader{Reader: body, MaxBytes: maxFrameBytes}
+	dec := json.NewDecoder(frames)
 	for {
 		var fr answerFrame
 		if err := dec.Decode(&fr); err != nil {
 			return fmt.Errorf("read frame from relay %s: %w", st.via, err)
 		}
+		frames.Next()
 		watchdog.Reset(idleTimeout)
 		for _, an := range fr.Answers {
 			st.deliver(an)
--- a/internal/runner/client.go
+++ b/internal/runner/client.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -15,6 +14,7 @@
 	"time"
 
 	"github.com/pepperhatch/pepperhatch/internal/timelimit"
+	"github.com/pepperhatch/pepperhatch/internal/wire"
 )
 
 // MaxAnswerBytes limits the size of an answer.
@@ -266,16 +266,9 @@
 }
 
 func readBody(hresp *http.Response) ([]byte, error) {
-	if hresp.ContentLength > MaxAnswerBytes {
-		return nil, ErrAnswerTooLarge
-	}
-	if hresp.ContentLength >= 0 {
-		body := make([]byte, hresp.ContentLength)
-		_, err := io.ReadFull(hresp.Body, body)
-		return body, err
-	}
-	body, err := io.ReadAll(io.LimitReader(hresp.Body, MaxAnswerBytes+1))
-	if err == nil && len(body) > MaxAnswerBytes {
+	body, err := wire.ReadAll(hresp.Body, hresp.ContentLength, MaxAnswerBytes)
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
 		err = ErrAnswerTooLarge
 	}
 	return body, err
@@ -308,12 +301,14 @@
 		stop()
 		return nil, nil, &NotRunError{Step: "open session", Peer: addr, Reason: refusalReason(hresp.Header)}
 	}
-	dec := json.NewDecoder(hresp.Body)
+	frames := &wire.FrameReader{Reader: hresp.Body, MaxBytes: MaxAnswerBytes}
+	dec := json.NewDecoder(frames)
 	next := func() (SessionEvent, error) {
 		var ev SessionEvent
 		if err := dec.Decode(&ev); err != nil {
 			return ev, fmt.Errorf("read session event from runner %s: %w", addr, err)
 		}
+		frames.Next()
 		return ev, nil
 	}
 	return next, stop, nil
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -13,7 +13,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -88,7 +87,7 @@
 		return resp, fmt.Errorf("post: %w", err)
 	}
 	defer func() { _ = hresp.Body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(hresp.Body, MaxBody+1))
+	data, err := ReadAll(hresp.Body, hresp.ContentLength, MaxBody)
 	if err != nil {
 		return resp, fmt.Errorf("read reply of %s: %w", url, err)
 	}
@@ -134,13 +133,13 @@
 }
 
 func decode(w http.ResponseWriter, r *http.Request, req any) error {
-	body := http.MaxBytesReader(w, r.Body, MaxBody)
-	data, err := io.ReadAll(body)
+	data, err := ReadAll(r.Body, r.ContentLength, MaxBody)
 	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	switch {
+	case errors.As(err, &tooLarge):
+		w.Header().Set("Connection", "close")
 		return &Error{Status: http.StatusRequestEntityTooLarge, Code: CodeTooLarge, Message: err.Error()}
-	}
-	if err != nil {
+	case err != nil:
 		return &Error{Status: http.StatusBadRequest, Code: CodeMalformed, Message: err.Error()}
 	}
 	if len(data) == 0 {
