port: bound connections and the bytes of requests by the machine's memory

Callers saw the process end, or hang: 1,500 clients whose bodies of legal size stop one byte short took 891 MB on machines of 184 to 536 MB, 1,500 headers without end 117 MB, and connections had no limit at all in `run`, so that they could take the descriptors that the store and the workers need. Cause: two places made servers, one without limits on connections, requests and bytes, the other without one on the product of its limits.

A body is reserved before it is read, with 8 bytes for each of its bytes, and given back when its request ends; what doesn't fit gets 503 with Retry-After, and its connection is closed without reading the body. At a limit the request that makes the least progress is closed, not the one that comes last; listeners go on accepting, so that refusals arrive. Receive buffers of callers' sockets are bounded. The collector has a memory limit of three quarters of the memory.

--- a/docs/docs_test.go
+++ b/docs/docs_test.go
@@ -32,9 +32,11 @@
 
 func settingsTable() string {
 	var rows []string
-	ty := reflect.TypeFor[settings.Serve]()
-	for i := range ty.NumField() {
-		tag := ty.Field(i).Tag
+	for _, fi := range reflect.VisibleFields(reflect.TypeFor[settings.Serve]()) {
+		if fi.Anonymous {
+			continue
+		}
+		tag := fi.Tag
 		rows = append(rows, fmt.Sprintf("| `--%s` | `%s` | %s | %s |", tag.Get("long"), tag.Get("env"), tag.Get("default"), tag.Get("description")))
 	}
 	return table("| flag | variable | default | meaning |", rows)
--- a/internal/cli/run.go
+++ b/internal/cli/run.go
@@ -10,10 +10,13 @@
 	"github.com/pepperhatch/pepperhatch/internal/jobhost"
 	"github.com/pepperhatch/pepperhatch/internal/logs"
 	"github.com/pepperhatch/pepperhatch/internal/sched"
+	"github.com/pepperhatch/pepperhatch/internal/settings"
 )
 
 // runCommand runs an entry host on the users' platform.
 type runCommand struct {
+	settings.Machine
+
 	Settings string `long:"settings" env:"PEPPERHATCH_BOOT" required:"true" description:"settings file written by the platform"`
 	LogLevel string `long:"log-level" env:"PEPPERHATCH_LOG_LEVEL" default:"info" choice:"debug" choice:"info" choice:"warn" choice:"error" description:"lowest level that is logged"`
 	Without  string `long:"without" env:"PEPPERHATCH_WITHOUT" description:"comma-separated scheduling mechanisms to disable, to measure their effect"`
@@ -42,6 +45,10 @@
 	if err != nil {
 		return err
 	}
+	if ho.Machine, err = rc.Size(); err != nil {
+		return &exitError{code: ExitUsage, err: err}
+	}
+	settings.LimitCollector(ho.Machine)
 	ho.Without = without
 	if without != 0 {
 		log.Warn("scheduling mechanisms disabled", "without", rc.Without)
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -31,6 +31,11 @@
 	}
 	log := newLogger(sc.st.err, sc.Level())
 	slog.SetDefault(log)
+	ma, err := sc.Size()
+	if err != nil {
+		return &exitError{code: ExitUsage, err: err}
+	}
+	settings.LimitCollector(ma)
 	ho, err := entry.New(sc.Serve, log)
 	if err != nil {
 		return err
@@ -56,6 +61,8 @@
 }
 
 type devCommand struct {
+	settings.Machine
+
 	Duration time.Duration `long:"for" description:"how long to run; default is until Ctrl-C"`
 	Rate     float64       `long:"rate" default:"150" description:"requests per second"`
 	Log      bool          `long:"log" description:"print the logs of the entry hosts"`
@@ -73,7 +80,12 @@
 	slog.SetDefault(log)
 	ctx, stop := untilSignal()
 	defer stop()
-	violated, err := dev.Run(ctx, dev.Settings{Duration: dc.Duration, Rate: dc.Rate, Out: dc.st.out, Log: log})
+	ma, err := dc.Size()
+	if err != nil {
+		return &exitError{code: ExitUsage, err: err}
+	}
+	settings.LimitCollector(ma)
+	violated, err := dev.Run(ctx, dev.Settings{Machine: ma, Duration: dc.Duration, Rate: dc.Rate, Out: dc.st.out, Log: log})
 	if err != nil {
 		return err
 	}
--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -11,7 +11,6 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -24,14 +23,18 @@
 	"github.com/pepperhatch/pepperhatch/internal/clock"
 	"github.com/pepperhatch/pepperhatch/internal/entry"
 	"github.com/pepperhatch/pepperhatch/internal/load"
+	"github.com/pepperhatch/pepperhatch/internal/port"
 	"github.com/pepperhatch/pepperhatch/internal/settings"
 	"github.com/pepperhatch/pepperhatch/internal/standin"
 	"github.com/pepperhatch/pepperhatch/internal/store"
+	"github.com/pepperhatch/pepperhatch/internal/wire"
 	"github.com/pepperhatch/pepperhatch/internal/worker"
 )
 
 // Settings describes a run.
 type Settings struct {
+	// Machine is the size of the machine.
+	Machine port.Machine
 	// Duration bounds the run; with zero it lasts until ctx ends.
 	Duration time.Duration
 	// Rate is in requests per second.
@@ -60,7 +63,12 @@
 	sessionCount    = 4
 	batchFraction   = 0.3
 	runOnceFraction = 0.1
-	readyTimeout    = 20 * time.Second
+	entryHosts      = 3
+	// maxConns bounds the connections at each stand-in and at the job API.
+	maxConns = 200
+	// writeTimeout bounds the time in which a client accepts one write of an answer.
+	writeTimeout = 30 * time.Second
+	readyTimeout = 20 * time.Second
 )
 
 // deployment holds the stand-ins and entry hosts of a run.
@@ -74,7 +82,9 @@
 	// urls are those of the table, the object store and the host list.
 	urls    [3]string
 	entries []*entry.Host
-	servers []*http.Server
+	servers []*port.Port
+	// process has the limits of all servers other than those of entry hosts.
+	process *port.Process
 	// hostsWG counts the goroutines of entry hosts and of the batch cell.
 	hostsWG sync.WaitGroup
 }
@@ -82,6 +92,7 @@
 // Run runs the deployment under load and reports whether a guarantee was violated.
 func Run(ctx context.Context, set Settings) (bool, error) {
 	de := &deployment{set: set}
+	de.process = port.NewProcess(de.part(), nil, set.Log)
 	de.hosts.Lag = 200 * time.Millisecond
 	defer de.close()
 	if err := de.startStandins(); err != nil {
@@ -117,19 +128,24 @@
 
 // serve serves a handler on a free loopback port.
 func (de *deployment) serve(h http.Handler) (string, error) {
-	ln, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
+	lim := port.Limits{Name: "dev", Process: de.process, MaxConns: maxConns, MaxBody: wire.MaxBody, WriteTimeout: writeTimeout}
+	po, err := port.Listen("127.0.0.1:0", lim)
 	if err != nil {
-		return "", fmt.Errorf("listen: %w", err)
+		return "", err
 	}
-	srv := &http.Server{Handler: h, ReadHeaderTimeout: time.Minute}
-	de.servers = append(de.servers, srv)
-	go func() { _ = srv.Serve(ln) }()
-	return ln.Addr().String(), nil
+	de.servers = append(de.servers, po)
+	go func() { _ = po.Serve(h, lim) }()
+	return po.Addr, nil
 }
 
+// part returns the part of the machine that each entry host and all other servers together get.
+func (de *deployment) part() port.Machine { return de.set.Machine.Part(entryHosts + 1) }
+
 func (de *deployment) close() {
-	for _, srv := range de.servers {
-		_ = srv.Close()
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	for _, po := range de.servers {
+		_ = po.Stop(ctx)
 	}
 }
 
@@ -198,6 +214,7 @@
 			MaxBody: 1 << 20, MaxConns: 2000, MaxInFlight: 2000, MaxSessions: 100, MaxClaims: 100_000,
 			RunnerConns: 12, RunnerSessions: 12, CellInterval: 100 * time.Millisecond,
 			LeaseTTL: 3 * time.Second, LeaseEvery: time.Second, StopDelay: 100 * time.Millisecond, StopGrace: 10 * time.Second,
+			Machine: settings.Machine{MemoryMB: int(de.part().Memory >> 20), MaxFDs: de.part().Descriptors},
 		}
 		ho, err := entry.New(set, de.set.Log)
 		if err != nil {
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -50,6 +50,8 @@
 
 	metrics        *telemetry.Metrics
 	metricsHandler http.Handler
+	machine        port.Machine
+	process        *port.Process
 	mesh           *peer.Mesh
 	registry       *upstream.Registry
 	router         *route.Router
@@ -97,6 +99,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if ho.machine, err = set.Machine.Size(); err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	ho.process = port.NewProcess(ho.machine, ho.metrics, ho.log)
 	ho.buildComponents()
 	return ho, ho.listen()
 }
@@ -155,21 +161,26 @@
 	return lease.OwnershipStart{}
 }
 
+// callerLimits returns the limits of the port for callers: those of the settings, or less if the
+// machine can't hold as many connections.
 func (ho *Host) callerLimits() port.Limits {
 	return port.Limits{
-		MaxConns: ho.set.MaxConns, MaxInFlight: ho.set.MaxInFlight, MaxBody: ho.set.MaxBody, ReadTimeout: readTimeout, WriteTimeout: writeTimeout,
-		Refuse: ho.refuseCaller,
+		Name: "callers", Process: ho.process, MaxConns: min(ho.set.MaxConns, ho.machine.CallerConns()), MaxInFlight: ho.set.MaxInFlight, MaxBody: ho.set.MaxBody,
+		ReadTimeout: readTimeout, WriteTimeout: writeTimeout, Refuse: ho.refuseCaller, SmallWindow: true,
 	}
 }
 
 func (ho *Host) peerLimits() port.Limits {
 	// The body of a forwarded request is in base64, and the message has other
 	// fields too.
-	return port.Limits{MaxConns: ho.set.MaxConns, MaxInFlight: ho.set.MaxInFlight, MaxBody: 2*ho.set.MaxBody + peerBodyOverhead, ReadTimeout: readTimeout, WriteTimeout: writeTimeout}
+	return port.Limits{
+		Name: "peers", Process: ho.process, MaxConns: min(ho.set.MaxConns, ho.machine.PeerConns()), MaxInFlight: ho.set.MaxInFlight, MaxBody: 2*ho.set.MaxBody + peerBodyOverhead,
+		ReadTimeout: readTimeout, WriteTimeout: writeTimeout,
+	}
 }
 
 func (ho *Host) adminLimits() port.Limits {
-	return port.Limits{MaxConns: maxAdminConns, MaxInFlight: maxAdminInFlight, MaxBody: maxAdminBody, ReadTimeout: readTimeout, WriteTimeout: writeTimeout}
+	return port.Limits{Name: "admin", Process: ho.process, MaxConns: min(maxAdminConns, ho.machine.PeerConns()), SmallWindow: true, MaxInFlight: maxAdminInFlight, MaxBody: maxAdminBody, ReadTimeout: readTimeout, WriteTimeout: writeTimeout}
 }
 
 // Limits of the ports that are not settings: timeouts, sizes in bytes, and counts.
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -24,7 +24,10 @@
 	mux := http.NewServeMux()
 	path, h := pepperhatchv1connect.NewOperatorServiceHandler(&operatorService{ho: ho}, connect.WithReadMaxBytes(maxAdminBody))
 	mux.Handle(path, h)
-	mux.Handle("GET /metrics", ho.metricsHandler)
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, r *http.Request) {
+		ho.process.SetGauges()
+		ho.metricsHandler.ServeHTTP(w, r)
+	})
 	ho.handleHealth(mux)
 	return mux
 }
--- a/internal/jobhost/host.go
+++ b/internal/jobhost/host.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"log/slog"
-	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -16,7 +15,6 @@
 	"github.com/pepperhatch/pepperhatch/internal/evacuation"
 	"github.com/pepperhatch/pepperhatch/internal/frontend"
 	"github.com/pepperhatch/pepperhatch/internal/invalidrow"
-	"github.com/pepperhatch/pepperhatch/internal/jobapi"
 	"github.com/pepperhatch/pepperhatch/internal/port"
 	"github.com/pepperhatch/pepperhatch/internal/queue"
 	"github.com/pepperhatch/pepperhatch/internal/registry"
@@ -46,16 +44,6 @@
 	// exitReserve is the part of the grace period that is reserved for the exit of the
 	// process after the cell was released.
 	exitReserve = 500 * time.Millisecond
-	// maxHeaderBytes and idleTimeout are required by the users' platform.
-	maxHeaderBytes = 16 << 10
-	idleTimeout    = 15 * time.Second
-	headerTimeout  = 3 * time.Second
-	// bodyTimeout bounds the time to receive a request's body: the 3 s that callers wait
-	// for an answer, plus a margin for a saturated network link.
-	bodyTimeout = 5 * time.Second
-	// replyTimeout bounds the time to send a part of an answer: a list of all jobs is
-	// 2 MB, and a saturated link transfers 100 kB per second.
-	replyTimeout = 30 * time.Second
 	// metricsPort is the port that the deployment file declares for metrics.
 	metricsPort = 9464
 )
@@ -64,11 +52,14 @@
 type Host struct {
 	// Without is the set of the owner's mechanisms that are disabled, for experiments.
 	Without sched.Mechanism
+	// Machine is the size of the machine, by default what the kernel reports.
+	Machine port.Machine
 
 	settings       atomic.Pointer[Settings]
 	log            *slog.Logger
 	metrics        *telemetry.Metrics
 	metricsHandler http.Handler
+	process        *port.Process
 	table          store.Table
 	workerClient   *http.Client
 	keeper         *tenure.Keeper
@@ -98,6 +89,9 @@
 	}
 	sched.ResetGauges(me)
 	ho := &Host{log: log, metrics: me, metricsHandler: metricsHandler, workerClient: transport.NewClient(workerConns, log)}
+	if ho.Machine, err = port.DetectMachine(); err != nil {
+		return nil, err
+	}
 	ho.settings.Store(&se)
 	ho.evacuations.Log = log
 	ho.invalidRows.Metrics, ho.invalidRows.Log = me, log
@@ -123,52 +117,13 @@
 // stopping.
 func (ho *Host) ready() bool { return ho.config.Load() != nil && !ho.stopping.Load() }
 
-// server is an HTTP server and the address at which it listens.
-type server struct {
-	addr string
-	hs   *http.Server
-}
-
-func newServer(addr string, ha http.Handler) server {
-	return server{addr: addr, hs: &http.Server{
-		Handler: ha, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelDebug),
-	}}
-}
-
-// callerHandler returns the handler of callers' requests.
-func (ho *Host) callerHandler() http.Handler {
-	return port.WithTimeouts(platform.CallerHandler{FrontEnd: ho.frontEnd}, bodyTimeout, replyTimeout)
-}
-
-// peerHandler returns the handler of requests of other entry hosts, owners that use this
-// host as a relay, and clients of the job API.
-func (ho *Host) peerHandler() http.Handler {
-	mux := http.NewServeMux()
-	mux.Handle("/cell/", port.WithTimeouts(ho.frontEnd.Handler(), bodyTimeout, replyTimeout))
-	mux.Handle("/jobs/", port.WithTimeouts(jobapi.Handler(ho.frontEnd), bodyTimeout, replyTimeout))
-	mux.Handle(relay.Path, ho.relay)
-	return mux
-}
-
 // Run serves until ctx ends, and then makes a planned stop. The error is that of a server
 // that can't listen or serve.
 func (ho *Host) Run(ctx context.Context) error {
 	se := ho.settings.Load()
-	servers := []server{
-		newServer(se.CallerAddr, ho.callerHandler()),
-		newServer(se.ReadyAddr, platform.Readiness(ho.ready)),
-		newServer(se.PeerAddr(), ho.peerHandler()),
-		newServer(net.JoinHostPort(se.IP, fmt.Sprint(metricsPort)), ho.metricsHandler),
-	}
-	failed := make(chan error, len(servers))
-	var lc net.ListenConfig
-	for _, sv := range servers {
-		li, err := lc.Listen(ctx, "tcp", sv.addr)
-		if err != nil {
-			return fmt.Errorf("listen on %s: %w", sv.addr, err)
-		}
-		go func() { failed <- sv.hs.Serve(li) }()
+	ports, failed, err := ho.listen(se)
+	if err != nil {
+		return err
 	}
 	ho.log.Info("started", "name", se.Name, "process", ho.keeper.Process, "data_centre", se.DataCentre, "callers", se.CallerAddr, "peers", se.PeerAddr())
 	wctx, end := context.WithCancel(context.WithoutCancel(ctx))
@@ -182,7 +137,7 @@
 		return fmt.Errorf("serve: %w", err)
 	case <-ctx.Done():
 	}
-	ho.stop(wctx, servers)
+	ho.stop(wctx, ports[0])
 	end()
 	wg.Wait()
 	ho.log.Info("stopped", "name", se.Name)
@@ -191,15 +146,14 @@
 
 // stop makes a planned stop: the cell is released to another host at once, and callers are
 // served until only closeReserve is left of the grace period.
-func (ho *Host) stop(ctx context.Context, servers []server) {
+func (ho *Host) stop(ctx context.Context, callers *port.Port) {
 	se := ho.settings.Load()
 	ho.log.Info("stopping", "name", se.Name, "grace_s", se.GraceS)
 	ho.stopping.Store(true)
 	ho.keeper.Release(releaseTimeout(seconds(se.GraceS)))
 	ho.relay.Leave()
 	go registry.Withdraw(ctx, ho.table, se.Name, ho.log)
-	callers := servers[0].hs
-	callers.SetKeepAlivesEnabled(false)
+	callers.Drain()
 	clock.Sleep(ctx, max(seconds(se.GraceS)-closeReserve, 0))
 	sctx, cancel := context.WithTimeout(ctx, closeReserve/2)
 	defer cancel()
--- a/internal/port/port.go
+++ b/internal/port/port.go
@@ -1,51 +1,97 @@
-// Package port runs the HTTP servers of an entry host, each with limits on connections,
-// requests in flight, the size of a request and the time to receive it. A request over a
-// limit is refused at once with a clear error and does not affect other requests.
+// Package port runs the HTTP servers of a process: all of them, so that each has limits on
+// connections, on requests in flight, on the size of a request and the time to receive it, and on
+// the bytes that all requests of the process hold together. A request over a limit is refused at
+// once with a clear error and does not affect other requests.
+//
+// At the limit of connections, or when a body would exceed the budget of bytes, the connection whose
+// request makes the least progress is closed: first a request that has stopped arriving, then one
+// that arrives slowly, then a connection without a request. Requests that have arrived are never
+// ended. Half of the budget is for requests with small bodies only, so that large bodies can't keep
+// them out.
 package port
 
 import (
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
+	"syscall"
 	"time"
 
-	"golang.org/x/net/netutil"
-
 	"github.com/pepperhatch/pepperhatch/internal/wire"
 )
 
 // Limits are the limits of one port.
 type Limits struct {
-	// MaxConns bounds the open connections, MaxInFlight the requests being served.
+	// Name is the name of the port in logs and metrics.
+	Name string
+	// Process has the limits that all ports of the process share. Nil means that there are none.
+	Process *Process
+	// MaxConns bounds the open connections, MaxInFlight the requests being served; zero means
+	// that only MaxConns bounds them.
 	MaxConns    int
 	MaxInFlight int
-	// MaxBody bounds the body of a request in bytes.
-	MaxBody int64
+	// MaxBody bounds the body of a request in bytes. MaxBodyFunc, if set, returns the bound
+	// instead.
+	MaxBody     int64
+	MaxBodyFunc func() int64
+	// HeaderTimeout bounds the time to receive the header of a request, IdleTimeout the time
+	// between two requests on a connection, and MaxHeader the header in bytes. Zero means the
+	// default.
+	HeaderTimeout, IdleTimeout time.Duration
+	MaxHeader                  int
 	// ReadTimeout bounds the time to receive a request.
 	ReadTimeout time.Duration
 	// WriteTimeout bounds the time in which a caller accepts one write of an answer.
 	WriteTimeout time.Duration
+	// HTTP1Only disables HTTP/2.
+	HTTP1Only bool
+	// SmallWindow bounds the bytes that the kernel receives ahead of the process on each
+	// connection, which count as memory of the machine.
+	SmallWindow bool
+	// StreamPath is the path of requests that last as long as their connection. No limits of
+	// bodies and times apply to them.
+	StreamPath string
 	// Refuse answers a request that is over a limit, in the protocol of the port's
 	// callers; nil means [wire.WriteError].
 	Refuse func(w http.ResponseWriter, r *http.Request, err *wire.Error)
 }
 
+// Defaults of limits, and limits that are the same for all ports.
 const (
-	readHeaderTimeout = 5 * time.Second
-	idleTimeout       = 2 * time.Minute
-	maxHeaderBytes    = 64 << 10
-	busyRetryAfter    = time.Second
+	defaultHeaderTimeout = 5 * time.Second
+	defaultIdleTimeout   = 2 * time.Minute
+	// defaultMaxHeader bounds the header of a request, in bytes.
+	defaultMaxHeader = 16 << 10
+	busyRetryAfter   = time.Second
+	// smallWindow is the receive buffer of a connection with SmallWindow, in bytes; the kernel
+	// doubles it.
+	smallWindow = connBytes / 2
+	// maxStreams bounds the streams of an HTTP/2 connection, streamWindow what a client may send
+	// ahead on one, and connWindow on all streams of a connection, in bytes.
+	maxStreams   = 100
+	streamWindow = 64 << 10
+	connWindow   = 64 << 10
 )
 
+// maxBody returns the bound on a body in bytes.
+func (lim Limits) maxBody() int64 {
+	if lim.MaxBodyFunc != nil {
+		return lim.MaxBodyFunc()
+	}
+	return lim.MaxBody
+}
+
 // Port is one HTTP server.
 type Port struct {
 	// Addr is the address that the port listens on.
 	Addr string
 
+	name        string
+	process     *Process
+	conns       connTable
 	srv         *http.Server
 	ln          net.Listener
 	noKeepAlive atomic.Bool
@@ -53,26 +99,68 @@
 
 // Listen opens a port. Port number 0 in addr selects a free one.
 func Listen(addr string, lim Limits) (*Port, error) {
-	ln, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", addr)
+	lc := net.ListenConfig{}
+	if lim.SmallWindow {
+		lc.Control = setSmallWindow
+	}
+	ln, err := lc.Listen(context.Background(), "tcp", addr)
 	if err != nil {
 		return nil, fmt.Errorf("listen on %s: %w", addr, err)
 	}
-	po := &Port{Addr: ln.Addr().String(), ln: netutil.LimitListener(ln, lim.MaxConns)}
+	po := &Port{Addr: ln.Addr().String(), name: lim.Name, process: lim.Process, conns: connTable{max: lim.MaxConns}}
+	po.ln = &listener{Listener: ln, po: po, refusing: make(chan struct{}, maxRefusing)}
 	protocols := &http.Protocols{}
 	protocols.SetHTTP1(true)
-	protocols.SetUnencryptedHTTP2(true)
+	protocols.SetUnencryptedHTTP2(!lim.HTTP1Only)
 	po.srv = &http.Server{
-		ReadHeaderTimeout: readHeaderTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
+		ReadHeaderTimeout: orDefault(lim.HeaderTimeout, defaultHeaderTimeout),
+		IdleTimeout:       orDefault(lim.IdleTimeout, defaultIdleTimeout),
+		MaxHeaderBytes:    orDefault(lim.MaxHeader, defaultMaxHeader),
 		Protocols:         protocols,
+		HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: maxStreams, MaxReceiveBufferPerStream: streamWindow, MaxReceiveBufferPerConnection: connWindow},
+		ConnContext:       func(ctx context.Context, nc net.Conn) context.Context { return context.WithValue(ctx, connKey{}, nc) },
+		ConnState:         recordState,
+		ErrorLog:          lim.Process.errorLog(),
+	}
+	if pr := lim.Process; pr != nil {
+		pr.mu.Lock()
+		pr.ports = append(pr.ports, po)
+		pr.mu.Unlock()
 	}
 	return po, nil
 }
 
+// setSmallWindow sets the receive buffer of a listening socket, which accepted sockets inherit. The
+// limit on memory holds without it where the kernel has no such option.
+func setSmallWindow(_, _ string, rc syscall.RawConn) error {
+	return rc.Control(func(fd uintptr) {
+		_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, smallWindow)
+	})
+}
+
+func orDefault[T time.Duration | int](value, otherwise T) T {
+	if value == 0 {
+		return otherwise
+	}
+	return value
+}
+
+// recordState records that a connection waits for its next request, or serves HTTP/2 streams.
+func recordState(nc net.Conn, state http.ConnState) {
+	co, ok := nc.(*conn)
+	switch {
+	case !ok:
+	case state == http.StateIdle:
+		co.enter(phaseIdle)
+	}
+}
+
 // Serve serves until the port is stopped.
-func (po *Port) Serve(h http.Handler, lim Limits) error {
-	po.srv.Handler = po.withConnectionClose(withLimits(h, lim))
+func (po *Port) Serve(h http.Handler, lim Limits) error { return po.ServeLimited(Limited(h, lim)) }
+
+// ServeLimited is like [Port.Serve], for a handler made by [Limited].
+func (po *Port) ServeLimited(h http.Handler) error {
+	po.srv.Handler = po.withConnectionClose(h)
 	err := po.srv.Serve(po.ln)
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
@@ -85,6 +173,9 @@
 // its way, without an error from the server.
 func (po *Port) DisableKeepAlives() { po.noKeepAlive.Store(true) }
 
+// Drain makes every answer close its connection, and closes connections without a request.
+func (po *Port) Drain() { po.srv.SetKeepAlivesEnabled(false) }
+
 func (po *Port) withConnectionClose(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if po.noKeepAlive.Load() && r.ProtoMajor == 1 {
@@ -94,111 +185,19 @@
 	})
 }
 
-// Stop accepts no new connections and waits for requests in flight until ctx ends; then
-// it closes their connections.
-func (po *Port) Stop(ctx context.Context) error {
+// Shutdown accepts no new connections and waits for requests in flight until ctx ends.
+func (po *Port) Shutdown(ctx context.Context) error {
 	if err := po.srv.Shutdown(ctx); err != nil {
-		return errors.Join(fmt.Errorf("stop %s: %w", po.Addr, err), po.srv.Close())
+		return fmt.Errorf("stop %s: %w", po.Addr, err)
 	}
 	return nil
 }
 
-// withLimits applies the limits to a handler.
-func withLimits(h http.Handler, lim Limits) http.Handler {
-	slots := make(chan struct{}, lim.MaxInFlight)
-	timed := WithTimeouts(h, lim.ReadTimeout, lim.WriteTimeout)
-	refuse := lim.Refuse
-	if refuse == nil {
-		refuse = func(w http.ResponseWriter, _ *http.Request, err *wire.Error) { wire.WriteError(w, err) }
-	}
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		select {
-		case slots <- struct{}{}:
-		default:
-			refuse(w, r, &wire.Error{
-				Status: http.StatusServiceUnavailable, Code: wire.CodeBusy,
-				Message: "too many requests in flight", RetryAfter: busyRetryAfter,
-			})
-			return
-		}
-		defer func() { <-slots }()
-		if r.ContentLength > lim.MaxBody {
-			refuse(w, r, &wire.Error{
-				Status: http.StatusRequestEntityTooLarge, Code: wire.CodeTooLarge,
-				Message: fmt.Sprintf("body is over %d bytes", lim.MaxBody),
-			})
-			return
-		}
-		if r.Body != http.NoBody {
-			r.Body = http.MaxBytesReader(w, r.Body, lim.MaxBody)
-		}
-		timed.ServeHTTP(w, r)
-	})
-}
-
-// WithTimeouts bounds the time to receive a request's body, and the time in which a
-// caller accepts one write of the answer. Zero means no limit.
-func WithTimeouts(h http.Handler, read, write time.Duration) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		rc := http.NewResponseController(w)
-		if read > 0 && r.Body != http.NoBody {
-			_ = rc.SetReadDeadline(time.Now().Add(read))
-			r.Body = &timedBody{ReadCloser: r.Body, rc: rc}
-		}
-		if write > 0 {
-			w = &timedWriter{ResponseWriter: w, rc: rc, timeout: write}
-			// Bytes that are still buffered are sent after the handler returns.
-			defer func() { _ = rc.SetWriteDeadline(time.Now().Add(write)) }()
-		}
-		h.ServeHTTP(w, r)
-	})
-}
-
-// timedWriter gives each write of an answer a deadline of its own. A long answer has no
-// deadline as a whole.
-type timedWriter struct {
-	http.ResponseWriter
-
-	rc      *http.ResponseController
-	timeout time.Duration
-}
-
-// Unwrap implements the interface that [http.ResponseController] uses.
-func (tw *timedWriter) Unwrap() http.ResponseWriter { return tw.ResponseWriter }
-
-// Write implements http.ResponseWriter.
-func (tw *timedWriter) Write(data []byte) (int, error) {
-	defer tw.setDeadline()()
-	return tw.ResponseWriter.Write(data)
-}
-
-// Flush implements http.Flusher. The interface has no error to return; the next write
-// fails too.
-func (tw *timedWriter) Flush() {
-	defer tw.setDeadline()()
-	_ = tw.rc.Flush()
-}
-
-// setDeadline sets the deadline of one write, and returns a function that clears it. An
-// expired deadline would fail the next write, and in HTTP/2 also an answer without
-// writes.
-func (tw *timedWriter) setDeadline() (reset func()) {
-	_ = tw.rc.SetWriteDeadline(time.Now().Add(tw.timeout))
-	return func() { _ = tw.rc.SetWriteDeadline(time.Time{}) }
-}
-
-// timedBody clears the read deadline once the body is read, because it would also end a
-// long answer.
-type timedBody struct {
-	io.ReadCloser
-
-	rc *http.ResponseController
-}
-
-func (tb *timedBody) Read(data []byte) (int, error) {
-	n, err := tb.ReadCloser.Read(data)
-	if errors.Is(err, io.EOF) {
-		_ = tb.rc.SetReadDeadline(time.Time{})
+// Stop is like [Port.Shutdown], but closes the connections of requests that are in flight
+// when ctx ends.
+func (po *Port) Stop(ctx context.Context) error {
+	if err := po.Shutdown(ctx); err != nil {
+		return errors.Join(err, po.srv.Close())
 	}
-	return n, err
+	return nil
 }
--- /dev/null
+++ b/internal/port/process.go
@@ -0,0 +1,245 @@
+package port
+
+import (
+	"context"
+	"log"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/semaphore"
+
+	"github.com/pepperhatch/pepperhatch/internal/telemetry"
+)
+
+// Process has the limits that all ports of a process share: the bytes that requests hold. A nil
+// Process has no limits. Create one with [NewProcess].
+type Process struct {
+	// Machine is what the limits are worked out from.
+	Machine
+
+	metrics *telemetry.Metrics
+	log     *slog.Logger
+	// small is for requests of at most smallBody bytes only, general for all.
+	small, general *pool
+
+	mu    sync.Mutex
+	ports []*Port
+	// reported has the second in which a refusal or closing was last logged, by reason.
+	reported map[string]int64
+}
+
+// NewProcess returns the shared limits of a process on a machine.
+func NewProcess(ma Machine, me *telemetry.Metrics, log *slog.Logger) *Process {
+	half := ma.RequestBytes() / 2
+	return &Process{Machine: ma, metrics: me, log: log, small: newPool(half), general: newPool(half), reported: map[string]int64{}}
+}
+
+// errorLog returns the log for errors of a server, such as panics of handlers.
+func (pr *Process) errorLog() *log.Logger {
+	if pr == nil || pr.log == nil {
+		return slog.NewLogLogger(slog.DiscardHandler, slog.LevelWarn)
+	}
+	return slog.NewLogLogger(pr.log.Handler(), slog.LevelWarn)
+}
+
+// Cost of requests.
+const (
+	// smallBody is the largest body, in bytes, of a request that may use all of the budget.
+	smallBody = 16 << 10
+	// heldPerByte is how many bytes a request takes at most for each byte of its body: the buffer
+	// while it grows, the decoded form, and what is sent on. decodeFactor of package platform's
+	// tests bounds decoding.
+	heldPerByte = 8
+	// heldPerRequest is what a request with a body takes besides, in bytes.
+	heldPerRequest = 4 << 10
+	// closedWait bounds the wait for the bytes of requests that were ended for others.
+	closedWait = 100 * time.Millisecond
+)
+
+// pool is a part of the budget, in bytes.
+type pool struct {
+	size int64
+	sem  *semaphore.Weighted
+	held atomic.Int64
+}
+
+func newPool(size int64) *pool { return &pool{size: size, sem: semaphore.NewWeighted(size)} }
+
+// reservation is the bytes that a request holds.
+type reservation struct {
+	from  *pool
+	bytes int64
+}
+
+// release gives the bytes back.
+func (re *reservation) release() {
+	if re != nil {
+		re.from.held.Add(-re.bytes)
+		re.from.sem.Release(re.bytes)
+	}
+}
+
+// take reserves n bytes of the pool, all of it if that is less, or returns nil.
+func (po *pool) take(n int64) *reservation {
+	n = min(n, po.size)
+	if !po.sem.TryAcquire(n) {
+		return nil
+	}
+	return po.reservation(n)
+}
+
+// await is like take, but waits until ctx ends.
+func (po *pool) await(ctx context.Context, n int64) *reservation {
+	n = min(n, po.size)
+	if po.sem.Acquire(ctx, n) != nil {
+		return nil
+	}
+	return po.reservation(n)
+}
+
+func (po *pool) reservation(n int64) *reservation {
+	po.held.Add(n)
+	return &reservation{from: po, bytes: n}
+}
+
+// reserveBody reserves what a request with a body of n bytes holds.
+func (pr *Process) reserveBody(n int64) (re *reservation, ok bool) {
+	return pr.reserve(heldPerRequest+heldPerByte*n, n <= smallBody)
+}
+
+// reserve reserves n bytes. If they are not available, it first ends requests that make no progress
+// with receiving their bodies.
+func (pr *Process) reserve(n int64, small bool) (re *reservation, ok bool) {
+	if pr == nil {
+		return nil, true
+	}
+	from := pr.general
+	if small {
+		if re := pr.small.take(n); re != nil {
+			return re, true
+		}
+	}
+	if re := from.take(n); re != nil {
+		return re, true
+	}
+	if small {
+		from = pr.small
+	}
+	if !pr.closeStalled(from, n) {
+		return nil, false
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), closedWait)
+	defer cancel()
+	re = from.await(ctx, n)
+	return re, re != nil
+}
+
+// Reserve reserves n bytes for something other than the body of a request, and returns a function
+// that gives them back. The second result is false if they are not available.
+func (pr *Process) Reserve(n int64) (release func(), ok bool) {
+	re, ok := pr.reserve(n, false)
+	return re.release, ok
+}
+
+// closeStalled closes connections whose requests stopped or are slow and hold bytes of a pool, until
+// n bytes come free, and reports whether it closed any.
+func (pr *Process) closeStalled(from *pool, n int64) bool {
+	pr.mu.Lock()
+	ports := pr.ports
+	pr.mu.Unlock()
+	closed := false
+	for _, po := range ports {
+		for n > 0 {
+			held, reason := po.conns.closeHolder(from)
+			if reason == "" {
+				break
+			}
+			closed = true
+			n -= held
+			pr.recordClosed(po.name, reason)
+		}
+	}
+	return closed
+}
+
+// closeHolder closes the connection with the least progress that holds bytes of a pool, unless all
+// make progress, and returns how many it held.
+func (ct *connTable) closeHolder(from *pool) (held int64, reason string) {
+	ct.mu.Lock()
+	co, reason := ct.leastProgress(func(co *conn) bool {
+		re := co.held.Load()
+		return re != nil && re.from == from && phase(co.phase.Load()) == phaseReceiving
+	})
+	if co == nil {
+		ct.mu.Unlock()
+		return 0, ""
+	}
+	delete(ct.conns, co)
+	ct.mu.Unlock()
+	if re := co.held.Load(); re != nil {
+		held = re.bytes
+	}
+	_ = co.Conn.Close()
+	return held, reason
+}
+
+// Reasons for refusals of a port.
+const (
+	refuseConns    = "connections"
+	refuseInFlight = "in-flight"
+	refuseBytes    = "bytes"
+	refuseTooLarge = "too-large"
+)
+
+// recordRefusal counts a request or connection that was refused, and logs one a second.
+func (pr *Process) recordRefusal(port, reason string) {
+	pr.record(telemetry.PortRefusals, "requests refused by a limit of the port", port, reason)
+}
+
+// recordClosed counts a connection that was closed for others, and logs one a second.
+func (pr *Process) recordClosed(port, reason string) {
+	pr.record(telemetry.ConnectionsClosed, "connections closed for others", port, reason)
+}
+
+func (pr *Process) record(name telemetry.Name, message, port, reason string) {
+	if pr == nil {
+		return
+	}
+	pr.metrics.Add(name, 1, "port", port, "reason", reason)
+	second := int64(time.Since(processStart) / time.Second)
+	key := string(name) + port + reason
+	pr.mu.Lock()
+	last, known := pr.reported[key]
+	pr.reported[key] = second
+	pr.mu.Unlock()
+	if pr.log == nil || known && last == second {
+		return
+	}
+	pr.log.Warn(message, "port", port, "reason", reason, "bytes_small", pr.small.held.Load(), "bytes_general", pr.general.held.Load(), "bytes_each", pr.small.size)
+}
+
+// phaseNames are the names of phases in metrics.
+var phaseNames = []struct {
+	phase phase
+	name  string
+}{{phaseIdle, "idle"}, {phaseReceiving, "receiving"}, {phaseServing, "serving"}}
+
+// SetGauges sets the gauges of connections and bytes to their current values.
+func (pr *Process) SetGauges() {
+	if pr == nil {
+		return
+	}
+	pr.mu.Lock()
+	ports := pr.ports
+	pr.mu.Unlock()
+	for _, po := range ports {
+		counts := po.conns.count()
+		for _, ph := range phaseNames {
+			pr.metrics.Set(telemetry.Connections, counts[ph.phase], "port", po.name, "state", ph.name)
+		}
+	}
+	pr.metrics.Set(telemetry.RequestBytes, pr.small.held.Load(), "share", "small")
+	pr.metrics.Set(telemetry.RequestBytes, pr.general.held.Load(), "share", "general")
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -18,6 +18,8 @@
 
 // Serve has the settings of an entry host.
 type Serve struct {
+	Machine
+
 	Name        string   `long:"name" env:"PEPPERHATCH_NAME" description:"name of the host; each process adds a random suffix"`
 	DC          string   `long:"data-centre" env:"PEPPERHATCH_DATA_CENTRE" description:"data centre of the host"`
 	DCs         []string `long:"data-centres" env:"PEPPERHATCH_DATA_CENTRES" env-delim:"," description:"all data centres, the same list on every host"`
@@ -73,6 +75,9 @@
 		err := checkURL(ur.text)
 		reject(err != nil, ur.flag, "%q: %v", ur.text, err)
 	}
+	if err := se.Machine.check(); err != nil {
+		errs = append(errs, err)
+	}
 	reject(se.MaxBody < 1, "max-body", "%d: want at least 1", se.MaxBody)
 	for _, nu := range []struct {
 		flag string
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -69,6 +69,9 @@
 	CopyWaste     Name = "pepperhatch_copy_wasted_core_milliseconds"
 
 	AdmissionDecisions Name = "pepperhatch_admission_decisions"
+
+	PortRefusals      Name = "pepperhatch_port_refusals"
+	ConnectionsClosed Name = "pepperhatch_connections_closed"
 )
 
 // The gauges.
@@ -89,6 +92,8 @@
 	Evacuations     Name = "pepperhatch_evacuated_data_centres"
 	EvacuatedTasks  Name = "pepperhatch_evacuated_tasks"
 	ConfigConfirmed Name = "pepperhatch_config_confirmed_seconds"
+	Connections     Name = "pepperhatch_connections"
+	RequestBytes    Name = "pepperhatch_request_bytes"
 	AdmissionTurns  Name = "pepperhatch_admission_turns"
 )
 
@@ -158,6 +163,8 @@
 	{CopiesStopped, "attempt", "attempts that were stopped because the other one had completed the task", "compare with `pepperhatch_copies_started`"},
 	{CopyWaste, "", "core time of attempts of tasks that another attempt had completed, in milliseconds", "much beside the cores in use: switch off the mechanism `copies`"},
 	{AdmissionDecisions, "outcome, why", "decisions on submitted jobs by the capacity that there is for them: admitted because they have no limit (no-limit), the capacity is not known yet (unknown), some is free (free), the forecast is in time (in-time), their caller came in its turn (turn) or large jobs were refused too often (size); refused as too late (too-late) or before their turn (early)", "refused: more demand than capacity, look for \"decision on capacity\" in the log"},
+	{PortRefusals, "port, reason", "requests that were refused by a limit of the port, before their body was read unless it has no announced length: too many connections (connections) or requests (in-flight), no memory (bytes), or too large (too-large)", "see \"Clients that don't behave\""},
+	{ConnectionsClosed, "port, reason", "connections that were closed for others: their request had stopped arriving (stopped) or arrived slowly (slow), or they had none (idle)", "stopped or slow: see \"Clients that don't behave\"; idle alone: many callers"},
 	{TaskEvents, "event", "tasks started, done, failed, evicted, throttled", "evictions: see place.eviction-budget"},
 }
 
@@ -173,6 +180,8 @@
 	{DataCentreCores, "data_centre, service, part", "cores of the workers in the list, by data centre and service: total, of workers that accept new tasks (usable), reserved by long-running tasks, reserved by tasks that end by themselves (finite), and of usable workers what no task is expected to use (idle)", "usable far below total: look at the workers there; finite low in one data centre and high in another: demand has moved"},
 	{DataCentreWorkers, "data_centre, service, state", "workers in the list (listed), and those of them that accept new tasks (available), by data centre and service", "none available in a data centre: see \"A data centre is cut off\""},
 	{SlowWorkers, "", "workers of the owner's cell that count as slow, 0 elsewhere", "look for \"worker counts as slow\" in the log; the same workers for minutes: look at their machines"},
+	{Connections, "port, state", "open connections when the metrics were read: without a request (idle), with a part of one (receiving), or with a request that is served (serving)", "many receiving: see \"Clients that don't behave\""},
+	{RequestBytes, "share", "bytes reserved for requests with a body when the metrics were read: for small ones only (small) and for all (general)", "near a quarter of the memory that is left beside 32 MB: see \"Clients that don't behave\""},
 	{AdmissionTurns, "", "turns that the cell's owner keeps for the callers of refused jobs", "1,024 is the limit: callers beyond it are asked to return after 10 s and have no turn"},
 	{ConfigVersion, "", "version of the configuration in force at this host", "differs between hosts for over 2 s: see \"A change is not in force\""},
 	{Evacuations, "", "data centres whose evacuation is in force at this host", "differs between hosts for over 5 s: see \"Evacuating a data centre\""},
