port: bound a single reservation by the machine's memory

A frame without end at the relay still took 59 MB of 64: a reservation of more than the whole budget was granted all of it, which let one frame grow to 16 MiB, 49 MB of live heap by the collector's trace. Reservations for frames are refused beyond the budget; a body may take twice the budget, so that the largest legal one is served alone on the smallest machine, and longer ones get 413. The budget is a third of the memory that is left beside 32 MB, and 64 MB the least memory.

--- a/internal/port/machine.go
+++ b/internal/port/machine.go
@@ -15,8 +15,8 @@
 	Descriptors int
 }
 
-// Parts of a machine. Connections and bodies together take up to three quarters of what a process
-// does not need itself; the rest is for its growth and for garbage.
+// Parts of a machine. Connections and bodies together take up to five sixths of what a process does
+// not need itself; the rest is for its growth.
 const (
 	// processBytes is what a process needs without requests.
 	processBytes = 32 << 20
@@ -27,7 +27,7 @@
 	// hosts, and for bodies, as divisors.
 	callerPart = 4
 	peerPart   = 8
-	bytesPart  = 4
+	bytesPart  = 3
 	// descriptorPart is the part of the descriptors that each of these kinds of connections may
 	// take, as a divisor. The others are for the connections that the process opens.
 	descriptorPart = 4
@@ -40,7 +40,7 @@
 const AuxConns = 32
 
 // MinMemory is the smallest memory, in bytes, that a process can serve with.
-const MinMemory = 48 << 20
+const MinMemory = 64 << 20
 
 // spare returns the memory that a process does not need itself, in bytes.
 func (ma Machine) spare() int64 { return max(ma.Memory-processBytes, ma.Memory/4) }
--- a/internal/port/process.go
+++ b/internal/port/process.go
@@ -4,6 +4,7 @@
 	"context"
 	"log"
 	"log/slog"
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -81,8 +82,18 @@
 	}
 }
 
+// maxExcess is how many times the size of a pool a single reservation may be. It then takes all of
+// the pool, so that there is no other: the largest body is served where little else is held.
+const maxExcess = 2
+
+// largest returns the largest reservation in bytes.
+func (po *pool) largest() int64 { return maxExcess * po.size }
+
 // take reserves n bytes of the pool, all of it if that is less, or returns nil.
 func (po *pool) take(n int64) *reservation {
+	if n > po.largest() {
+		return nil
+	}
 	n = min(n, po.size)
 	if !po.sem.TryAcquire(n) {
 		return nil
@@ -92,6 +103,9 @@
 
 // await is like take, but waits until ctx ends.
 func (po *pool) await(ctx context.Context, n int64) *reservation {
+	if n > po.largest() {
+		return nil
+	}
 	n = min(n, po.size)
 	if po.sem.Acquire(ctx, n) != nil {
 		return nil
@@ -104,6 +118,14 @@
 	return &reservation{from: po, bytes: n}
 }
 
+// largestBody returns the length of the largest body, in bytes, that the process can hold.
+func (pr *Process) largestBody() int64 {
+	if pr == nil {
+		return math.MaxInt64
+	}
+	return (pr.general.largest() - heldPerRequest) / heldPerByte
+}
+
 // reserveBody reserves what a request with a body of n bytes holds.
 func (pr *Process) reserveBody(n int64) (re *reservation, ok bool) {
 	return pr.reserve(heldPerRequest+heldPerByte*n, n <= smallBody)
@@ -139,6 +161,9 @@
 // Reserve reserves n bytes for something other than the body of a request, and returns a function
 // that gives them back. The second result is false if they are not available.
 func (pr *Process) Reserve(n int64) (release func(), ok bool) {
+	if pr != nil && n > pr.general.size {
+		return nil, false
+	}
 	re, ok := pr.reserve(n, false)
 	return re.release, ok
 }
--- a/internal/port/requests.go
+++ b/internal/port/requests.go
@@ -37,7 +37,7 @@
 			timed.ServeHTTP(w, r)
 			return
 		}
-		most := lim.maxBody()
+		most := min(lim.maxBody(), lim.Process.largestBody())
 		if r.ContentLength > most {
 			lim.refuse(w, r, refuseTooLarge, &wire.Error{
 				Status: http.StatusRequestEntityTooLarge, Code: wire.CodeTooLarge, Message: fmt.Sprintf("body is over %d bytes", most),
@@ -45,7 +45,7 @@
 			return
 		}
 		an := &answer{ResponseWriter: w}
-		bo := &body{ReadCloser: r.Body, lim: &lim, co: co, announced: r.ContentLength >= 0}
+		bo := &body{ReadCloser: r.Body, lim: &lim, co: co, announced: r.ContentLength >= 0, most: most}
 		bo.refuse = func() {
 			lim.refuse(w, r, refuseBytes, errNoBytes())
 			an.refused.Store(true)
@@ -148,8 +148,9 @@
 	co  *conn
 	// refuse answers the request if the budget does not allow the rest of its body.
 	refuse func()
-	// announced says that the length is known.
+	// announced says that the length is known; most bounds it in bytes.
 	announced bool
+	most      int64
 	// read is the number of bytes that were read, reserved the length for which held has been
 	// reserved.
 	read, reserved int64
@@ -174,8 +175,8 @@
 // Read implements io.Reader. Beyond what the budget allows it answers the request, and returns a
 // [wire.Error].
 func (bo *body) Read(data []byte) (int, error) {
-	if most := bo.lim.maxBody(); !bo.announced && bo.read == bo.reserved && bo.reserved < most {
-		if !bo.reserve(min(bodyStep*bo.reserved, most)) {
+	if !bo.announced && bo.read == bo.reserved && bo.reserved < bo.most {
+		if !bo.reserve(min(bodyStep*bo.reserved, bo.most)) {
 			bo.refuse()
 			return 0, errNoBytes()
 		}
