--- a/e2e/crowd_callers_test.go
+++ b/e2e/crowd_callers_test.go
@@ -1,9 +1,12 @@
 package e2e
 
 import (
+	"context"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
@@ -84,6 +87,39 @@
 	}
 }
 
+// besideClients is the number of clients that come back as soon as they are closed.
+const besideClients = 200
+
+// TestCrowdBesideOrdinaryCallers guards against crowds that keep ordinary callers out by coming back
+// as soon as their connections are closed.
+func TestCrowdBesideOrdinaryCallers(t *testing.T) {
+	for _, cc := range callerCrowds[:7] {
+		inCrowdCase(t, cc.name, func(ct *crowdTarget) {
+			fill := cc.crowd.fill
+			if fill == nil {
+				fill = paddedJob
+			}
+			body := fill(legalBody)
+			ctx, cancel := context.WithCancel(t.Context())
+			var wg sync.WaitGroup
+			defer wg.Wait()
+			defer cancel()
+			for range besideClients {
+				wg.Go(func() {
+					for ctx.Err() == nil {
+						cc.crowd.client(ct.addrs[0], body)
+					}
+				})
+			}
+			for range 5 {
+				time.Sleep(time.Second)
+				ct.await("an ordinary request is served beside the crowd", ct.ordinary)
+			}
+			ct.checkBounds()
+		})
+	}
+}
+
 // TestCrowdIsAbsent guards against limits that refuse a single request inside the users' limits.
 func TestCrowdIsAbsent(t *testing.T) {
 	ct := startCrowdTarget(qt.New(t))
