--- a/e2e/crowd_test.go
+++ b/e2e/crowd_test.go
@@ -89,7 +89,7 @@
 		n := min(left, int64(len(body)))
 		if fr.announced < 0 {
 			n = min(n, int64(fr.chunk))
-			fmt.Fprintf(wr, "%x%s\r\n", n, fr.extension)
+			_, _ = fmt.Fprintf(wr, "%x%s\r\n", n, fr.extension)
 		}
 		at := (fr.sent - left) % int64(len(body))
 		n = min(n, int64(len(body))-at)
@@ -100,7 +100,7 @@
 		left -= n
 	}
 	if fr.end && fr.announced < 0 {
-		fmt.Fprintf(wr, "0\r\n%s\r\n", fr.trailer)
+		_, _ = fmt.Fprintf(wr, "0\r\n%s\r\n", fr.trailer)
 	}
 	if err != nil {
 		return err
@@ -160,6 +160,7 @@
 	if err != nil {
 		return 0
 	}
+	defer func() { _ = resp.Body.Close() }()
 	_, _ = io.Copy(io.Discard, resp.Body)
 	return resp.StatusCode
 }
@@ -307,5 +308,6 @@
 
 // inCrowdCase runs a subtest against a process of its own.
 func inCrowdCase(t *testing.T, name string, fn func(*crowdTarget)) {
+	t.Helper()
 	t.Run(name, func(t *testing.T) { fn(startCrowdTarget(qt.New(t))) })
 }
--- a/internal/port/conns_test.go
+++ b/internal/port/conns_test.go
@@ -22,8 +22,8 @@
 
 // testTable returns a table with n connections, each of which has been silent for a second less than
 // the one before.
-func testTable(max, n int) (*connTable, []*conn) {
-	ct := &connTable{max: max}
+func testTable(most, n int) (*connTable, []*conn) {
+	ct := &connTable{max: most}
 	var list []*conn
 	for range n {
 		server, _ := net.Pipe()
@@ -125,6 +125,7 @@
 	if err != nil {
 		return 0, false
 	}
+	defer func() { _ = resp.Body.Close() }()
 	return resp.StatusCode, !resp.Close
 }
 
