frontend: count a job that the owner's port refused as not taken

Callers would get 504 for a job that the owner's host refused unread, at its limit of connections or bytes: every answer of the owner but "not the owner" counted as an unknown outcome. A refusal by a port has the code busy and no effect, also where it is sent before a request is read, so the job is tried by the intake, or refused with 503.

TestBusyOwnerHasNotTakenJob: outcome unknown before, refused now.

--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -170,7 +170,7 @@
 	if wire.ConnectionRefused(err) {
 		fe.Keeper.NotifyPortRefused(row.Process)
 	}
-	if wire.NotConnected(err) || wire.Code(err) == codeNotOwner {
+	if code := wire.Code(err); wire.NotConnected(err) || code == codeNotOwner || code == wire.CodeBusy {
 		return zero, fmt.Errorf("call owner %s: %w: %w", row.Owner, errNotDelivered, err)
 	}
 	return zero, fmt.Errorf("call owner %s: %w", row.Owner, err)
--- a/internal/frontend/unreachable_test.go
+++ b/internal/frontend/unreachable_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"strings"
 	"testing"
@@ -18,6 +19,7 @@
 	"github.com/pepperhatch/pepperhatch/internal/sched"
 	"github.com/pepperhatch/pepperhatch/internal/store"
 	"github.com/pepperhatch/pepperhatch/internal/tenure"
+	"github.com/pepperhatch/pepperhatch/internal/wire"
 )
 
 // dialTimeout returns the error of opening a connection on a network path that drops all
@@ -141,3 +143,23 @@
 		qt.Assert(t, rows, qt.HasLen, 0)
 	})
 }
+
+// busyTransport answers each request as a port does that is over a limit.
+type busyTransport struct{}
+
+func (busyTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	rec := httptest.NewRecorder()
+	wire.WriteError(rec, &wire.Error{Status: http.StatusServiceUnavailable, Code: wire.CodeBusy, RetryAfter: time.Second})
+	_, _ = io.Copy(io.Discard, r.Body)
+	return rec.Result(), nil
+}
+
+// TestBusyOwnerHasNotTakenJob guards against an unknown outcome of a job that the owner's port refused
+// unread.
+func TestBusyOwnerHasNotTakenJob(t *testing.T) {
+	withRemoteOwner(t, dialTimeout(), func(th *testHost) {
+		th.frontEnd.Peers = &http.Client{Transport: busyTransport{}}
+		th.frontEnd.Table.CommitFunc = func(context.Context, store.Txn) (store.CommitReply, error) { return store.CommitReply{}, dialTimeout() }
+		qt.Assert(t, th.submit().Outcome, qt.Equals, sched.Refused)
+	})
+}
--- a/internal/port/conns.go
+++ b/internal/port/conns.go
@@ -2,12 +2,15 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/pepperhatch/pepperhatch/internal/wire"
 )
 
 // phase is what a connection is used for.
@@ -201,8 +204,12 @@
 	refuseTimeout = 300 * time.Millisecond
 )
 
-// refusal is the answer on a connection over the limit.
-const refusal = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+// refusal is the answer on a connection over the limit, in the form of [wire.WriteError].
+var refusal = func() string {
+	body := fmt.Sprintf(`{"code":%q,"message":"too many connections","retry_after_ms":%d}`, wire.CodeBusy, busyRetryAfter.Milliseconds())
+	return fmt.Sprintf("HTTP/1.1 503 Service Unavailable\r\nRetry-After: %.0f\r\nContent-Type: application/json\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s",
+		busyRetryAfter.Seconds(), len(body), body)
+}()
 
 // listener accepts the connections of a port. It goes on accepting at the limit, as clients would
 // wait in the queue of the kernel otherwise.
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -31,7 +31,8 @@
 	CodeMalformed = "malformed"
 	CodeTooLarge  = "too-large"
 	CodeInternal  = "internal"
-	CodeBusy      = "busy"
+	// CodeBusy: a limit of the port refused the request, which had no effect.
+	CodeBusy = "busy"
 )
 
 // Error is a failure reported by the peer. After any other error of [Post] it is not
