port: don't close HTTP/2 connections whose streams are served

Found by reading: a connection counts as receiving from its first byte on, and only HTTP/1 requests were then marked as served, so at the limit an HTTP/2 connection that had waited for an answer for a second was closed as stopped. The state that net/http reports marks both now.

TestServedStreamsAreNotClosed: unexpected EOF before. The test of the share for small bodies left enough of the other share for its small body, shown by taking the share out; it fills it now.

--- a/internal/port/conns_test.go
+++ b/internal/port/conns_test.go
@@ -91,10 +91,14 @@
 	}
 }
 
-// testMachine has memory for two bodies of testBody bytes.
+// testMachine has memory for two bodies of testBody bytes, and then none for an ordinary one but that
+// for small ones only.
 var testMachine = Machine{Memory: MinMemory, Descriptors: 1000}
 
-const testBody = 256 << 10
+const (
+	testBody     = 340 << 10
+	ordinaryBody = 2 << 10
+)
 
 // testLimits are the limits of a port on testMachine.
 func testLimits() Limits {
@@ -144,7 +148,7 @@
 		status3, kept := readStatus(post(c, url, announced, 0))
 		c.Check(status3, qt.Equals, http.StatusServiceUnavailable)
 		c.Check(kept, qt.IsFalse)
-		c.Check(status(c, url, strings.NewReader("small")), qt.Equals, http.StatusOK)
+		c.Check(status(c, url, strings.NewReader(strings.Repeat("x", ordinaryBody))), qt.Equals, http.StatusOK)
 	})
 	t.Run("unless others have stopped", func(t *testing.T) {
 		c := qt.New(t)
@@ -213,6 +217,31 @@
 	c.Check(answer, qt.Equals, http.StatusServiceUnavailable)
 }
 
+// TestServedStreamsAreNotClosed guards against HTTP/2 connections that count as stopped while their
+// requests are served.
+func TestServedStreamsAreNotClosed(t *testing.T) {
+	c := qt.New(t)
+	gate, entered := make(chan struct{}), make(chan struct{}, 1)
+	url := open(c, func(http.ResponseWriter, *http.Request) { entered <- struct{}{}; <-gate }, Limits{MaxConns: 1})
+	protocols := &http.Protocols{}
+	protocols.SetUnencryptedHTTP2(true)
+	cl := &http.Client{Transport: &http.Transport{Protocols: protocols}}
+	served := make(chan error)
+	go func() {
+		resp, err := cl.Get(url)
+		if err == nil {
+			_ = resp.Body.Close()
+		}
+		served <- err
+	}()
+	<-entered
+	time.Sleep(stoppedAfter + 100*time.Millisecond)
+	answer, _ := readStatus(post(c, url, "Content-Length: 0", 0))
+	c.Check(answer, qt.Equals, http.StatusServiceUnavailable)
+	close(gate)
+	c.Check(<-served, qt.IsNil)
+}
+
 // TestSmallWindow guards against bytes that the kernel holds for the process without a limit.
 func TestSmallWindow(t *testing.T) {
 	c := qt.New(t)
--- a/internal/port/port.go
+++ b/internal/port/port.go
@@ -145,12 +145,17 @@
 	return value
 }
 
-// recordState records that a connection waits for its next request, or serves HTTP/2 streams.
+// recordState records that the header of a request is complete or that an HTTP/2 connection has
+// streams, and that a connection waits for its next request.
 func recordState(nc net.Conn, state http.ConnState) {
 	co, ok := nc.(*conn)
-	switch {
-	case !ok:
-	case state == http.StateIdle:
+	if !ok {
+		return
+	}
+	switch state {
+	case http.StateActive:
+		co.enter(phaseServing)
+	case http.StateIdle:
 		co.enter(phaseIdle)
 	}
 }
--- a/internal/port/requests.go
+++ b/internal/port/requests.go
@@ -19,9 +19,7 @@
 	slots := make(chan struct{}, lim.MaxInFlight)
 	timed := WithTimeouts(h, lim.ReadTimeout, lim.WriteTimeout)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		co := connOf(r)
 		if lim.StreamPath != "" && r.URL.Path == lim.StreamPath {
-			co.enter(phaseServing)
 			h.ServeHTTP(w, r)
 			return
 		}
@@ -33,7 +31,6 @@
 		}
 		defer func() { <-slots }()
 		if r.Body == http.NoBody {
-			co.enter(phaseServing)
 			timed.ServeHTTP(w, r)
 			return
 		}
@@ -44,6 +41,8 @@
 			})
 			return
 		}
+		co := connOf(r)
+		co.enter(phaseReceiving)
 		an := &answer{ResponseWriter: w}
 		bo := &body{ReadCloser: r.Body, lim: &lim, co: co, announced: r.ContentLength >= 0, most: most}
 		bo.refuse = func() {
