port: callers can't take the bytes that other hosts need

Found by reading: bodies of callers and what other hosts send were reserved from the same bytes, so a crowd of callers could make a host refuse jobs that others hand on to it as the owner, and end the streams of relays whose frames are over 16 KiB. Requests of other hosts and frames have a budget of their own, an eighth of the memory beside 32 MB; callers' is a quarter instead of a third, and a single body may take three times its share in place of all others.

--- a/e2e/crowd_callers_test.go
+++ b/e2e/crowd_callers_test.go
@@ -113,6 +113,7 @@
 			}
 			for range 5 {
 				time.Sleep(time.Second)
+				ct.maxOpen = max(ct.maxOpen, ct.openDescriptors())
 				ct.await("an ordinary request is served beside the crowd", ct.ordinary)
 			}
 			ct.checkBounds()
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -174,7 +174,7 @@
 	// The body of a forwarded request is in base64, and the message has other
 	// fields too.
 	return port.Limits{
-		Name: "peers", Process: ho.process, MaxConns: min(ho.set.MaxConns, ho.machine.PeerConns()), MaxInFlight: ho.set.MaxInFlight, MaxBody: 2*ho.set.MaxBody + peerBodyOverhead,
+		Name: "peers", Peers: true, Process: ho.process, MaxConns: min(ho.set.MaxConns, ho.machine.PeerConns()), MaxInFlight: ho.set.MaxInFlight, MaxBody: 2*ho.set.MaxBody + peerBodyOverhead,
 		ReadTimeout: readTimeout, WriteTimeout: writeTimeout,
 	}
 }
--- a/internal/jobhost/ports.go
+++ b/internal/jobhost/ports.go
@@ -53,7 +53,7 @@
 
 func (ho *Host) peerLimits() port.Limits {
 	lim := ho.limits("peers", ho.Machine.PeerConns())
-	lim.MaxBody, lim.StreamPath = maxPeerBody, relay.Path
+	lim.Peers, lim.MaxBody, lim.StreamPath = true, maxPeerBody, relay.Path
 	return lim
 }
 
@@ -92,7 +92,7 @@
 // of a port that ends.
 func (ho *Host) listen(se *Settings) (ports []*port.Port, failed <-chan error, err error) {
 	ho.process = port.NewProcess(ho.Machine, ho.metrics, ho.log)
-	ho.relay.ReserveFunc = ho.process.Reserve
+	ho.relay.ReserveFunc = ho.process.ReserveForPeer
 	list := []struct {
 		addr    string
 		lim     port.Limits
--- a/internal/port/machine.go
+++ b/internal/port/machine.go
@@ -15,19 +15,20 @@
 	Descriptors int
 }
 
-// Parts of a machine. Connections and bodies together take up to five sixths of what a process does
-// not need itself; the rest is for its growth.
+// Parts of a machine. Connections and requests together take up to seven eighths of what a process
+// does not need itself; the rest is for its growth.
 const (
 	// processBytes is what a process needs without requests.
 	processBytes = 32 << 20
 	// connBytes is the most that a connection takes without a body: the largest header while it is
 	// read, the buffers of the connection, and two goroutines.
 	connBytes = 64 << 10
-	// callerPart, peerPart and bytesPart are the parts for connections of callers and of other
-	// hosts, and for bodies, as divisors.
-	callerPart = 4
-	peerPart   = 8
-	bytesPart  = 3
+	// callerPart and peerPart are the parts for connections of callers and of other hosts,
+	// callerBytesPart and peerBytesPart those for their requests, as divisors.
+	callerPart      = 4
+	peerPart        = 8
+	callerBytesPart = 4
+	peerBytesPart   = 8
 	// descriptorPart is the part of the descriptors that each of these kinds of connections may
 	// take, as a divisor. The others are for the connections that the process opens.
 	descriptorPart = 4
@@ -56,8 +57,11 @@
 // PeerConns returns the limit of connections of other hosts.
 func (ma Machine) PeerConns() int { return ma.conns(peerPart) }
 
-// RequestBytes returns the limit of bytes that requests hold, without their connections.
-func (ma Machine) RequestBytes() int64 { return ma.spare() / bytesPart }
+// CallerBytes returns the limit of bytes that requests of callers hold, without their connections.
+func (ma Machine) CallerBytes() int64 { return ma.spare() / callerBytesPart }
+
+// PeerBytes returns the limit of bytes that requests of other hosts hold, without their connections.
+func (ma Machine) PeerBytes() int64 { return ma.spare() / peerBytesPart }
 
 // CollectorLimit returns the memory limit, in bytes, at which the garbage collector works harder.
 // It is below the machine's memory, as it does not count the program itself and its sockets.
--- a/internal/port/port.go
+++ b/internal/port/port.go
@@ -29,6 +29,8 @@
 	Name string
 	// Process has the limits that all ports of the process share. Nil means that there are none.
 	Process *Process
+	// Peers is set for a port of other hosts, whose requests have a budget of their own.
+	Peers bool
 	// MaxConns bounds the open connections, MaxInFlight the requests being served; zero means
 	// that only MaxConns bounds them.
 	MaxConns    int
--- a/internal/port/process.go
+++ b/internal/port/process.go
@@ -22,8 +22,9 @@
 
 	metrics *telemetry.Metrics
 	log     *slog.Logger
-	// small is for requests of at most smallBody bytes only, general for all.
-	small, general *pool
+	// small is for callers' requests of at most smallBody bytes only, general for all of them, and
+	// peers for what other hosts send, so that callers can't keep those out.
+	small, general, peers *pool
 
 	mu    sync.Mutex
 	ports []*Port
@@ -33,8 +34,10 @@
 
 // NewProcess returns the shared limits of a process on a machine.
 func NewProcess(ma Machine, me *telemetry.Metrics, log *slog.Logger) *Process {
-	half := ma.RequestBytes() / 2
-	return &Process{Machine: ma, metrics: me, log: log, small: newPool(half), general: newPool(half), reported: map[string]int64{}}
+	half := ma.CallerBytes() / 2
+	return &Process{
+		Machine: ma, metrics: me, log: log, small: newPool(half), general: newPool(half), peers: newPool(ma.PeerBytes()), reported: map[string]int64{},
+	}
 }
 
 // errorLog returns the log for errors of a server, such as panics of handlers.
@@ -47,7 +50,7 @@
 
 // Cost of requests.
 const (
-	// smallBody is the largest body, in bytes, of a request that may use all of the budget.
+	// smallBody is the largest body, in bytes, of a request that may use all that callers have.
 	smallBody = 16 << 10
 	// heldPerByte is how many bytes a request takes at most for each byte of its body: the buffer
 	// while it grows, the decoded form, and what is sent on. decodeFactor of package platform's
@@ -84,7 +87,7 @@
 
 // maxExcess is how many times the size of a pool a single reservation may be. It then takes all of
 // the pool, so that there is no other: the largest body is served where little else is held.
-const maxExcess = 2
+const maxExcess = 3
 
 // largest returns the largest reservation in bytes.
 func (po *pool) largest() int64 { return maxExcess * po.size }
@@ -118,37 +121,42 @@
 	return &reservation{from: po, bytes: n}
 }
 
+// pools returns the pools that a request with a body of n bytes may use, the preferred one first.
+func (pr *Process) pools(peer bool, n int64) []*pool {
+	switch {
+	case peer:
+		return []*pool{pr.peers}
+	case n <= smallBody:
+		return []*pool{pr.small, pr.general}
+	}
+	return []*pool{pr.general}
+}
+
 // largestBody returns the length of the largest body, in bytes, that the process can hold.
 func (pr *Process) largestBody() int64 {
 	if pr == nil {
 		return math.MaxInt64
 	}
-	return (pr.general.largest() - heldPerRequest) / heldPerByte
+	return (min(pr.general.largest(), pr.peers.largest()) - heldPerRequest) / heldPerByte
 }
 
 // reserveBody reserves what a request with a body of n bytes holds.
-func (pr *Process) reserveBody(n int64) (re *reservation, ok bool) {
-	return pr.reserve(heldPerRequest+heldPerByte*n, n <= smallBody)
-}
-
-// reserve reserves n bytes. If they are not available, it first ends requests that make no progress
-// with receiving their bodies.
-func (pr *Process) reserve(n int64, small bool) (re *reservation, ok bool) {
+func (pr *Process) reserveBody(peer bool, n int64) (re *reservation, ok bool) {
 	if pr == nil {
 		return nil, true
 	}
-	from := pr.general
-	if small {
-		if re := pr.small.take(n); re != nil {
+	return pr.reserve(heldPerRequest+heldPerByte*n, pr.pools(peer, n)...)
+}
+
+// reserve reserves n bytes of one of the pools. If they are not available, it first ends requests that
+// make no progress with receiving their bodies and hold bytes of the first one.
+func (pr *Process) reserve(n int64, pools ...*pool) (re *reservation, ok bool) {
+	for _, from := range pools {
+		if re := from.take(n); re != nil {
 			return re, true
 		}
 	}
-	if re := from.take(n); re != nil {
-		return re, true
-	}
-	if small {
-		from = pr.small
-	}
+	from := pools[0]
 	if !pr.closeStalled(from, n) {
 		return nil, false
 	}
@@ -158,13 +166,16 @@
 	return re, re != nil
 }
 
-// Reserve reserves n bytes for something other than the body of a request, and returns a function
-// that gives them back. The second result is false if they are not available.
-func (pr *Process) Reserve(n int64) (release func(), ok bool) {
-	if pr != nil && n > pr.general.size {
+// ReserveForPeer reserves n bytes for something other than a body that another host sends, and returns
+// a function that gives them back. The second result is false if they are not available.
+func (pr *Process) ReserveForPeer(n int64) (release func(), ok bool) {
+	if pr == nil {
+		return func() {}, true
+	}
+	if n > pr.peers.size {
 		return nil, false
 	}
-	re, ok := pr.reserve(n, false)
+	re, ok := pr.reserve(n, pr.peers)
 	return re.release, ok
 }
 
@@ -242,7 +253,7 @@
 	if pr.log == nil || known && last == second {
 		return
 	}
-	pr.log.Warn(message, "port", port, "reason", reason, "bytes_small", pr.small.held.Load(), "bytes_general", pr.general.held.Load(), "bytes_each", pr.small.size)
+	pr.log.Warn(message, "port", port, "reason", reason, "bytes_small", pr.small.held.Load(), "bytes_general", pr.general.held.Load(), "bytes_peers", pr.peers.held.Load())
 }
 
 // phaseNames are the names of phases in metrics.
@@ -267,4 +278,5 @@
 	}
 	pr.metrics.Set(telemetry.RequestBytes, pr.small.held.Load(), "share", "small")
 	pr.metrics.Set(telemetry.RequestBytes, pr.general.held.Load(), "share", "general")
+	pr.metrics.Set(telemetry.RequestBytes, pr.peers.held.Load(), "share", "peers")
 }
--- a/internal/port/requests.go
+++ b/internal/port/requests.go
@@ -159,7 +159,7 @@
 // reserve reserves what a request with a body of n bytes holds, in place of what was reserved.
 func (bo *body) reserve(n int64) bool {
 	bo.release()
-	held, ok := bo.lim.Process.reserveBody(n)
+	held, ok := bo.lim.Process.reserveBody(bo.lim.Peers, n)
 	bo.held, bo.reserved = held, n
 	bo.co.hold(held)
 	return ok
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -181,7 +181,7 @@
 	{DataCentreWorkers, "data_centre, service, state", "workers in the list (listed), and those of them that accept new tasks (available), by data centre and service", "none available in a data centre: see \"A data centre is cut off\""},
 	{SlowWorkers, "", "workers of the owner's cell that count as slow, 0 elsewhere", "look for \"worker counts as slow\" in the log; the same workers for minutes: look at their machines"},
 	{Connections, "port, state", "open connections when the metrics were read: without a request (idle), with a part of one (receiving), or with a request that is served (serving)", "many receiving: see \"Clients that don't behave\""},
-	{RequestBytes, "share", "bytes reserved for requests with a body when the metrics were read: for small ones only (small) and for all (general)", "near a sixth of the memory that is left beside 32 MB: see \"Clients that don't behave\""},
+	{RequestBytes, "share", "bytes reserved for requests with a body when the metrics were read: callers' small ones only (small) and all of callers (general), and for other hosts (peers)", "near an eighth of the memory that is left beside 32 MB: see \"Clients that don't behave\""},
 	{AdmissionTurns, "", "turns that the cell's owner keeps for the callers of refused jobs", "1,024 is the limit: callers beyond it are asked to return after 10 s and have no turn"},
 	{ConfigVersion, "", "version of the configuration in force at this host", "differs between hosts for over 2 s: see \"A change is not in force\""},
 	{Evacuations, "", "data centres whose evacuation is in force at this host", "differs between hosts for over 5 s: see \"Evacuating a data centre\""},
