dev: work out limits of a machine that is not set from the kernel's

Not the load: its settings have no machine, whose budget is of 0 bytes, so that since a single reservation is bounded every request with a body to a stand-in was refused. The command always sets one.

TestRun failed alone before, every time, and passes now.

--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -33,7 +33,7 @@
 
 // Settings describes a run.
 type Settings struct {
-	// Machine is the size of the machine.
+	// Machine is the size of the machine; zero means what the kernel reports.
 	Machine port.Machine
 	// Duration bounds the run; with zero it lasts until ctx ends.
 	Duration time.Duration
@@ -91,6 +91,12 @@
 
 // Run runs the deployment under load and reports whether a guarantee was violated.
 func Run(ctx context.Context, set Settings) (bool, error) {
+	if set.Machine == (port.Machine{}) {
+		var err error
+		if set.Machine, err = port.DetectMachine(); err != nil {
+			return false, err
+		}
+	}
 	de := &deployment{set: set}
 	de.process = port.NewProcess(de.part(), nil, set.Log)
 	de.hosts.Lag = 200 * time.Millisecond
