port, frontend, cli: shorter functions, one decoder of submitted specs

No change of behaviour: serving a request with a body is a function of its own, a submission of another host uses job.SubmittedSpec in place of a decoder of its own, and the memory limit of the collector is set where programs start.

--- a/internal/cli/run.go
+++ b/internal/cli/run.go
@@ -48,7 +48,7 @@
 	if ho.Machine, err = rc.Size(); err != nil {
 		return &exitError{code: ExitUsage, err: err}
 	}
-	settings.LimitCollector(ho.Machine)
+	limitCollector(ho.Machine)
 	ho.Without = without
 	if without != 0 {
 		log.Warn("scheduling mechanisms disabled", "without", rc.Without)
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -5,11 +5,13 @@
 	"fmt"
 	"log/slog"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
 	"github.com/pepperhatch/pepperhatch/internal/dev"
 	"github.com/pepperhatch/pepperhatch/internal/entry"
+	"github.com/pepperhatch/pepperhatch/internal/port"
 	"github.com/pepperhatch/pepperhatch/internal/settings"
 )
 
@@ -18,6 +20,9 @@
 	return signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 }
 
+// limitCollector makes the garbage collector of this process keep within the machine's memory.
+func limitCollector(ma port.Machine) { debug.SetMemoryLimit(ma.CollectorLimit()) }
+
 type serveCommand struct {
 	settings.Serve
 
@@ -35,7 +40,7 @@
 	if err != nil {
 		return &exitError{code: ExitUsage, err: err}
 	}
-	settings.LimitCollector(ma)
+	limitCollector(ma)
 	ho, err := entry.New(sc.Serve, log)
 	if err != nil {
 		return err
@@ -84,7 +89,7 @@
 	if err != nil {
 		return &exitError{code: ExitUsage, err: err}
 	}
-	settings.LimitCollector(ma)
+	limitCollector(ma)
 	violated, err := dev.Run(ctx, dev.Settings{Machine: ma, Duration: dc.Duration, Rate: dc.Rate, Out: dc.st.out, Log: log})
 	if err != nil {
 		return err
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -180,22 +180,9 @@
 
 // submission is the request that submits a job to the owner.
 type submission struct {
-	ID    string    `json:"id"`
-	Terms job.Terms `json:"terms"`
-	Spec  job.Spec  `json:"spec"`
-}
-
-// UnmarshalJSON implements json.Unmarshaler.
-func (su *submission) UnmarshalJSON(data []byte) error {
-	type plain submission
-	body := struct {
-		*plain
-
-		Spec job.SubmittedSpec `json:"spec"`
-	}{plain: (*plain)(su)}
-	err := json.Unmarshal(data, &body)
-	su.Spec = body.Spec.Spec
-	return err
+	ID    string            `json:"id"`
+	Terms job.Terms         `json:"terms"`
+	Spec  job.SubmittedSpec `json:"spec"`
 }
 
 // canWriteForOwner reports whether the owner refused a job because its writes to the
--- a/internal/frontend/peer_api.go
+++ b/internal/frontend/peer_api.go
@@ -34,7 +34,7 @@
 func (fe *FrontEnd) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("POST "+pathSubmit, handle(fe, func(ctx context.Context, ow *sched.Owner, req submission) (sched.Verdict, error) {
-		return ow.Submit(ctx, req.ID, req.Terms, req.Spec)
+		return ow.Submit(ctx, req.ID, req.Terms, req.Spec.Spec)
 	}))
 	mux.Handle("POST "+pathCancel, handle(fe, func(ctx context.Context, ow *sched.Owner, req reference) (sched.Verdict, error) {
 		return ow.Cancel(ctx, req.ID)
--- a/internal/frontend/submit.go
+++ b/internal/frontend/submit.go
@@ -32,7 +32,7 @@
 // no further effect.
 func (fe *FrontEnd) Submit(ctx context.Context, id string, te job.Terms, sp job.Spec) sched.Verdict {
 	start := time.Now()
-	ve, err := fe.submitToOwner(ctx, submission{ID: id, Terms: te, Spec: sp})
+	ve, err := fe.submitToOwner(ctx, submission{ID: id, Terms: te, Spec: job.SubmittedSpec{Spec: sp}})
 	via := "owner"
 	write := func(noEffect bool) sched.Verdict {
 		via = "intake"
@@ -61,7 +61,7 @@
 		go fe.cancelForIntake(ctx, row, cancel)
 	}
 	return callUntilDone(ctx, fe, pathSubmit, su, func(ctx context.Context, ow *sched.Owner) (sched.Verdict, error) {
-		return ow.Submit(ctx, su.ID, su.Terms, su.Spec)
+		return ow.Submit(ctx, su.ID, su.Terms, su.Spec.Spec)
 	})
 }
 
--- a/internal/job/submitted.go
+++ b/internal/job/submitted.go
@@ -7,7 +7,8 @@
 )
 
 // SubmittedSpec is a spec that arrives in a request. Its lists are counted while they are decoded,
-// so that what it takes in memory is bounded by the length of the request.
+// so that what it takes in memory is bounded by the length of the request. It is encoded like a
+// [Spec].
 type SubmittedSpec struct{ Spec }
 
 // UnmarshalJSON implements json.Unmarshaler.
--- a/internal/port/requests.go
+++ b/internal/port/requests.go
@@ -34,35 +34,40 @@
 			timed.ServeHTTP(w, r)
 			return
 		}
-		most := min(lim.maxBody(), lim.Process.largestBody())
-		if r.ContentLength > most {
-			lim.refuse(w, r, refuseTooLarge, &wire.Error{
-				Status: http.StatusRequestEntityTooLarge, Code: wire.CodeTooLarge, Message: fmt.Sprintf("body is over %d bytes", most),
-			})
-			return
-		}
-		co := connOf(r)
-		co.enter(phaseReceiving)
-		an := &answer{ResponseWriter: w}
-		bo := &body{ReadCloser: r.Body, lim: &lim, co: co, announced: r.ContentLength >= 0, most: most}
-		bo.refuse = func() {
-			lim.refuse(w, r, refuseBytes, errNoBytes())
-			an.refused.Store(true)
-		}
-		first := r.ContentLength
-		if !bo.announced {
-			first = min(smallBody, most)
-		}
-		if !bo.reserve(first) {
-			lim.refuse(w, r, refuseBytes, errNoBytes())
-			return
-		}
-		defer bo.release()
-		r.Body = http.MaxBytesReader(w, bo, most)
-		timed.ServeHTTP(an, r)
+		lim.serveBody(timed, w, r)
 	})
 }
 
+// serveBody serves a request with a body, once what it holds is reserved.
+func (lim Limits) serveBody(h http.Handler, w http.ResponseWriter, r *http.Request) {
+	most := min(lim.maxBody(), lim.Process.largestBody())
+	if r.ContentLength > most {
+		lim.refuse(w, r, refuseTooLarge, &wire.Error{
+			Status: http.StatusRequestEntityTooLarge, Code: wire.CodeTooLarge, Message: fmt.Sprintf("body is over %d bytes", most),
+		})
+		return
+	}
+	co := connOf(r)
+	co.enter(phaseReceiving)
+	an := &answer{ResponseWriter: w}
+	bo := &body{ReadCloser: r.Body, lim: &lim, co: co, announced: r.ContentLength >= 0, most: most}
+	bo.refuse = func() {
+		lim.refuse(w, r, refuseBytes, errNoBytes())
+		an.refused.Store(true)
+	}
+	first := r.ContentLength
+	if !bo.announced {
+		first = min(smallBody, most)
+	}
+	if !bo.reserve(first) {
+		lim.refuse(w, r, refuseBytes, errNoBytes())
+		return
+	}
+	defer bo.release()
+	r.Body = http.MaxBytesReader(w, bo, most)
+	h.ServeHTTP(an, r)
+}
+
 // answer is the answer of a handler. Once the port has refused the request, it discards what the
 // handler answers about the body that it could not read.
 type answer struct {
--- a/internal/settings/machine.go
+++ b/internal/settings/machine.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"runtime/debug"
 
 	"github.com/pepperhatch/pepperhatch/internal/port"
 )
@@ -50,6 +49,3 @@
 	}
 	return size, nil
 }
-
-// LimitCollector makes the garbage collector of this process keep within the machine's memory.
-func LimitCollector(ma port.Machine) { debug.SetMemoryLimit(ma.CollectorLimit()) }
