port: let clients read why they were refused

Not the load alone: a refusal set the read deadline to the past, so net/http closed the connection with bytes unread, which resets it; a client that still sends sees the reset and never the answer. net/http also looks at its own body to decide whether to wait before it closes, which the port had replaced.

--- a/internal/port/conns_test.go
+++ b/internal/port/conns_test.go
@@ -170,6 +170,25 @@
 		body := io.MultiReader(strings.NewReader(strings.Repeat("x", testBody)))
 		c.Check(status(c, url, body), qt.Equals, http.StatusServiceUnavailable)
 	})
+	t.Run("with an answer that arrives, although the client sends on", func(t *testing.T) {
+		c := qt.New(t)
+		lim := testLimits()
+		url := open(c, readAll, lim)
+		for range 2 {
+			post(c, url, announced, 1)
+		}
+		pool := lim.Process.general
+		eventually(c, func() bool { return pool.held.Load() > pool.size/2 })
+		conn := post(c, url, "Transfer-Encoding: chunked", 0)
+		_, err := fmt.Fprintf(conn, "%x\r\n%s", testBody, strings.Repeat("x", testBody/2))
+		c.Assert(err, qt.IsNil)
+		time.Sleep(lingerTime / 4)
+		_, err = io.WriteString(conn, strings.Repeat("x", testBody/4))
+		c.Assert(err, qt.IsNil)
+		answer, kept := readStatus(conn)
+		c.Check(answer, qt.Equals, http.StatusServiceUnavailable)
+		c.Check(kept, qt.IsFalse)
+	})
 	t.Run("and all is given back", func(t *testing.T) {
 		c := qt.New(t)
 		lim := testLimits()
--- a/internal/port/requests.go
+++ b/internal/port/requests.go
@@ -64,6 +64,9 @@
 		return
 	}
 	defer bo.release()
+	received := r.Body
+	// The server looks at its own body to decide how to close the connection.
+	defer func() { r.Body = received }()
 	r.Body = http.MaxBytesReader(w, bo, most)
 	h.ServeHTTP(an, r)
 }
@@ -123,16 +126,20 @@
 
 func errNoBytes() *wire.Error { return busy("no memory for the body") }
 
-// refuse answers a request that is over a limit, counts it, and closes its connection instead of
-// reading the body.
+// lingerTime is how long a connection stays open for a client to read why it was refused.
+const lingerTime = time.Second
+
+// refuse answers a request that is over a limit, counts it, and closes its connection; the body is
+// discarded.
 func (lim Limits) refuse(w http.ResponseWriter, r *http.Request, reason string, err *wire.Error) {
 	lim.Process.recordRefusal(lim.Name, reason)
 	if r.Body != http.NoBody {
 		if r.ProtoMajor == 1 {
 			w.Header().Set("Connection", "close")
 		}
-		// The server would read on after the handler.
-		_ = http.NewResponseController(w).SetReadDeadline(time.Now())
+		// After the answer the server reads on for this long: closing a connection with bytes that
+		// were not read takes the answer from the client.
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(lingerTime))
 	}
 	if lim.Refuse != nil {
 		lim.Refuse(w, r, err)
