--- a/internal/port/conns_test.go
+++ b/internal/port/conns_test.go
@@ -131,18 +131,27 @@
 	return resp.StatusCode, !resp.Close
 }
 
+// announced is the header of a body of testBody bytes.
+var announced = fmt.Sprintf("Content-Length: %d", testBody)
+
+// openFull serves a port whose general share two bodies hold that have just begun to arrive, and returns
+// its URL.
+func openFull(c *qt.C, lim Limits) string {
+	url := open(c, readAll, lim)
+	for range 2 {
+		post(c, url, announced, 1)
+	}
+	pool := lim.Process.general
+	eventually(c, func() bool { return pool.held.Load() > pool.size/2 })
+	return url
+}
+
 // TestBodiesOverTheBudgetAreRefused guards against bodies that hold more than the process may.
 func TestBodiesOverTheBudgetAreRefused(t *testing.T) {
-	announced := fmt.Sprintf("Content-Length: %d", testBody)
 	t.Run("large ones, while small ones are served", func(t *testing.T) {
 		c := qt.New(t)
 		lim := testLimits()
-		url := open(c, readAll, lim)
-		for range 2 {
-			post(c, url, announced, 1)
-		}
-		pool := lim.Process.general
-		eventually(c, func() bool { return pool.held.Load() > pool.size/2 })
+		url := openFull(c, lim)
 		status3, kept := readStatus(post(c, url, announced, 0))
 		c.Check(status3, qt.Equals, http.StatusServiceUnavailable)
 		c.Check(kept, qt.IsFalse)
@@ -161,24 +170,14 @@
 	t.Run("of unknown length, as soon as they are too large", func(t *testing.T) {
 		c := qt.New(t)
 		lim := testLimits()
-		url := open(c, readAll, lim)
-		for range 2 {
-			post(c, url, announced, 1)
-		}
-		pool := lim.Process.general
-		eventually(c, func() bool { return pool.held.Load() > pool.size/2 })
+		url := openFull(c, lim)
 		body := io.MultiReader(strings.NewReader(strings.Repeat("x", testBody)))
 		c.Check(status(c, url, body), qt.Equals, http.StatusServiceUnavailable)
 	})
 	t.Run("with an answer that arrives, although the client sends on", func(t *testing.T) {
 		c := qt.New(t)
 		lim := testLimits()
-		url := open(c, readAll, lim)
-		for range 2 {
-			post(c, url, announced, 1)
-		}
-		pool := lim.Process.general
-		eventually(c, func() bool { return pool.held.Load() > pool.size/2 })
+		url := openFull(c, lim)
 		conn := post(c, url, "Transfer-Encoding: chunked", 0)
 		_, err := fmt.Fprintf(conn, "%x\r\n%s", testBody, strings.Repeat("x", testBody/2))
 		c.Assert(err, qt.IsNil)
