e2e: chunks of a crowd have the size that is drawn

Found by reading: the content of bodies repeated 4,096 bytes, so that no chunk was longer, and where a chunk went past their end its size was written before it was cut, which made the framing invalid (chunks of 100 bytes of the random crowds). Chunks are as long as stated now, up to 128 KiB; no bound changes.

--- a/e2e/crowd_test.go
+++ b/e2e/crowd_test.go
@@ -32,6 +32,10 @@
 	crowdMaxFDs   = 800
 )
 
+// blankBody is the number of blanks, in bytes, of which bodies without other content consist. No chunk
+// is larger.
+const blankBody = 128 << 10
+
 // Times of a crowd.
 const (
 	// crowdHold is how long the clients of a crowd keep their connections open after the last
@@ -86,13 +90,12 @@
 	wr := bufio.NewWriterSize(deadlineWriter{conn}, max(fr.piece, 512))
 	_, err := wr.Write(head.Bytes())
 	for left := fr.sent; left > 0 && err == nil; {
-		n := min(left, int64(len(body)))
+		at := (fr.sent - left) % int64(len(body))
+		n := min(left, int64(len(body))-at)
 		if fr.announced < 0 {
 			n = min(n, int64(fr.chunk))
 			_, _ = fmt.Fprintf(wr, "%x%s\r\n", n, fr.extension)
 		}
-		at := (fr.sent - left) % int64(len(body))
-		n = min(n, int64(len(body))-at)
 		_, err = wr.Write(body[at : at+n])
 		if fr.announced < 0 {
 			_, _ = wr.WriteString("\r\n")
@@ -121,7 +124,7 @@
 // run lets all clients send their request to addr at the same time and stay until the host closes
 // their connections, crowdHold at most. It returns the number of answers by status, with 0 for none.
 func (cr *crowd) run(c *qt.C, addr string) map[int]int {
-	body := bytes.Repeat([]byte(" "), 4096)
+	body := bytes.Repeat([]byte(" "), blankBody)
 	if cr.fill != nil {
 		body = cr.fill(max(cr.framing.announced, cr.framing.sent))
 	}
