sched: log what the bound on a lapsed worker's leases rests on; count calls that another incarnation answers

The logs could not tell whether leases of a restarted worker were extended by calls meant for its former process, or whether the next owner's bound is too early for all workers. Now a line and a counter, by kind of call, say when another incarnation answers than the one addressed, and the line for attempts that end because leases have lapsed says what the bound rests on, for how long it had passed and how old the process is.

--- a/internal/sched/death.go
+++ b/internal/sched/death.go
@@ -73,19 +73,20 @@
 // may be blamed for a crash. A worker that is listed, or whose entry may be missing only
 // because the list is unreliable, counts as unreachable.
 func (wk *workerState) endLapsed(now time.Time) {
-	wk.endAll(wk.unlisted && !wk.leftAsPlanned() && wk.ow.listReliable(now), "its leases have lapsed")
+	crashed := wk.unlisted && !wk.leftAsPlanned() && wk.ow.listReliable(now)
+	wk.endAll(crashed, "its leases have lapsed", wk.leaseBound(now).logArgs(wk.incarnation, now)...)
 }
 
 // endAll ends all attempts on a lost worker. If crashed is set, its process ended unplanned,
-// and the ends say which attempts may have caused that.
-func (wk *workerState) endAll(crashed bool, why string) {
+// and the ends say which attempts may have caused that. The arguments are for the log.
+func (wk *workerState) endAll(crashed bool, why string, args ...any) {
 	var le lostEnds
 	for at := range wk.allAttempts() {
 		end := at.lossEnd(crashed)
 		le.add(at.step(), end)
 		wk.ow.recordEnd(at.tj, at.ref, at.number, end, "", why)
 	}
-	wk.ow.logLost(wk.incarnation, le, why, wk.sinceLastContact(time.Now()))
+	wk.ow.logLost(wk.incarnation, le, why, wk.sinceLastContact(time.Now()), args...)
 }
 
 // lossEnd returns how the attempt ended on a lost worker; crashed says that the worker's
--- a/internal/sched/incarnation.go
+++ b/internal/sched/incarnation.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/pepperhatch/pepperhatch/internal/job"
+	"github.com/pepperhatch/pepperhatch/internal/telemetry"
 	"github.com/pepperhatch/pepperhatch/internal/worker"
 )
 
@@ -19,6 +20,14 @@
 // maxOrderDelay is how long after it was sent an unanswered order may still be carried out.
 const maxOrderDelay = 5 * time.Second
 
+// Labels of calls to workers, for metrics and the log.
+const (
+	callLaunch = "launch"
+	callHalt   = "halt"
+	callPace   = "pace"
+	callPoll   = "poll"
+)
+
 // workerOfEntry returns the worker of an entry, or nil. An entry without the start time of the
 // process belongs to the only incarnation that is known.
 func (ow *Owner) workerOfEntry(we WorkerEntry) *workerState {
@@ -74,14 +83,22 @@
 	}
 }
 
-// reportIncarnation handles the error of an order or a poll, in which another incarnation may
-// have answered. It may be called from any goroutine.
-func (wk *workerState) reportIncarnation(err error) {
+// reportIncarnation handles the error of a call, in which another incarnation may have answered.
+// It may be called from any goroutine.
+func (wk *workerState) reportIncarnation(call string, err error) {
 	if ie := (*worker.IncarnationError)(nil); errors.As(err, &ie) {
-		wk.ow.post(func() { wk.handleOtherIncarnation(ie.Answered) })
+		wk.ow.post(func() { wk.handleOtherAnswer(call, ie) })
 	}
 }
 
+// handleOtherAnswer handles that another incarnation answered a call to this one, which it may
+// have carried out.
+func (wk *workerState) handleOtherAnswer(call string, ie *worker.IncarnationError) {
+	wk.ow.Metrics.Add(telemetry.AnsweredByOther, 1, "call", call)
+	wk.ow.Log.Info("call answered by another incarnation", "call", call, "worker", ie.Expected, "answered", ie.Answered)
+	wk.handleOtherIncarnation(ie.Answered)
+}
+
 // setIncarnation sets the incarnation of a worker whose entry does not have it.
 func (wk *workerState) setIncarnation(answered worker.Incarnation) {
 	delete(wk.ow.workers, wk.incarnation)
@@ -158,6 +175,16 @@
 	wake(wk.pathChanged)
 }
 
+// leaseBound returns the latest end of any lease on the worker.
+func (wk *workerState) leaseBound(now time.Time) leaseBound {
+	if wk.settled {
+		left := time.Duration(wk.leaseUntilMS-wk.earliestClock(now)) * time.Millisecond
+		return leaseBound{until: now.Add(left + lapseMargin), basis: basisOwn}
+	}
+	lb := wk.ow.formerLeases(wk.incarnation)
+	return lb.later(leaseBound{until: wk.unsettledUntil(), basis: basisRestart})
+}
+
 // unsettledUntil returns when all attempts that may run on an unsettled worker have ended at
 // the latest.
 func (wk *workerState) unsettledUntil() time.Time {
--- a/internal/sched/launch.go
+++ b/internal/sched/launch.go
@@ -100,7 +100,7 @@
 	}
 	ow.Log.Info("launch not done", "task", taskID(at), "attempt", at.number, "worker", at.wk.incarnation, "err", err)
 	if ie := (*worker.IncarnationError)(nil); errors.As(err, &ie) {
-		at.wk.handleOtherIncarnation(ie.Answered)
+		at.wk.handleOtherAnswer(callLaunch, ie)
 		if at.wk.dead {
 			return
 		}
@@ -222,7 +222,7 @@
 	pt := wk.currentPath()
 	res, err := ow.Agent.PollFunc(ctx, pt.addr, worker.Poll{Fence: pt.fence})
 	if err != nil {
-		wk.reportIncarnation(err)
+		wk.reportIncarnation(callPoll, err)
 		return worker.PollResult{}, err
 	}
 	answered := time.Now()
@@ -258,7 +258,7 @@
 	pt := wk.currentPath()
 	_, err := ow.Agent.HaltFunc(ctx, pt.addr, worker.Halt{Attempt: wa, Fence: pt.fence})
 	if err != nil {
-		wk.reportIncarnation(err)
+		wk.reportIncarnation(callHalt, err)
 		ow.Log.Info("halt not done", "task", wa.Task, "attempt", wa.Number, "worker", pt.addr.Incarnation, "err", err)
 	}
 	return err == nil
--- a/internal/sched/load.go
+++ b/internal/sched/load.go
@@ -224,5 +224,5 @@
 		}
 		tj.unowned = remaining
 	}
-	ow.logLost(incarnation, le, unseenReason, now.Sub(ow.startedAt))
+	ow.logLost(incarnation, le, unseenReason, now.Sub(ow.startedAt), ow.formerLeases(incarnation).logArgs(incarnation, now)...)
 }
--- a/internal/sched/lossreport.go
+++ b/internal/sched/lossreport.go
@@ -27,11 +27,11 @@
 }
 
 // logLost logs the ends of the attempts on a lost worker; quiet is the time since its last
-// contact.
-func (ow *Owner) logLost(incarnation worker.Incarnation, le lostEnds, why string, quiet time.Duration) {
+// contact. Further arguments are added to the line.
+func (ow *Owner) logLost(incarnation worker.Incarnation, le lostEnds, why string, quiet time.Duration, args ...any) {
 	if le.attempts == 0 {
 		return
 	}
-	ow.Log.Warn("attempts of a lost worker ended", "worker", incarnation, "attempts", le.attempts, "lasting", le.longRunning,
-		"ends", formatCounts(le.ends), "why", why, "quiet", quiet, "opened", time.Since(ow.startedAt))
+	ow.Log.Warn("attempts of a lost worker ended", append([]any{"worker", incarnation, "attempts", le.attempts, "lasting", le.longRunning,
+		"ends", formatCounts(le.ends), "why", why, "quiet", quiet, "opened", time.Since(ow.startedAt)}, args...)...)
 }
--- a/internal/sched/pace.go
+++ b/internal/sched/pace.go
@@ -205,7 +205,7 @@
 	pa.Fence = pt.fence
 	_, err := ow.Agent.PaceFunc(ctx, pt.addr, pa)
 	if err != nil {
-		at.wk.reportIncarnation(err)
+		at.wk.reportIncarnation(callPace, err)
 		ow.Log.Info("pace order failed", "task", pa.Task, "attempt", pa.Number, "worker", pt.addr.Incarnation, "err", err)
 	}
 	timedOut := time.Since(sent) >= timeout
--- a/internal/sched/polls.go
+++ b/internal/sched/polls.go
@@ -222,7 +222,7 @@
 	ie := (*worker.IncarnationError)(nil)
 	switch {
 	case errors.As(err, &ie):
-		wk.handleOtherIncarnation(ie.Answered)
+		wk.handleOtherAnswer(callPoll, ie)
 	case errors.Is(err, worker.ErrOtherIncarnation):
 		wk.markDead("another process answers at its address", worker.Incarnation{})
 	case errors.Is(err, worker.ErrFenced):
--- a/internal/sched/workerstate.go
+++ b/internal/sched/workerstate.go
@@ -441,23 +441,29 @@
 	return now.After(ow.formerLeasesUntil(incarnation))
 }
 
-// formerLeasesUntil returns when these attempts have ended at the latest: at the time that the
+// formerLeasesUntil returns the time of [Owner.formerLeases].
+func (ow *Owner) formerLeasesUntil(incarnation worker.Incarnation) time.Time {
+	return ow.formerLeases(incarnation).until
+}
+
+// formerLeases returns when these attempts have ended at the latest: at the time that the
 // former owner stated when it released the cell, even if its own leases end earlier. Otherwise
 // it is a lease after the last moment at which a former owner can have extended one, or the
 // latest end of the leases of former owners if these are bounded and that is earlier.
-func (ow *Owner) formerLeasesUntil(incarnation worker.Incarnation) time.Time {
+func (ow *Owner) formerLeases(incarnation worker.Incarnation) leaseBound {
 	if ms, ok := ow.Tenure.Former.LeaseLapseMS[incarnation.String()]; ok {
-		return ow.startedAt.Add(time.Duration(ms)*time.Millisecond + lapseMargin)
+		return leaseBound{until: ow.startedAt.Add(time.Duration(ms)*time.Millisecond + lapseMargin), basis: basisStated}
 	}
 	extended, lapsed := ow.formerLeaseBounds()
 	if ended := ow.Tenure.FormerEnded(); !ended.IsZero() && ended.Before(extended) {
 		extended = ended
 	}
-	until := extended.Add(maxDriftDuration(ow.Limits.MaxLease))
-	if ow.Tenure.Former.Bounded && lapsed.Before(until) {
-		until = lapsed
+	lb := leaseBound{until: extended.Add(maxDriftDuration(ow.Limits.MaxLease)), basis: basisCeased}
+	if ow.Tenure.Former.Bounded && lapsed.Before(lb.until) {
+		lb = leaseBound{until: lapsed, basis: basisConfirmed}
 	}
-	return until.Add(lapseMargin)
+	lb.until = lb.until.Add(lapseMargin)
+	return lb
 }
 
 // formerLeaseBounds returns the latest time at which former owners can have extended leases,
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -57,11 +57,12 @@
 	InterruptedTime   Name = "pepperhatch_interrupted_milliseconds"
 	InterruptedMissed Name = "pepperhatch_interrupted_missed"
 
-	WorkersCrashed Name = "pepperhatch_workers_crashed"
-	SuspectStarts  Name = "pepperhatch_suspect_starts"
-	TasksGivenUp   Name = "pepperhatch_tasks_given_up"
-	QueuedStarts   Name = "pepperhatch_queued_starts"
-	SlowMoves      Name = "pepperhatch_slow_worker_moves"
+	WorkersCrashed  Name = "pepperhatch_workers_crashed"
+	AnsweredByOther Name = "pepperhatch_calls_answered_by_other_incarnation"
+	SuspectStarts   Name = "pepperhatch_suspect_starts"
+	TasksGivenUp    Name = "pepperhatch_tasks_given_up"
+	QueuedStarts    Name = "pepperhatch_queued_starts"
+	SlowMoves       Name = "pepperhatch_slow_worker_moves"
 
 	CopiesStarted Name = "pepperhatch_copies_started"
 	CopyFirstEnds Name = "pepperhatch_copy_first_ends"
@@ -154,6 +155,7 @@
 	{InterruptedMissed, "", "simulated checks, 1.5 s apart with each of 15 phases, that were the third in a row to find an interrupted long-running task not running while two workers had the capacity", "growth: look for \"capacity for interrupted tasks\" in the log"},
 	{RelaysLost, "", "streams from an owner to other entry hosts that ended", "look for \"relay not used for a while\" in the owner's log"},
 	{WorkersCrashed, "attempts", "workers whose process ended without a report, by whether attempts were present at the worker (some) or not (none)", "some: look for \"task given up\" and \"trying a task under which workers ended\" in the log"},
+	{AnsweredByOther, "call", "calls to a worker (launch, halt, pace, poll) that another incarnation of it answered than the one addressed, and may have carried out", "growth without restarts of workers: look for \"call answered by another incarnation\" in the log"},
 	{SuspectStarts, "how", "starts of tasks whose workers ended: spread (apart), or isolated (alone), because after one more crash the task is given up", "alone: a task crashes its workers, or workers crash often"},
 	{TasksGivenUp, "why", "tasks that are not retried, for as many failures as their queue allows or for crashes of their workers", "crashes: notify the job's owner"},
 	{QueuedStarts, "outcome", "interrupted tasks that were placed on the capacity of attempts being stopped: started there, or abandoned to be placed anew", "abandoned: workers stop attempts late or not at all, look for \"halt not done\" in the log"},
