--- a/internal/sched/cluster_test.go
+++ b/internal/sched/cluster_test.go
@@ -135,7 +135,11 @@
 
 // agent wraps the workers' client with the host's unreachable workers.
 func (ch *clusterHost) agent() worker.Agent {
-	ag := deferral.Wrap(ch.cl.fleet.Agent())
+	ag := ch.cl.fleet.Agent()
+	if ch.cl.wrapAgentFunc != nil {
+		ag = ch.cl.wrapAgentFunc(ag)
+	}
+	ag = deferral.Wrap(ag)
 	return worker.Agent{
 		LaunchFunc: withUnreachable(ch, ag.LaunchFunc), HaltFunc: withUnreachable(ch, ag.HaltFunc),
 		PaceFunc: withUnreachable(ch, ag.PaceFunc), PollFunc: withUnreachable(ch, ag.PollFunc),
@@ -213,6 +217,13 @@
 	return list
 }
 
+// listedWorkers returns the entries of the workers' present processes.
+func (cl *cluster) listedWorkers() []WorkerEntry {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	return cl.workerEntries()
+}
+
 // latest returns the latest process of a host.
 func (cl *cluster) latest(name string) *clusterHost {
 	cl.mu.Lock()
@@ -234,7 +245,7 @@
 	err := ow.Run(ctx, func() {
 		ch.ow.Store(ow)
 		go ch.reportHosts(ctx, te)
-		go ow.SetWorkers(ch.cl.workerEntries(), nil, true)
+		go ow.SetWorkers(ch.cl.listedWorkers(), nil, true)
 	})
 	return ow.Handover(), err
 }
--- a/internal/sched/ownerloss_test.go
+++ b/internal/sched/ownerloss_test.go
@@ -10,19 +10,27 @@
 
 	"github.com/pepperhatch/pepperhatch/internal/standin"
 	"github.com/pepperhatch/pepperhatch/internal/tenure"
+	"github.com/pepperhatch/pepperhatch/internal/worker"
 )
 
 // lostRestartDeadline is the longest time from the claim of a cell until the tasks of lost
 // workers run elsewhere.
 const lostRestartDeadline = 9 * time.Second
 
-// withSixHosts runs a long-running job of four tasks on three workers of six hosts, of which
-// the first owns the cell, and then calls test.
-func withSixHosts(t *testing.T, maxLease time.Duration, test func(cl *cluster, owner *clusterHost)) {
+// sixHosts is a cell of six hosts, of which the first owns it.
+type sixHosts struct {
+	workers   int
+	maxLease  time.Duration
+	wrapAgent func(worker.Agent) worker.Agent
+}
+
+// run runs a long-running job of four tasks in the cell, and then calls test.
+func (sh sixHosts) run(t *testing.T, test func(cl *cluster, owner *clusterHost)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		cl := &cluster{lab: newLab(t, 3), maxLease: maxLease}
+		cl := &cluster{lab: newLab(t, sh.workers), maxLease: sh.maxLease}
 		defer cl.stop()
+		cl.wrapAgentFunc = sh.wrapAgent
 		cl.fleet.RunFunc = runUntilStopped
 		owner := cl.startHost("a", 0.8)
 		time.Sleep(time.Second)
@@ -37,6 +45,12 @@
 	})
 }
 
+// withSixHosts runs test in a cell of six hosts and three workers.
+func withSixHosts(t *testing.T, maxLease time.Duration, test func(cl *cluster, owner *clusterHost)) {
+	t.Helper()
+	sixHosts{workers: 3, maxLease: maxLease}.run(t, test)
+}
+
 // TestWorkersLostWithTheirOwner guards against tasks of lost workers that start again only
 // 14.6 s after the claim when the former owner cannot be asked.
 func TestWorkersLostWithTheirOwner(t *testing.T) {
