dev: follow each accepted job to its end during the run

Users of `pepperhatch dev` saw a violated guarantee and exit code 6 as soon as a run took a minute or longer, also when they ended it with Ctrl-C, and no line told which job was concerned: the lines marked BROKEN left jobs out, and "no violated guarantee was found" was printed above the error.

Cause: states were queried only after the run, while the owner forgets a job a minute after its end. A forgotten job counted as one that did not succeed.

States of jobs whose end was not seen are now queried after each submission. A job that is forgotten before its end was seen is a violation of its own. At the end, jobs that succeeded are queried once more, as before, unless the owner may have forgotten them. Each job that did not succeed and each task that ran twice has a line marked BROKEN with its ID. Output of a run without violations is as before. The cell can now be started without its sockets, so that tests run it in virtual time.

--- a/internal/dev/check.go
+++ b/internal/dev/check.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -110,14 +111,15 @@
 }
 
 // reportResults prints the counts, compares the answers that callers received with the
-// logs of runners and workers, and reports whether a guarantee was violated.
-func (de *deployment) reportResults(re load.Report, se *sessionStats, ta taskStats) (bool, error) {
+// logs of runners and workers, prints the violations found, those of jobs included, and
+// reports whether there are any.
+func (de *deployment) reportResults(re load.Report, se *sessionStats, ta taskStats, jobViolations []string) (bool, error) {
 	if err := re.WriteText(de.set.Out); err != nil {
 		return false, err
 	}
 	de.printf("  sessions %d with %d events", sessionCount, se.events)
 	de.printf("  tasks started %d, done %d, evicted or moved %d", ta.started, ta.done, ta.evicted)
-	violations := se.violations
+	violations := slices.Concat(se.violations, jobViolations)
 	if re.Wrong > 0 {
 		violations = append(violations, fmt.Sprintf("%d answers were not the request's own", re.Wrong))
 	}
--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -117,19 +117,19 @@
 		return false, err
 	}
 	de.printAddresses()
-	de.printf("  pepperhatch batch list --addr %s", bc.addr)
+	de.printf("  pepperhatch batch list --addr %s", bc.client.Addr)
 	jctx, stopJobs := context.WithCancel(ctx)
 	defer stopJobs()
 	jobs := make(chan jobCounts, 1)
 	go func() { jobs <- bc.submitJobs(jctx) }()
 	re, se := de.runLoad(ctx)
 	stopJobs()
-	jobsViolated := bc.reportJobs(<-jobs)
+	jc := <-jobs
+	bc.reportJobs(jc)
 	counts := de.taskCounts()
 	stopHosts()
 	de.hostsWG.Wait()
-	violated, err := de.reportResults(re, se, counts)
-	return violated || jobsViolated, err
+	return de.reportResults(re, se, counts, jc.violations)
 }
 
 // serve serves a handler on a free loopback port.
--- a/internal/dev/jobs.go
+++ b/internal/dev/jobs.go
@@ -27,6 +27,8 @@
 	cellName       = "c0"
 	submitInterval = 400 * time.Millisecond
 	jobTaskTime    = 300 * time.Millisecond
+	// keepEnded is how long the owner keeps the state of ended jobs.
+	keepEnded = time.Minute
 	// restartInterval is the time between two worker restarts, restartDowntime how long
 	// a worker is down, and rerunTime how long its interrupted tasks take to run again.
 	restartInterval = 2 * time.Second
@@ -41,7 +43,8 @@
 	frontEnd *frontend.FrontEnd
 	keeper   *tenure.Keeper
 	owner    atomic.Pointer[sched.Owner]
-	addr     string
+	// client calls the job API of the cell.
+	client jobapi.Client
 
 	mu sync.Mutex
 	// workers holds the current incarnation of each worker.
@@ -50,6 +53,18 @@
 
 // startJobs starts the cell, its job API and the worker restarts.
 func (de *deployment) startJobs(ctx context.Context) (*batchCell, error) {
+	bc := newBatchCell(de)
+	addr, err := de.serve(jobapi.Handler(bc.frontEnd))
+	if err != nil {
+		return nil, err
+	}
+	bc.client = jobapi.Client{HTTP: http.DefaultClient, Addr: addr}
+	bc.start(ctx)
+	return bc, nil
+}
+
+// newBatchCell returns a cell that has not been started and whose job API is not served.
+func newBatchCell(de *deployment) *batchCell {
 	bc := &batchCell{de: de}
 	bc.fleet.RunFunc = func(worker.Attempt) (time.Duration, string) { return jobTaskTime, "done" }
 	co := queue.New(1, 0, []queue.Queue{{Name: jobQueue, Service: service, MaxFailures: 2, Stretch: 2, AllowanceMS: 1000}})
@@ -61,22 +76,21 @@
 		Cell: cellName, Table: de.table.Client(), Keeper: bc.keeper, Peers: http.DefaultClient,
 		Local: bc.owner.Load, ConfigFunc: func() *queue.Config { return co }, Log: de.set.Log,
 	}
-	addr, err := de.serve(jobapi.Handler(bc.frontEnd))
-	if err != nil {
-		return nil, err
-	}
-	bc.addr = addr
+	return bc
+}
+
+// start starts the workers, the owner of the cell and the worker restarts.
+func (bc *batchCell) start(ctx context.Context) {
 	bc.addWorkers()
-	de.hostsWG.Go(func() { bc.keeper.Run(ctx) })
-	de.hostsWG.Go(func() { bc.restartWorkers(ctx) })
-	return bc, nil
+	bc.de.hostsWG.Go(func() { bc.keeper.Run(ctx) })
+	bc.de.hostsWG.Go(func() { bc.restartWorkers(ctx) })
 }
 
 // serveCell runs the owner of the cell for one tenure.
 func (bc *batchCell) serveCell(ctx context.Context, te tenure.Tenure) (map[string]int64, error) {
 	ow := sched.New(&sched.Owner{
 		Cell: cellName, Tenure: te, Table: bc.de.table.Client(), Agent: deferral.Wrap(bc.fleet.Agent()), Log: bc.de.set.Log,
-		Limits: sched.Limits{MaxLease: 6 * time.Second, StopTime: time.Second, HarmAfter: 4 * time.Second, KeepEnded: time.Minute},
+		Limits: sched.Limits{MaxLease: 6 * time.Second, StopTime: time.Second, HarmAfter: 4 * time.Second, KeepEnded: keepEnded},
 	})
 	defer bc.owner.Store(nil)
 	err := ow.Run(ctx, func() {
@@ -130,45 +144,28 @@
 	bc.workers[i] = bc.fleet.Restart(fw, fw.Addr.HostPort, 0)
 }
 
-// jobCounts counts accepted and succeeded jobs, and tasks that ran twice.
-type jobCounts struct {
-	accepted, done, ranTwice int
-}
-
-// submitJobs submits jobs of two steps until ctx ends, and returns the counts.
+// submitJobs submits jobs of two steps until ctx ends, follows each accepted one to its end,
+// and returns the counts.
 func (bc *batchCell) submitJobs(ctx context.Context) jobCounts {
-	cl := jobapi.Client{HTTP: http.DefaultClient, Addr: bc.addr}
 	each := worker.Resources{MilliCores: 2000, MemMB: 4000}
 	sp := job.Spec{Payload: "load the vans", Steps: []job.Step{
 		{Tasks: 4, Each: each, EstimateMS: 300}, {Tasks: 2, Each: each, EstimateMS: 300, After: []int{0}},
 	}}
-	var ids []string
+	jf := jobFollower{client: bc.client}
 	for n := 1; clock.Sleep(ctx, submitInterval); n++ {
-		id := fmt.Sprintf("%016x", n)
-		ve, err := cl.Submit(ctx, jobapi.Submission{ID: id, Queue: jobQueue, Spec: sp})
+		fj := followedJob{id: fmt.Sprintf("%016x", n), submitted: time.Now()}
+		ve, err := bc.client.Submit(ctx, jobapi.Submission{ID: fj.id, Queue: jobQueue, Spec: sp})
 		if err == nil && ve.Outcome == sched.Accepted {
-			ids = append(ids, id)
+			jf.add(fj)
 		}
+		jf.poll(ctx)
 	}
-	return bc.count(context.WithoutCancel(ctx), cl, ids)
-}
-
-// count waits for the last jobs and returns the counts.
-func (bc *batchCell) count(ctx context.Context, cl jobapi.Client, ids []string) jobCounts {
+	ctx = context.WithoutCancel(ctx)
 	clock.Sleep(ctx, 4*jobTaskTime+rerunTime)
-	jc := jobCounts{accepted: len(ids)}
-	for _, id := range ids {
-		if state, err := cl.State(ctx, id); err == nil && state == job.Succeeded {
-			jc.done++
-		}
-	}
-	jc.ranTwice = len(standin.RunViolations(bc.fleet.Runs()))
-	return jc
+	return jf.finish(ctx, standin.RunViolations(bc.fleet.Runs()))
 }
 
-// reportJobs prints the counts and reports whether a guarantee was violated: an accepted
-// job has not succeeded, or a task ran twice.
-func (bc *batchCell) reportJobs(jc jobCounts) bool {
+// reportJobs prints the counts.
+func (bc *batchCell) reportJobs(jc jobCounts) {
 	bc.de.printf("jobs with steps: %d accepted, %d succeeded, %d tasks run twice", jc.accepted, jc.done, jc.ranTwice)
-	return jc.done < jc.accepted || jc.ranTwice > 0
 }
