standin: a start of a run that is there extends the leases

The fleet took it from starts that it refused as old or for lack of capacity, and not from one that it acknowledged as running already.

TestLeasesOfStartsThatStartNothing has the five cases and a cut to the longest lease; the two of a run that is there failed before.

--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -287,12 +287,11 @@
 	if fw.isFenced(la.Fence) {
 		return fw.ack(), worker.ErrFenced
 	}
-	if ta := fw.running[la.Task]; ta != nil && ta.run.Number == la.Number {
-		return fw.ack(), nil
-	}
 	fw.extendLease(la.LeaseUntilMS)
-	switch {
-	case fw.running[la.Task] != nil || la.Number <= fw.lastAttempt[la.Task]:
+	switch ta := fw.running[la.Task]; {
+	case ta != nil && ta.run.Number == la.Number:
+		return fw.ack(), nil
+	case ta != nil || la.Number <= fw.lastAttempt[la.Task]:
 		return fw.ack(), worker.ErrStaleAttempt
 	case fw.leaseUntil <= fw.clock():
 		return fw.ack(), worker.ErrLeaseExpired
--- /dev/null
+++ b/internal/standin/fleet_test.go
@@ -0,0 +1,71 @@
+package standin
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/pepperhatch/pepperhatch/internal/worker"
+)
+
+// newTestFleet returns a fleet with leases of 10 s, and its only worker, which has two cores and
+// runs tasks of one core each until they are stopped.
+func newTestFleet() (*Fleet, *FleetWorker) {
+	core := worker.Resources{MilliCores: 1000}
+	fl := &Fleet{
+		MaxLease:      10 * time.Second,
+		RunFunc:       func(worker.Attempt) (time.Duration, string) { return -1, "" },
+		ResourcesFunc: func(worker.Attempt) worker.Resources { return core },
+	}
+	fw := &FleetWorker{Addr: worker.Addr{HostPort: "10.0.0.1:80", Incarnation: worker.Incarnation{ID: "i-1"}}, Capacity: core.Add(core)}
+	fl.Add(fw)
+	return fl, fw
+}
+
+// launchOf returns an order to start an attempt with a lease until a time of the worker's clock.
+func launchOf(task string, number int, until int64) worker.Launch {
+	return worker.Launch{Attempt: worker.Attempt{Task: task, Number: number}, Fence: 2, LeaseUntilMS: until}
+}
+
+// runsFor returns for how long the first run of the fleet lasts.
+func runsFor(fl *Fleet) time.Duration {
+	time.Sleep(time.Minute)
+	ru := fl.Runs()[0]
+	return ru.Until.Sub(ru.From).Round(100 * time.Millisecond)
+}
+
+// TestLeasesOfStartsThatStartNothing guards against tests of leases that are shorter than those of
+// workers, which take the lease of a start also if they run the attempt already or refuse it as old
+// or for lack of capacity, but not as fenced.
+func TestLeasesOfStartsThatStartNothing(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		launch  worker.Launch
+		wantErr error
+		want    time.Duration
+	}{
+		{"runs already", launchOf("a", 2, 9000), nil, 8 * time.Second},
+		{"old", launchOf("a", 1, 9000), worker.ErrStaleAttempt, 8 * time.Second},
+		{"no capacity", launchOf("c", 1, 9000), worker.ErrNoCapacity, 8 * time.Second},
+		{"fenced", worker.Launch{Attempt: worker.Attempt{Task: "a", Number: 2}, Fence: 1, LeaseUntilMS: 9000}, worker.ErrFenced, 4 * time.Second},
+		{"shorter", launchOf("a", 2, 3000), nil, 4 * time.Second},
+		{"longer than the longest", launchOf("a", 2, 3_600_000), nil, 11 * time.Second},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				fl, fw := newTestFleet()
+				for _, la := range []worker.Launch{launchOf("a", 2, 5000), launchOf("b", 1, 5000)} {
+					_, err := fl.Agent().LaunchFunc(context.Background(), fw.Addr, la)
+					qt.Assert(t, err, qt.IsNil)
+				}
+				time.Sleep(time.Second)
+				_, err := fl.Agent().LaunchFunc(context.Background(), fw.Addr, tc.launch)
+				qt.Check(t, err, qt.Equals, tc.wantErr)
+				qt.Check(t, runsFor(fl), qt.Equals, tc.want)
+			})
+		})
+	}
+}
