standin: the clock of a worker's next process shows any time

The clock of each process began at a second, so that of the next process was always behind: no test drew one that is ahead, by which leases for the former process are shorter or over. FleetWorker.ClockStart, and for restarts Fleet.ClockStartFunc, set it. A restarted worker keeps the speed of its clock, which is its machine's.

TestClockOfTheNextProcess has a clock that is not set, behind, a little and far ahead.

--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -72,6 +72,8 @@
 	// OmitStartTime leaves the start time of the worker's process out of answers to
 	// orders; answers to polls always have it.
 	OmitStartTime bool
+	// ClockStartFunc, if set, returns the ClockStart of processes that Restart starts.
+	ClockStartFunc func() time.Duration
 
 	mu      sync.Mutex
 	workers map[string]*FleetWorker
@@ -92,6 +94,8 @@
 	OrderDelay time.Duration
 	// ClockRate is the speed of its clock relative to real time; 0 means 1.
 	ClockRate float64
+	// ClockStart is the time of its clock when the process starts; 0 means a second.
+	ClockStart time.Duration
 	// RunFunc, if set, overrides that of the fleet.
 	RunFunc func(at worker.Attempt) (time.Duration, string)
 
@@ -158,10 +162,14 @@
 
 // Restart kills a worker's process and starts a new one with the same id at an address.
 // The new process has no state of the old one, and its clock and the numbers of its ends
-// restart. The wall clock of its host was stepped by the given time in between.
+// restart; the clock runs as fast as before. The wall clock of its host was stepped by the
+// given time in between.
 func (fl *Fleet) Restart(fw *FleetWorker, hostPort string, stepped time.Duration) *FleetWorker {
 	fl.Kill(fw)
-	next := &FleetWorker{Addr: fw.Addr, Capacity: fw.Capacity}
+	next := &FleetWorker{Addr: fw.Addr, Capacity: fw.Capacity, ClockRate: fw.ClockRate}
+	if fl.ClockStartFunc != nil {
+		next.ClockStart = fl.ClockStartFunc()
+	}
 	next.Addr.HostPort = hostPort
 	next.Addr.Incarnation.StartedMS = time.Now().Add(stepped).UnixMilli()
 	if next.Addr.Incarnation == fw.Addr.Incarnation {
@@ -234,15 +242,14 @@
 	return fences
 }
 
-// clock returns the worker's clock in milliseconds. It is 1000 when the worker starts.
+// clock returns the worker's clock in milliseconds.
 func (fw *FleetWorker) clock() int64 {
-	rate := fw.ClockRate
-	if rate == 0 {
-		rate = 1
-	}
-	return 1000 + int64(float64(time.Since(fw.startedAt).Milliseconds())*rate)
+	passed := float64(time.Since(fw.startedAt).Milliseconds()) * fw.rate()
+	return cmp.Or(fw.ClockStart, time.Second).Milliseconds() + int64(passed)
 }
 
+func (fw *FleetWorker) rate() float64 { return cmp.Or(fw.ClockRate, 1) }
+
 // extendLease sets the end of the lease, in milliseconds of the worker's clock, unless it
 // is earlier than the current one.
 func (fw *FleetWorker) extendLease(until int64) {
@@ -253,11 +260,7 @@
 		return
 	}
 	fw.leaseUntil = until
-	rate := fw.ClockRate
-	if rate == 0 {
-		rate = 1
-	}
-	time.AfterFunc(time.Duration(float64(until-fw.clock())/rate)*time.Millisecond+time.Millisecond, fw.expireLease)
+	time.AfterFunc(time.Duration(float64(until-fw.clock())/fw.rate())*time.Millisecond+time.Millisecond, fw.expireLease)
 }
 
 // expireLease ends all runs if the lease has expired.
--- a/internal/standin/fleet_test.go
+++ b/internal/standin/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -69,3 +70,41 @@
 		})
 	}
 }
+
+// TestClockOfTheNextProcess guards against tests that know restarts only with a clock which goes
+// back to a second: that of the next process shows any time, and is as slow as before.
+func TestClockOfTheNextProcess(t *testing.T) {
+	for _, tc := range []struct {
+		name        string
+		start       time.Duration
+		wantClockMS int64
+		// want is how long an attempt runs whose start, for the former process, extends leases
+		// to 69 s of its clock; 0 if it does not start.
+		want time.Duration
+	}{
+		{"not set", 0, 1980, 10200 * time.Millisecond},
+		{"behind", 5 * time.Second, 5980, 10200 * time.Millisecond},
+		{"a little ahead", 62 * time.Second, 62_980, 6100 * time.Millisecond},
+		{"ahead", time.Hour, 3_600_980, 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				fl, fw := newTestFleet()
+				fw.ClockRate = 0.98
+				fl.ClockStartFunc = func() time.Duration { return tc.start }
+				time.Sleep(time.Minute)
+				fl.Restart(fw, fw.Addr.HostPort, 0)
+				time.Sleep(time.Second)
+				ack, err := fl.Agent().LaunchFunc(context.Background(), fw.Addr, launchOf("a", 1, 69_000))
+				qt.Check(t, ack.ClockMS, qt.Equals, tc.wantClockMS)
+				ie := (*worker.IncarnationError)(nil)
+				qt.Check(t, errors.As(err, &ie), qt.IsTrue)
+				if tc.want == 0 {
+					qt.Check(t, fl.Runs(), qt.HasLen, 0)
+					return
+				}
+				qt.Check(t, runsFor(fl), qt.Equals, tc.want)
+			})
+		})
+	}
+}
