sched: test that tasks seen running don't await late orders

Tasks of a restarted worker that is out of reach start again within 9 s of the claim, or of the answer that showed the restart, if a poll had listed them: their orders can't arrive at the next process.

--- a/internal/sched/restartlease_test.go
+++ b/internal/sched/restartlease_test.go
@@ -313,3 +313,29 @@
 		cl.assertRunning(hostsTasks + 1)
 	})
 }
+
+// TestTasksSeenRunningDoNotAwaitLateOrders guards against tasks of a restarted worker that is out of reach which
+// start again late, as if their orders could still arrive.
+func TestTasksSeenRunningDoNotAwaitLateOrders(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		lose func(cl *cluster, owner *clusterHost, former *standin.FleetWorker)
+	}{
+		{"same owner", func(_ *cluster, owner *clusterHost, former *standin.FleetWorker) {
+			owner.setUnreachable(former)
+			owner.set(func(ch *clusterHost) { ch.reachableOnce = map[worker.Incarnation]bool{former.Addr.Incarnation: true} })
+		}},
+		{"next owner", func(_ *cluster, owner *clusterHost, _ *standin.FleetWorker) { owner.kill() }},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			withSixHosts(t, 10*time.Second, func(cl *cluster, owner *clusterHost) {
+				qt.Assert(t, len(cl.tasksAt(cl.fleetWorkers[0])) > 0, qt.IsTrue)
+				former := cl.fleetWorkers[0]
+				cl.cutOffWorker(cl.restartWorker(0, 0))
+				tc.lose(cl, owner, former)
+				time.Sleep(tenure.UnreachableTimeout + time.Second + lostRestartDeadline)
+				cl.assertRunning(hostsTasks)
+			})
+		})
+	}
+}
