relay: send no order that its caller has given up

Owners saw workers carry out orders through a relay seconds after they had been given up. By then another process can run under the worker's id, which has seen no fencing token and takes the order for its own.

Cause: an order was queued in the form in which it is written, and stayed queued when its caller stopped waiting. While the connection to the relay is slow, or the relay reads slowly, the queue holds up to 10,000 orders, and the relay gave each of them its whole timeout from its arrival.

An order that found the queue full had already changed what the relay counts as told: the address of the worker and its fencing token were left out of all later orders. The relay then sent these with the token of the former path, or to no address at all.

Orders are now brought into that form when their frame is written. Those without a caller are left out, the timeout of the others is what is left of it, and what the relay is told only once follows from the orders that were written.

TestGivenUpOrdersAreNotSent failed before with two orders in the frame, the first of them given up 1 s earlier.

--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -33,7 +33,7 @@
 	owner string
 	epoch int64
 	log   *slog.Logger
-	out   *outbox[order]
+	out   *outbox[queuedOrder]
 	// openTimeout bounds the time until the stream is open.
 	openTimeout time.Duration
 	// onLeaving is called when the relay's host is about to stop.
@@ -64,6 +64,15 @@
 	last   time.Time
 }
 
+// queuedOrder is an order that waits to be written. What the relay is told only once is left out
+// when it is written, so that an order that is dropped before leaves no gap.
+type queuedOrder struct {
+	order
+
+	addr     worker.Addr
+	deadline time.Time
+}
+
 // result is the outcome of an order.
 type result struct {
 	answer answer
@@ -75,7 +84,7 @@
 // newStream returns a stream to the relay via for the owner of an epoch.
 func newStream(via, owner string, epoch int64, log *slog.Logger) *stream {
 	return &stream{
-		via: via, owner: owner, epoch: epoch, log: log, out: newOutbox[order](), openTimeout: openTimeout,
+		via: via, owner: owner, epoch: epoch, log: log, out: newOutbox[queuedOrder](), openTimeout: openTimeout,
 		pending: map[int64]chan<- result{}, workers: map[worker.Addr]*workerRef{}, decoders: map[int]*diffDecoder{}, payloads: map[uint64]payloadRef{},
 	}
 }
@@ -119,7 +128,7 @@
 func (st *stream) write(ctx context.Context, cancel context.CancelFunc, in *io.PipeWriter) {
 	defer cancel()
 	enc := json.NewEncoder(in)
-	err := st.out.sendLoop(ctx.Done(), func(list []order) error { return enc.Encode(orderFrame{Orders: list}) })
+	err := st.out.sendLoop(ctx.Done(), func(list []queuedOrder) error { return enc.Encode(orderFrame{Orders: st.toWrite(list)}) })
 	if err != nil && ctx.Err() == nil {
 		st.log.Info("cannot write to the stream to a relay", "relay", st.via, "err", err)
 	}
@@ -208,18 +217,33 @@
 	}
 	st.lastN++
 	or.N = st.lastN
-	or = or.withTimeout(time.Until(deadline))
-	st.setWorker(ad, &or)
-	if or.Kind == kindLaunch {
-		st.setPayload(&or)
-	}
-	if !st.out.put(or) {
+	if !st.out.put(queuedOrder{order: or, addr: ad, deadline: deadline}) {
 		return 0, fmt.Errorf("through relay %s, whose queue of orders is full: %w", st.via, worker.ErrNotSent)
 	}
 	st.pending[or.N] = ch
 	return or.N, nil
 }
 
+// toWrite returns the orders of a frame: those for whose answers a caller still waits. By the time
+// that an order which was given up reached its worker, another process could run there.
+func (st *stream) toWrite(list []queuedOrder) orderList {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	orders := make(orderList, 0, len(list))
+	for _, qo := range list {
+		if st.pending[qo.N] == nil {
+			continue
+		}
+		or := qo.withTimeout(time.Until(qo.deadline))
+		st.setWorker(qo.addr, &or)
+		if or.Kind == kindLaunch {
+			st.setPayload(&or)
+		}
+		orders = append(orders, or)
+	}
+	return orders
+}
+
 // setWorker sets the worker of an order, and leaves out its fencing token if that is the same
 // as in the previous order to the worker.
 func (st *stream) setWorker(ad worker.Addr, or *order) {
