relay: count the timeout of an order from its receipt

Owners saw a relay that had been suspended send orders to workers long after they had been given up. A worker's process that has restarted in the meantime has seen no fencing token and carries them out.

Cause: a relay noticed that it had stood still only if that happened while it waited for a frame. If it was suspended while it started the orders of one, it then executed these with their whole timeout, and also those of the frames that had arrived meanwhile, as reading them took no time.

The time between two frames is now measured from one receipt to the next, and the timeout of an order runs from the receipt of its frame. An order whose time is over before it is sent is answered with that error.

TestRelaySuspendedAfterReadDropsOrders failed before: both launches were sent after 1 s, where one was wanted, and after 5 s, where none was. What remains is a suspension between the check and the write to the worker.

--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -174,7 +174,7 @@
 	}
 }
 
-// maxReadStall is by how much the wait for a frame may exceed the idle timeout, to allow for
+// maxReadStall is by how much the time between frames may exceed the idle timeout, to allow for
 // scheduling delay of this process.
 const maxReadStall = time.Second
 
@@ -189,16 +189,18 @@
 	frames := &wire.FrameReader{Reader: body, MaxBytes: maxFrameBytes, ReserveFunc: se.sv.ReserveFunc}
 	defer frames.Close()
 	dec := json.NewDecoder(frames)
+	last := time.Now()
 	for {
-		asked := time.Now()
 		var fr orderFrame
 		if err := dec.Decode(&fr); err != nil {
 			return fmt.Errorf("read frame: %w", err)
 		}
 		frames.Next()
-		if took := time.Since(asked); took > idleTimeout+maxReadStall {
+		got := time.Now()
+		if took := got.Sub(last); took > idleTimeout+maxReadStall {
 			return fmt.Errorf("read frame: %w for %v", errStalled, took)
 		}
+		last = got
 		if err := rc.SetReadDeadline(time.Now().Add(idleTimeout)); err != nil {
 			return fmt.Errorf("read frame: %w", err)
 		}
@@ -206,13 +208,13 @@
 			return fmt.Errorf("stream closed: %w", err)
 		}
 		for _, or := range fr.Orders {
-			se.startOrder(or)
+			se.startOrder(or, got)
 		}
 	}
 }
 
-// startOrder starts the execution of one order.
-func (se *ownerStream) startOrder(or order) {
+// startOrder starts the execution of one order, which was received at the given time.
+func (se *ownerStream) startOrder(or order, got time.Time) {
 	sw := se.workers[or.Worker]
 	if sw == nil || or.HostPort != "" {
 		sw = &streamWorker{number: or.Worker, addr: worker.Addr{HostPort: or.HostPort, Incarnation: or.Incarnation, DataCentre: or.DataCentre}}
@@ -226,7 +228,7 @@
 		se.enqueue(answer{N: or.N, Code: codeNoPayload})
 		return
 	}
-	go se.execute(sw, or)
+	go se.execute(sw, or, got)
 }
 
 // loadPayload sets the payload of a launch, and reports whether the relay has it.
@@ -246,11 +248,16 @@
 	return true
 }
 
-// execute sends an order to its worker and queues the answer.
-func (se *ownerStream) execute(sw *streamWorker, or order) {
-	ctx, cancel := context.WithTimeout(se.ctx, or.timeout())
+// execute sends an order to its worker and queues the answer. If this process did not run for as
+// long as the owner waits, the order is not sent.
+func (se *ownerStream) execute(sw *streamWorker, or order, got time.Time) {
+	ctx, cancel := context.WithDeadline(se.ctx, got.Add(or.timeout()))
 	defer cancel()
 	an := answer{N: or.N}
+	if err := ctx.Err(); err != nil {
+		se.answer(an, err)
+		return
+	}
 	ag, at := se.agent, or.attempt()
 	var ack worker.Ack
 	var err error
--- a/internal/relay/stall_test.go
+++ b/internal/relay/stall_test.go
@@ -62,3 +62,43 @@
 		})
 	}
 }
+
+// suspendedDeadlines is a response writer during whose first change of a read deadline the
+// process is suspended.
+type suspendedDeadlines struct {
+	http.ResponseWriter
+
+	pause *time.Duration
+}
+
+func (sd suspendedDeadlines) SetReadDeadline(time.Time) error {
+	time.Sleep(*sd.pause)
+	*sd.pause = 0
+	return nil
+}
+
+// TestRelaySuspendedAfterReadDropsOrders guards against orders that a relay sends after their
+// owner has given them up, as it was suspended while it did not wait for a frame.
+func TestRelaySuspendedAfterReadDropsOrders(t *testing.T) {
+	for pause, want := range map[time.Duration]int32{0: 2, time.Second: 1, 5 * time.Second: 0} {
+		synctest.Test(t, func(t *testing.T) {
+			var launches atomic.Int32
+			sv := &Server{Log: slog.New(slog.DiscardHandler), Agent: worker.Agent{
+				LaunchFunc: func(context.Context, worker.Addr, worker.Launch) (worker.Ack, error) {
+					launches.Add(1)
+					return worker.Ack{}, nil
+				},
+			}}
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			body := &stalledBody{frames: []string{
+				`{"o":[{"n":1,"k":"l","w":1,"addr":"10.0.0.1:80","inc":"i-0@5","f":1,"id":"t"}]}`,
+				`{"o":[{"n":2,"k":"l","w":1,"id":"u"}]}`,
+			}}
+			err := sv.newStream(ctx, cancel).read(body, http.NewResponseController(suspendedDeadlines{pause: &pause}))
+			qt.Check(t, err, qt.IsNotNil)
+			synctest.Wait()
+			qt.Check(t, launches.Load(), qt.Equals, want)
+		})
+	}
+}
