cell: tests send late messages to the process that runs by then

The random scripts and tests of cells delivered a delayed message to the process to which it had been sent, even if that had been replaced. So none showed what a process does with a message for its former one: on the network it arrives at whichever process listens at the address.

Delayed messages now arrive there. No fault was found: a message names the process that its orders and leases are for.

--- a/internal/cell/cluster_test.go
+++ b/internal/cell/cluster_test.go
@@ -100,7 +100,7 @@
 }
 
 // exchange sends a message to a worker, subject to its faults. A delayed message
-// arrives after the sender has given up.
+// arrives after the sender has given up, at the process that runs by then.
 func (tc *testCell) exchange(ctx context.Context, addr string, ex worker.Exchange) (worker.Report, error) {
 	tc.mu.Lock()
 	tw := tc.workers[addr]
@@ -113,7 +113,10 @@
 	if delay > 0 {
 		go func() {
 			time.Sleep(delay)
-			_, _ = proc.Exchange(context.WithoutCancel(ctx), ex)
+			tc.mu.Lock()
+			current := tw.proc
+			tc.mu.Unlock()
+			_, _ = current.Exchange(context.WithoutCancel(ctx), ex)
 		}()
 		time.Sleep(time.Second)
 		return worker.Report{}, errUnreachable
--- a/internal/cell/lease_test.go
+++ b/internal/cell/lease_test.go
@@ -47,3 +47,26 @@
 		assertStates(c, to, map[string]int{"done": 1})
 	})
 }
+
+// TestMessageForFormerProcessExtendsNoLease guards against a lease that a restarted worker takes
+// from a message for its former process, whose clock was hours ahead, and that its owner does
+// not know of.
+func TestMessageForFormerProcessExtendsNoLease(t *testing.T) {
+	runCell(t, 2, func(c *qt.C, tc *testCell) {
+		tc.set("w1", func(tw *testWorker) { tw.unreachable = true })
+		time.Sleep(2 * time.Hour)
+		to := startWithJob(c, tc, service("s", 1))
+		time.Sleep(3 * time.Second)
+		tc.set("w0", func(tw *testWorker) { tw.delay = 5 * time.Second })
+		time.Sleep(2 * time.Second)
+		tc.restart(tc.workers["w0"])
+		tc.set("w0", func(tw *testWorker) { tw.delay = 0 })
+		time.Sleep(2 * time.Second)
+		tc.set("w0", func(tw *testWorker) { tw.unreachable = true })
+		tc.set("w1", func(tw *testWorker) { tw.unreachable = false })
+		time.Sleep(2 * time.Minute)
+		assertStates(c, to, map[string]int{"running": 1})
+		c.Check(tc.workers["w0"].proc.Log(), qt.HasLen, 1)
+		c.Check(tc.workers["w1"].proc.Log(), qt.HasLen, 1)
+	})
+}
