upstream: count results for the process that got the request

A runner that had come back under its id at another address got no requests for 30 s, or was quarantined, although it was well.

Cause: the registry begins a new record when the address changes, as that is another process, but results were reported by id alone. Requests in flight to the former process end after that, as lost, or with the report that it is leaving, and counted against the next one.

Results now name the address to which the request was sent, and count only while the runner is listed there. A process that comes back at the same address still can't be told from the one before.

The new case of TestQuarantine failed before: "leaving" where "live" was wanted. It passes, as do the tests of upstream and route.

--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -363,9 +363,9 @@
 	ans, err := ex.ro.Runners.RunFunc(ctx, gr.Runner.Addr, ex.req.Request)
 	took := time.Since(begun)
 	at, ev := classify(ctx, err)
-	ex.ro.report(gr.Runner.ID, ev, took)
+	ex.ro.report(gr.Runner, ev, took)
 	if ans.Leaving && ev != upstream.ReportedLeaving {
-		ex.ro.report(gr.Runner.ID, upstream.ReportedLeaving, 0)
+		ex.ro.report(gr.Runner, upstream.ReportedLeaving, 0)
 	}
 	if ev == upstream.Full {
 		time.AfterFunc(fullCooldown, func() { gr.Release(ex.req.Method, ev, took) })
@@ -377,9 +377,9 @@
 	return at
 }
 
-func (ro *Router) report(id string, ev upstream.Evidence, took time.Duration) {
+func (ro *Router) report(ru Member, ev upstream.Evidence, took time.Duration) {
 	if ro.Registry != nil {
-		ro.Registry.Report(id, ev, took)
+		ro.Registry.Report(ru.ID, ru.Addr, ev, took)
 	}
 }
 
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -176,13 +176,14 @@
 	}
 }
 
-// Report records the result of one request; took is the service time of an
-// answer. Unknown ids are ignored.
-func (re *Registry) Report(id string, ev Evidence, took time.Duration) {
+// Report records the result of one request that was sent to the runner's process
+// at addr; took is the service time of an answer. Unknown ids are ignored, and so
+// are results of a process that another one has replaced.
+func (re *Registry) Report(id, addr string, ev Evidence, took time.Duration) {
 	re.mu.Lock()
 	rec := re.recs[id]
 	changed := false
-	if rec != nil {
+	if rec != nil && rec.host.Addr == addr {
 		before := rec.state(time.Now())
 		re.evaluate(rec, ev, took)
 		changed = rec.state(time.Now()) != before
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -37,9 +37,10 @@
 	c.Assert(stateOf(re), qt.Equals, want)
 }
 
+// report reports the results of n requests to a runner of newTestRegistry.
 func report(re *Registry, id string, ev Evidence, n int) {
 	for range n {
-		re.Report(id, ev, 10*time.Millisecond)
+		re.Report(id, id, ev, 10*time.Millisecond)
 	}
 }
 
@@ -62,7 +63,7 @@
 	t.Run("reported by the runner, while the list says live", func(t *testing.T) {
 		withFakeClock(t, func(c *qt.C) {
 			re, hosts := newTestRegistry()
-			re.Report("a", ReportedLeaving, 0)
+			re.Report("a", "a", ReportedLeaving, 0)
 			assertState(c, re, Leaving)
 			re.SetList(hosts)
 			assertState(c, re, Leaving)
@@ -145,6 +146,17 @@
 			assertState(c, re, Live)
 		})
 	})
+	t.Run("late results of a former process don't count", func(t *testing.T) {
+		withFakeClock(t, func(c *qt.C) {
+			for _, ev := range []Evidence{ReportedLeaving, AnswerLost, Unreachable, Abandoned} {
+				re, hosts := newTestRegistry()
+				hosts[0].Addr = "elsewhere"
+				re.SetList(hosts)
+				report(re, "a", ev, failureLimit+abandonLimit)
+				assertState(c, re, Live)
+			}
+		})
+	})
 }
 
 func TestSlow(t *testing.T) {
@@ -156,7 +168,7 @@
 			took = 50 * time.Millisecond
 		}
 		for range slowSamples {
-			re.Report(ru.ID, Answered, took)
+			re.Report(ru.ID, ru.Addr, Answered, took)
 		}
 	}
 	for _, ru := range re.Runners() {
