sched: close gaps in the bounds of leases on restarted workers

The first five let a task run twice, the last two were waits.

- A next owner met the entry of a worker's former process late, took what the next process ran for orders to another one and ended it when that process answered.
Attempts that their row names there are now kept.
- It met the former entry first and that of the next process later, and did not await orders that the next one may carry out late.
- A poll with an outdated token listed a late order, and the row named a process that had not accepted the owner's token, without a bound.
- A worker's entry lacked the start time that its answers have, so that its bound was not found.
- The clock of a process that had run for less than 30 s could not be told from that of the next one.
A reading before the call was sent now can't be from the addressed process.
- For the same entries, tasks of old workers waited for a whole lease.
- An owner that handled answers over 5 s late extended no leases.
That limit is dropped again; orders of a former owner count as sent until the last moment at which it can have extended leases.

--- a/internal/sched/attempt.go
+++ b/internal/sched/attempt.go
@@ -49,6 +49,9 @@
 	endIfNotRun job.End
 	// earlier describes that order, and is nil otherwise.
 	earlier *earlierOrder
+	// rowIncarnation is the incarnation in the row of the job if the entry of the worker may lack
+	// its start time.
+	rowIncarnation worker.Incarnation
 	// resolvingOrder is set while the outcome of an unanswered order is being determined.
 	resolvingOrder bool
 	// haltSentAt is when an order to stop it was last sent, or zero. haltRepeated is set once
--- a/internal/sched/death.go
+++ b/internal/sched/death.go
@@ -74,14 +74,7 @@
 // may be blamed for a crash. A worker that is listed, or whose entry may be missing only
 // because the list is unreliable, counts as unreachable.
 func (wk *workerState) endLapsed(now time.Time) {
-	var lapsed []*attempt
-	var latest leaseBound
-	for at := range wk.allAttempts() {
-		lb := at.leaseBound(now)
-		if now.After(lb.until) {
-			lapsed, latest = append(lapsed, at), latest.later(lb)
-		}
-	}
+	lapsed, latest := wk.lapsedAttempts(now)
 	if len(lapsed) == 0 {
 		return
 	}
--- a/internal/sched/incarnation.go
+++ b/internal/sched/incarnation.go
@@ -123,6 +123,9 @@
 // setIncarnation sets the incarnation of a worker whose entry does not have it.
 func (wk *workerState) setIncarnation(answered worker.Incarnation) {
 	delete(wk.ow.workers, wk.incarnation)
+	for at := range wk.allAttempts() {
+		at.rowIncarnation = at.namedIncarnation()
+	}
 	wk.incarnation = answered
 	wk.ow.workers[answered], wk.ow.sortedWorkerCache = wk, nil
 	pt := wk.currentPath()
@@ -164,10 +167,14 @@
 			continue
 		}
 		wk.removeAttempt(at)
-		next.addAttempt(&attempt{
-			ref: at.ref, number: at.number, wk: next, tj: at.tj, orderSent: true, inherited: true, endIfNotRun: end, superseded: at.superseded, pace: unknownPace,
-			earlier: &earlierOrder{addressee: at.namedIncarnation(), endedBy: now, started: at.seenRunning()},
-		})
+		moved := &attempt{ref: at.ref, number: at.number, wk: next, tj: at.tj, orderSent: true, inherited: true, superseded: at.superseded, pace: unknownPace}
+		if named := at.namedIncarnation(); named == next.incarnation {
+			// The entry of a former incarnation was seen late.
+			moved.rowIncarnation, moved.inheritedRunTime = named, at.rowRunTime()
+		} else {
+			moved.endIfNotRun, moved.earlier = end, &earlierOrder{addressee: named, endedBy: now, started: at.seenRunning()}
+		}
+		next.addAttempt(moved)
 		next.unsettle()
 	}
 	wk.disconnect()
@@ -183,10 +190,20 @@
 	return !at.lastSeenAt.IsZero() || at.inheritedRunTime > 0
 }
 
+// rowRunTime returns how long the attempt ran at least, by the row of its job.
+func (at *attempt) rowRunTime() time.Duration {
+	ra, _ := at.tj.runningAttempt(at.key())
+	return minRunTime(ra.Phase)
+}
+
 // confirmRunning records that this incarnation carried out an order for an earlier one.
 func (wk *workerState) confirmRunning(at *attempt) {
 	wk.ow.Log.Info("order for a life before was carried out", "task", taskID(at), "attempt", at.number, "worker", wk.incarnation)
-	at.endIfNotRun, at.earlier = "", nil
+	at.endIfNotRun, at.earlier, at.rowIncarnation = "", nil, wk.incarnation
+	if _, ok := wk.ow.restartLeases[wk.incarnation]; !ok {
+		// It may not have accepted this owner's fencing token yet.
+		wk.ow.boundRestartLeases(wk.incarnation, wk.ow.wholeLeaseAfter(time.Now().Add(maxOrderDelay)))
+	}
 	at.tj.jo.SetWorker(at.ref, at.number, wk.incarnation)
 	wk.ow.markDirty(at.tj)
 }
--- a/internal/sched/launch.go
+++ b/internal/sched/launch.go
@@ -86,7 +86,7 @@
 
 // concludeLaunch handles the outcome of an order that was sent to the worker.
 func (ow *Owner) concludeLaunch(at *attempt, ack worker.Ack, sent, got time.Time, err error) {
-	if !at.wk.isOwnClock(ack.ClockMS, got) {
+	if !at.wk.isOwnClock(ack.ClockMS, sent, got) {
 		err = at.wk.recordForeignClock(ack.ClockMS, got, err)
 	} else {
 		at.wk.recordClock(ack.ClockMS, got)
--- a/internal/sched/leasebound.go
+++ b/internal/sched/leasebound.go
@@ -33,6 +33,8 @@
 	// basisRestart: this incarnation may carry out calls to an earlier one, which extend its
 	// leases from their arrival.
 	basisRestart leaseBasis = "restart"
+	// basisEnded: the process that ran the attempt has ended.
+	basisEnded leaseBasis = "ended"
 )
 
 // later returns the later of two bounds.
@@ -59,15 +61,11 @@
 	return now.After(ow.incarnationLeases(incarnation).until)
 }
 
-// formerLeasesUntil returns the time of [Owner.formerLeases].
-func (ow *Owner) formerLeasesUntil(incarnation worker.Incarnation) time.Time {
-	return ow.formerLeases(incarnation).until
-}
-
-// formerLeases returns when these attempts have ended at the latest: at the time that the
-// former owner stated when it released the cell, even if its own leases end earlier. Otherwise
-// it is a lease after the last moment at which a former owner can have extended one, or the
-// latest end of the leases of former owners if these are bounded and that is earlier.
+// formerLeases returns the latest end of the leases on an incarnation that former owners extended
+// by its own clock. It is the time that the former owner stated when it released the cell, even
+// if its own leases end earlier. Otherwise it is a lease after the last moment at which a former
+// owner can have extended one, or the latest end of the leases of former owners if these are
+// bounded and that is earlier.
 func (ow *Owner) formerLeases(incarnation worker.Incarnation) leaseBound {
 	if ms, ok := ow.Tenure.Former.LeaseLapseMS[incarnation.String()]; ok {
 		return leaseBound{until: ow.startedAt.Add(time.Duration(ms)*time.Millisecond + lapseMargin), basis: basisStated}
--- a/internal/sched/leasebound_test.go
+++ b/internal/sched/leasebound_test.go
@@ -93,3 +93,8 @@
 	ow.Tenure.Former.Bounded = true
 	qt.Check(t, ow.formerLeasesUntil(worker.Incarnation{ID: "w"}).Sub(began), qt.Equals, maxDriftDuration(tenure.LeaseLimit)+lapseMargin)
 }
+
+// formerLeasesUntil returns the time of [Owner.formerLeases].
+func (ow *Owner) formerLeasesUntil(incarnation worker.Incarnation) time.Time {
+	return ow.formerLeases(incarnation).until
+}
--- a/internal/sched/leaseexpiry.go
+++ b/internal/sched/leaseexpiry.go
@@ -97,7 +97,7 @@
 // unresponsiveAt reports whether the worker has not answered for so long that its leases are no
 // longer extended.
 func (wk *workerState) unresponsiveAt(now time.Time) bool {
-	return !wk.dead && wk.settled && len(wk.attempts) > 0 && !wk.failingSince.IsZero() && now.Sub(wk.failingSince) >= recordLeaseAfter
+	return !wk.dead && wk.settled && wk.restartSeenAt.IsZero() && len(wk.attempts) > 0 && !wk.failingSince.IsZero() && now.Sub(wk.failingSince) >= recordLeaseAfter
 }
 
 // recordLeases writes the row if the set of unresponsive workers has changed, or if it is not
--- a/internal/sched/load.go
+++ b/internal/sched/load.go
@@ -170,7 +170,7 @@
 			remaining = append(remaining, key)
 			continue
 		}
-		at := &attempt{ref: key.ref, number: key.number, wk: wk, tj: tj, inherited: true, inheritedRunTime: minRunTime(ra.Phase), pace: unknownPace}
+		at := &attempt{ref: key.ref, number: key.number, wk: wk, tj: tj, inherited: true, inheritedRunTime: minRunTime(ra.Phase), rowIncarnation: ra.Worker, pace: unknownPace}
 		if ra.Worker.IsOtherIncarnation(wk.incarnation) {
 			at.inheritedRunTime, at.endIfNotRun = 0, unseenEnd(ra.Phase, wk.ow.listReliable(time.Now()))
 			at.earlier = &earlierOrder{addressee: ra.Worker, started: ra.Phase != job.PhaseStarting}
--- a/internal/sched/owner.go
+++ b/internal/sched/owner.go
@@ -169,7 +169,9 @@
 	unownedByID map[string]*unownedWorker
 	// restartLeases has, by incarnation, until when leases may run that calls to an earlier
 	// incarnation extended; zero if none does. It lacks incarnations of which this is not known.
-	restartLeases map[worker.Incarnation]time.Time
+	// restartLeasesEnd is when all of them have ended, also those of which it is not known.
+	restartLeases    map[worker.Incarnation]time.Time
+	restartLeasesEnd time.Time
 	// startedAt is when Run was called, loadedAt when it had read the state of the cell.
 	startedAt, loadedAt time.Time
 	// leaseRecord tracks the stored lease expiries of unresponsive workers.
@@ -267,6 +269,7 @@
 	ow.ctx = ctx
 	ow.startedAt = time.Now()
 	ow.listTrust.untrustedAt = ow.startedAt
+	ow.restartLeasesEnd = ow.wholeLeaseAfter(ow.startedAt.Add(maxDriftDuration(tenure.WitnessedLeaseLimit)))
 	ow.dropInvalidLeases()
 	ow.recordInheritedLeases(ow.startedAt)
 	if err := ow.load(ctx); err != nil {
--- a/internal/sched/restartlease.go
+++ b/internal/sched/restartlease.go
@@ -7,23 +7,20 @@
 	"github.com/pepperhatch/pepperhatch/internal/worker"
 )
 
-// A call to a worker that is carried out by the next process under its id extends that process's
-// leases to a time of the clock of the one before. If the clock is behind, the lease is the
-// longest one, counted from the arrival of the call: it may outlive what its owner's last
-// confirmation allows, and the next owner has to know. These rules bound such leases:
+// A worker's process carries out calls to the process before it under its id. If its clock is
+// behind, such a call extends its leases by the longest lease, counted from the arrival of the call:
+// for longer than the last confirmation of the sender allows. These rules bound such leases:
 //
 //   - Calls to an earlier incarnation have lower fencing tokens than those to the next one. Once
-//     that has answered a poll of an owner, it carries out none of them any more. So its leases
-//     end a whole lease after that answer, if calls have extended them.
-//   - An owner starts nothing on a worker before that answer, and the row that names an attempt
-//     states for how long such leases may still run, unless they have ended.
-//   - An attempt whose order was for an earlier incarnation may be started by the next one until
-//     maxOrderDelay after the order was sent, and runs for a whole lease at most, unless the
-//     worker answers. An order is sent once, so an attempt that was seen running is not started
-//     again.
-//   - Leases are extended only within maxAnswerAge of a worker's last answer.
+//     that has accepted an owner's token in a poll, it carries out none of them any more. So such
+//     leases end a whole lease after that poll.
+//   - An owner launches nothing on a worker before that poll. The row that names an attempt states
+//     for how long such leases may still run, unless they have ended.
+//   - An order to an earlier incarnation may be carried out by the next one until maxOrderDelay
+//     after it was sent, and the attempt then runs for a whole lease at most. An order is sent
+//     once, so an attempt that was seen running is not started again.
 //
-// What remains is the process that no owner has seen, as it neither was listed nor answered.
+// An incarnation that no owner has seen, as it was neither listed nor answered, is not awaited.
 
 // earlierOrder describes the order of an attempt that was sent to an earlier incarnation of its
 // worker than the one that may carry it out.
@@ -38,7 +35,7 @@
 }
 
 // recordRowLeases records what the row of a job states of the leases on an incarnation that it
-// names. Any row that names the incarnation is right, so the earliest end holds.
+// names. Each row states an upper bound of the same leases, so the lowest holds.
 func (ow *Owner) recordRowLeases(jo *job.Job, incarnation worker.Incarnation) {
 	ms := jo.RestartLeaseMS[incarnation]
 	if !ow.Tenure.Former.StatesRestarts || ms < 0 || ms > maxStatedLeaseMS {
@@ -48,16 +45,17 @@
 	if ms > 0 {
 		until = ow.startedAt.Add(maxDriftDuration(time.Duration(ms) * time.Millisecond))
 	}
+	ow.boundRestartLeases(incarnation, until)
+}
+
+// boundRestartLeases records an upper bound of the leases on an incarnation that calls to an
+// earlier one extended.
+func (ow *Owner) boundRestartLeases(incarnation worker.Incarnation, until time.Time) {
 	if known, ok := ow.restartLeases[incarnation]; !ok || until.Before(known) {
 		ow.restartLeases[incarnation] = until
 	}
-}
-
-// recordSettled records that an incarnation accepts this owner's fencing token, unless it is known
-// that it accepted that of a former owner.
-func (ow *Owner) recordSettled(incarnation worker.Incarnation, now time.Time) {
-	if _, ok := ow.restartLeases[incarnation]; !ok {
-		ow.restartLeases[incarnation] = ow.wholeLeaseAfter(now)
+	if until.After(ow.restartLeasesEnd) {
+		ow.restartLeasesEnd = until
 	}
 }
 
@@ -82,77 +80,112 @@
 	return lb.later(ow.restartLeaseBound(incarnation))
 }
 
-// earlierOrderLeases returns the latest end of a lease under which the worker runs an attempt that
-// was ordered from an earlier incarnation.
-func (wk *workerState) earlierOrderLeases(eo *earlierOrder) leaseBound {
-	ow := wk.ow
-	here := ow.formerLeases(wk.incarnation)
-	switch {
-	case !eo.endedBy.IsZero() && eo.started:
-		return leaseBound{until: eo.endedBy, basis: basisRestart}
-	case !eo.endedBy.IsZero():
-		return leaseBound{until: ow.wholeLeaseAfter(eo.endedBy.Add(maxOrderDelay)), basis: basisRestart}
-	case here.basis == basisStated:
-		return here
-	case eo.started:
-		return ow.incarnationLeases(eo.addressee)
+// ownLeases returns the latest end of any lease on a worker that accepts this owner's fencing
+// token.
+func (wk *workerState) ownLeases(now time.Time) leaseBound {
+	left := time.Duration(wk.leaseUntilMS-wk.earliestClock(now)) * time.Millisecond
+	return leaseBound{until: now.Add(left + lapseMargin), basis: basisOwn}
+}
+
+// lateOrderLeases returns the latest end of a lease under which an attempt runs whose order was
+// sent by the given time and is carried out by another incarnation than the addressee.
+func (ow *Owner) lateOrderLeases(sentBy time.Time) leaseBound {
+	return leaseBound{until: ow.wholeLeaseAfter(sentBy.Add(maxOrderDelay)), basis: basisRestart}
+}
+
+// processLeases returns the latest end of the leases under which the worker runs what was ordered
+// from this incarnation, and whether that holds for all of its attempts.
+func (wk *workerState) processLeases(now time.Time) (lb leaseBound, all bool) {
+	if wk.settled {
+		return wk.ownLeases(now), wk.restartSeenAt.IsZero()
 	}
-	sent, _ := ow.formerLeaseBounds()
-	// The addressee had ended when this incarnation was seen.
-	if latest := wk.firstSeen.Add(maxDriftDuration(maxAnswerAge)); latest.Before(sent) {
-		sent = latest
+	lb = wk.ow.incarnationLeases(wk.incarnation)
+	if !wk.restartSeenAt.IsZero() {
+		return lb, false
 	}
-	lb := leaseBound{until: ow.wholeLeaseAfter(sent.Add(maxOrderDelay)), basis: basisRestart}
-	return lb.later(ow.formerLeases(eo.addressee))
+	for at := range wk.allAttempts() {
+		if at.namedIncarnation() != wk.incarnation {
+			return lb, false
+		}
+	}
+	return lb, true
 }
 
-// leaseBound returns the latest end of a lease under which the attempt runs.
-func (at *attempt) leaseBound(now time.Time) leaseBound {
-	switch wk := at.wk; {
-	case wk.settled && wk.restartSeenAt.IsZero():
-		return wk.ownLeases(now)
+// attemptLeases returns the latest end of a lease under which an attempt on the worker runs, given
+// that of what was ordered from this incarnation.
+func (wk *workerState) attemptLeases(at *attempt, here leaseBound) leaseBound {
+	ow, started := wk.ow, at.seenRunning()
+	switch eo := at.earlier; {
+	case wk.settled && started:
+		return here
 	case wk.settled:
-		eo := earlierOrder{addressee: wk.incarnation, endedBy: wk.restartSeenAt, started: at.seenRunning()}
-		return wk.ownLeases(now).later(wk.earlierOrderLeases(&eo))
-	case at.earlier != nil:
-		return wk.earlierOrderLeases(at.earlier)
-	default:
-		return wk.ow.incarnationLeases(wk.incarnation)
+		return here.later(ow.lateOrderLeases(wk.restartSeenAt))
+	case eo != nil && !eo.endedBy.IsZero() && started:
+		return leaseBound{until: eo.endedBy, basis: basisEnded}
+	case eo != nil && !eo.endedBy.IsZero():
+		return ow.lateOrderLeases(eo.endedBy)
 	}
-}
-
-// ownLeases returns the latest end of any lease on a worker that accepts this owner's fencing
-// token.
-func (wk *workerState) ownLeases(now time.Time) leaseBound {
-	left := time.Duration(wk.leaseUntilMS-wk.earliestClock(now)) * time.Millisecond
-	return leaseBound{until: now.Add(left + lapseMargin), basis: basisOwn}
+	elsewhere := at.namedIncarnation() != wk.incarnation
+	if elsewhere {
+		here = ow.incarnationLeases(at.namedIncarnation())
+	}
+	if started || !elsewhere && wk.restartSeenAt.IsZero() {
+		return here
+	}
+	sentBy, _ := ow.formerLeaseBounds()
+	return here.later(ow.lateOrderLeases(sentBy))
 }
 
 // leaseBound returns the latest end of any lease on the worker under which something may run.
 func (wk *workerState) leaseBound(now time.Time) leaseBound {
-	if wk.settled && wk.restartSeenAt.IsZero() {
-		return wk.ownLeases(now)
+	here, all := wk.processLeases(now)
+	if all {
+		return here
 	}
 	var lb leaseBound
 	for at := range wk.allAttempts() {
-		lb = lb.later(at.leaseBound(now))
+		lb = lb.later(wk.attemptLeases(at, here))
 	}
 	return lb
 }
 
+// lapsedAttempts returns the attempts on the worker whose leases have lapsed by the slowest clock,
+// and the latest end of their leases.
+func (wk *workerState) lapsedAttempts(now time.Time) ([]*attempt, leaseBound) {
+	here, all := wk.processLeases(now)
+	if all && !now.After(here.until) {
+		return nil, here
+	}
+	var lapsed []*attempt
+	var latest leaseBound
+	for at := range wk.allAttempts() {
+		lb := here
+		if !all {
+			lb = wk.attemptLeases(at, here)
+		}
+		if now.After(lb.until) {
+			lapsed, latest = append(lapsed, at), latest.later(lb)
+		}
+	}
+	return lapsed, latest
+}
+
 // restartLeaseMS returns the field of a job's row that states until when leases may run which
 // calls to earlier incarnations extended.
 func (ow *Owner) restartLeaseMS(tj *trackedJob, now time.Time) map[worker.Incarnation]int64 {
-	var list map[worker.Incarnation]int64
+	if now.After(ow.restartLeasesEnd) {
+		return nil
+	}
+	var leases map[worker.Incarnation]int64
 	add := func(incarnation worker.Incarnation) {
 		left := ow.restartLeaseBound(incarnation).until.Sub(now)
 		if left <= 0 {
 			return
 		}
-		if list == nil {
-			list = map[worker.Incarnation]int64{}
+		if leases == nil {
+			leases = map[worker.Incarnation]int64{}
 		}
-		list[incarnation] = left.Milliseconds() + 1
+		leases[incarnation] = left.Milliseconds() + 1
 	}
 	for _, at := range tj.attempts {
 		add(at.namedIncarnation())
@@ -162,13 +195,16 @@
 			add(ra.Worker)
 		}
 	}
-	return list
+	return leases
 }
 
 // namedIncarnation returns the incarnation that the row of the attempt's job names.
 func (at *attempt) namedIncarnation() worker.Incarnation {
-	if at.earlier != nil {
+	switch {
+	case at.earlier != nil:
 		return at.earlier.addressee
+	case at.rowIncarnation.ID != "":
+		return at.rowIncarnation
 	}
 	return at.wk.incarnation
 }
--- a/internal/sched/workerstate.go
+++ b/internal/sched/workerstate.go
@@ -358,18 +358,14 @@
 	return wk.clockMS + int64(passed*(1-clockDrift))
 }
 
-// maxAnswerAge is how long after its last answer a worker's leases may be extended. The process
-// that answered may have ended since.
-const maxAnswerAge = 5 * time.Second
-
 // nextLeaseEnd returns the lease end to send to the worker now, by its clock in milliseconds.
-// It returns 0 if the clock is not known or may be that of an ended process, the worker has not
-// answered recently, the tenure was not confirmed recently enough, or the worker is named in the row of [LeaseExpiryTable], from
-// which the next owner may read that its leases are not extended.
+// It returns 0 if the clock is not known or may be that of an ended process, the tenure was not
+// confirmed recently enough, or the worker is named in the row of [LeaseExpiryTable], from which
+// the next owner may read that its leases are not extended.
 func (wk *workerState) nextLeaseEnd(now time.Time) int64 {
 	te := &wk.ow.Tenure
 	age := now.Sub(te.LastConfirmed())
-	if wk.leaseRecorded() || wk.clockAt.IsZero() || !wk.restartSeenAt.IsZero() || now.Sub(wk.lastAnsweredAt) > maxAnswerAge || age > minDriftDuration(tenure.ExtendFor) || (te.MayExtend != nil && !te.MayExtend()) {
+	if wk.leaseRecorded() || wk.clockAt.IsZero() || !wk.restartSeenAt.IsZero() || age > minDriftDuration(tenure.ExtendFor) || (te.MayExtend != nil && !te.MayExtend()) {
 		return 0
 	}
 	earliest := wk.earliestClock(now)
@@ -391,7 +387,7 @@
 func (wk *workerState) markSettled() {
 	wk.settled = true
 	wk.leaseUntilMS = max(wk.leaseUntilMS, wk.clockMS+wk.ow.Limits.MaxLease.Milliseconds())
-	wk.ow.recordSettled(wk.incarnation, time.Now())
+	wk.ow.boundRestartLeases(wk.incarnation, wk.ow.wholeLeaseAfter(time.Now()))
 }
 
 // recordClock records a reading of the worker's clock. Readings behind the lower bound are
@@ -408,18 +404,22 @@
 	}
 }
 
-// isOwnClock reports whether a reading can be from the clock of this incarnation.
-func (wk *workerState) isOwnClock(clockMS int64, at time.Time) bool {
+// isOwnClock reports whether a reading in the answer to a call, which was sent and answered at the
+// given times, can be from the clock of this incarnation.
+func (wk *workerState) isOwnClock(clockMS int64, sent, got time.Time) bool {
 	if clockMS == 0 || wk.clockAt.IsZero() {
 		return true
 	}
-	expected := wk.clockMS + at.Sub(wk.clockAt).Milliseconds()
-	return max(clockMS-expected, expected-clockMS) <= maxClockDeviation.Milliseconds()
+	if sent.Before(wk.clockAt) {
+		sent = wk.clockAt.Add(-maxDriftDuration(wk.clockAt.Sub(sent)))
+	}
+	earliest := wk.earliestClock(sent) - lapseMargin.Milliseconds()
+	latest := wk.clockMS + got.Sub(wk.clockAt).Milliseconds() + maxClockDelay.Milliseconds()
+	return earliest <= clockMS && clockMS <= latest
 }
 
-// maxClockDeviation is how far a reading may be from the expected one: answers may have waited on
-// a host that stood still, and clocks drift.
-const maxClockDeviation = 30 * time.Second
+// maxClockDelay is how late an answer may have been read from which the worker's clock is known.
+const maxClockDelay = 30 * time.Second
 
 // maxClockRegression is how far a reading may be behind the last one without a warning:
 // answers on different connections can arrive out of order.
