standin: workers carry out polls late

By the platform's page a call with no answer may be done seconds later, after newer ones. Only orders were: FleetWorker.PollDelay does the same for polls, so that one for a worker's former process extends the leases of the next.

TestPollIsCarriedOutLate: at the same process, at the next one, and after a higher fencing token.

--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -2,9 +2,7 @@
 
 import (
 	"cmp"
-	"context"
 	"fmt"
-	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -92,6 +90,8 @@
 	// OrderDelay, if not 0, is the time after which the worker carries out an order,
 	// which it then leaves without an answer.
 	OrderDelay time.Duration
+	// PollDelay is the same for polls.
+	PollDelay time.Duration
 	// ClockRate is the speed of its clock relative to real time; 0 means 1.
 	ClockRate float64
 	// ClockStart is the time of its clock when the process starts; 0 means a second.
@@ -212,6 +212,13 @@
 	fw.OrderDelay = d
 }
 
+// SetPollDelay sets the PollDelay of a worker while it runs.
+func (fl *Fleet) SetPollDelay(fw *FleetWorker, d time.Duration) {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	fw.PollDelay = d
+}
+
 // SetRunFunc sets RunFunc while workers run.
 func (fl *Fleet) SetRunFunc(run func(at worker.Attempt) (time.Duration, string)) {
 	fl.mu.Lock()
@@ -437,63 +444,3 @@
 	}
 	return fw.ack(), nil
 }
-
-// poll returns the attempts that run and the ends that are listed. If no end is listed, it
-// first waits for one as long as the poll says.
-func (fl *Fleet) poll(ctx context.Context, ad worker.Addr, po worker.Poll) (worker.PollResult, error) {
-	fw, err := fl.lookup(ad)
-	if err != nil {
-		return worker.PollResult{}, err
-	}
-	return withFault(ctx, &fw.Faults, func() (worker.PollResult, error) {
-		wake, err := fw.applyPoll(po)
-		if err != nil {
-			return worker.PollResult{}, cmp.Or(worker.CheckIncarnation(ad.Incarnation, fw.Addr.Incarnation.StartedMS), err)
-		}
-		if wake != nil && po.Wait > 0 {
-			select {
-			case <-wake:
-			case <-time.After(po.Wait):
-			case <-ctx.Done():
-				return worker.PollResult{}, ctx.Err()
-			}
-		}
-		pr, err := fw.pollResult()
-		if err == nil {
-			err = worker.CheckIncarnation(ad.Incarnation, fw.Addr.Incarnation.StartedMS)
-		}
-		return pr, err
-	})
-}
-
-// applyPoll extends the lease and removes acknowledged ends as a poll says. If no end is
-// listed, it returns the channel that is closed at the next one.
-func (fw *FleetWorker) applyPoll(po worker.Poll) (chan struct{}, error) {
-	fw.fl.mu.Lock()
-	defer fw.fl.mu.Unlock()
-	if fw.isFenced(po.Fence) {
-		return nil, worker.ErrFenced
-	}
-	fw.extendLease(po.LeaseUntilMS)
-	fw.maxAckedEnd = max(fw.maxAckedEnd, po.AckedEnd)
-	fw.removeAcked(po.AckedEnd)
-	if len(fw.ended) > 0 {
-		return nil, nil
-	}
-	return fw.wake, nil
-}
-
-// pollResult returns the answer to a poll. A killed process doesn't answer, not even with
-// the ends that woke the poll.
-func (fw *FleetWorker) pollResult() (worker.PollResult, error) {
-	fw.fl.mu.Lock()
-	defer fw.fl.mu.Unlock()
-	if fw.dead {
-		return worker.PollResult{}, errReset(fw.Addr)
-	}
-	pr := worker.PollResult{ClockMS: fw.clock(), Ended: slices.Clone(fw.ended[:min(len(fw.ended), worker.MaxListedEnds)])}
-	for _, ta := range fw.running {
-		pr.Running = append(pr.Running, worker.RunningAttempt{Attempt: ta.run.Attempt, Checkpoint: ta.checkpoint(), Percent: ta.percent(), Usage: ta.usage})
-	}
-	return pr, nil
-}
--- a/internal/standin/fleet_agent.go
+++ b/internal/standin/fleet_agent.go
@@ -92,10 +92,20 @@
 // must not reach it if the attempt, or a later one of the task, had ended or been stopped
 // at the dead worker.
 func (fl *Fleet) nextIncarnation(fw *FleetWorker, at worker.Attempt) *FleetWorker {
-	next, err := fl.lookup(fw.Addr)
+	next := fl.successor(fw)
 	fl.mu.Lock()
 	defer fl.mu.Unlock()
-	if err != nil || !fw.dead || fw.lastAttempt[at.Task] >= at.Number {
+	if fw.lastAttempt[at.Task] >= at.Number {
+		return nil
+	}
+	return next
+}
+
+// successor returns the process that replaced a dead worker at its address under the same
+// id, or nil.
+func (fl *Fleet) successor(fw *FleetWorker) *FleetWorker {
+	next, err := fl.lookup(fw.Addr)
+	if err != nil || next == fw {
 		return nil
 	}
 	return next
--- a/internal/standin/fleet_test.go
+++ b/internal/standin/fleet_test.go
@@ -108,3 +108,39 @@
 		})
 	}
 }
+
+// TestPollIsCarriedOutLate guards against tests in which only orders to start are late: a poll with
+// no answer takes effect later, at the process that then runs, unless a newer one has fenced it off.
+func TestPollIsCarriedOutLate(t *testing.T) {
+	for _, tc := range []struct {
+		name     string
+		restarts bool
+		// fence is that of a poll that comes before the late one.
+		fence int64
+		want  time.Duration
+	}{
+		{"same process", false, 2, 12 * time.Second},
+		{"next process", true, 2, 12 * time.Second},
+		{"after a higher fencing token", true, 3, 6 * time.Second},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				fl, fw := newTestFleet()
+				fl.SetPollDelay(fw, 3*time.Second)
+				ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+				defer cancel()
+				_, err := fl.Agent().PollFunc(ctx, fw.Addr, worker.Poll{Fence: 2, LeaseUntilMS: 60_000})
+				qt.Assert(t, err, qt.Equals, context.DeadlineExceeded)
+				if tc.restarts {
+					fw = fl.Restart(fw, fw.Addr.HostPort, 0)
+				}
+				fl.SetPollDelay(fw, 0)
+				_, err = fl.Agent().LaunchFunc(context.Background(), fw.Addr, worker.Launch{Attempt: worker.Attempt{Task: "a", Number: 1}, Fence: 2, LeaseUntilMS: 7000})
+				qt.Assert(t, err, qt.IsNil)
+				_, err = fl.Agent().PollFunc(context.Background(), fw.Addr, worker.Poll{Fence: tc.fence})
+				qt.Assert(t, err, qt.IsNil)
+				qt.Check(t, runsFor(fl), qt.Equals, tc.want)
+			})
+		})
+	}
+}
