sched: random restarts of workers under their ids before their owner is lost

TestRandomRestartsBeforeOwnerLoss draws one to three restarts of workers (away for 0 to 2 s, the clock behind or ahead, listed soon, late or not to the owner), polls and start orders for the former process that are carried out 0.5 to 12 s late, the loss of the owner 0.2 to 5 s later (killed, without power, frozen, cut off, released), of the next one too, and cuts of the restarted workers from all or some hosts. No task may run twice at once, or again after it was done.

--- a/internal/sched/cluster_test.go
+++ b/internal/sched/cluster_test.go
@@ -35,6 +35,9 @@
 	maxLease time.Duration
 	// lostAt is when a worker was lost together with an owner.
 	lostAt time.Time
+	// staleEntries has, by worker, what the list has in place of the present process's entry: that
+	// of a former one, or nil for none.
+	staleEntries map[int]*WorkerEntry
 }
 
 // clusterHost is one process on a host that may own the cell.
@@ -55,7 +58,8 @@
 	readsBlocked bool
 	// rowsBlocked is set while its reads of rows other than the owner's and the heartbeat hang.
 	rowsBlocked bool
-	// unreachable has the workers that it cannot reach, by incarnation.
+	// unreachable has the workers that it cannot reach, by incarnation. One without a start time
+	// stands for all of its id.
 	unreachable map[worker.Incarnation]bool
 	// reachableOnce has those of them that one more request reaches.
 	reachableOnce map[worker.Incarnation]bool
@@ -149,7 +153,7 @@
 func withUnreachable[Order, Answer any](ch *clusterHost, send func(context.Context, worker.Addr, Order) (Answer, error)) func(context.Context, worker.Addr, Order) (Answer, error) {
 	return func(ctx context.Context, ad worker.Addr, or Order) (Answer, error) {
 		ch.mu.Lock()
-		refused := ch.unreachable[ad.Incarnation] && !ch.reachableOnce[ad.Incarnation]
+		refused := (ch.unreachable[ad.Incarnation] || ch.unreachable[worker.Incarnation{ID: ad.Incarnation.ID}]) && !ch.reachableOnce[ad.Incarnation]
 		delete(ch.reachableOnce, ad.Incarnation)
 		ch.mu.Unlock()
 		if refused {
@@ -217,11 +221,31 @@
 	return list
 }
 
-// listedWorkers returns the entries of the workers' present processes.
+// listedWorkers returns the list of workers: the entries of their present processes, unless
+// staleEntries has others.
 func (cl *cluster) listedWorkers() []WorkerEntry {
 	cl.mu.Lock()
 	defer cl.mu.Unlock()
-	return cl.workerEntries()
+	var list []WorkerEntry
+	for i, we := range cl.workerEntries() {
+		stale, ok := cl.staleEntries[i]
+		switch {
+		case !ok:
+			list = append(list, we)
+		case stale != nil:
+			list = append(list, *stale)
+		}
+	}
+	return list
+}
+
+// updateLists passes the list of workers to all owners.
+func (cl *cluster) updateLists() {
+	for _, ch := range cl.hosts {
+		if ow := ch.ow.Load(); ow != nil {
+			ow.SetWorkers(cl.listedWorkers(), nil, true)
+		}
+	}
 }
 
 // latest returns the latest process of a host.
