sched: random restarts with late orders are a test of their own

Scripts without late orders to start pass and can guard the bound on leases; those with them fail in the ways of lateorder_test.go.

--- a/internal/sched/restartlease_random_test.go
+++ b/internal/sched/restartlease_random_test.go
@@ -24,6 +24,8 @@
 	*cluster
 
 	rt *rapid.T
+	// lateOrders makes orders to start for former processes late, too.
+	lateOrders bool
 	// began is when the events begin, events are sorted by their times once all are drawn.
 	began  time.Time
 	events []scriptEvent
@@ -61,10 +63,10 @@
 
 // newRestartScript starts hosts and workers and gives them tasks. Workers and their processes are
 // older than any call by the time of the first event.
-func newRestartScript(t *testing.T, rt *rapid.T) *restartScript {
+func newRestartScript(t *testing.T, rt *rapid.T, lateOrders bool) *restartScript {
 	t.Helper()
 	const workers = 4
-	rs := &restartScript{rt: rt, cuts: map[string]map[string]bool{}, silent: map[string]bool{}}
+	rs := &restartScript{rt: rt, lateOrders: lateOrders, cuts: map[string]map[string]bool{}, silent: map[string]bool{}}
 	rs.cluster = &cluster{lab: newLab(t, workers), maxLease: 10 * time.Second, staleEntries: map[int]*WorkerEntry{}}
 	rs.fleet.RunFunc = func(at worker.Attempt) (time.Duration, string) {
 		if id, _, _ := job.ParseTaskID(at.Task); rs.spec(id).Steps[0].LongRunning {
@@ -104,7 +106,7 @@
 func (rs *restartScript) drawRestart(after time.Duration) time.Duration {
 	i := rapid.IntRange(0, 1).Draw(rs.rt, "worker")
 	at := after + rs.duration("restart after", 50*time.Millisecond, time.Second)
-	if rs.oneIn(2, "late orders") {
+	if rs.lateOrders && rs.oneIn(2, "late orders") {
 		late := rs.duration("orders late by", 500*time.Millisecond, 12*time.Second)
 		rs.at(at-20*time.Millisecond, fmt.Sprintf("orders to worker %d %v late", i, late), func() {
 			rs.fleet.SetOrderDelay(rs.fleetWorkers[i], late)
@@ -314,16 +316,25 @@
 	return sb.String()
 }
 
-// TestRandomRestartsBeforeOwnerLoss restarts workers under their ids with late calls for their former
-// processes, loses owners soon after and cuts workers off, all at random, and checks that no task
-// runs twice at once or again after it was done.
-func TestRandomRestartsBeforeOwnerLoss(t *testing.T) {
+// playRandomRestarts restarts workers under their ids with late calls for their former processes,
+// loses owners soon after and cuts workers off, all at random, and checks that no task runs twice at
+// once or again after it was done.
+func playRandomRestarts(t *testing.T, lateOrders bool) {
+	t.Helper()
 	proptest.Check(t, proptest.Size{Checks: randomRuns}, func(rt *rapid.T) {
 		proptest.InBubble(t, func() {
-			rs := newRestartScript(t, rt)
+			rs := newRestartScript(t, rt, lateOrders)
 			defer rs.stop()
 			rs.draw()
 			rs.play()
 		})
 	})
 }
+
+// TestRandomRestartsBeforeOwnerLoss guards against tasks that run twice under leases that late polls
+// for former processes extend.
+func TestRandomRestartsBeforeOwnerLoss(t *testing.T) { playRandomRestarts(t, false) }
+
+// TestRandomRestartsWithLateOrders guards against tasks that run twice as other processes carry out
+// late orders to start them, too.
+func TestRandomRestartsWithLateOrders(t *testing.T) { playRandomRestarts(t, true) }
