--- a/internal/sched/death.go
+++ b/internal/sched/death.go
@@ -69,10 +69,10 @@
 	wk.ow.removeIfIdle(wk)
 }
 
-// endLapsed ends the attempts on the worker whose leases have lapsed by the slowest clock. The process of a worker
-// without an entry has most likely ended and may be back at another address, so its attempts
-// may be blamed for a crash. A worker that is listed, or whose entry may be missing only
-// because the list is unreliable, counts as unreachable.
+// endLapsed ends the attempts on the worker whose leases have lapsed by the slowest clock. The
+// process of a worker without an entry has most likely ended and may be back at another address,
+// so its attempts may be blamed for a crash. A worker that is listed, or whose entry may be missing
+// only because the list is unreliable, counts as unreachable.
 func (wk *workerState) endLapsed(now time.Time) {
 	lapsed, latest := wk.lapsedAttempts(now)
 	if len(lapsed) == 0 {
