--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -64,7 +64,7 @@
 	last   time.Time
 }
 
-// queuedOrder is an order that waits to be written. What the relay is told only once is left out
+// queuedOrder is an order that waits to be written. What is sent to the relay only once is left out
 // when it is written, so that an order that is dropped before leaves no gap.
 type queuedOrder struct {
 	order
--- a/internal/relay/unsent_test.go
+++ b/internal/relay/unsent_test.go
@@ -78,7 +78,7 @@
 	})
 }
 
-// TestFullQueueLosesNoFencingToken guards against a relay that is never told of a worker, or of
+// TestFullQueueLosesNoFencingToken guards against a relay that never learns of a worker, or of
 // its fencing token, as the first order with it found the queue full.
 func TestFullQueueLosesNoFencingToken(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/sched/restartentry_test.go
+++ b/internal/sched/restartentry_test.go
@@ -60,10 +60,7 @@
 		for _, late := range []time.Duration{3 * time.Second, 5 * time.Second, 8 * time.Second, 12 * time.Second} {
 			t.Run(fmt.Sprintf("%s/%v", lo.name, late), func(t *testing.T) {
 				withSixHosts(t, 10*time.Second, func(cl *cluster, owner *clusterHost) {
-					former := cl.fleetWorkers[0]
-					cl.fleet.SetOrderDelay(former, late)
-					qt.Assert(t, cl.submit(owner.ow.Load(), 2, longRunning(misdirectedTasks)).Outcome, qt.Equals, Accepted)
-					time.Sleep(10 * time.Millisecond)
+					former := cl.orderLate(owner, late)
 					lo.lose(cl, owner)
 					cl.cutOffWorker(former)
 					cl.fleet.Kill(former)
@@ -91,10 +88,7 @@
 	for _, ownerLost := range []bool{false, true} {
 		t.Run(fmt.Sprintf("owner lost %v", ownerLost), func(t *testing.T) {
 			sixHosts{workers: 4, maxLease: 10 * time.Second}.run(t, func(cl *cluster, owner *clusterHost) {
-				former := cl.fleetWorkers[0]
-				cl.fleet.SetOrderDelay(former, 110*time.Millisecond)
-				qt.Assert(t, cl.submit(owner.ow.Load(), 2, longRunning(misdirectedTasks)).Outcome, qt.Equals, Accepted)
-				time.Sleep(10 * time.Millisecond)
+				former := cl.orderLate(owner, 110*time.Millisecond)
 				owner.setUnreachable(former)
 				next := cl.restartWorker(0, 50*time.Millisecond)
 				owner.setUnreachable(next)
@@ -147,10 +141,7 @@
 		for _, lo := range ownerLosses {
 			t.Run(fmt.Sprintf("%v/%s", late, lo.name), func(t *testing.T) {
 				withSixHosts(t, 10*time.Second, func(cl *cluster, owner *clusterHost) {
-					former := cl.fleetWorkers[0]
-					cl.fleet.SetOrderDelay(former, late)
-					qt.Assert(t, cl.submit(owner.ow.Load(), 2, longRunning(misdirectedTasks)).Outcome, qt.Equals, Accepted)
-					time.Sleep(10 * time.Millisecond)
+					former := cl.orderLate(owner, late)
 					lo.lose(cl, owner)
 					cl.cutOffWorker(former)
 					next := cl.restartWorker(0, 50*time.Millisecond)
--- a/internal/sched/restartlease_test.go
+++ b/internal/sched/restartlease_test.go
@@ -179,10 +179,7 @@
 		for _, lo := range ownerLosses {
 			t.Run(fmt.Sprintf("after %v/%s", late, lo.name), func(t *testing.T) {
 				withSixHosts(t, 10*time.Second, func(cl *cluster, owner *clusterHost) {
-					former := cl.fleetWorkers[0]
-					cl.fleet.SetOrderDelay(former, late)
-					qt.Assert(t, cl.submit(owner.ow.Load(), 2, longRunning(misdirectedTasks)).Outcome, qt.Equals, Accepted)
-					time.Sleep(10 * time.Millisecond)
+					former := cl.orderLate(owner, late)
 					lo.lose(cl, owner)
 					cl.cutOffWorker(former)
 					next := cl.restartWorker(0, 50*time.Millisecond)
@@ -358,10 +355,7 @@
 			for _, released := range []bool{false, true} {
 				t.Run(fmt.Sprintf("after %v/listed after %v/owner released %v", late, listed, released), func(t *testing.T) {
 					withSixHosts(t, 10*time.Second, func(cl *cluster, owner *clusterHost) {
-						former := cl.fleetWorkers[0]
-						cl.fleet.SetOrderDelay(former, late)
-						qt.Assert(t, cl.submit(owner.ow.Load(), 2, longRunning(misdirectedTasks)).Outcome, qt.Equals, Accepted)
-						time.Sleep(10 * time.Millisecond)
+						former := cl.orderLate(owner, late)
 						cl.cutOffWorker(former)
 						next := cl.restartWorker(0, 50*time.Millisecond)
 						cl.cutOffWorker(next)
