review: case 4, a late order runs beside its successor after a restart

Cause: an order without an answer is awaited for the leases of the process that the owner knows. If that one ends and the next process under its id is cut off, nobody sees the restart, and the next process carries out the order under a full lease of its own while the task is started elsewhere. Nothing is fixed.

--- a/review/_standin2/cases.go
+++ b/review/_standin2/cases.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -145,3 +147,68 @@
 	}
 	return ve, nil
 }
+
+// caseLate has a job with one task. The runner leaves the order to start it without an answer and
+// carries it out six seconds later. Meanwhile its process ends and starts again under its id, and is
+// cut off: the order is carried out by the next process, which nobody has heard of.
+func caseLate(bd *bed, trouble bool) (verdict, error) {
+	const (
+		work     = 30 * time.Second
+		late     = 6 * time.Second
+		crashAt  = 300 * time.Millisecond
+		downFor  = 4500 * time.Millisecond
+		cutFor   = 6500 * time.Millisecond
+		observed = 30 * time.Second
+		id       = "5c0e7a21d94b36f8"
+	)
+	bd.fl.work = func(string) (time.Duration, capacity) { return work, capacity{CPU: 2000, MemMB: 1024} }
+	var once sync.Once
+	hit := make(chan *runner, 1)
+	var lateAt atomic.Pointer[runner]
+	bd.fl.late = func(on *runner, _ string) time.Duration {
+		once.Do(func() {
+			lateAt.Store(on)
+			hit <- on
+		})
+		if trouble && lateAt.Load() == on && on.isFirst() {
+			return late
+		}
+		return 0
+	}
+	list, err := bd.startAll(kindA)
+	if err != nil {
+		return verdict{}, err
+	}
+	for _, rn := range list {
+		rn.tellStart()
+	}
+	time.Sleep(2 * heartbeat)
+	if !bd.submit(id, map[string]any{"spec": "plan", "steps": []any{map[string]any{"count": 1, "cpu": 2000, "mem-mb": 1024, "estimate-ms": 30000}}}) {
+		return verdict{}, fmt.Errorf("the job was not accepted")
+	}
+	select {
+	case on := <-hit:
+		if trouble {
+			time.Sleep(crashAt)
+			bd.rec.logf("runner %s loses power for %v, and is cut off for %v once it is back", on.id, downFor, cutFor)
+			on.silence(time.Now().Add(downFor + cutFor))
+			time.Sleep(downFor)
+			on.restart()
+		}
+	case <-time.After(5 * time.Second):
+		return verdict{}, fmt.Errorf("no order within 5 s")
+	}
+	time.Sleep(observed)
+	bd.state(bd.hosts[1], id)
+	ve := verdict{text: "no two runs of the task at the same time"}
+	runs := bd.fl.runsOf(id)
+	for i, ru := range runs {
+		bd.rec.logf("run: %s, from %.3f s to %.3f s (0: it goes on)", ru, ru.From.Sub(bd.rec.start).Seconds(), max(ru.Until.Sub(bd.rec.start).Seconds(), 0))
+		for _, before := range runs[:i] {
+			if before.Until.IsZero() || before.Until.After(ru.From) {
+				ve = verdict{broken: true, text: fmt.Sprintf("attempt %d on %s begins while attempt %d runs on %s", ru.Attempt, ru.Runner, before.Attempt, before.Runner)}
+			}
+		}
+	}
+	return ve, nil
+}
--- a/review/_standin2/main.go
+++ b/review/_standin2/main.go
@@ -27,6 +27,7 @@
 var cases = map[string]func(bd *bed, trouble bool) (verdict, error){
 	"restarts": caseRestarts,
 	"pending":  casePending,
+	"late":     caseLate,
 }
 
 func main() {
--- a/review/_standin2/runner.go
+++ b/review/_standin2/runner.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"sync"
 	"time"
 )
@@ -47,6 +48,9 @@
 	work func(task string) (time.Duration, capacity)
 	// began is called, without locks, when a run begins.
 	began func(ru *run, on *runner)
+	// late returns how late a runner carries out an order to start, which it then leaves without an
+	// answer; 0 or nil for at once.
+	late func(on *runner, task string) time.Duration
 
 	// mu guards the runs and the state of all runners.
 	mu   sync.Mutex
@@ -64,18 +68,23 @@
 	addr    string
 	ln      net.Listener
 	srv     *http.Server
-	started time.Time
 
 	mu      *sync.Mutex
-	dead    bool
-	dark    chan struct{}
-	fence   int64
-	until   time.Time
-	running map[string]*run
-	last    map[string]int
-	ends    []ended
-	lastEnd int64
-	wake    chan struct{}
+	started time.Time
+	// born is the Unix millisecond of the start, 0 if the runner does not tell it; firstBorn is that of
+	// its first process.
+	born, firstBorn int64
+	// silentFrom and silentUntil are from and until when nothing passes between the runner and everybody else.
+	silentFrom, silentUntil time.Time
+	dead                    bool
+	dark                    chan struct{}
+	fence                   int64
+	until                   time.Time
+	running                 map[string]*run
+	last                    map[string]int
+	ends                    []ended
+	lastEnd                 int64
+	wake                    chan struct{}
 }
 
 type ended struct {
@@ -114,14 +123,60 @@
 			rn.fl.rec.logf("entry of runner %s lapses", rn.id)
 			return
 		}
-		rn.fl.st.put("servers", rn.id, map[string]any{
-			"service": rn.service, "address": rn.addr, "zone": rn.zone, "version": "v1", "slots": 8, "state": "ready", "cold-remaining-ms": 0,
-			"sequence": seq, "capacity": rn.cap, "labels": rn.labels,
-		})
+		if rn.silentFor(entryLapse) {
+			rn.fl.st.remove("servers", rn.id)
+		} else if !rn.silentFor(0) {
+			rn.fl.st.put("servers", rn.id, rn.entry(seq))
+		}
 		time.Sleep(heartbeat)
 	}
 }
 
+// entry is what the runner says of itself in the store.
+func (rn *runner) entry(seq int64) map[string]any {
+	rn.mu.Lock()
+	defer rn.mu.Unlock()
+	en := map[string]any{
+		"service": rn.service, "address": rn.addr, "zone": rn.zone, "version": "v1", "slots": 8, "state": "ready", "cold-remaining-ms": 0,
+		"sequence": seq, "capacity": rn.cap, "labels": rn.labels,
+	}
+	if rn.born != 0 {
+		en["born"] = rn.born
+	}
+	return en
+}
+
+// silence lets nothing pass between the runner and everybody else until a time.
+func (rn *runner) silence(until time.Time) {
+	rn.mu.Lock()
+	defer rn.mu.Unlock()
+	if !time.Now().Before(rn.silentUntil) {
+		rn.silentFrom = time.Now()
+	}
+	rn.silentUntil = until
+}
+
+// silentFor reports whether the runner has been silent for a time.
+func (rn *runner) silentFor(d time.Duration) bool {
+	rn.mu.Lock()
+	defer rn.mu.Unlock()
+	return time.Now().Before(rn.silentUntil) && time.Since(rn.silentFrom) >= d
+}
+
+// restart ends the runner's process and starts it again under the same id and at the same address.
+// It holds and knows nothing of before, and its counts and its clock begin anew.
+func (rn *runner) restart() {
+	rn.mu.Lock()
+	defer rn.mu.Unlock()
+	for _, ru := range rn.running {
+		ru.Until, ru.How = time.Now(), "lost with its runner"
+	}
+	rn.running, rn.last, rn.ends, rn.lastEnd = map[string]*run{}, map[string]int{}, nil, 0
+	rn.fence, rn.until, rn.started = 0, time.Time{}, time.Now()
+	rn.born = rn.started.UnixMilli()
+	rn.fl.rec.logf("runner %s ends and starts again under its id, born %d", rn.id, rn.born)
+}
+
 func (rn *runner) lost() bool {
 	rn.mu.Lock()
 	defer rn.mu.Unlock()
@@ -172,12 +227,34 @@
 			writeJSON(w, http.StatusMisdirectedRequest, map[string]any{"current-time-ms": rn.clock(time.Now())})
 		case err != nil:
 			writeJSON(w, http.StatusBadRequest, map[string]any{"current-time-ms": rn.clock(time.Now())})
+		case rn.silentFor(0):
+			<-r.Context().Done()
+			panic(http.ErrAbortHandler)
+		case bo.Spec != "" && rn.fl.late != nil && rn.fl.late(rn, bo.Task) > 0:
+			rn.carryOutLater(fn, bo, rn.fl.late(rn, bo.Task))
+			<-r.Context().Done()
+			panic(http.ErrAbortHandler)
 		default:
 			fn(w, bo)
+			if rn.silentFor(0) {
+				<-r.Context().Done()
+				panic(http.ErrAbortHandler)
+			}
 		}
 	}
 }
 
+// carryOutLater carries out an order some time later, without an answer. Whichever process has the
+// id by then does it: the header that names the addressee has no more than the id.
+func (rn *runner) carryOutLater(fn func(w http.ResponseWriter, bo *order), bo *order, after time.Duration) {
+	rn.fl.rec.logf("order to start %s attempt %d at %s gets no answer and is carried out %v later", bo.Task, bo.Attempt, rn.id, after)
+	time.AfterFunc(after, func() {
+		rec := httptest.NewRecorder()
+		fn(rec, bo)
+		rn.fl.rec.logf("late order to start %s attempt %d at %s: %d %s", bo.Task, bo.Attempt, rn.id, rec.Code, rec.Body)
+	})
+}
+
 // order is the body of any call to a runner.
 type order struct {
 	Task       string `json:"task"`
@@ -386,7 +463,11 @@
 		}
 		finished = append(finished, []any{en.n, en.ru.Task, en.ru.Attempt, en.ru.How, ""})
 	}
-	writeJSON(w, http.StatusOK, map[string]any{"current-time-ms": rn.clock(now), "running": running, "finished": finished})
+	answer := map[string]any{"current-time-ms": rn.clock(now), "running": running, "finished": finished}
+	if rn.born != 0 {
+		answer["born"] = rn.born
+	}
+	writeJSON(w, http.StatusOK, answer)
 }
 
 // runsOf returns the runs of a job so far.
@@ -405,3 +486,18 @@
 func (ru run) String() string {
 	return fmt.Sprintf("%s attempt %d on %s: %s", ru.Task, ru.Attempt, ru.Runner, ru.How)
 }
+
+// tellStart makes the runner tell its start from now on.
+func (rn *runner) tellStart() {
+	rn.mu.Lock()
+	defer rn.mu.Unlock()
+	rn.born = rn.started.UnixMilli()
+	rn.firstBorn = rn.born
+}
+
+// isFirst reports whether the runner has not started again.
+func (rn *runner) isFirst() bool {
+	rn.mu.Lock()
+	defer rn.mu.Unlock()
+	return rn.born <= rn.firstBorn
+}
