--- a/review/_standin2/main.go
+++ b/review/_standin2/main.go
@@ -6,7 +6,6 @@
 import (
 	"fmt"
 	"os"
-	"path/filepath"
 	"time"
 )
 
@@ -31,15 +30,15 @@
 }
 
 func main() {
-	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: standin2 CASE FOLDER")
+	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: standin2 CASE RECORD TROUBLE, where a TROUBLE of 0 leaves the disruption out")
 		os.Exit(exitNotRun)
 	}
-	os.Exit(play(os.Args[1], os.Args[2]))
+	os.Exit(play(os.Args[1], os.Args[2], os.Args[3] != "0"))
 }
 
-func play(name, folder string) int {
-	out, err := os.Create(filepath.Join(folder, "record.txt"))
+func play(name, record string, trouble bool) int {
+	out, err := os.Create(record)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitNotRun
@@ -51,7 +50,6 @@
 		return exitNotRun
 	}
 	rec := &recorder{out: out, start: time.Now()}
-	trouble := os.Getenv("TROUBLE") != "0"
 	rec.logf("case %s, disruption: %t", name, trouble)
 	bd, err := newBed(rec, dir)
 	if err != nil {
--- a/review/_standin2/runner.go
+++ b/review/_standin2/runner.go
@@ -450,8 +450,8 @@
 	running, finished := [][]any{}, [][]any{}
 	for _, ru := range rn.running {
 		percent := 0
-		if work, _ := rn.fl.work(ru.Task); work > 0 {
-			percent = min(int(100*now.Sub(ru.From)/work), 99)
+		if length, _ := rn.fl.work(ru.Task); length > 0 {
+			percent = min(int(100*now.Sub(ru.From)/length), 99)
 		} else if now.Sub(ru.From) > 300*time.Millisecond {
 			percent = 100
 		}
