sched: keep start orders without an answer by worker, not by process

Callers saw a task run on two workers at once: a worker left the order to start it without an answer, restarted out of reach, and its new process carried the order out, while the task had started elsewhere.

Cause: an order without an answer was kept with its attempt, and that with one process of its worker. Both were given up once the leases of that process had lapsed, or as soon as any process answered without listing the attempt. But an order may be carried out until 12 s after it was sent, by whichever process then has the id of the worker, and a new process has seen neither the fencing token nor the stop.

Change: the type outstanding.Orders has the orders of a task that may still be carried out, by worker id and beyond the ends of its attempts. It is asked where tasks are placed, where attempts end because leases have lapsed or their worker was never seen, and where rows are written. Meanwhile the task starts again at once on the same worker, if that answers; elsewhere once the worker, asked after the 12 s, does not list it, or a whole lease later. An order is settled when the worker acknowledges, lists or refuses it, or another worker answers at its address. Rows state acknowledgements, orders of ended attempts and addresses, so a next owner awaits no more. The special rules for late orders in restartlease.go are gone. An attempt that is listed though it has ended by the job's account keeps its task from starting until it is gone.

--- a/internal/job/attempts.go
+++ b/internal/job/attempts.go
@@ -9,6 +9,8 @@
 	Number int
 	Worker worker.Incarnation
 	Phase  Phase
+	// Acknowledged is set if the worker is known to have it.
+	Acknowledged bool
 }
 
 // A task of a step with [Step.Copies] may have a second attempt, the copy, while the first
@@ -41,7 +43,7 @@
 
 // last returns the last attempt.
 func (ta *Task) last() Attempt {
-	return Attempt{Number: ta.Attempt, Worker: ta.Worker, Phase: ta.Phase}
+	return Attempt{Number: ta.Attempt, Worker: ta.Worker, Phase: ta.Phase, Acknowledged: ta.Acknowledged || ta.Phase > PhaseStarting}
 }
 
 // lastRuns reports whether the last attempt may run.
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -85,6 +85,8 @@
 	EarlierDone bool
 	// Phase is how far the last attempt was seen to get.
 	Phase Phase
+	// Acknowledged is set if the worker of the last attempt is known to have it.
+	Acknowledged bool
 	// Worker is the incarnation of the worker of the last attempt.
 	Worker worker.Incarnation
 	// Checkpoint is the checkpoint that the next attempt starts from, Base the one that
@@ -137,6 +139,12 @@
 	// have been extended by calls to an earlier incarnation, with the longest time until such a
 	// lease ends, in milliseconds from the encoding of the row. The caller keeps it up to date.
 	RestartLeaseMS map[worker.Incarnation]int64
+	// Orders has the tasks of which orders to start ended attempts may still be carried out. The
+	// caller keeps it up to date.
+	Orders map[TaskRef]StatedOrder
+	// HostPorts has the addresses of workers whose attempts are not known to be acknowledged. The
+	// caller keeps it up to date.
+	HostPorts map[worker.Incarnation]string
 
 	// remaining counts the tasks of each step that are not done, abandoned the tasks that
 	// were given up, started the tasks that had at least one attempt.
@@ -246,7 +254,7 @@
 	ta.State = Started
 	ta.Attempt++
 	ta.Worker = inc
-	ta.Phase, ta.EarlierDone = PhaseStarting, false
+	ta.Phase, ta.Acknowledged, ta.EarlierDone = PhaseStarting, false, false
 	ta.Base = ta.Checkpoint
 	return ta.Attempt
 }
--- a/internal/job/job_test.go
+++ b/internal/job/job_test.go
@@ -103,6 +103,8 @@
 		{oneTask, `{"steps":[{"s":"w"},{"s":"w"}]}`}, {oneTask, `{"steps":[{"s":"ww"}]}`}, {oneTask, `{"steps":[{"s":""}]}`}, {oneTask, `{"steps":[{"s":"x"}]}`},
 		{oneTask, `{"steps":[{"s":"s","w":["a"]}]}`}, {oneTask, `{"steps":[{"s":"s","w":["a"],"o":[1]}]}`}, {oneTask, `{"state":"running"}`},
 		{oneTask, `{"steps":[{"s":"s","w":["a"],"o":[0],"p":"x"}]}`}, {oneTask, `{"steps":[{"s":"s","w":["a"],"o":[0],"p":"11"}]}`},
+		{oneTask, `{"steps":[{"s":"s","w":["a"],"o":[0],"k":"11"}]}`}, {oneTask, `{"steps":[{"s":"w","u":{"1":{"w":"a","m":5}}}]}`},
+		{oneTask, `{"steps":[{"s":"s","w":["a"],"o":[0],"h":{"1":"10.0.0.1:80"}}]}`},
 		{oneTask, `{"steps":[{"s":"w","w":["a"],"e":{"0":{"n":1}}}]}`}, {oneTask, `{"steps":[{"s":"d","w":["a"],"e":{"0":{"n":1,"o":1}}}]}`},
 		{oneTask, `{"steps":[{"s":"d","w":["a"],"e":{"0":{"n":1,"p":3}}}]}`}, {oneTask, `{"steps":[{"s":"d","w":["a"],"e":{"0":{"o":0}}}]}`}} {
 		_, err := Restore(testID, []byte(tc[0]), []byte(tc[1]))
@@ -136,7 +138,7 @@
 	case Started:
 		ta.Checkpoint = ta.Base
 	default:
-		ta.Worker, ta.Base, ta.Phase, ta.EarlierDone = worker.Incarnation{}, "", PhaseStarting, false
+		ta.Worker, ta.Base, ta.Phase, ta.EarlierDone, ta.Acknowledged = worker.Incarnation{}, "", PhaseStarting, false, false
 	}
 	return ta
 }
@@ -149,7 +151,7 @@
 		Base:       rapid.SampledFrom([]string{"", "c0"}).Draw(rt, "base"),
 		Crashes:    rapid.IntRange(0, 2).Draw(rt, "crashes"), PresumedCrashes: rapid.IntRange(0, 2).Draw(rt, "presumed"), Losses: rapid.IntRange(0, 3).Draw(rt, "losses"),
 		GivenUp:     rapid.SampledFrom([][]int{nil, {1}, {2, 5}}).Draw(rt, "given up"),
-		EarlierDone: rapid.Bool().Draw(rt, "done before"),
+		EarlierDone: rapid.Bool().Draw(rt, "done before"), Acknowledged: rapid.Bool().Draw(rt, "acknowledged"),
 	}
 	if (ta.State == Started || ta.State == Done) && rapid.Bool().Draw(rt, "two attempts") {
 		ta.Other = Attempt{Number: 7, Worker: worker.Incarnation{ID: "i-7"}, Phase: Phase(rapid.IntRange(0, 2).Draw(rt, "phase"))}
--- a/internal/job/jobrow.go
+++ b/internal/job/jobrow.go
@@ -39,9 +39,11 @@
 	if jo.Finished() {
 		row.Queue = jo.Terms.Queue
 	} else {
-		for _, tasks := range jo.Tasks {
+		for step, tasks := range jo.Tasks {
 			sr := newStepRow(tasks)
 			sr.setRestartMS(jo.RestartLeaseMS)
+			sr.setOrders(step, jo.Orders)
+			sr.setHostPorts(jo.HostPorts)
 			row.Steps = append(row.Steps, sr)
 		}
 	}
@@ -105,6 +107,12 @@
 		if err := sr.addRestartMS(&jo.RestartLeaseMS); err != nil {
 			return fmt.Errorf("step %d: %w", i, err)
 		}
+		if err := sr.addOrders(i, jo); err != nil {
+			return fmt.Errorf("step %d: %w", i, err)
+		}
+		if err := sr.addHostPorts(jo); err != nil {
+			return fmt.Errorf("step %d: %w", i, err)
+		}
 	}
 	return nil
 }
--- a/internal/job/rowsize.go
+++ b/internal/job/rowsize.go
@@ -22,13 +22,17 @@
 }
 
 // EncodeRow returns the row of the current state in at most limit bytes. If the state takes more,
-// the row lacks the largest checkpoints, which only save work, and then the counts by which
-// tasks are given up. What keeps tasks from running twice is never left out: if that alone
+// the row lacks the addresses of workers, which only save time, then the largest checkpoints, which
+// only save work, and then the counts by which tasks are given up. What keeps tasks from running twice is never left out: if that alone
 // exceeds the limit, the error wraps [ErrTooLarge].
 func (jo *Job) EncodeRow(epoch int64, limit int) ([]byte, Omitted, error) {
 	row := jo.NextRow(epoch)
 	var om Omitted
 	data, err := json.Marshal(row)
+	if err == nil && len(data) > limit {
+		row.omitHostPorts()
+		data, err = json.Marshal(row)
+	}
 	if err == nil && len(data) > limit {
 		om.Checkpoints = row.omitCheckpoints(len(data) - limit)
 		data, err = json.Marshal(row)
@@ -72,6 +76,12 @@
 	return n
 }
 
+func (pr *ProgressRow) omitHostPorts() {
+	for i := range pr.Steps {
+		pr.Steps[i].HostPorts = nil
+	}
+}
+
 func (pr *ProgressRow) omitLosses() {
 	for i := range pr.Steps {
 		sr := &pr.Steps[i]
--- a/internal/job/steprow.go
+++ b/internal/job/steprow.go
@@ -40,6 +40,13 @@
 	RestartMS map[int]int64 `json:"m,omitempty"`
 	// Phases has the phases of the last attempts of started tasks, see encodePhases.
 	Phases string `json:"p,omitempty"`
+	// Acknowledged has the started tasks whose last attempts are acknowledged, see
+	// encodeAcknowledged.
+	Acknowledged string `json:"k,omitempty"`
+	// Orders has the values of [Job.Orders], and HostPorts those of [Job.HostPorts] by the indices
+	// of the workers.
+	Orders    map[int]StatedOrder `json:"u,omitempty"`
+	HostPorts map[int]string      `json:"h,omitempty"`
 	// Others has the attempts that may run beside the last ones. Versions of the program
 	// that do not know the field find the last attempt in the other fields, stop the other
 	// one where a worker lists it, and count its end like that of an attempt that was given
@@ -72,7 +79,7 @@
 	return 1
 }
 
-// newStepRow returns the row of a step's tasks, without RestartMS.
+// newStepRow returns the row of a step's tasks, without the fields that the caller of the job sets.
 func newStepRow(tasks []Task) StepRow {
 	var sr StepRow
 	var states strings.Builder
@@ -86,7 +93,7 @@
 		}
 	}
 	sr.States = collapse(states.String())
-	sr.Phases = encodePhases(tasks)
+	sr.Phases, sr.Acknowledged = encodePhases(tasks), encodeAcknowledged(tasks)
 	return sr
 }
 
@@ -235,5 +242,5 @@
 	if err := decodePhases(sr.Phases, tasks); err != nil {
 		return nil, err
 	}
-	return tasks, nil
+	return tasks, decodeAcknowledged(sr.Acknowledged, tasks)
 }
--- a/internal/sched/deferredlaunch.go
+++ b/internal/sched/deferredlaunch.go
@@ -35,6 +35,7 @@
 		return
 	}
 	la := at.newLaunch()
+	at.recordOrder(now.Add(wait + launchTimeout))
 	la.Deferral = at.wk.newDeferral(at, wait)
 	ctx, cancel := context.WithTimeout(ow.ctx, wait+launchTimeout)
 	at.deferral = &deferredLaunch{capacity: at.wk.Capacity, fence: at.wk.currentPath().fence, cancel: cancel}
@@ -82,6 +83,7 @@
 	}
 	ow.Metrics.Add(telemetry.QueuedStarts, 1, "outcome", "abandoned")
 	if at.current() && at.launchedAt.IsZero() {
+		at.tj.settleOrder(at.ref, at.number)
 		ow.recordEnd(at.tj, at.ref, at.number, job.EndNeverRan, "", err.Error())
 	}
 }
--- a/internal/sched/incarnation.go
+++ b/internal/sched/incarnation.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/pepperhatch/pepperhatch/internal/job"
+	"github.com/pepperhatch/pepperhatch/internal/outstanding"
 	"github.com/pepperhatch/pepperhatch/internal/telemetry"
 	"github.com/pepperhatch/pepperhatch/internal/worker"
 )
@@ -15,10 +16,8 @@
 // one respect: an order for one incarnation is carried out by whichever has the id when the
 // order arrives. So an attempt that was ordered from an ended incarnation counts as running on
 // the next one until that has answered a poll with a higher fencing token. By then it either
-// has carried out the order and lists the attempt, or never will.
-
-// maxOrderDelay is how long after it was sent an unanswered order may still be carried out.
-const maxOrderDelay = 12 * time.Second
+// has carried out the order and lists the attempt, or never will; the process after it still may,
+// see outstandingorder.go.
 
 // Labels of calls to workers, for metrics and the log.
 const (
@@ -158,6 +157,7 @@
 	if next.currentPath().fence <= wk.currentPath().fence {
 		next.raiseFence()
 	}
+	wk.endStrays()
 	now := time.Now()
 	crashed := wk.recordCrash()
 	for at := range wk.allAttempts() {
@@ -172,7 +172,7 @@
 			// The entry of a former incarnation was seen late.
 			moved.rowIncarnation, moved.inheritedRunTime = named, at.rowRunTime()
 		} else {
-			moved.endIfNotRun, moved.earlier = end, &earlierOrder{addressee: named, endedBy: now, started: at.seenRunning()}
+			moved.endIfNotRun, moved.earlier = end, &earlierOrder{addressee: named, endedBy: now}
 		}
 		next.addAttempt(moved)
 		next.unsettle()
@@ -181,15 +181,6 @@
 	wk.ow.removeIfIdle(wk)
 }
 
-// seenRunning reports whether a poll of the incarnation that the attempt was ordered from has
-// listed it.
-func (at *attempt) seenRunning() bool {
-	if at.earlier != nil {
-		return at.earlier.started
-	}
-	return !at.lastSeenAt.IsZero() || at.inheritedRunTime > 0
-}
-
 // rowRunTime returns how long the attempt ran at least, by the row of its job.
 func (at *attempt) rowRunTime() time.Duration {
 	ra, _ := at.tj.runningAttempt(at.key())
@@ -202,7 +193,7 @@
 	at.endIfNotRun, at.earlier, at.rowIncarnation = "", nil, wk.incarnation
 	if _, ok := wk.ow.restartLeases[wk.incarnation]; !ok {
 		// It may not have accepted this owner's fencing token yet.
-		wk.ow.boundRestartLeases(wk.incarnation, wk.ow.wholeLeaseAfter(time.Now().Add(maxOrderDelay)))
+		wk.ow.boundRestartLeases(wk.incarnation, wk.ow.wholeLeaseAfter(time.Now().Add(outstanding.MaxDelay)))
 	}
 	at.tj.jo.SetWorker(at.ref, at.number, wk.incarnation)
 	wk.ow.markDirty(at.tj)
--- a/internal/sched/launch.go
+++ b/internal/sched/launch.go
@@ -49,10 +49,12 @@
 
 // newLaunch returns the start order of the attempt, which is to be sent now.
 func (at *attempt) newLaunch() worker.Launch {
+	now := time.Now()
 	at.orderSent = true
+	at.recordOrder(now.Add(launchTimeout))
 	return worker.Launch{
 		Attempt: at.name(), Payload: at.tj.jo.Spec.Payload, Checkpoint: at.task().Checkpoint,
-		LeaseUntilMS: at.wk.nextLeaseEnd(time.Now()),
+		LeaseUntilMS: at.wk.nextLeaseEnd(now),
 	}
 }
 
@@ -112,16 +114,19 @@
 	if errors.Is(err, worker.ErrOtherIncarnation) {
 		// The next process refused the order, so the attempt did not cause the end of this
 		// one.
+		at.tj.settleOrder(at.ref, at.number)
 		ow.recordEnd(at.tj, at.ref, at.number, job.EndNeverRan, "", "refused by another process")
 		at.wk.markDead("another process answers at its address", worker.Incarnation{})
 		return
 	}
 	if !at.wk.handleRefusal(err) {
 		at.resolvingOrder = true
+		at.recordOrder(got)
 		at.wk.recordUnanswered(sent)
 		go ow.resolveOrder(at.wk, at.name(), func(present bool) { ow.handleLaunchResolved(at, present) })
 		return
 	}
+	at.tj.settleOrder(at.ref, at.number)
 	ow.recordEnd(at.tj, at.ref, at.number, job.EndNeverRan, "", "refused by the worker")
 }
 
--- a/internal/sched/leasebound.go
+++ b/internal/sched/leasebound.go
@@ -33,6 +33,9 @@
 	// basisRestart: this incarnation may carry out calls to an earlier one, which extend its
 	// leases from their arrival.
 	basisRestart leaseBasis = "restart"
+	// basisOutstanding: the worker may carry out a start order until [outstanding.MaxDelay] after
+	// it was sent, and runs the attempt for a whole lease.
+	basisOutstanding leaseBasis = "outstanding"
 	// basisEnded: the process that ran the attempt has ended.
 	basisEnded leaseBasis = "ended"
 )
@@ -81,7 +84,12 @@
 // wholeLeaseAfter returns when a lease has ended that was extended at the given time by its
 // greatest length.
 func (ow *Owner) wholeLeaseAfter(extended time.Time) time.Time {
-	return extended.Add(maxDriftDuration(ow.Limits.MaxLease) + lapseMargin)
+	return extended.Add(ow.wholeLease())
+}
+
+// wholeLease returns how long a lease of the greatest length may last.
+func (ow *Owner) wholeLease() time.Duration {
+	return maxDriftDuration(ow.Limits.MaxLease) + lapseMargin
 }
 
 // formerLeaseBounds returns the latest time at which former owners can have extended leases,
--- a/internal/sched/load.go
+++ b/internal/sched/load.go
@@ -65,6 +65,7 @@
 	clear(ow.unowned)
 	clear(ow.restartLeases)
 	clear(ow.unownedByID)
+	clear(ow.ordersAt)
 	clear(ow.unreadable)
 	ow.waitingJobs = nil
 	ow.demands = headroom.Demands{}
@@ -101,6 +102,7 @@
 	if tj.writtenState.Final() {
 		ow.recordJobEnd(tj, time.Now())
 	}
+	ceased, _ := ow.formerLeaseBounds()
 	for step, tasks := range jo.Tasks {
 		for index := range tasks {
 			for _, ra := range tasks[index].Running() {
@@ -108,6 +110,7 @@
 				ow.recordRowLeases(jo, ra.Worker)
 				tj.unowned = append(tj.unowned, attemptKey{job.TaskRef{Step: step, Index: index}, ra.Number})
 			}
+			tj.inheritOrders(job.TaskRef{Step: step, Index: index}, ceased)
 		}
 	}
 	ow.recountWaiting(tj)
@@ -173,7 +176,7 @@
 		at := &attempt{ref: key.ref, number: key.number, wk: wk, tj: tj, inherited: true, inheritedRunTime: minRunTime(ra.Phase), rowIncarnation: ra.Worker, pace: unknownPace}
 		if ra.Worker.IsOtherIncarnation(wk.incarnation) {
 			at.inheritedRunTime, at.endIfNotRun = 0, unseenEnd(ra.Phase, wk.ow.listReliable(time.Now()))
-			at.earlier = &earlierOrder{addressee: ra.Worker, started: ra.Phase != job.PhaseStarting}
+			at.earlier = &earlierOrder{addressee: ra.Worker}
 		}
 		wk.addAttempt(at)
 		wk.ow.adoptSuperseded(at)
@@ -188,9 +191,8 @@
 // have expired.
 func (ow *Owner) endExpiredUnowned(now time.Time) {
 	for incarnation := range ow.unowned {
-		if ow.formerLeasesLapsed(incarnation, now) {
+		if ow.formerLeasesLapsed(incarnation, now) && ow.endUnowned(incarnation, now) {
 			delete(ow.unowned, incarnation)
-			ow.endUnowned(incarnation, now)
 			delete(ow.restartLeases, incarnation)
 		}
 	}
@@ -199,13 +201,14 @@
 // unseenReason is the logged reason for ending attempts on a worker that was never seen.
 const unseenReason = "its worker was not seen since the takeover"
 
-// endUnowned ends the attempts on a worker that was never seen.
-func (ow *Owner) endUnowned(incarnation worker.Incarnation, now time.Time) {
-	reliable := ow.listReliable(now)
+// endUnowned ends the attempts on a worker that was never seen, but for those that outstanding
+// orders may still start. It reports whether that were all.
+func (ow *Owner) endUnowned(incarnation worker.Incarnation, now time.Time) bool {
+	reliable, all := ow.listReliable(now), true
 	var le lostEnds
 	uw := ow.unownedByID[incarnation.ID]
 	if uw == nil {
-		return
+		return true
 	}
 	ow.lag.RecordVisits(len(uw.jobs))
 	for tj := range uw.jobs {
@@ -219,6 +222,10 @@
 				remaining = append(remaining, key)
 				continue
 			}
+			if !now.After(ow.orderLeases(tj, key.ref).until) {
+				remaining, all = append(remaining, key), false
+				continue
+			}
 			end := unseenEnd(ra.Phase, reliable)
 			le.add(&tj.jo.Spec.Steps[key.ref.Step], end)
 			ow.recordEnd(tj, key.ref, key.number, end, "", unseenReason)
@@ -226,4 +233,5 @@
 		tj.unowned = remaining
 	}
 	ow.logLost(incarnation, le, unseenReason, now.Sub(ow.startedAt), ow.incarnationLeases(incarnation).logArgs(incarnation, now)...)
+	return all
 }
--- a/internal/sched/owner.go
+++ b/internal/sched/owner.go
@@ -12,8 +12,9 @@
 //
 // The worker decides what it runs. A new owner first raises the fencing token at the worker;
 // an attempt that the worker then lists neither as running nor as ended never ran and never
-// will, provided that the list is whole: workers list a limited number of ends, see
-// [worker.WholeList]. A worker that cannot be reached counts as running everything it was
+// will in that process, provided that the list is whole: workers list a limited number of ends,
+// see [worker.WholeList]. A process that replaces it may still carry out an order without an
+// answer, see outstandingorder.go. A worker that cannot be reached counts as running everything it was
 // given until its leases have expired by the slowest clock that the drift bound allows.
 //
 // Limits: an owner refuses submitted jobs while it has 20,000 jobs in memory, recently ended
@@ -120,7 +121,9 @@
 	// ended, in that order. dueProofs has the jobs whose proofs are to be written, likewise.
 	finiteJobs map[*trackedJob]bool
 	endedJobs  []*trackedJob
-	dueProofs  []*trackedJob
+	dueProofs  []dueWrite
+	// dueAcks has the same for acknowledgements.
+	dueAcks []dueWrite
 	// throttled has the fillers whose pace is at most heldMaxPace, unconfirmedRestarts the
 	// attempts of interrupted tasks that their workers have not confirmed, and halted those that
 	// were ordered to stop. copyable counts the attempts of steps that allow copies.
@@ -172,6 +175,8 @@
 	// restartLeasesEnd is when all of them have ended, also those of which it is not known.
 	restartLeases    map[worker.Incarnation]time.Time
 	restartLeasesEnd time.Time
+	// ordersAt has the tasks with outstanding orders by the id of the worker.
+	ordersAt map[string]map[taskKey]bool
 	// startedAt is when Run was called, loadedAt when it had read the state of the cell.
 	startedAt, loadedAt time.Time
 	// leaseRecord tracks the stored lease expiries of unresponsive workers.
@@ -245,6 +250,7 @@
 	ow.unowned = map[worker.Incarnation]int{}
 	ow.restartLeases = map[worker.Incarnation]time.Time{}
 	ow.unownedByID = map[string]*unownedWorker{}
+	ow.ordersAt = map[string]map[taskKey]bool{}
 	ow.similarity = map[imagePair]float64{}
 	ow.answers = map[string]*answers.Record{}
 	ow.finiteJobs = map[*trackedJob]bool{}
@@ -358,6 +364,7 @@
 	ow.checkWorkerList(now)
 	ow.evacuate(now)
 	ow.endExpiredUnowned(now)
+	ow.expireOrders(now)
 	ow.runBackground()
 	ow.placementDue = true
 }
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -185,6 +185,11 @@
 			tj.waitCause = CauseOrder
 			return
 		}
+		if !tj.orders[ref].Empty() {
+			pl.placeAtAddressee(tj, ref)
+			rk = nil
+			continue
+		}
 		if ta.Suspect() {
 			pl.placeOrPostponeSuspect(tj, ref)
 			// The suspect task may have changed a worker other than the best one, so all have
@@ -326,6 +331,9 @@
 // startAttempt places a new attempt on a worker; if queued is set, its launch order waits until
 // the worker has the capacity.
 func (pl *placer) startAttempt(tj *trackedJob, ref job.TaskRef, ca *candidate, queued bool) {
+	if !tj.mayStartAt(ref, ca.wk) {
+		return
+	}
 	interrupted := tj.interrupted(ref)
 	number := tj.jo.Start(ref, ca.wk.incarnation)
 	if number == 0 {
--- a/internal/sched/polls.go
+++ b/internal/sched/polls.go
@@ -200,6 +200,7 @@
 	if whole, ok := res.Whole(); ok {
 		settles := !wk.settled && fence >= wk.settleFence
 		wk.endMissing(sent, whole, settles)
+		wk.settleAbsentOrders(sent, whole)
 		if settles {
 			wk.markSettled()
 			wk.ow.Log.Info("worker settled", "worker", wk.incarnation, "running", len(res.Running), "ended", len(res.Ended))
@@ -269,6 +270,7 @@
 		return
 	}
 	wk.recordOutcome(tj, ea.Outcome)
+	tj.settleOrder(ref, ea.Number)
 	end := parseEnd(ea.Outcome)
 	if !wk.ow.recordEnd(tj, ref, ea.Number, end, ea.Checkpoint, "listed by the worker") {
 		wk.ow.recordLateEnd(tj, ref, ea.Number, end, wk.incarnation)
@@ -325,6 +327,7 @@
 	for _, ra := range res.Running {
 		at := wk.findAttempt(ra.Attempt)
 		if at == nil {
+			wk.recordStray(ra.Attempt, got)
 			wk.stopUnknownAttempt(ra)
 			continue
 		}
@@ -380,6 +383,10 @@
 		return
 	}
 	at.launchedAt = now
+	at.tj.settleOrder(at.ref, at.number)
+	if at.tj.jo.MarkAcknowledged(at.ref, at.number) && at.needsEarlyProof() {
+		at.tj.scheduleAckWrite(now)
+	}
 	delete(wk.ow.unconfirmedRestarts, at)
 	wk.endDeferral(at)
 	wk.holdIfStarted(at, now)
--- a/internal/sched/proof.go
+++ b/internal/sched/proof.go
@@ -13,6 +13,17 @@
 // proofs of its other tasks: the polls of their workers return within a second.
 const proofWriteDelay = 500 * time.Millisecond
 
+// ackWriteDelay is the same for acknowledgements, which arrive together. Until they are written,
+// the next owner awaits orders that may still be carried out.
+const ackWriteDelay = 200 * time.Millisecond
+
+// dueWrite is a job whose row is to be written at some time, unless another change has it written
+// before.
+type dueWrite struct {
+	tj  *trackedJob
+	due time.Time
+}
+
 // recordObservation records that a poll listed the attempt as running.
 func (at *attempt) recordObservation(now time.Time) {
 	at.lastSeenAt = now
@@ -36,26 +47,33 @@
 func (tj *trackedJob) scheduleProofWrite(now time.Time) {
 	if tj.proofDue.IsZero() {
 		tj.proofDue = now.Add(proofWriteDelay)
-		tj.ow.dueProofs = append(tj.ow.dueProofs, tj)
+		tj.ow.dueProofs = append(tj.ow.dueProofs, dueWrite{tj, tj.proofDue})
+	}
+}
+
+// scheduleAckWrite does the same after ackWriteDelay.
+func (tj *trackedJob) scheduleAckWrite(now time.Time) {
+	if due := now.Add(ackWriteDelay); tj.proofDue.IsZero() || due.Before(tj.proofDue) {
+		tj.proofDue = due
+		tj.ow.dueAcks = append(tj.ow.dueAcks, dueWrite{tj, due})
 	}
 }
 
 // writeDueProofs marks the jobs for writing whose proofs have waited long enough.
 func (ow *Owner) writeDueProofs(now time.Time) {
-	if ow.storeDown() {
-		return
+	if !ow.storeDown() {
+		ow.dueAcks, ow.dueProofs = ow.writeDue(ow.dueAcks, now), ow.writeDue(ow.dueProofs, now)
 	}
-	// The delay is the same for all, so they are due in the order in which they were added.
-	for len(ow.dueProofs) > 0 {
-		tj := ow.dueProofs[0]
-		switch {
-		case tj.proofDue.IsZero():
-			// Another change had the row written before.
-		case now.After(tj.proofDue):
+}
+
+// writeDue marks the jobs for writing that are due, and returns the others. The jobs of the list are
+// in the order in which they are due.
+func (ow *Owner) writeDue(list []dueWrite, now time.Time) []dueWrite {
+	for len(list) > 0 && now.After(list[0].due) {
+		if tj := list[0].tj; !tj.proofDue.IsZero() {
 			ow.markDirty(tj)
-		default:
-			return
 		}
-		ow.dueProofs = ow.dueProofs[1:]
+		list = list[1:]
 	}
+	return list
 }
--- a/internal/sched/restartlease.go
+++ b/internal/sched/restartlease.go
@@ -16,9 +16,8 @@
 //     leases end a whole lease after that poll.
 //   - An owner launches nothing on a worker before that poll. The row that names an attempt states
 //     for how long such leases may still run, unless they have ended.
-//   - An order to an earlier incarnation may be carried out by the next one until maxOrderDelay
-//     after it was sent, and the attempt then runs for a whole lease at most. An order is sent
-//     once, so an attempt that was seen running is not started again.
+// What an order starts that an earlier incarnation did not answer is awaited by the rules of
+// outstandingorder.go.
 //
 // An incarnation that no owner has seen, as it was neither listed nor answered, is not awaited.
 
@@ -30,8 +29,6 @@
 	// endedBy is when this owner knew that the addressee had ended. It is zero if a former owner
 	// sent the order and the worker has not answered since.
 	endedBy time.Time
-	// started is set if the attempt was seen running on the addressee.
-	started bool
 }
 
 // recordRowLeases records what the row of a job states of the leases on an incarnation that it
@@ -87,61 +84,32 @@
 	return leaseBound{until: now.Add(left + lapseMargin), basis: basisOwn}
 }
 
-// lateOrderLeases returns the latest end of a lease under which an attempt runs whose order was
-// sent by the given time and is carried out by another incarnation than the addressee.
-func (ow *Owner) lateOrderLeases(sentBy time.Time) leaseBound {
-	return leaseBound{until: ow.wholeLeaseAfter(sentBy.Add(maxOrderDelay)), basis: basisRestart}
-}
-
 // processLeases returns the latest end of the leases under which the worker runs what was ordered
-// from this incarnation, and whether that holds for all of its attempts.
-func (wk *workerState) processLeases(now time.Time) (lb leaseBound, all bool) {
+// from this incarnation.
+func (wk *workerState) processLeases(now time.Time) leaseBound {
 	if wk.settled {
-		return wk.ownLeases(now), wk.restartSeenAt.IsZero()
+		return wk.ownLeases(now)
 	}
-	lb = wk.ow.incarnationLeases(wk.incarnation)
-	if !wk.restartSeenAt.IsZero() {
-		return lb, false
-	}
-	for at := range wk.allAttempts() {
-		if at.namedIncarnation() != wk.incarnation {
-			return lb, false
-		}
-	}
-	return lb, true
+	return wk.ow.incarnationLeases(wk.incarnation)
 }
 
 // attemptLeases returns the latest end of a lease under which an attempt on the worker runs, given
-// that of what was ordered from this incarnation.
+// that of what was ordered from this incarnation. It leaves out what outstanding orders may start.
 func (wk *workerState) attemptLeases(at *attempt, here leaseBound) leaseBound {
-	ow, started := wk.ow, at.seenRunning()
+	named := at.namedIncarnation()
 	switch eo := at.earlier; {
-	case wk.settled && started:
+	case wk.settled || named == wk.incarnation:
 		return here
-	case wk.settled:
-		return here.later(ow.lateOrderLeases(wk.restartSeenAt))
-	case eo != nil && !eo.endedBy.IsZero() && started:
-		return leaseBound{until: eo.endedBy, basis: basisEnded}
 	case eo != nil && !eo.endedBy.IsZero():
-		return ow.lateOrderLeases(eo.endedBy)
-	}
-	elsewhere := at.namedIncarnation() != wk.incarnation
-	if elsewhere {
-		here = ow.incarnationLeases(at.namedIncarnation())
-	}
-	if started || !elsewhere && wk.restartSeenAt.IsZero() {
-		return here
+		return leaseBound{until: eo.endedBy, basis: basisEnded}
 	}
-	sentBy, _ := ow.formerLeaseBounds()
-	return here.later(ow.lateOrderLeases(sentBy))
+	return wk.ow.incarnationLeases(named)
 }
 
-// leaseBound returns the latest end of any lease on the worker under which something may run.
+// leaseBound returns the latest end of any lease on the worker under which something may run. It
+// leaves out what outstanding orders may start, which the rows of jobs state.
 func (wk *workerState) leaseBound(now time.Time) leaseBound {
-	here, all := wk.processLeases(now)
-	if all {
-		return here
-	}
+	here := wk.processLeases(now)
 	var lb leaseBound
 	for at := range wk.allAttempts() {
 		lb = lb.later(wk.attemptLeases(at, here))
@@ -152,17 +120,14 @@
 // lapsedAttempts returns the attempts on the worker whose leases have lapsed by the slowest clock,
 // and the latest end of their leases.
 func (wk *workerState) lapsedAttempts(now time.Time) ([]*attempt, leaseBound) {
-	here, all := wk.processLeases(now)
-	if all && !now.After(here.until) {
+	here := wk.processLeases(now)
+	if wk.settled && !now.After(here.until) {
 		return nil, here
 	}
 	var lapsed []*attempt
 	var latest leaseBound
 	for at := range wk.allAttempts() {
-		lb := here
-		if !all {
-			lb = wk.attemptLeases(at, here)
-		}
+		lb := wk.attemptLeases(at, here).later(wk.ow.orderLeases(at.tj, at.ref))
 		if now.After(lb.until) {
 			lapsed, latest = append(lapsed, at), latest.later(lb)
 		}
--- a/internal/sched/restartlease_random_test.go
+++ b/internal/sched/restartlease_random_test.go
@@ -107,11 +107,12 @@
 	i := rapid.IntRange(0, 1).Draw(rs.rt, "worker")
 	at := after + rs.duration("restart after", 50*time.Millisecond, time.Second)
 	if rs.lateOrders && rs.oneIn(2, "late orders") {
-		late := rs.duration("orders late by", 500*time.Millisecond, 12*time.Second)
-		rs.at(at-20*time.Millisecond, fmt.Sprintf("orders to worker %d %v late", i, late), func() {
-			rs.fleet.SetOrderDelay(rs.fleetWorkers[i], late)
-			rs.submitSome()
-		})
+		rs.drawLateOrders(at-20*time.Millisecond, i)
+	}
+	if rs.lateOrders && rs.oneIn(2, "answers between") {
+		before := at - rs.duration("late orders before", 450*time.Millisecond, 6*time.Second)
+		rs.drawLateOrders(before, i)
+		rs.at(before+20*time.Millisecond, fmt.Sprintf("orders to worker %d answered", i), func() { rs.fleet.SetOrderDelay(rs.fleetWorkers[i], 0) })
 	}
 	if rs.oneIn(2, "late polls") {
 		late := rs.duration("polls late by", 500*time.Millisecond, 12*time.Second)
@@ -148,6 +149,15 @@
 	return at
 }
 
+// drawLateOrders draws how late a worker carries out orders, and has some sent there.
+func (rs *restartScript) drawLateOrders(at time.Duration, i int) {
+	late := rs.duration("orders late by", 500*time.Millisecond, 12*time.Second)
+	rs.at(at, fmt.Sprintf("orders to worker %d %v late", i, late), func() {
+		rs.fleet.SetOrderDelay(rs.fleetWorkers[i], late)
+		rs.submitSome()
+	})
+}
+
 // startProcess starts the next process of a worker, whose last one has ended.
 func (rs *restartScript) startProcess(i int, clockStart time.Duration, rate float64) {
 	rs.mu.Lock()
@@ -317,7 +327,7 @@
 }
 
 // restartScripts is the number of random scripts; PEPPERHATCH_SEED selects others.
-const restartScripts = 60
+const restartScripts = 120
 
 // playRandomRestarts restarts workers under their ids with late calls for their former processes,
 // loses owners soon after and cuts workers off, all at random, and checks that no task runs twice at
--- a/internal/sched/rowlimit.go
+++ b/internal/sched/rowlimit.go
@@ -23,7 +23,8 @@
 	if tj.writeAlone {
 		limit /= 2
 	}
-	tj.jo.RestartLeaseMS = ow.restartLeaseMS(tj, time.Now())
+	now := time.Now()
+	tj.jo.RestartLeaseMS, tj.jo.Orders, tj.jo.HostPorts = ow.restartLeaseMS(tj, now), tj.statedOrders(now), tj.statedHostPorts()
 	value, om, err := tj.jo.EncodeRow(ow.Tenure.Epoch, limit)
 	for errors.Is(err, job.ErrTooLarge) && ow.withdrawStarts(tj) {
 		value, om, err = tj.jo.EncodeRow(ow.Tenure.Epoch, limit)
--- a/internal/sched/timebreakdown.go
+++ b/internal/sched/timebreakdown.go
@@ -23,7 +23,8 @@
 	// CauseRoom: a task waits because no worker that it may run on has the capacity.
 	CauseRoom
 	// CausePlace: a filler waits because it would harm services wherever it fits, or finds no
-	// idle processors there; or a task waits to run isolated.
+	// idle processors there; or a task waits to run isolated, or for the only worker that it may
+	// run on while orders to start it are outstanding.
 	CausePlace
 	// CauseStop: an attempt is being stopped, to continue on another worker.
 	CauseStop
--- a/internal/sched/trackedjob.go
+++ b/internal/sched/trackedjob.go
@@ -8,6 +8,7 @@
 	"github.com/pepperhatch/pepperhatch/internal/copies"
 	"github.com/pepperhatch/pepperhatch/internal/interfere"
 	"github.com/pepperhatch/pepperhatch/internal/job"
+	"github.com/pepperhatch/pepperhatch/internal/outstanding"
 	"github.com/pepperhatch/pepperhatch/internal/restart"
 	"github.com/pepperhatch/pepperhatch/internal/telemetry"
 	"github.com/pepperhatch/pepperhatch/internal/worker"
@@ -52,7 +53,8 @@
 	// what the last row lacks.
 	rowFull bool
 	omitted job.Omitted
-	// proofDue is when the row has to be written for its proofs that attempts ran, or zero.
+	// proofDue is when the row has to be written for acknowledgements or its proofs that attempts
+	// ran, or zero.
 	proofDue time.Time
 	// removing is set once the rows are to be removed.
 	removing bool
@@ -68,6 +70,8 @@
 	attempts map[attemptKey]*attempt
 	// unowned are attempts of former owners on workers that this owner has not seen yet.
 	unowned []attemptKey
+	// orders has the outstanding start orders of tasks.
+	orders map[job.TaskRef]*outstanding.Orders
 	// failedOn has the workers on which a task of the job failed.
 	failedOn map[worker.Incarnation]bool
 	// tracks has the load history of the steps that run services, by index.
@@ -216,6 +220,7 @@
 	ow.Metrics.Add(telemetry.AttemptEnds, 1, "end", string(end))
 	ow.Log.Info("attempt ended", "job", tj.jo.ID, "task", tj.jo.TaskID(ref), "attempt", number, "worker", incarnation, "end", end, "why", reason, "state", tj.jo.State(),
 		"acked", seen.acked, "ran_at_least", seen.ran, "crashes", tj.jo.Task(ref).Crashes, "presumed", tj.jo.Task(ref).PresumedCrashes, "losses", tj.jo.Task(ref).Losses)
+	tj.logOutstanding(ref, time.Now())
 	ow.logGivenUp(tj, ref, end)
 	ow.stopSuperseded(tj, ref)
 	ow.stopFinished(tj)
--- a/internal/sched/workerstate.go
+++ b/internal/sched/workerstate.go
@@ -386,6 +386,7 @@
 // they count as extended by a full lease even if this owner never extends them.
 func (wk *workerState) markSettled() {
 	wk.settled = true
+	wk.settleFormer()
 	wk.leaseUntilMS = max(wk.leaseUntilMS, wk.clockMS+wk.ow.Limits.MaxLease.Milliseconds())
 	wk.ow.boundRestartLeases(wk.incarnation, wk.ow.wholeLeaseAfter(time.Now()))
 }
--- a/internal/standin/fleet_agent.go
+++ b/internal/standin/fleet_agent.go
@@ -13,13 +13,13 @@
 func (fl *Fleet) Agent() worker.Agent {
 	ag := worker.Agent{
 		LaunchFunc: func(ctx context.Context, ad worker.Addr, la worker.Launch) (worker.Ack, error) {
-			return sendOrder(ctx, fl, ad, la.Attempt, func(fw *FleetWorker) (worker.Ack, error) { return fw.launch(la) })
+			return sendOrder(ctx, fl, ad, func(fw *FleetWorker) (worker.Ack, error) { return fw.launch(la) })
 		},
 		HaltFunc: func(ctx context.Context, ad worker.Addr, ha worker.Halt) (worker.Ack, error) {
-			return sendOrder(ctx, fl, ad, ha.Attempt, func(fw *FleetWorker) (worker.Ack, error) { return fw.halt(ha) })
+			return sendOrder(ctx, fl, ad, func(fw *FleetWorker) (worker.Ack, error) { return fw.halt(ha) })
 		},
 		PaceFunc: func(ctx context.Context, ad worker.Addr, pa worker.Pace) (worker.Ack, error) {
-			return sendOrder(ctx, fl, ad, pa.Attempt, func(fw *FleetWorker) (worker.Ack, error) { return fw.pace(pa) })
+			return sendOrder(ctx, fl, ad, func(fw *FleetWorker) (worker.Ack, error) { return fw.pace(pa) })
 		},
 		PollFunc: fl.poll,
 	}
@@ -54,7 +54,7 @@
 
 // sendOrder carries out an order about an attempt subject to the faults and the
 // OrderDelay of the worker.
-func sendOrder(ctx context.Context, fl *Fleet, ad worker.Addr, at worker.Attempt, fn func(*FleetWorker) (worker.Ack, error)) (worker.Ack, error) {
+func sendOrder(ctx context.Context, fl *Fleet, ad worker.Addr, fn func(*FleetWorker) (worker.Ack, error)) (worker.Ack, error) {
 	fw, err := fl.lookup(ad)
 	if err != nil {
 		return worker.Ack{}, err
@@ -76,7 +76,7 @@
 	fl.mu.Unlock()
 	if delay > 0 {
 		time.AfterFunc(delay, func() {
-			if next := fl.nextIncarnation(fw, at); next != nil {
+			if next := fl.successor(fw); next != nil {
 				fw = next
 			}
 			_, _ = locked()
@@ -87,20 +87,6 @@
 	return withFault(ctx, &fw.Faults, locked)
 }
 
-// nextIncarnation returns the process that replaced a dead worker at its address under the
-// same id, if a delayed order about an attempt may reach it, and nil otherwise. The order
-// must not reach it if the attempt, or a later one of the task, had ended or been stopped
-// at the dead worker.
-func (fl *Fleet) nextIncarnation(fw *FleetWorker, at worker.Attempt) *FleetWorker {
-	next := fl.successor(fw)
-	fl.mu.Lock()
-	defer fl.mu.Unlock()
-	if fw.lastAttempt[at.Task] >= at.Number {
-		return nil
-	}
-	return next
-}
-
 // successor returns the process that replaced a dead worker at its address under the same
 // id, or nil.
 func (fl *Fleet) successor(fw *FleetWorker) *FleetWorker {
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -59,6 +59,7 @@
 
 	WorkersCrashed  Name = "pepperhatch_workers_crashed"
 	AnsweredByOther Name = "pepperhatch_calls_answered_by_other_incarnation"
+	AwaitedOrders   Name = "pepperhatch_awaited_orders"
 	SuspectStarts   Name = "pepperhatch_suspect_starts"
 	TasksGivenUp    Name = "pepperhatch_tasks_given_up"
 	QueuedStarts    Name = "pepperhatch_queued_starts"
@@ -156,6 +157,7 @@
 	{RelaysLost, "", "streams from an owner to other entry hosts that ended", "look for \"relay not used for a while\" in the owner's log"},
 	{WorkersCrashed, "attempts", "workers whose process ended without a report, by whether attempts were present at the worker (some) or not (none)", "some: look for \"task given up\" and \"trying a task under which workers ended\" in the log"},
 	{AnsweredByOther, "call", "calls to a worker (launch, halt, pace, poll) that another incarnation of it answered than the one addressed, and may have carried out", "growth without restarts of workers: look for \"call answered by another incarnation\" in the log"},
+	{AwaitedOrders, "outcome", "tasks to be started again while earlier start orders may still be carried out: started on the same worker (same-worker), or free to start on others as no such order is left (settled)", "settled: growth while workers leave no orders without an answer; look for \"start orders may still be carried out\" in the log"},
 	{SuspectStarts, "how", "starts of tasks whose workers ended: spread (apart), or isolated (alone), because after one more crash the task is given up", "alone: a task crashes its workers, or workers crash often"},
 	{TasksGivenUp, "why", "tasks that are not retried, for as many failures as their queue allows or for crashes of their workers", "crashes: notify the job's owner"},
 	{QueuedStarts, "outcome", "interrupted tasks that were placed on the capacity of attempts being stopped: started there, or abandoned to be placed anew", "abandoned: workers stop attempts late or not at all, look for \"halt not done\" in the log"},
