sched: count jobs that no worker has begun as pending

Callers saw no pending jobs in a queue whose accepted jobs waited: orders to start them had been sent to a worker that was lost, and never carried out.

Cause: the count was that of jobs in the state "queued". A job leaves it when the start of a task is written, before the order is sent, and does not return to it if the order is refused or has no answer.

Change: a job has begun once a worker acknowledges or lists an attempt of it, or its end. Rows say if starts were ordered and none is known to have begun; rows of earlier versions count as begun. The state that callers see is the same as before.

TestJobsThatNeverBeganArePending failed before in all of its subtests, with the worker lost and back, and with a change of owner in between.

--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -151,6 +151,8 @@
 	remaining []int
 	abandoned int
 	started   int
+	// begun is set once a worker is known to have begun a task.
+	begun bool
 	// finalState is the state of a job that was restored without its tasks, as it is over.
 	finalState State
 }
@@ -209,6 +211,12 @@
 	return n
 }
 
+// MarkBegun records that a worker has begun a task.
+func (jo *Job) MarkBegun() { jo.begun = true }
+
+// Waits reports whether the job is not over and no worker is known to have begun any of its tasks.
+func (jo *Job) Waits() bool { return !jo.begun && !jo.State().Final() }
+
 // LongRunning reports whether the job has tasks that run until it is cancelled.
 func (jo *Job) LongRunning() bool {
 	for i := range jo.Spec.Steps {
--- a/internal/job/jobrow.go
+++ b/internal/job/jobrow.go
@@ -24,6 +24,8 @@
 	// Cancelled is set for a cancelled job, Steps holds the tasks.
 	Cancelled bool      `json:"cancelled,omitempty"`
 	Steps     []StepRow `json:"steps,omitempty"`
+	// NotBegun is set if starts of tasks were ordered and no worker is known to have begun one.
+	NotBegun bool `json:"not_begun,omitempty"`
 	// Queue is the queue of a job that is over, whose SpecRow is removed.
 	Queue string `json:"queue,omitempty"`
 }
@@ -39,6 +41,7 @@
 	if jo.Finished() {
 		row.Queue = jo.Terms.Queue
 	} else {
+		row.NotBegun = jo.started > 0 && !jo.begun
 		for step, tasks := range jo.Tasks {
 			sr := newStepRow(tasks)
 			sr.setRestartMS(jo.RestartLeaseMS)
@@ -90,6 +93,7 @@
 		return nil, fmt.Errorf("progress of job %s: %w", id, err)
 	}
 	jo.recount()
+	jo.begun = jo.started > 0 && !pr.NotBegun
 	return jo, nil
 }
 
--- a/internal/job/orders.go
+++ b/internal/job/orders.go
@@ -24,6 +24,7 @@
 // whether that was new.
 func (jo *Job) MarkAcknowledged(ref TaskRef, attempt int) bool {
 	ta := jo.Task(ref)
+	jo.begun = jo.begun || ta.runs(attempt)
 	if !ta.lastRuns() || ta.Attempt != attempt || ta.Acknowledged {
 		return false
 	}
--- a/internal/sched/api.go
+++ b/internal/sched/api.go
@@ -245,12 +245,13 @@
 // errUnreadable is returned for jobs whose rows cannot be decoded.
 var errUnreadable = errors.New("rows of the job cannot be read")
 
-// Pending counts the jobs of a queue whose last written state is that no task has started.
+// Pending counts the jobs of a queue of which no worker is known to have begun a task, and those
+// whose last written state is that none was started.
 func (ow *Owner) Pending(ctx context.Context, queue string) (int, error) {
 	return callTo(ctx, ow, looplag.Submissions, func(answer func(int)) {
 		n := 0
 		for tj := range ow.allJobs() {
-			if tj.jo.Terms.Queue == queue && tj.writtenState == job.Queued {
+			if tj.jo.Terms.Queue == queue && (tj.writtenState == job.Queued || tj.writtenState == job.Running && tj.jo.Waits()) {
 				n++
 			}
 		}
--- a/internal/sched/polls.go
+++ b/internal/sched/polls.go
@@ -271,6 +271,7 @@
 	}
 	wk.recordOutcome(tj, ea.Outcome)
 	tj.settleOrder(ref, ea.Number)
+	tj.jo.MarkBegun()
 	end := parseEnd(ea.Outcome)
 	if !wk.ow.recordEnd(tj, ref, ea.Number, end, ea.Checkpoint, "listed by the worker") {
 		wk.ow.recordLateEnd(tj, ref, ea.Number, end, wk.incarnation)
