sched: place tasks with outstanding orders before others

Change: each round first places the tasks with outstanding orders.

TestUnansweredTasksKeepTheirCapacity failed before: 0 of 16 tasks ran.

--- a/internal/sched/lateanswer_test.go
+++ b/internal/sched/lateanswer_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -136,3 +137,23 @@
 		cl.assertRunsConsistent()
 	})
 }
+
+// TestUnansweredTasksKeepTheirCapacity guards against tasks that wait for 12 s as others take their capacity on the only
+// worker on which they may start, once their orders had no answer.
+func TestUnansweredTasksKeepTheirCapacity(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const tasks = 16
+		la := newLab(t, 1)
+		la.fleet.RunFunc = runUntilStopped
+		ow, end := la.startOwner()
+		defer end()
+		time.Sleep(time.Second)
+		la.fleet.SetOrderDelay(la.fleetWorkers[0], 20*time.Second)
+		la.submit(ow, 1, batch(2, tasks))
+		time.Sleep(10 * time.Millisecond)
+		la.fleet.SetOrderDelay(la.fleetWorkers[0], 0)
+		la.submit(ow, 2, batch(1, tasks))
+		time.Sleep(2 * time.Second)
+		qt.Check(t, []int{la.runningOfJob(1), la.runningOfJob(2)}, qt.DeepEquals, []int{tasks, 0})
+	})
+}
--- a/internal/sched/outstandingorder.go
+++ b/internal/sched/outstandingorder.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"time"
@@ -222,10 +223,35 @@
 	return list
 }
 
+// placeAtAddressees starts the waiting tasks with outstanding orders on the workers that these were
+// sent to. That comes before all other tasks, which would take the capacity of the last attempt.
+func (pl *placer) placeAtAddressees() {
+	var list []taskKey
+	for _, tasks := range pl.ow.ordersAt {
+		for tk := range tasks {
+			if !tk.tj.orders[tk.ref].Empty() && tk.tj.mayPlace(tk.ref, pl.now) {
+				list = append(list, tk)
+			}
+		}
+	}
+	slices.SortFunc(list, func(a, b taskKey) int {
+		return cmp.Or(compareJobs(a.tj, b.tj), cmp.Compare(a.ref.Step, b.ref.Step), cmp.Compare(a.ref.Index, b.ref.Index))
+	})
+	for _, tk := range slices.Compact(list) {
+		if !pl.windowFull(tk.tj) {
+			pl.placeAtAddressee(tk.tj, tk.ref)
+		}
+	}
+}
+
+// mayPlace reports whether a task waits and may be placed now.
+func (tj *trackedJob) mayPlace(ref job.TaskRef, now time.Time) bool {
+	return tj.waitingTasks > 0 && tj.jo.Task(ref).State == job.Waiting && tj.jo.Ready(ref.Step) && !tj.backoffs.Active(ref, now)
+}
+
 // placeAtAddressee starts a task with outstanding orders on the worker that they were sent to, if
 // that can take it now.
 func (pl *placer) placeAtAddressee(tj *trackedJob, ref job.TaskRef) {
-	tj.waitCause, tj.orderSince = CausePlace, time.Time{}
 	if tj.jo.Task(ref).Isolated() {
 		return
 	}
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -24,6 +24,7 @@
 	ow.lag.RecordRound()
 	ow.Metrics.Add(telemetry.PlacementRounds, 1)
 	pl := ow.newPlacer()
+	pl.placeAtAddressees()
 	pl.placeAged()
 	for jobs := slices.Clone(ow.waitingJobs); len(jobs) > 0; {
 		n := countSamePriority(jobs)
@@ -186,8 +187,7 @@
 			return
 		}
 		if !tj.orders[ref].Empty() {
-			pl.placeAtAddressee(tj, ref)
-			rk = nil
+			tj.waitCause, tj.orderSince = CausePlace, time.Time{}
 			continue
 		}
 		if ta.Suspect() {
