sched: count how waits for outstanding orders end

The counter of awaited orders took an order that the worker refused at once for a wait, and could not tell an answer of the worker from the end of a whole lease.

--- a/internal/job/rowsize.go
+++ b/internal/job/rowsize.go
@@ -23,8 +23,8 @@
 
 // EncodeRow returns the row of the current state in at most limit bytes. If the state takes more,
 // the row lacks the addresses of workers, which only save time, then the largest checkpoints, which
-// only save work, and then the counts by which tasks are given up. What keeps tasks from running twice is never left out: if that alone
-// exceeds the limit, the error wraps [ErrTooLarge].
+// only save work, and then the counts by which tasks are given up. What keeps tasks from running
+// twice is never left out: if that alone exceeds the limit, the error wraps [ErrTooLarge].
 func (jo *Job) EncodeRow(epoch int64, limit int) ([]byte, Omitted, error) {
 	row := jo.NextRow(epoch)
 	var om Omitted
--- a/internal/sched/outstandingorder.go
+++ b/internal/sched/outstandingorder.go
@@ -22,7 +22,8 @@
 //
 // Tasks of steps that allow copies may run twice and have none.
 
-// trackOrders returns the outstanding orders of a task, to which the caller adds one to a worker.
+// trackOrders returns the outstanding orders of a task, for the caller to add one that was sent to
+// the given worker.
 func (tj *trackedJob) trackOrders(ref job.TaskRef, workerID string) *outstanding.Orders {
 	os := tj.orders[ref]
 	if os == nil {
@@ -70,10 +71,22 @@
 // the given time.
 func (wk *workerState) settleAbsentOrders(sent time.Time, whole worker.WholeList) {
 	for tk := range wk.ow.ordersAt[wk.incarnation.ID] {
-		name := tk.tj.jo.TaskID(tk.ref)
-		tk.tj.orders[tk.ref].Absent(wk.incarnation, sent, func(number int) bool {
+		os, name := tk.tj.orders[tk.ref], tk.tj.jo.TaskID(tk.ref)
+		if os.Empty() {
+			continue
+		}
+		os.Absent(wk.incarnation, sent, func(number int) bool {
 			return whole.Absent(worker.Attempt{Task: name, Number: number})
 		})
+		tk.countIfSettled("absent")
+	}
+}
+
+// countIfSettled counts the end of a wait for outstanding orders, if the task waits and has none any
+// more.
+func (tk taskKey) countIfSettled(outcome string) {
+	if tk.tj.orders[tk.ref].Empty() && tk.tj.jo.Task(tk.ref).State == job.Waiting {
+		tk.tj.ow.Metrics.Add(telemetry.AwaitedOrders, 1, "outcome", outcome)
 	}
 }
 
@@ -123,17 +136,15 @@
 	ceased, _ := ow.formerLeaseBounds()
 	for id, tasks := range ow.ordersAt {
 		for tk := range tasks {
-			os := tk.tj.orders[tk.ref]
-			os.CeasedBy(ceased)
-			os.Expire(now.Add(-ow.wholeLease()))
-			if !os.Empty() {
-				continue
+			if os := tk.tj.orders[tk.ref]; !os.Empty() {
+				os.CeasedBy(ceased)
+				os.Expire(now.Add(-ow.wholeLease()))
+				tk.countIfSettled("expired")
 			}
-			if tk.tj.orders[tk.ref] != nil && tk.tj.jo.Task(tk.ref).State == job.Waiting {
-				ow.Metrics.Add(telemetry.AwaitedOrders, 1, "outcome", "settled")
+			if tk.tj.orders[tk.ref].Empty() {
+				delete(tk.tj.orders, tk.ref)
+				delete(tasks, tk)
 			}
-			delete(tk.tj.orders, tk.ref)
-			delete(tasks, tk)
 		}
 		if len(tasks) == 0 {
 			delete(ow.ordersAt, id)
--- a/internal/sched/restartlease.go
+++ b/internal/sched/restartlease.go
@@ -16,10 +16,9 @@
 //     leases end a whole lease after that poll.
 //   - An owner launches nothing on a worker before that poll. The row that names an attempt states
 //     for how long such leases may still run, unless they have ended.
-// What an order starts that an earlier incarnation did not answer is awaited by the rules of
-// outstandingorder.go.
 //
-// An incarnation that no owner has seen, as it was neither listed nor answered, is not awaited.
+// An incarnation that no owner has seen, as it was neither listed nor answered, runs nothing but
+// what orders to an earlier one start, which are awaited by the rules of outstandingorder.go.
 
 // earlierOrder describes the order of an attempt that was sent to an earlier incarnation of its
 // worker than the one that may carry it out.
