sched: keep the order of a running attempt with the attempt

Cause: each start order was registered when it was sent, and stayed in the index by worker until the next tick after its answer. Each round of placement and each poll went through the index.

Change: an attempt has the time of its own order while that is outstanding. It moves to the orders of the task in recordEnd, through which each end of an attempt goes, so the index has orders of ended attempts and of former owners only. Rows have the addresses as a list, which encodes faster.

--- a/internal/job/job_test.go
+++ b/internal/job/job_test.go
@@ -104,7 +104,7 @@
 		{oneTask, `{"steps":[{"s":"s","w":["a"]}]}`}, {oneTask, `{"steps":[{"s":"s","w":["a"],"o":[1]}]}`}, {oneTask, `{"state":"running"}`},
 		{oneTask, `{"steps":[{"s":"s","w":["a"],"o":[0],"p":"x"}]}`}, {oneTask, `{"steps":[{"s":"s","w":["a"],"o":[0],"p":"11"}]}`},
 		{oneTask, `{"steps":[{"s":"s","w":["a"],"o":[0],"k":"11"}]}`}, {oneTask, `{"steps":[{"s":"w","u":{"1":{"w":"a","m":5}}}]}`},
-		{oneTask, `{"steps":[{"s":"s","w":["a"],"o":[0],"h":{"1":"10.0.0.1:80"}}]}`},
+		{oneTask, `{"steps":[{"s":"s","w":["a"],"o":[0],"h":["","10.0.0.1:80"]}]}`},
 		{oneTask, `{"steps":[{"s":"w","w":["a"],"e":{"0":{"n":1}}}]}`}, {oneTask, `{"steps":[{"s":"d","w":["a"],"e":{"0":{"n":1,"o":1}}}]}`},
 		{oneTask, `{"steps":[{"s":"d","w":["a"],"e":{"0":{"n":1,"p":3}}}]}`}, {oneTask, `{"steps":[{"s":"d","w":["a"],"e":{"0":{"o":0}}}]}`}} {
 		_, err := Restore(testID, []byte(tc[0]), []byte(tc[1]))
--- a/internal/job/orders.go
+++ b/internal/job/orders.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 
 	"github.com/pepperhatch/pepperhatch/internal/worker"
@@ -40,6 +41,9 @@
 // acknowledged, as far as its phase does not show it. It returns a single character if all are
 // equal, and nothing if none is.
 func encodeAcknowledged(tasks []Task) string {
+	if !slices.ContainsFunc(tasks, func(ta Task) bool { return ta.Acknowledged }) {
+		return ""
+	}
 	var list strings.Builder
 	for _, ta := range tasks {
 		switch {
@@ -104,16 +108,20 @@
 func (sr *StepRow) setHostPorts(list map[worker.Incarnation]string) {
 	for i, inc := range sr.Workers {
 		if hostPort := list[inc]; hostPort != "" {
-			put(&sr.HostPorts, i, hostPort)
+			sr.HostPorts = append(sr.HostPorts, make([]string, i+1-len(sr.HostPorts))...)
+			sr.HostPorts[i] = hostPort
 		}
 	}
 }
 
 // addHostPorts adds the values of HostPorts to those of the job.
 func (sr *StepRow) addHostPorts(jo *Job) error {
+	if len(sr.HostPorts) > len(sr.Workers) {
+		return fmt.Errorf("%w: address of an unknown worker", errRowMismatch)
+	}
 	for i, hostPort := range sr.HostPorts {
-		if i < 0 || i >= len(sr.Workers) {
-			return fmt.Errorf("%w: address of an unknown worker", errRowMismatch)
+		if hostPort == "" {
+			continue
 		}
 		if jo.HostPorts == nil {
 			jo.HostPorts = map[worker.Incarnation]string{}
--- a/internal/job/steprow.go
+++ b/internal/job/steprow.go
@@ -43,10 +43,10 @@
 	// Acknowledged has the started tasks whose last attempts are acknowledged, see
 	// encodeAcknowledged.
 	Acknowledged string `json:"k,omitempty"`
-	// Orders has the values of [Job.Orders], and HostPorts those of [Job.HostPorts] by the indices
-	// of the workers.
+	// Orders has the values of [Job.Orders], and HostPorts those of [Job.HostPorts] in the order of
+	// the workers.
 	Orders    map[int]StatedOrder `json:"u,omitempty"`
-	HostPorts map[int]string      `json:"h,omitempty"`
+	HostPorts []string            `json:"h,omitempty"`
 	// Others has the attempts that may run beside the last ones. Versions of the program
 	// that do not know the field find the last attempt in the other fields, stop the other
 	// one where a worker lists it, and count its end like that of an attempt that was given
--- a/internal/outstanding/outstanding.go
+++ b/internal/outstanding/outstanding.go
@@ -90,7 +90,7 @@
 // any of the attempts for which absent returns true.
 func (os *Orders) Absent(process worker.Incarnation, sent time.Time, absent func(attempt int) bool) {
 	os.remove(func(or order) bool {
-		return absent(or.attempt) && (or.runs == process || or.to.Worker == process.ID && sent.After(or.until))
+		return (or.runs == process || or.to.Worker == process.ID && sent.After(or.until)) && absent(or.attempt)
 	})
 }
 
--- a/internal/sched/attempt.go
+++ b/internal/sched/attempt.go
@@ -34,6 +34,9 @@
 	queued bool
 	// orderSent is set just before its start order is sent.
 	orderSent bool
+	// orderSentBy is the latest time at which its start order was sent, while that is outstanding, or
+	// zero. Its task keeps the order if a former owner sent it.
+	orderSentBy time.Time
 	// deferral is set while its start order is queued at the client of the worker.
 	deferral *deferredLaunch
 	// launchedAt is when the worker acknowledged the order, or zero.
--- a/internal/sched/death.go
+++ b/internal/sched/death.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/pepperhatch/pepperhatch/internal/job"
-	"github.com/pepperhatch/pepperhatch/internal/outstanding"
 	"github.com/pepperhatch/pepperhatch/internal/telemetry"
 	"github.com/pepperhatch/pepperhatch/internal/worker"
 )
@@ -66,7 +65,7 @@
 	wk.dead = true
 	wk.logDeath(why, by, time.Now())
 	wk.endStrays()
-	wk.ow.settleRefused(outstanding.Addressee{Worker: wk.incarnation.ID, HostPort: wk.HostPort})
+	wk.settleReplaced()
 	wk.endDead(why)
 	wk.disconnect()
 	wk.ow.removeIfIdle(wk)
--- a/internal/sched/deferredlaunch.go
+++ b/internal/sched/deferredlaunch.go
@@ -35,7 +35,7 @@
 		return
 	}
 	la := at.newLaunch()
-	at.recordOrder(now.Add(wait + launchTimeout))
+	at.orderSentBy = now.Add(wait + launchTimeout)
 	la.Deferral = at.wk.newDeferral(at, wait)
 	ctx, cancel := context.WithTimeout(ow.ctx, wait+launchTimeout)
 	at.deferral = &deferredLaunch{capacity: at.wk.Capacity, fence: at.wk.currentPath().fence, cancel: cancel}
--- a/internal/sched/incarnation.go
+++ b/internal/sched/incarnation.go
@@ -167,7 +167,7 @@
 			continue
 		}
 		wk.removeAttempt(at)
-		moved := &attempt{ref: at.ref, number: at.number, wk: next, tj: at.tj, orderSent: true, inherited: true, superseded: at.superseded, pace: unknownPace}
+		moved := &attempt{ref: at.ref, number: at.number, wk: next, tj: at.tj, orderSent: true, orderSentBy: at.orderSentBy, inherited: true, superseded: at.superseded, pace: unknownPace}
 		if named := at.namedIncarnation(); named == next.incarnation {
 			// The entry of a former incarnation was seen late.
 			moved.rowIncarnation, moved.inheritedRunTime = named, at.rowRunTime()
--- a/internal/sched/launch.go
+++ b/internal/sched/launch.go
@@ -51,7 +51,7 @@
 func (at *attempt) newLaunch() worker.Launch {
 	now := time.Now()
 	at.orderSent = true
-	at.recordOrder(now.Add(launchTimeout))
+	at.orderSentBy = now.Add(launchTimeout)
 	return worker.Launch{
 		Attempt: at.name(), Payload: at.tj.jo.Spec.Payload, Checkpoint: at.task().Checkpoint,
 		LeaseUntilMS: at.wk.nextLeaseEnd(now),
@@ -121,7 +121,7 @@
 	}
 	if !at.wk.handleRefusal(err) {
 		at.resolvingOrder = true
-		at.recordOrder(got)
+		at.orderSentBy = got
 		at.wk.recordUnanswered(sent)
 		go ow.resolveOrder(at.wk, at.name(), func(present bool) { ow.handleLaunchResolved(at, present) })
 		return
--- a/internal/sched/outstandingorder.go
+++ b/internal/sched/outstandingorder.go
@@ -12,9 +12,9 @@
 	"github.com/pepperhatch/pepperhatch/internal/worker"
 )
 
-// A task has outstanding orders from the moment at which one is sent until the worker is known to
-// have it or to have refused it, see package outstanding. They are kept by task and outlive the
-// attempts. While there are any, the task starts again only on the worker that they were sent to.
+// An order is outstanding from the moment at which it is sent until the worker is known to have it
+// or to have refused it, see package outstanding. That of an attempt moves to its task when the
+// attempt ends. While a task has any, it starts again only on the worker that they were sent to.
 //
 // A next owner has not seen which orders were answered. The row of a job says it for attempts
 // that were acknowledged or seen running, and states until when orders of ended attempts may be
@@ -42,16 +42,19 @@
 	return os
 }
 
-// recordOrder records that the order to start the attempt is sent, by the given time at the latest.
-func (at *attempt) recordOrder(sentBy time.Time) {
-	if !at.step().Copies {
+// keepOrder keeps the order to start an attempt that has ended, if it is outstanding.
+func (tj *trackedJob) keepOrder(at *attempt) {
+	if !at.orderSentBy.IsZero() && !at.step().Copies {
 		to := outstanding.Addressee{Worker: at.wk.incarnation.ID, HostPort: at.wk.HostPort}
-		at.tj.trackOrders(at.ref, to.Worker).Sent(at.number, to, sentBy)
+		tj.trackOrders(at.ref, to.Worker).Sent(at.number, to, at.orderSentBy)
 	}
 }
 
 // settleOrder records that the order to start an attempt was carried out, refused or not sent.
 func (tj *trackedJob) settleOrder(ref job.TaskRef, number int) {
+	if at := tj.attempts[attemptKey{ref, number}]; at != nil {
+		at.orderSentBy = time.Time{}
+	}
 	if tj.orders[ref].Settle(number) {
 		tj.ow.placementDue = true
 	}
@@ -71,12 +74,12 @@
 // the given time.
 func (wk *workerState) settleAbsentOrders(sent time.Time, whole worker.WholeList) {
 	for tk := range wk.ow.ordersAt[wk.incarnation.ID] {
-		os, name := tk.tj.orders[tk.ref], tk.tj.jo.TaskID(tk.ref)
+		os := tk.tj.orders[tk.ref]
 		if os.Empty() {
 			continue
 		}
 		os.Absent(wk.incarnation, sent, func(number int) bool {
-			return whole.Absent(worker.Attempt{Task: name, Number: number})
+			return whole.Absent(worker.Attempt{Task: tk.tj.jo.TaskID(tk.ref), Number: number})
 		})
 		tk.countIfSettled("absent")
 	}
@@ -97,6 +100,15 @@
 	}
 }
 
+// settleReplaced records that another worker answers at the worker's address, and so refuses orders
+// that were sent there.
+func (wk *workerState) settleReplaced() {
+	for at := range wk.allAttempts() {
+		at.orderSentBy = time.Time{}
+	}
+	wk.ow.settleRefused(outstanding.Addressee{Worker: wk.incarnation.ID, HostPort: wk.HostPort})
+}
+
 // settleRefused records that another worker answers at the address of a worker.
 func (ow *Owner) settleRefused(to outstanding.Addressee) {
 	for tk := range ow.ordersAt[to.Worker] {
@@ -152,8 +164,8 @@
 	}
 }
 
-// orderLeases returns the latest end of a lease under which an outstanding order runs an attempt at
-// the task.
+// orderLeases returns the latest end of a lease under which an order that the task keeps runs an
+// attempt.
 func (ow *Owner) orderLeases(tj *trackedJob, ref job.TaskRef) leaseBound {
 	_, until := tj.orders[ref].Latest(noAttempt)
 	if until.IsZero() {
@@ -162,6 +174,16 @@
 	return leaseBound{until: ow.wholeLeaseAfter(until), basis: basisOutstanding}
 }
 
+// orderLeases returns the same for the attempt's own order, too.
+func (at *attempt) orderLeases() leaseBound {
+	ow := at.wk.ow
+	lb := ow.orderLeases(at.tj, at.ref)
+	if at.orderSentBy.IsZero() || at.step().Copies {
+		return lb
+	}
+	return lb.later(leaseBound{until: ow.wholeLeaseAfter(at.orderSentBy.Add(outstanding.MaxDelay)), basis: basisOutstanding})
+}
+
 // inheritOrders records the orders of former owners for a task that may be outstanding.
 func (tj *trackedJob) inheritOrders(ref job.TaskRef, ceased time.Time) {
 	if tj.jo.Spec.Steps[ref.Step].Copies {
--- a/internal/sched/restartlease.go
+++ b/internal/sched/restartlease.go
@@ -126,7 +126,7 @@
 	var lapsed []*attempt
 	var latest leaseBound
 	for at := range wk.allAttempts() {
-		lb := wk.attemptLeases(at, here).later(wk.ow.orderLeases(at.tj, at.ref))
+		lb := wk.attemptLeases(at, here).later(at.orderLeases())
 		if now.After(lb.until) {
 			lapsed, latest = append(lapsed, at), latest.later(lb)
 		}
--- a/internal/sched/trackedjob.go
+++ b/internal/sched/trackedjob.go
@@ -202,6 +202,7 @@
 		}
 		at.wk.removeAttempt(at)
 		delete(tj.attempts, at.key())
+		tj.keepOrder(at)
 		ow.countEnd(at, over, time.Now())
 	}
 	if end == job.EndDone && !over {
